--- /dev/null
+++ b/internal/platform/kv.go
@@ -0,0 +1,151 @@
+// Package platform is the client of the platform's key-value service, which speaks
+// the published etcd v3 JSON gateway.
+package platform
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Errors of the key-value service. ErrUnavailable means that the call certainly had no
+// effect; after ErrUnknown a write may have taken effect and must be read back.
+var (
+	ErrUnavailable   = errors.New("platform: service unavailable")
+	ErrUnknown       = errors.New("platform: outcome unknown")
+	ErrCompacted     = errors.New("platform: revision compacted")
+	ErrLeaseNotFound = errors.New("platform: lease not found")
+)
+
+// LeaseID identifies a lease; zero means no lease.
+type LeaseID int64
+
+// Pair is one key with its value and revisions.
+type Pair struct {
+	Key            string
+	Value          []byte
+	CreateRevision int64
+	ModRevision    int64
+	Version        int64
+	Lease          LeaseID
+}
+
+// RangeRequest selects the keys that start with Prefix.
+type RangeRequest struct {
+	// Prefix selects keys; it must not be empty.
+	Prefix string
+	// MinModRevision leaves out keys that were last changed before it; zero means all.
+	MinModRevision int64
+	// Limit bounds the number of pairs; zero means no bound.
+	Limit int64
+	// KeysOnly leaves out the values.
+	KeysOnly bool
+	// Serializable allows a stale answer from one replica of the service.
+	Serializable bool
+}
+
+// RangeResult is the answer to a RangeRequest.
+type RangeResult struct {
+	Pairs []Pair
+	// Revision is the store revision at which the answer was made.
+	Revision int64
+	// ClusterID changes when the service is rebuilt or restored.
+	ClusterID uint64
+	// More is set when Limit cut the answer.
+	More bool
+}
+
+// CompareTarget is the property of a key that a Compare looks at.
+type CompareTarget uint8
+
+// The targets of a Compare.
+const (
+	CompareModRevision CompareTarget = iota
+	CompareCreateRevision
+	CompareVersion
+)
+
+// Compare holds when the target of Key equals Value. A ModRevision or CreateRevision
+// of zero means that the key is absent.
+type Compare struct {
+	Key    string
+	Target CompareTarget
+	Value  int64
+}
+
+// OpKind is the kind of an operation in a transaction.
+type OpKind uint8
+
+// The operations.
+const (
+	OpPut OpKind = iota
+	OpDelete
+	OpGet
+)
+
+// Op is one operation of a transaction.
+type Op struct {
+	Kind  OpKind
+	Key   string
+	Value []byte
+	Lease LeaseID
+}
+
+// Txn runs Success when all Compares hold and Failure otherwise, atomically.
+type Txn struct {
+	Compares []Compare
+	Success  []Op
+	Failure  []Op
+}
+
+// TxnResult is the answer to a Txn. Gets holds one entry for each OpGet that ran, nil if absent.
+type TxnResult struct {
+	Succeeded bool
+	Revision  int64
+	Gets      []*Pair
+}
+
+// Event is one change that a watch reports.
+type Event struct {
+	Deleted bool
+	Pair    Pair
+}
+
+// WatchBatch is the set of events of one message of a watch. An empty batch is a progress
+// notice: all events up to Revision have been delivered.
+type WatchBatch struct {
+	Events    []Event
+	Revision  int64
+	ClusterID uint64
+}
+
+// KV is the key-value service. All methods are safe for concurrent use.
+type KV interface {
+	// Get returns nil when the key is absent, and the store revision.
+	Get(ctx context.Context, key string) (*Pair, int64, error)
+	Range(ctx context.Context, r RangeRequest) (RangeResult, error)
+	Txn(ctx context.Context, t Txn) (TxnResult, error)
+	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	// KeepAlive renews the lease and returns its full remaining time to live.
+	KeepAlive(ctx context.Context, id LeaseID) (time.Duration, error)
+	Revoke(ctx context.Context, id LeaseID) error
+	// Watch calls fn for every batch from fromRevision on, until ctx ends, fn returns an
+	// error, or the stream breaks; it always returns a non-nil error.
+	Watch(ctx context.Context, prefix string, fromRevision int64, fn func(WatchBatch) error) error
+}
+
+// Put returns a put operation.
+func Put(key string, value []byte) Op { return Op{Kind: OpPut, Key: key, Value: value} }
+
+// PutLeased returns a put operation that binds the key to a lease.
+func PutLeased(key string, value []byte, lease LeaseID) Op {
+	return Op{Kind: OpPut, Key: key, Value: value, Lease: lease}
+}
+
+// Absent returns a compare that holds when the key does not exist.
+func Absent(key string) Compare { return Compare{Key: key, Target: CompareCreateRevision} }
+
+// Unchanged returns a compare that holds when the key was last changed at revision rev.
+func Unchanged(key string, rev int64) Compare {
+	return Compare{Key: key, Target: CompareModRevision, Value: rev}
+}
--- /dev/null
+++ b/internal/wire/messages.go
@@ -0,0 +1,235 @@
+// Package wire defines the typed messages that hosts exchange. It has no I/O: the peer
+// package frames and sends them, and the pure packages produce and consume them.
+//
+// Fields are encoded by short names, unknown fields are ignored and missing fields are zero,
+// so that two builds can run side by side during a rolling replacement.
+package wire
+
+import (
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+)
+
+// Kind identifies the type of a message in its frame.
+type Kind uint8
+
+// The message kinds. A number is never reused.
+const (
+	KindHello Kind = iota + 1
+	KindHeartbeat
+	KindViewRequest
+	KindViewDelta
+	KindDocumentRequest
+	KindDocument
+	KindLoanAsk
+	KindLoanGrant
+	KindFenceRequest
+	KindFenceGrant
+	KindDemand
+	KindReports
+)
+
+// Message is one of the message types of this package, always used as a pointer.
+type Message interface {
+	// Kind returns the frame kind of the message.
+	Kind() Kind
+}
+
+// Hello is the first message in each direction of a connection.
+type Hello struct {
+	Host        entity.HostID      `msgpack:"h"`
+	Incarnation entity.Incarnation `msgpack:"i"`
+	// Prefix is the key prefix of the installation; hosts of different installations do not talk.
+	Prefix string `msgpack:"p"`
+	// Build is the program version, for logs.
+	Build string `msgpack:"b"`
+}
+
+// Heartbeat is sent to every linked host at a fixed interval.
+type Heartbeat struct {
+	// Seq numbers the heartbeats of one incarnation.
+	Seq uint64 `msgpack:"s"`
+	// AckSeq and AckIncarnation answer the receiver's newest heartbeat; the receiver counts
+	// the answer as a witness answer for the time at which it sent heartbeat AckSeq.
+	AckSeq         uint64             `msgpack:"a"`
+	AckIncarnation entity.Incarnation `msgpack:"ai"`
+	// Revision is the sender's view revision; ConfirmedAge is how long ago it was last
+	// confirmed to be the newest; -1 means never.
+	Revision     int64         `msgpack:"r"`
+	ConfirmedAge time.Duration `msgpack:"c"`
+	// ServiceReachable says whether the sender reaches the key-value service itself.
+	ServiceReachable bool `msgpack:"k"`
+	// Levels lists the token state of workspaces in use.
+	Levels []WorkspaceLevel `msgpack:"l"`
+	// Stopping says that the sender has begun its graceful shutdown.
+	Stopping bool `msgpack:"x"`
+}
+
+// WorkspaceLevel is the token state of one workspace at one host.
+type WorkspaceLevel struct {
+	Workspace entity.WorkspaceID `msgpack:"w"`
+	// Level is the number of tokens available now.
+	Level float64 `msgpack:"l"`
+	// Used is the number of tokens admitted per second over the last seconds.
+	Used float64 `msgpack:"u"`
+	// Short is the number of tokens per second that were asked for and missing.
+	Short float64 `msgpack:"s"`
+}
+
+// ViewRequest asks for all changes after a revision.
+type ViewRequest struct {
+	Since int64 `msgpack:"s"`
+}
+
+// ViewDelta carries changes of the watched prefix.
+type ViewDelta struct {
+	// Since is the revision that the delta starts from; zero means that Changes is the whole state.
+	Since     int64         `msgpack:"s"`
+	Revision  int64         `msgpack:"r"`
+	ClusterID uint64        `msgpack:"c"`
+	Changes   []ViewChange  `msgpack:"e"`
+	Age       time.Duration `msgpack:"a"`
+}
+
+// ViewChange is one key of a ViewDelta.
+type ViewChange struct {
+	Key         string `msgpack:"k"`
+	Value       []byte `msgpack:"v"`
+	ModRevision int64  `msgpack:"m"`
+	Deleted     bool   `msgpack:"d"`
+}
+
+// DocumentRequest asks for an immutable document by digest.
+type DocumentRequest struct {
+	Digest string `msgpack:"d"`
+}
+
+// Document answers a DocumentRequest; Data is empty when the sender does not have it.
+type Document struct {
+	Digest string `msgpack:"d"`
+	Data   []byte `msgpack:"b"`
+}
+
+// LoanAsk asks for tokens for one waiting request.
+type LoanAsk struct {
+	ID        uint64             `msgpack:"i"`
+	Workspace entity.WorkspaceID `msgpack:"w"`
+	Tokens    float64            `msgpack:"t"`
+}
+
+// LoanGrant answers a LoanAsk; Tokens may be less than asked for, or zero.
+type LoanGrant struct {
+	ID        uint64             `msgpack:"i"`
+	Workspace entity.WorkspaceID `msgpack:"w"`
+	Tokens    float64            `msgpack:"t"`
+	// Level is what the lender has left, a hint for the next ask.
+	Level float64 `msgpack:"l"`
+}
+
+// FenceRequest asks a witness to answer the incarnation of a host no more.
+type FenceRequest struct {
+	Host        entity.HostID      `msgpack:"h"`
+	Incarnation entity.Incarnation `msgpack:"i"`
+}
+
+// FenceGrant promises that the sender answers the incarnation no more.
+type FenceGrant struct {
+	Host        entity.HostID      `msgpack:"h"`
+	Incarnation entity.Incarnation `msgpack:"i"`
+	// LastAnswerAge is how long ago the sender last answered it; -1 means never.
+	LastAnswerAge time.Duration `msgpack:"a"`
+}
+
+// Demand carries the sender's sums of waiting and running work. It replaces the sender's
+// former sums for the listed models.
+type Demand struct {
+	Models []ModelDemand `msgpack:"m"`
+}
+
+// ModelDemand is one host's demand for one model or one adapter of it.
+type ModelDemand struct {
+	Model   entity.ModelID   `msgpack:"m"`
+	Adapter entity.AdapterID `msgpack:"a"`
+	// WaitingInteractive and WaitingPatient count the queued requests by class.
+	WaitingInteractive int `msgpack:"wi"`
+	WaitingPatient     int `msgpack:"wp"`
+	// Running counts the requests that the host has at upstreams.
+	Running int `msgpack:"r"`
+	// OldestDeadline is the time left to the earliest deadline of a waiting request.
+	OldestDeadline time.Duration `msgpack:"d"`
+}
+
+// Reports relays upstream reports and upstream states that the sender learned first.
+type Reports struct {
+	Reports []UpstreamReport `msgpack:"r"`
+}
+
+// UpstreamReport is the state that an engine reports about itself, with a lag.
+type UpstreamReport struct {
+	Upstream entity.UpstreamID `msgpack:"u" json:"upstream"`
+	// Boot changes when the engine process restarts.
+	Boot string `msgpack:"b" json:"boot"`
+	// Seq rises with every state change of the engine within one boot.
+	Seq uint64 `msgpack:"s" json:"seq"`
+	// Age is how old the state was when it was reported.
+	Age time.Duration `msgpack:"g" json:"age_ns"`
+	// Leaving says that the upstream takes no new work.
+	Leaving bool `msgpack:"l" json:"leaving"`
+	// MemoryBytes and UsedBytes are the total and reserved memory of the engine.
+	MemoryBytes int64           `msgpack:"m" json:"memory_bytes"`
+	UsedBytes   int64           `msgpack:"ub" json:"used_bytes"`
+	Running     int             `msgpack:"r" json:"running"`
+	Waiting     int             `msgpack:"w" json:"waiting"`
+	Entries     []ReportedEntry `msgpack:"e" json:"entries"`
+	// AppliedOrders lists the newest orders that the engine has applied or refused for good.
+	AppliedOrders []string `msgpack:"o" json:"applied_orders"`
+}
+
+// ReportedEntry is one model or adapter on an engine.
+type ReportedEntry struct {
+	Model   entity.ModelID   `msgpack:"m" json:"model"`
+	Adapter entity.AdapterID `msgpack:"a" json:"adapter,omitempty"`
+	// State is "loading", "ready" or "unloading".
+	State   string `msgpack:"s" json:"state"`
+	OrderID string `msgpack:"o" json:"order_id"`
+	Fence   int64  `msgpack:"f" json:"fence"`
+	Bytes   int64  `msgpack:"b" json:"bytes"`
+	Running int    `msgpack:"r" json:"running"`
+}
+
+// Kind implements Message.
+func (*Hello) Kind() Kind { return KindHello }
+
+// Kind implements Message.
+func (*Heartbeat) Kind() Kind { return KindHeartbeat }
+
+// Kind implements Message.
+func (*ViewRequest) Kind() Kind { return KindViewRequest }
+
+// Kind implements Message.
+func (*ViewDelta) Kind() Kind { return KindViewDelta }
+
+// Kind implements Message.
+func (*DocumentRequest) Kind() Kind { return KindDocumentRequest }
+
+// Kind implements Message.
+func (*Document) Kind() Kind { return KindDocument }
+
+// Kind implements Message.
+func (*LoanAsk) Kind() Kind { return KindLoanAsk }
+
+// Kind implements Message.
+func (*LoanGrant) Kind() Kind { return KindLoanGrant }
+
+// Kind implements Message.
+func (*FenceRequest) Kind() Kind { return KindFenceRequest }
+
+// Kind implements Message.
+func (*FenceGrant) Kind() Kind { return KindFenceGrant }
+
+// Kind implements Message.
+func (*Demand) Kind() Kind { return KindDemand }
+
+// Kind implements Message.
+func (*Reports) Kind() Kind { return KindReports }
