--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,365 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	gw "github.com/foxtailpass/foxtailpass/internal/platform/gatewayjson"
+)
+
+// ErrRejected means that the service refused the call for good, so that it had no effect and
+// must not be repeated unchanged; for example, a value is too large.
+var ErrRejected = errors.New("platform: call rejected")
+
+// errNotSent marks failures before any byte of the request was sent.
+var errNotSent = errors.New("not sent")
+
+// Defaults of Options.
+const (
+	// DefaultTimeout is two orders of magnitude above the service's usual response time and short
+	// enough for a poll to be repeated within the 2 s freshness limit.
+	DefaultTimeout = time.Second
+	// DefaultMaxConns bounds the connections to one endpoint.
+	DefaultMaxConns = 32
+	// idleConnTimeout is below common idle limits of servers, so that a write seldom meets a
+	// connection that the server has just closed, which would make its outcome unknown.
+	idleConnTimeout = 10 * time.Second
+	// maxResponseBytes bounds an answer. A full view of 10,000 keys is a few MiB.
+	maxResponseBytes = 256 << 20
+)
+
+// Options configures a Client.
+type Options struct {
+	// Endpoints are the addresses of the service, as host:port or http://host:port; at least one.
+	Endpoints []string
+	// Timeout bounds one attempt at one endpoint. Default DefaultTimeout.
+	Timeout time.Duration
+	// Prefix is added to all keys that are sent and stripped from all keys that are returned.
+	Prefix string
+	// MaxConns bounds the connections per endpoint. Default DefaultMaxConns.
+	MaxConns int
+	// OnCall, if set, is called after each call with its total duration and its error; for a watch
+	// when the stream ends. It must be fast and safe for concurrent use.
+	OnCall func(kind CallKind, d time.Duration, err error)
+}
+
+// Client is a KV over the etcd v3 JSON gateway. Every method honours the deadline of its context;
+// except in Watch, a cancellation without a deadline takes effect only before the call is sent.
+type Client struct {
+	opt       Options
+	endpoints []*fasthttp.HostClient
+	preferred atomic.Uint32
+	counts    Counts
+}
+
+var _ KV = (*Client)(nil)
+
+// NewClient returns a client. It connects on first use.
+func NewClient(opt Options) (*Client, error) {
+	if len(opt.Endpoints) == 0 {
+		return nil, errors.New("platform: no endpoints")
+	}
+	if opt.Timeout <= 0 {
+		opt.Timeout = DefaultTimeout
+	}
+	if opt.MaxConns <= 0 {
+		opt.MaxConns = DefaultMaxConns
+	}
+	c := &Client{opt: opt}
+	for _, e := range opt.Endpoints {
+		addr := strings.TrimSuffix(strings.TrimPrefix(e, "http://"), "/")
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return nil, fmt.Errorf("platform: endpoint %q: %w", e, err)
+		}
+		c.endpoints = append(c.endpoints, c.newHostClient(addr))
+	}
+	return c, nil
+}
+
+func (c *Client) newHostClient(addr string) *fasthttp.HostClient {
+	return &fasthttp.HostClient{
+		Addr:                addr,
+		MaxConns:            c.opt.MaxConns,
+		MaxConnWaitTimeout:  c.opt.Timeout,
+		MaxIdleConnDuration: idleConnTimeout,
+		MaxResponseBodySize: maxResponseBytes,
+		// A write must never be sent twice.
+		MaxIdemponentCallAttempts: 1,
+		Dial:                      c.dial,
+	}
+}
+
+// dial marks its errors so that failures before the request was sent can be told apart.
+func (c *Client) dial(addr string) (net.Conn, error) {
+	conn, err := net.DialTimeout("tcp", addr, c.opt.Timeout)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errNotSent, err)
+	}
+	return conn, nil
+}
+
+// Counts returns the counters of attempted calls; an attempt at a second endpoint counts again.
+func (c *Client) Counts() *Counts { return &c.counts }
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	for _, e := range c.endpoints {
+		e.CloseIdleConnections()
+	}
+}
+
+// call runs one unary call. It moves on to the next endpoint when the failed attempt certainly
+// had no effect because nothing was sent, or when the call is a read.
+func (c *Client) call(ctx context.Context, kind CallKind, path string, in, out any) error {
+	start := time.Now()
+	err := c.tryEndpoints(ctx, kind, path, in, out)
+	if c.opt.OnCall != nil {
+		c.opt.OnCall(kind, time.Since(start), err)
+	}
+	return err
+}
+
+func (c *Client) tryEndpoints(ctx context.Context, kind CallKind, path string, in, out any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrRejected, err)
+	}
+	first := c.preferred.Load()
+	for i := range c.endpoints {
+		if ctx.Err() != nil {
+			if err == nil {
+				err = fmt.Errorf("%w: %w", ErrUnavailable, ctx.Err())
+			}
+			return err
+		}
+		n := (first + uint32(i)) % uint32(len(c.endpoints))
+		var retry bool
+		retry, err = c.attempt(ctx, kind, c.endpoints[n], path, body, out)
+		if !retry {
+			if err == nil && i > 0 {
+				c.preferred.Store(n)
+			}
+			return err
+		}
+	}
+	return err
+}
+
+// attempt runs the call at one endpoint; retry says that another endpoint may be tried.
+func (c *Client) attempt(ctx context.Context, kind CallKind, e *fasthttp.HostClient, path string, body []byte, out any) (retry bool, err error) {
+	c.counts.Add(kind)
+	req := fasthttp.AcquireRequest()
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	prepare(req, e.Addr, path, body)
+	deadline := time.Now().Add(c.opt.Timeout)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	if err := e.DoDeadline(req, resp, deadline); err != nil {
+		return transportError(kind, err)
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		err := statusError(kind, resp.StatusCode(), resp.Body())
+		return !kind.IsWrite() && resp.StatusCode() >= 500, err
+	}
+	if err := json.Unmarshal(resp.Body(), out); err != nil {
+		return !kind.IsWrite(), fmt.Errorf("%w: broken answer: %w", uncertain(kind), err)
+	}
+	return false, nil
+}
+
+func prepare(req *fasthttp.Request, addr, path string, body []byte) {
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("http://" + addr + path)
+	req.Header.SetContentType("application/json")
+	req.SetBodyRaw(body)
+}
+
+// uncertain returns the error for a call whose answer is missing.
+func uncertain(kind CallKind) error {
+	if kind.IsWrite() {
+		return ErrUnknown
+	}
+	return ErrUnavailable
+}
+
+func transportError(kind CallKind, err error) (retry bool, _ error) {
+	if errors.Is(err, errNotSent) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+		return true, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return !kind.IsWrite(), fmt.Errorf("%w: %w", uncertain(kind), err)
+}
+
+// statusError maps an answer other than 200. Only answers that the service gives before it
+// proposes a write count as certainly not applied; "request timed out", for example, does not.
+func statusError(kind CallKind, status int, body []byte) error {
+	var e gw.Error
+	// A body that is not JSON leaves the message empty, and the status decides.
+	_ = json.Unmarshal(body, &e)
+	return gatewayError(kind, status, &e)
+}
+
+func gatewayError(kind CallKind, status int, e *gw.Error) error {
+	text := e.Text()
+	switch {
+	case strings.Contains(text, "lease not found"):
+		return ErrLeaseNotFound
+	case e.Code == gw.CodeOutOfRange && strings.Contains(text, "compacted"):
+		return ErrCompacted
+	case status == fasthttp.StatusTooManyRequests, e.Code == gw.CodeResourceExhausted, text == gw.MessageNoLeader:
+		return fmt.Errorf("%w: status %d: %s", ErrUnavailable, status, text)
+	case status >= 400 && status < 500 && status != fasthttp.StatusRequestTimeout:
+		return fmt.Errorf("%w: status %d: %s", ErrRejected, status, text)
+	}
+	return fmt.Errorf("%w: status %d: %s", uncertain(kind), status, text)
+}
+
+// Get implements KV.
+func (c *Client) Get(ctx context.Context, key string) (*Pair, int64, error) {
+	var out gw.RangeResponse
+	in := gw.RangeRequest{Key: []byte(c.opt.Prefix + key)}
+	if err := c.call(ctx, CallRange, gw.PathRange, in, &out); err != nil {
+		return nil, 0, err
+	}
+	if len(out.Kvs) == 0 {
+		return nil, out.Header.Revision, nil
+	}
+	p := c.pair(&out.Kvs[0])
+	return &p, out.Header.Revision, nil
+}
+
+// Range implements KV.
+func (c *Client) Range(ctx context.Context, r RangeRequest) (RangeResult, error) {
+	var out gw.RangeResponse
+	prefix := c.opt.Prefix + r.Prefix
+	if r.Prefix == "" {
+		return RangeResult{}, fmt.Errorf("%w: empty prefix", ErrRejected)
+	}
+	in := gw.RangeRequest{
+		Key:            []byte(prefix),
+		RangeEnd:       gw.PrefixEnd(prefix),
+		Limit:          r.Limit,
+		MinModRevision: r.MinModRevision,
+		KeysOnly:       r.KeysOnly,
+		Serializable:   r.Serializable,
+	}
+	if err := c.call(ctx, CallRange, gw.PathRange, in, &out); err != nil {
+		return RangeResult{}, err
+	}
+	res := RangeResult{Revision: out.Header.Revision, ClusterID: out.Header.ClusterID, More: out.More}
+	for i := range out.Kvs {
+		res.Pairs = append(res.Pairs, c.pair(&out.Kvs[i]))
+	}
+	return res, nil
+}
+
+// Txn implements KV.
+func (c *Client) Txn(ctx context.Context, t Txn) (TxnResult, error) {
+	var in gw.TxnRequest
+	for _, cmp := range t.Compares {
+		in.Compare = append(in.Compare, c.compare(cmp))
+	}
+	in.Success = c.ops(t.Success)
+	in.Failure = c.ops(t.Failure)
+	var out gw.TxnResponse
+	if err := c.call(ctx, CallTxn, gw.PathTxn, in, &out); err != nil {
+		return TxnResult{}, err
+	}
+	res := TxnResult{Succeeded: out.Succeeded, Revision: out.Header.Revision}
+	for _, r := range out.Responses {
+		if r.Range == nil {
+			continue
+		}
+		var p *Pair
+		if len(r.Range.Kvs) > 0 {
+			v := c.pair(&r.Range.Kvs[0])
+			p = &v
+		}
+		res.Gets = append(res.Gets, p)
+	}
+	return res, nil
+}
+
+func (c *Client) compare(cmp Compare) gw.Compare {
+	out := gw.Compare{Result: "EQUAL", Key: []byte(c.opt.Prefix + cmp.Key)}
+	switch cmp.Target {
+	case CompareModRevision:
+		out.Target, out.ModRevision = "MOD", cmp.Value
+	case CompareCreateRevision:
+		out.Target, out.CreateRevision = "CREATE", cmp.Value
+	case CompareVersion:
+		out.Target, out.Version = "VERSION", cmp.Value
+	}
+	return out
+}
+
+func (c *Client) ops(ops []Op) []gw.RequestOp {
+	var out []gw.RequestOp
+	for _, op := range ops {
+		key := []byte(c.opt.Prefix + op.Key)
+		switch op.Kind {
+		case OpPut:
+			out = append(out, gw.RequestOp{Put: &gw.PutRequest{Key: key, Value: op.Value, Lease: int64(op.Lease)}})
+		case OpDelete:
+			out = append(out, gw.RequestOp{Delete: &gw.DeleteRangeRequest{Key: key}})
+		case OpGet:
+			out = append(out, gw.RequestOp{Range: &gw.RangeRequest{Key: key}})
+		}
+	}
+	return out
+}
+
+// Grant implements KV. The TTL is rounded up to whole seconds.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (LeaseID, error) {
+	var out gw.LeaseResponse
+	in := gw.LeaseRequest{TTL: int64((ttl + time.Second - 1) / time.Second)}
+	if err := c.call(ctx, CallGrant, gw.PathGrant, in, &out); err != nil {
+		return 0, err
+	}
+	if out.ID == 0 {
+		return 0, fmt.Errorf("%w: grant without lease ID", ErrUnknown)
+	}
+	return LeaseID(out.ID), nil
+}
+
+// KeepAlive implements KV.
+func (c *Client) KeepAlive(ctx context.Context, id LeaseID) (time.Duration, error) {
+	var out gw.KeepAliveResponse
+	in := gw.LeaseRequest{ID: int64(id)}
+	if err := c.call(ctx, CallKeepAlive, gw.PathKeepAlive, in, &out); err != nil {
+		return 0, err
+	}
+	if out.Error != nil {
+		return 0, gatewayError(CallKeepAlive, fasthttp.StatusInternalServerError, out.Error)
+	}
+	if out.Result.TTL <= 0 {
+		return 0, ErrLeaseNotFound
+	}
+	return time.Duration(out.Result.TTL) * time.Second, nil
+}
+
+// Revoke implements KV.
+func (c *Client) Revoke(ctx context.Context, id LeaseID) error {
+	return c.call(ctx, CallRevoke, gw.PathRevoke, gw.LeaseRequest{ID: int64(id)}, &gw.LeaseResponse{})
+}
+
+func (c *Client) pair(kv *gw.KeyValue) Pair {
+	return Pair{
+		Key:            strings.TrimPrefix(string(kv.Key), c.opt.Prefix),
+		Value:          kv.Value,
+		CreateRevision: kv.CreateRevision,
+		ModRevision:    kv.ModRevision,
+		Version:        kv.Version,
+		Lease:          LeaseID(kv.Lease),
+	}
+}
