--- /dev/null
+++ b/internal/standin/kv/kv_test.go
@@ -0,0 +1,213 @@
+package kv
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/foxtailpass/foxtailpass/internal/platform"
+)
+
+func serve(t *testing.T, s *Store) (*platform.Client, string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := NewServer(s)
+	go func() { _ = srv.Serve(ln) }()
+	t.Cleanup(func() { _ = srv.Close() })
+	addr := ln.Addr().String()
+	c, err := platform.NewClient(platform.Options{Endpoints: []string{addr}, Prefix: "p/", Timeout: 500 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c, addr
+}
+
+func put(key, value string) platform.Txn {
+	return platform.Txn{Success: []platform.Op{platform.Put(key, []byte(value))}}
+}
+
+// Guards against the store and the client-server pair disagreeing about the meaning of KV.
+func TestKVSemantics(t *testing.T) {
+	client, _ := serve(t, NewStore(Options{}))
+	for name, kv := range map[string]platform.KV{"store": NewStore(Options{}), "http": client} {
+		t.Run(name, func(t *testing.T) {
+			ctx := t.Context()
+			if p, _, err := kv.Get(ctx, "a"); p != nil || err != nil {
+				t.Fatalf("absent key: %v %v", p, err)
+			}
+			create := put("a", "1")
+			create.Compares = []platform.Compare{platform.Absent("a")}
+			create.Failure = []platform.Op{{Kind: platform.OpGet, Key: "a"}, {Kind: platform.OpGet, Key: "b"}}
+			first, err := kv.Txn(ctx, create)
+			if err != nil || !first.Succeeded {
+				t.Fatalf("create: %+v %v", first, err)
+			}
+			again, err := kv.Txn(ctx, create)
+			if err != nil || again.Succeeded || len(again.Gets) != 2 || string(again.Gets[0].Value) != "1" || again.Gets[1] != nil {
+				t.Fatalf("second create: %+v %v", again, err)
+			}
+			lease, err := kv.Grant(ctx, time.Minute)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := kv.Txn(ctx, platform.Txn{Success: []platform.Op{platform.PutLeased("h", nil, lease)}}); err != nil {
+				t.Fatal(err)
+			}
+			if ttl, err := kv.KeepAlive(ctx, lease); ttl != time.Minute || err != nil {
+				t.Fatalf("keep-alive: %v %v", ttl, err)
+			}
+			r, err := kv.Range(ctx, platform.RangeRequest{Prefix: "h", MinModRevision: first.Revision + 1})
+			if err != nil || len(r.Pairs) != 1 || r.Pairs[0].Lease != lease {
+				t.Fatalf("range: %+v %v", r, err)
+			}
+			if err := kv.Revoke(ctx, lease); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := kv.KeepAlive(ctx, lease); !errors.Is(err, platform.ErrLeaseNotFound) {
+				t.Fatalf("keep-alive after revoke: %v", err)
+			}
+			if _, err := kv.Txn(ctx, put("a", string(make([]byte, MaxValueBytes+1)))); !errors.Is(err, platform.ErrRejected) {
+				t.Fatalf("large value: %v", err)
+			}
+			var events []platform.Event
+			done := errors.New("done")
+			err = kv.Watch(ctx, "", first.Revision, func(b platform.WatchBatch) error {
+				events = append(events, b.Events...)
+				if len(events) >= 3 {
+					return done
+				}
+				return nil
+			})
+			if !errors.Is(err, done) || events[0].Pair.Key != "a" || !events[2].Deleted || events[2].Pair.Key != "h" {
+				t.Fatalf("watch: %+v %v", events, err)
+			}
+		})
+	}
+}
+
+// Guards against faults that report the wrong outcome: a lost answer must have been applied, a
+// refused or rate-limited call must not.
+func TestFaults(t *testing.T) {
+	s := NewStore(Options{})
+	client, addr := serve(t, s)
+	for _, tc := range []struct {
+		name    string
+		faults  Faults
+		want    error
+		applied bool
+	}{
+		{"refuse", Faults{Refuse: true}, platform.ErrUnavailable, false},
+		{"drop", Faults{Drop: true}, platform.ErrUnknown, false},
+		{"lose", Faults{LoseEvery: 1}, platform.ErrUnknown, true},
+		{"lose by chance", Faults{LoseProbability: 1}, platform.ErrUnknown, true},
+		{"rate", Faults{WritesPerSecond: 0.001}, platform.ErrUnavailable, false},
+		// Last, because the delayed write is applied after the check.
+		{"delay", Faults{DelayMillis: 800}, platform.ErrUnknown, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			body, err := json.Marshal(Control{Faults: &tc.faults})
+			if err != nil {
+				t.Fatal(err)
+			}
+			req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+			req.SetRequestURI("http://" + addr + PathFaults)
+			req.Header.SetMethod("POST")
+			req.SetBody(body)
+			if err := fasthttp.Do(req, resp); err != nil || resp.StatusCode() != 200 {
+				t.Fatal(err, resp.StatusCode())
+			}
+			if tc.faults.WritesPerSecond > 0 {
+				if _, err := client.Txn(t.Context(), put("spend", "")); err != nil {
+					t.Fatal(err)
+				}
+			}
+			before := s.Revision()
+			if _, err := client.Txn(t.Context(), put("k", "v")); !errors.Is(err, tc.want) {
+				t.Errorf("got %v, want %v", err, tc.want)
+			}
+			if applied := s.Revision() > before; applied != tc.applied {
+				t.Errorf("applied: %v, want %v", applied, tc.applied)
+			}
+		})
+	}
+	if s.Counts().Get(platform.CallTxn) != 7 {
+		t.Errorf("counted %v", s.Counts().Map())
+	}
+}
+
+// Guards against watches that ignore compaction, cancellation or freezing, and against expired
+// leases without delete events.
+func TestWatchEnds(t *testing.T) {
+	now := time.Now()
+	s := NewStore(Options{Now: func() time.Time { return now }})
+	client, _ := serve(t, s)
+	ctx := t.Context()
+	lease, err := client.Grant(ctx, time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := client.Txn(ctx, platform.Txn{Success: []platform.Op{platform.PutLeased("h", nil, lease)}}); err != nil {
+		t.Fatal(err)
+	}
+	s.Compact(s.Revision())
+	nop := func(platform.WatchBatch) error { return nil }
+	if err := client.Watch(ctx, "h", 1, nop); !errors.Is(err, platform.ErrCompacted) {
+		t.Fatalf("compacted: %v", err)
+	}
+	s.SetFaults(Faults{FreezeWatches: true})
+	if !s.ExpireKey("p/h") {
+		t.Fatal("key has no lease")
+	}
+	short, cancel := context.WithTimeout(ctx, 150*time.Millisecond)
+	defer cancel()
+	frozen := func(platform.WatchBatch) error { t.Error("frozen watch delivered"); return nil }
+	if err := client.Watch(short, "h", s.Revision(), frozen); !errors.Is(err, context.DeadlineExceeded) {
+		t.Fatalf("frozen: %v", err)
+	}
+	s.SetFaults(Faults{})
+	got := errors.New("got")
+	err = client.Watch(ctx, "h", s.Revision(), func(b platform.WatchBatch) error {
+		if len(b.Events) == 1 && b.Events[0].Deleted {
+			return got
+		}
+		return nil
+	})
+	if !errors.Is(err, got) {
+		t.Fatalf("delete event: %v", err)
+	}
+}
+
+// Guards against a poll answered from history missing changes, and stale reads leaking into others.
+func TestPollAndStaleReads(t *testing.T) {
+	s := NewStore(Options{History: 8})
+	ctx := t.Context()
+	for i := range 40 {
+		if _, err := s.Txn(ctx, put(string(rune('a'+i%20)), "v")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	rev := s.Revision()
+	for _, min := range []int64{0, rev - 30, rev - 3, rev, rev + 1} {
+		r, err := s.Range(ctx, platform.RangeRequest{Prefix: "", MinModRevision: min})
+		if want := int(max(0, rev+1-max(min, rev-19))); err != nil || len(r.Pairs) != want {
+			t.Errorf("from %d: %d pairs, want %d (%v)", min, len(r.Pairs), want, err)
+		}
+	}
+	s.SetFaults(Faults{StaleReads: true})
+	if _, err := s.Txn(ctx, put("a", "new")); err != nil {
+		t.Fatal(err)
+	}
+	stale, _ := s.Range(ctx, platform.RangeRequest{Prefix: "a", Serializable: true})
+	fresh, _ := s.Range(ctx, platform.RangeRequest{Prefix: "a"})
+	if string(stale.Pairs[0].Value) != "v" || stale.Revision != rev || string(fresh.Pairs[0].Value) != "new" {
+		t.Errorf("stale %+v, fresh %+v", stale, fresh)
+	}
+}
--- /dev/null
+++ b/internal/standin/kv/store.go
@@ -0,0 +1,507 @@
+// Package kv is a stand-in for the platform's key-value service. Store implements platform.KV in
+// memory, and Server serves a Store over the etcd v3 JSON gateway. Both can inject faults.
+package kv
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/platform"
+)
+
+const (
+	// DefaultHistory is the number of events kept for watches before the oldest are compacted.
+	DefaultHistory = 10000
+	// MaxValueBytes is the largest value that the platform's service accepts.
+	MaxValueBytes = 1 << 20
+	// leaseCheckInterval bounds how late Run expires a lease.
+	leaseCheckInterval = 100 * time.Millisecond
+)
+
+// Options configures a Store.
+type Options struct {
+	// Now is the clock for leases and rate limits. Default time.Now.
+	Now func() time.Time
+	// ClusterID is reported with every answer. Default 1.
+	ClusterID uint64
+	// History bounds the events kept for watches. Default DefaultHistory.
+	History int
+}
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+	keys    map[string]struct{}
+}
+
+type state struct {
+	revision int64
+	pairs    map[string]platform.Pair
+}
+
+// Store is the key-value service in memory. It is safe for concurrent use. Leases expire when a
+// call or ExpireLeases finds them overdue; Run does this at short intervals.
+type Store struct {
+	opt    Options
+	counts platform.Counts
+
+	mu        sync.Mutex
+	state     state
+	leases    map[platform.LeaseID]*lease
+	nextLease platform.LeaseID
+	// history holds all events after revision compacted, ordered by revision.
+	history   []platform.Event
+	compacted int64
+	// changed is closed and replaced to wake the watches; breaks counts BreakWatches calls.
+	changed chan struct{}
+	breaks  int
+
+	faults          Faults
+	stale           *state
+	rng             *rand.Rand
+	writesSinceLoss int
+	writes, reads   bucket
+}
+
+var _ platform.KV = (*Store)(nil)
+
+// NewStore returns an empty store at revision 1, like a new etcd cluster.
+func NewStore(opt Options) *Store {
+	if opt.Now == nil {
+		opt.Now = time.Now
+	}
+	if opt.ClusterID == 0 {
+		opt.ClusterID = 1
+	}
+	if opt.History <= 0 {
+		opt.History = DefaultHistory
+	}
+	return &Store{
+		opt:     opt,
+		state:   state{revision: 1, pairs: map[string]platform.Pair{}},
+		leases:  map[platform.LeaseID]*lease{},
+		changed: make(chan struct{}),
+		rng:     newRand(0),
+	}
+}
+
+func newRand(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 0)) }
+
+// Counts returns the counters of received calls, including failed ones.
+func (s *Store) Counts() *platform.Counts { return &s.counts }
+
+// Revision returns the store revision.
+func (s *Store) Revision() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.revision
+}
+
+// SetClusterID changes the cluster ID, as a restored service does.
+func (s *Store) SetClusterID(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.opt.ClusterID = id
+}
+
+// Run expires leases until ctx ends.
+func (s *Store) Run(ctx context.Context) {
+	t := time.NewTicker(leaseCheckInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			s.ExpireLeases()
+		}
+	}
+}
+
+// ExpireLeases deletes the keys of all overdue leases.
+func (s *Store) ExpireLeases() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireOverdue()
+}
+
+func (s *Store) expireOverdue() {
+	now := s.opt.Now()
+	var overdue []platform.LeaseID
+	for id, l := range s.leases {
+		if now.After(l.expires) {
+			overdue = append(overdue, id)
+		}
+	}
+	slices.Sort(overdue)
+	for _, id := range overdue {
+		s.dropLease(id)
+	}
+}
+
+// ExpireLease expires a lease at once and says whether it existed.
+func (s *Store) ExpireLease(id platform.LeaseID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dropLease(id)
+}
+
+// ExpireKey expires the lease that the key is bound to and says whether there was one.
+func (s *Store) ExpireKey(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dropLease(s.state.pairs[key].Lease)
+}
+
+func (s *Store) dropLease(id platform.LeaseID) bool {
+	l := s.leases[id]
+	if l == nil {
+		return false
+	}
+	delete(s.leases, id)
+	var events []platform.Event
+	for _, key := range slices.Sorted(maps.Keys(l.keys)) {
+		events = append(events, s.remove(key, s.state.revision+1))
+	}
+	s.commit(events)
+	return true
+}
+
+// Compact drops the history up to and including the revision.
+func (s *Store) Compact(revision int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.compactTo(min(revision, s.state.revision))
+}
+
+func (s *Store) compactTo(revision int64) {
+	if revision <= s.compacted {
+		return
+	}
+	s.compacted = revision
+	s.history = slices.Clone(s.history[s.historyIndex(revision+1):])
+	s.wakeWatches()
+}
+
+// BreakWatches ends all running watches with ErrUnavailable.
+func (s *Store) BreakWatches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.breaks++
+	s.wakeWatches()
+}
+
+func (s *Store) wakeWatches() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) copyState() *state {
+	return &state{revision: s.state.revision, pairs: maps.Clone(s.state.pairs)}
+}
+
+// historyIndex returns the index of the first event at or after the revision.
+func (s *Store) historyIndex(revision int64) int {
+	i, _ := slices.BinarySearchFunc(s.history, revision, func(e platform.Event, r int64) int {
+		return cmp.Compare(e.Pair.ModRevision, r)
+	})
+	return i
+}
+
+// commit records the events of one revision and wakes the watches.
+func (s *Store) commit(events []platform.Event) {
+	if len(events) == 0 {
+		return
+	}
+	s.state.revision++
+	s.history = append(s.history, events...)
+	// Compacting a quarter at a time keeps the cost per write constant.
+	if len(s.history) > s.opt.History+s.opt.History/4 {
+		s.compactTo(s.history[len(s.history)-s.opt.History].Pair.ModRevision)
+	}
+	s.wakeWatches()
+}
+
+func (s *Store) remove(key string, revision int64) platform.Event {
+	delete(s.state.pairs, key)
+	return platform.Event{Deleted: true, Pair: platform.Pair{Key: key, ModRevision: revision}}
+}
+
+// Get implements platform.KV.
+func (s *Store) Get(ctx context.Context, key string) (*platform.Pair, int64, error) {
+	if err := s.enter(ctx, platform.CallRange); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireOverdue()
+	return s.get(key), s.state.revision, nil
+}
+
+func (s *Store) get(key string) *platform.Pair {
+	p, ok := s.state.pairs[key]
+	if !ok {
+		return nil
+	}
+	p.Value = slices.Clone(p.Value)
+	return &p
+}
+
+// Range implements platform.KV.
+func (s *Store) Range(ctx context.Context, r platform.RangeRequest) (platform.RangeResult, error) {
+	if err := s.enter(ctx, platform.CallRange); err != nil {
+		return platform.RangeResult{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireOverdue()
+	st := &s.state
+	if r.Serializable && s.stale != nil {
+		st = s.stale
+	}
+	res := platform.RangeResult{Revision: st.revision, ClusterID: s.opt.ClusterID}
+	for _, key := range s.candidates(st, r.MinModRevision) {
+		p, ok := st.pairs[key]
+		if !ok || !strings.HasPrefix(key, r.Prefix) || p.ModRevision < r.MinModRevision {
+			continue
+		}
+		if r.Limit > 0 && int64(len(res.Pairs)) == r.Limit {
+			res.More = true
+			break
+		}
+		p.Value = slices.Clone(p.Value)
+		if r.KeysOnly {
+			p.Value = nil
+		}
+		res.Pairs = append(res.Pairs, p)
+	}
+	return res, nil
+}
+
+// candidates returns, in order, all keys that may have changed at or after the revision. Polls for
+// recent changes are answered from the history, so that they do not scan the whole store.
+func (s *Store) candidates(st *state, minRevision int64) []string {
+	if minRevision <= s.compacted {
+		return slices.Sorted(maps.Keys(st.pairs))
+	}
+	var keys []string
+	for _, e := range s.history[s.historyIndex(minRevision):] {
+		keys = append(keys, e.Pair.Key)
+	}
+	slices.Sort(keys)
+	return slices.Compact(keys)
+}
+
+// Txn implements platform.KV.
+func (s *Store) Txn(ctx context.Context, t platform.Txn) (platform.TxnResult, error) {
+	if err := s.enter(ctx, platform.CallTxn); err != nil {
+		return platform.TxnResult{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireOverdue()
+	ops, succeeded := t.Failure, false
+	if s.holdAll(t.Compares) {
+		ops, succeeded = t.Success, true
+	}
+	if err := s.check(ops); err != nil {
+		return platform.TxnResult{}, err
+	}
+	res := platform.TxnResult{Succeeded: succeeded}
+	revision := s.state.revision + 1
+	var events []platform.Event
+	for _, op := range ops {
+		switch op.Kind {
+		case platform.OpGet:
+			res.Gets = append(res.Gets, s.get(op.Key))
+		case platform.OpPut:
+			events = append(events, s.put(op, revision))
+		case platform.OpDelete:
+			if p, ok := s.state.pairs[op.Key]; ok {
+				s.unbind(p)
+				events = append(events, s.remove(op.Key, revision))
+			}
+		}
+	}
+	s.commit(events)
+	res.Revision = s.state.revision
+	if s.loseAnswer() {
+		return platform.TxnResult{}, lost(platform.CallTxn)
+	}
+	return res, nil
+}
+
+func (s *Store) holdAll(compares []platform.Compare) bool {
+	for _, c := range compares {
+		p := s.state.pairs[c.Key]
+		got := p.ModRevision
+		switch c.Target {
+		case platform.CompareCreateRevision:
+			got = p.CreateRevision
+		case platform.CompareVersion:
+			got = p.Version
+		}
+		if got != c.Value {
+			return false
+		}
+	}
+	return true
+}
+
+// check refuses what the service refuses before it applies anything.
+func (s *Store) check(ops []platform.Op) error {
+	written := map[string]bool{}
+	for _, op := range ops {
+		if op.Kind == platform.OpGet {
+			continue
+		}
+		if op.Key == "" || written[op.Key] {
+			return fmt.Errorf("%w: empty or duplicate key %q", platform.ErrRejected, op.Key)
+		}
+		written[op.Key] = true
+		if len(op.Value) > MaxValueBytes {
+			return fmt.Errorf("%w: value of %d bytes is too large", platform.ErrRejected, len(op.Value))
+		}
+		if op.Lease != 0 && s.leases[op.Lease] == nil {
+			return platform.ErrLeaseNotFound
+		}
+	}
+	return nil
+}
+
+func (s *Store) unbind(p platform.Pair) {
+	if l := s.leases[p.Lease]; l != nil {
+		delete(l.keys, p.Key)
+	}
+}
+
+func (s *Store) put(op platform.Op, revision int64) platform.Event {
+	p, ok := s.state.pairs[op.Key]
+	if !ok {
+		p = platform.Pair{Key: op.Key, CreateRevision: revision}
+	}
+	s.unbind(p)
+	p.Value = slices.Clone(op.Value)
+	p.ModRevision = revision
+	p.Version++
+	p.Lease = op.Lease
+	if l := s.leases[op.Lease]; l != nil {
+		l.keys[op.Key] = struct{}{}
+	}
+	s.state.pairs[op.Key] = p
+	return platform.Event{Pair: p}
+}
+
+// Grant implements platform.KV.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	if err := s.enter(ctx, platform.CallGrant); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextLease++
+	id := s.nextLease
+	s.leases[id] = &lease{ttl: ttl, expires: s.opt.Now().Add(ttl), keys: map[string]struct{}{}}
+	if s.loseAnswer() {
+		return 0, lost(platform.CallGrant)
+	}
+	return id, nil
+}
+
+// KeepAlive implements platform.KV.
+func (s *Store) KeepAlive(ctx context.Context, id platform.LeaseID) (time.Duration, error) {
+	if err := s.enter(ctx, platform.CallKeepAlive); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireOverdue()
+	l := s.leases[id]
+	if l == nil {
+		return 0, platform.ErrLeaseNotFound
+	}
+	l.expires = s.opt.Now().Add(l.ttl)
+	return l.ttl, nil
+}
+
+// Revoke implements platform.KV.
+func (s *Store) Revoke(ctx context.Context, id platform.LeaseID) error {
+	if err := s.enter(ctx, platform.CallRevoke); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireOverdue()
+	if !s.dropLease(id) {
+		return platform.ErrLeaseNotFound
+	}
+	if s.loseAnswer() {
+		return lost(platform.CallRevoke)
+	}
+	return nil
+}
+
+// Watch implements platform.KV.
+func (s *Store) Watch(ctx context.Context, prefix string, from int64, fn func(platform.WatchBatch) error) error {
+	if err := s.enter(ctx, platform.CallWatch); err != nil {
+		return err
+	}
+	return s.watch(ctx, prefix, from, fn)
+}
+
+func (s *Store) watch(ctx context.Context, prefix string, from int64, fn func(platform.WatchBatch) error) error {
+	s.mu.Lock()
+	breaks := s.breaks
+	if from <= 0 {
+		from = s.state.revision + 1
+	}
+	s.mu.Unlock()
+	for {
+		s.mu.Lock()
+		changed := s.changed
+		if s.breaks != breaks {
+			s.mu.Unlock()
+			return fmt.Errorf("%w: watch broken", platform.ErrUnavailable)
+		}
+		batch, err := s.nextBatch(prefix, from)
+		s.mu.Unlock()
+		if err != nil {
+			return err
+		}
+		if len(batch.Events) > 0 {
+			if err := fn(batch); err != nil {
+				return err
+			}
+		}
+		from = max(from, batch.Revision+1)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
+// nextBatch returns the events of the prefix from the revision on; it is empty while watches are frozen.
+func (s *Store) nextBatch(prefix string, from int64) (platform.WatchBatch, error) {
+	if s.faults.FreezeWatches {
+		return platform.WatchBatch{}, nil
+	}
+	if from <= s.compacted {
+		return platform.WatchBatch{}, platform.ErrCompacted
+	}
+	batch := platform.WatchBatch{Revision: s.state.revision, ClusterID: s.opt.ClusterID}
+	for _, e := range s.history[s.historyIndex(from):] {
+		if strings.HasPrefix(e.Pair.Key, prefix) {
+			batch.Events = append(batch.Events, e)
+		}
+	}
+	return batch, nil
+}
