--- a/internal/standin/kv/kv_test.go
+++ b/internal/standin/kv/kv_test.go
@@ -183,6 +183,10 @@
 	if !errors.Is(err, got) {
 		t.Fatalf("delete event: %v", err)
 	}
+	time.AfterFunc(50*time.Millisecond, s.BreakWatches)
+	if err := client.Watch(ctx, "h", 0, nop); !errors.Is(err, platform.ErrUnavailable) {
+		t.Fatalf("broken: %v", err)
+	}
 }
 
 // Guards against a poll answered from history missing changes, and stale reads leaking into others.
--- a/internal/standin/kv/server.go
+++ b/internal/standin/kv/server.go
@@ -65,7 +65,9 @@
 		Handler:            s.handle,
 		MaxRequestBodySize: maxRequestBytes,
 		CloseOnShutdown:    true,
-		Logger:             discard{},
+		// Without this, Close of a hijacked connection has no effect.
+		KeepHijackedConns: true,
+		Logger:            discard{},
 	}
 	return s
 }
