--- /dev/null
+++ b/internal/config/compile.go
@@ -0,0 +1,198 @@
+package config
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"reflect"
+	"regexp"
+	"slices"
+	"strings"
+
+	jsonpatch "github.com/evanphx/json-patch/v5"
+
+	"github.com/foxtailpass/foxtailpass/internal/config/strictjson"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+)
+
+// FieldError is one fault of a configuration: document, path, reason and what is allowed.
+type FieldError = strictjson.FieldError
+
+// ValidationError lists every fault that was found in a configuration.
+type ValidationError struct {
+	Fields []FieldError `json:"fields"`
+}
+
+// Error lists all faults, one per line.
+func (e *ValidationError) Error() string {
+	lines := make([]string, 0, len(e.Fields)+1)
+	lines = append(lines, fmt.Sprintf("config: %d invalid fields", len(e.Fields)))
+	for _, f := range e.Fields {
+		lines = append(lines, "  "+f.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Names become parts of keys and of the model:adapter notation, so separators are excluded.
+var (
+	namePattern    = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
+	segmentPattern = regexp.MustCompile(`^[A-Za-z0-9._~-]+$`)
+)
+
+const (
+	nameAllowed   = "1 to 128 letters, digits, dots, underscores and dashes, the first a letter or digit"
+	prefixAllowed = "a path that starts and ends with / and has at least one segment of letters, digits, . _ ~ or -"
+	// reservedSegment is the first path segment of the model API.
+	reservedSegment = "v1"
+)
+
+var documentType = reflect.TypeFor[Document]()
+
+// Compile merges the overlay of the named site into the base, fills in defaults and validates
+// the result as a whole. An empty overlay changes nothing. The error is a *ValidationError.
+func Compile(name string, revision int64, base, overlay []byte) (*Site, error) {
+	if len(overlay) == 0 {
+		overlay = []byte("{}")
+	}
+	overlayName := "overlay " + name
+	faults := checkDocument("base", base, false)
+	faults = append(faults, checkDocument(overlayName, overlay, true)...)
+	if name != "" && !namePattern.MatchString(name) {
+		faults = append(faults, FieldError{Document: overlayName, Reason: fmt.Sprintf("site name is %q", name), Allowed: nameAllowed})
+	}
+	if len(faults) > 0 {
+		return nil, &ValidationError{Fields: faults}
+	}
+	merged, err := jsonpatch.MergePatch(base, overlay)
+	if err != nil {
+		return nil, &ValidationError{Fields: []FieldError{{Document: overlayName, Reason: "cannot be merged: " + err.Error()}}}
+	}
+	site := &Site{Revision: revision, Name: name}
+	faults = decodeMerged(merged, &site.Document)
+	if len(faults) > 0 {
+		return nil, &ValidationError{Fields: label("site "+name, faults)}
+	}
+	return site, nil
+}
+
+func checkDocument(name string, data []byte, patch bool) []FieldError {
+	tree, faults := strictjson.Parse(data)
+	if tree != nil {
+		faults = append(faults, strictjson.Check(tree, documentType, patch)...)
+	}
+	return label(name, faults)
+}
+
+func decodeMerged(merged []byte, d *Document) []FieldError {
+	tree, faults := strictjson.Parse(merged)
+	if len(faults) > 0 {
+		return faults
+	}
+	if faults := strictjson.Check(tree, documentType, false); len(faults) > 0 {
+		return faults
+	}
+	strictjson.FillDefaults(tree, documentType)
+	if err := strictjson.Decode(tree, d); err != nil {
+		return []FieldError{{Reason: err.Error()}}
+	}
+	faults = append(strictjson.Validate(d), crossCheck(d)...)
+	slices.SortStableFunc(faults, func(a, b FieldError) int { return cmp.Compare(a.Path, b.Path) })
+	return faults
+}
+
+func label(document string, faults []FieldError) []FieldError {
+	for i := range faults {
+		faults[i].Document = document
+	}
+	return faults
+}
+
+type crossChecker struct {
+	doc    *Document
+	faults []FieldError
+}
+
+// crossCheck finds the faults that need more than one field to see.
+func crossCheck(d *Document) []FieldError {
+	c := crossChecker{doc: d}
+	for name, m := range d.Models {
+		c.model(name, m)
+	}
+	for prefix := range d.Routes {
+		c.route(prefix)
+	}
+	for name, w := range d.Workspaces {
+		c.workspace(name, w)
+	}
+	return c.faults
+}
+
+func (c *crossChecker) fault(path, reason, allowed string) {
+	c.faults = append(c.faults, FieldError{Path: path, Reason: reason, Allowed: allowed})
+}
+
+func (c *crossChecker) name(path, name string) {
+	if !namePattern.MatchString(name) {
+		c.fault(path, fmt.Sprintf("name is %q", name), nameAllowed)
+	}
+}
+
+func (c *crossChecker) model(name entity.ModelID, m Model) {
+	path := fmt.Sprintf("models[%s]", name)
+	c.name(path, string(name))
+	for adapter := range m.Adapters {
+		c.name(fmt.Sprintf("%s.adapters[%s]", path, adapter), string(adapter))
+	}
+	if m.MinReplicas > m.MaxReplicas {
+		c.fault(path+".min_replicas", fmt.Sprintf("is %d", m.MinReplicas), fmt.Sprintf("at most max_replicas, which is %d", m.MaxReplicas))
+	}
+}
+
+func (c *crossChecker) route(prefix string) {
+	path := fmt.Sprintf("routes[%s]", prefix)
+	segments := strings.Split(prefix, "/")
+	if len(segments) < 3 || segments[0] != "" || segments[len(segments)-1] != "" {
+		c.fault(path, "prefix is malformed", prefixAllowed)
+		return
+	}
+	segments = segments[1 : len(segments)-1]
+	for _, s := range segments {
+		if !segmentPattern.MatchString(s) || s == "." || s == ".." {
+			c.fault(path, "prefix is malformed", prefixAllowed)
+			return
+		}
+	}
+	if strings.EqualFold(segments[0], reservedSegment) {
+		c.fault(path, "prefix shadows the model API", "a prefix outside /v1/")
+	}
+}
+
+func (c *crossChecker) workspace(name entity.WorkspaceID, w Workspace) {
+	path := fmt.Sprintf("workspaces[%s]", name)
+	c.name(path, string(name))
+	references(c, path+".models", "a declared model or *", w.Models, c.doc.Models)
+	references(c, path+".routes", "a declared route prefix or *", w.Routes, c.doc.Routes)
+	for prefix, r := range c.doc.Routes {
+		if !r.Open && w.MayCallRoute(prefix) && r.CostTokens > w.BurstTokens {
+			c.fault(path+".burst_tokens", fmt.Sprintf("is %v", w.BurstTokens),
+				fmt.Sprintf("at least the cost_tokens of route %s, which is %v", prefix, r.CostTokens))
+		}
+	}
+}
+
+func references[K ~string, V any](c *crossChecker, path, allowed string, names []K, declared map[K]V) {
+	seen := map[K]bool{}
+	for i, name := range names {
+		at := fmt.Sprintf("%s[%d]", path, i)
+		if seen[name] {
+			c.fault(at, fmt.Sprintf("repeats %q", string(name)), "each name once")
+		}
+		seen[name] = true
+		if _, ok := declared[name]; !ok && name != "*" {
+			c.fault(at, fmt.Sprintf("names %q, which is not declared", string(name)), allowed)
+		}
+	}
+}
+
+// Sites returns the site names of a head in order.
+func (h Head) Sites() []string { return slices.Sorted(maps.Keys(h.Overlays)) }
--- /dev/null
+++ b/internal/config/diff.go
@@ -0,0 +1,99 @@
+package config
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"slices"
+
+	"github.com/foxtailpass/foxtailpass/internal/config/strictjson"
+)
+
+// summaryBytes bounds the text of one value in a Change.
+const summaryBytes = 80
+
+// Change is one difference between two configurations. Old is empty for an added field and New
+// for a removed one.
+type Change struct {
+	Path string `json:"path"`
+	Old  string `json:"old,omitempty"`
+	New  string `json:"new,omitempty"`
+}
+
+// String returns the change on one line.
+func (c Change) String() string {
+	switch {
+	case c.Old == "":
+		return fmt.Sprintf("+ %s: %s", c.Path, c.New)
+	case c.New == "":
+		return fmt.Sprintf("- %s: %s", c.Path, c.Old)
+	}
+	return fmt.Sprintf("~ %s: %s -> %s", c.Path, c.Old, c.New)
+}
+
+// Diff lists the differences from a to b in the order of their paths. A nil Site counts as empty.
+// Entries that exist on one side only give one change for the whole entry.
+func Diff(a, b *Site) []Change {
+	var from, to Document
+	if a != nil {
+		from = a.Document
+	}
+	if b != nil {
+		to = b.Document
+	}
+	var changes []Change
+	diffValue(&changes, "", reflect.ValueOf(from), reflect.ValueOf(to))
+	slices.SortFunc(changes, func(x, y Change) int { return cmp.Compare(x.Path, y.Path) })
+	return changes
+}
+
+func diffValue(out *[]Change, path string, a, b reflect.Value) {
+	switch a.Kind() {
+	case reflect.Struct:
+		diffStruct(out, path, a, b)
+	case reflect.Map:
+		diffMap(out, path, a, b)
+	default:
+		if !reflect.DeepEqual(a.Interface(), b.Interface()) {
+			*out = append(*out, Change{Path: path, Old: summary(a), New: summary(b)})
+		}
+	}
+}
+
+func diffStruct(out *[]Change, path string, a, b reflect.Value) {
+	for i := range a.NumField() {
+		name := strictjson.JSONName(a.Type().Field(i))
+		if path != "" {
+			name = path + "." + name
+		}
+		diffValue(out, name, a.Field(i), b.Field(i))
+	}
+}
+
+func diffMap(out *[]Change, path string, a, b reflect.Value) {
+	for _, key := range a.MapKeys() {
+		at := fmt.Sprintf("%s[%s]", path, key)
+		if other := b.MapIndex(key); other.IsValid() {
+			diffValue(out, at, a.MapIndex(key), other)
+			continue
+		}
+		*out = append(*out, Change{Path: at, Old: summary(a.MapIndex(key))})
+	}
+	for _, key := range b.MapKeys() {
+		if !a.MapIndex(key).IsValid() {
+			*out = append(*out, Change{Path: fmt.Sprintf("%s[%s]", path, key), New: summary(b.MapIndex(key))})
+		}
+	}
+}
+
+func summary(v reflect.Value) string {
+	data, err := json.Marshal(v.Interface())
+	if err != nil {
+		return fmt.Sprint(v.Interface())
+	}
+	if len(data) > summaryBytes {
+		return string(data[:summaryBytes]) + "..."
+	}
+	return string(data)
+}
--- /dev/null
+++ b/internal/config/head.go
@@ -0,0 +1,84 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+)
+
+// Paths that only the Store uses. They are outside the watched prefix.
+const (
+	// AuditCounterKey holds the number of the newest audit entry. Every change compares and
+	// raises it, so that two writers cannot take the same number.
+	AuditCounterKey = "n/audit"
+	// HistoryPrefix + the zero-padded revision holds the head record of that revision. Records
+	// are written once, so that an apply can be read back after later ones.
+	HistoryPrefix = "h/"
+	// GonePrefix + host/incarnation holds a GoneRecord.
+	GonePrefix = "v/gone/"
+)
+
+// Head is the record at HeadKey; it names the documents in force.
+type Head struct {
+	// Revision counts the applied configurations, starting with 1. Zero means none.
+	Revision int64 `json:"revision"`
+	// Base is the digest of the base document.
+	Base string `json:"base"`
+	// Overlays maps sites to the digests of their overlays.
+	Overlays map[string]string `json:"overlays,omitempty"`
+	// Attempt identifies the apply that wrote the record.
+	Attempt string    `json:"attempt"`
+	Who     string    `json:"who"`
+	When    time.Time `json:"when"`
+	Message string    `json:"message,omitempty"`
+	// ModRevision is the store revision of the record, or zero if it was not read from HeadKey.
+	ModRevision int64 `json:"-"`
+}
+
+// AuditKind is the kind of an accepted change.
+type AuditKind string
+
+// The kinds of accepted changes.
+const (
+	AuditApply       AuditKind = "apply"
+	AuditIssueKey    AuditKind = "issue_key"
+	AuditWithdrawKey AuditKind = "withdraw_key"
+	AuditHostGone    AuditKind = "host_gone"
+)
+
+// AuditEntry records one accepted change.
+type AuditEntry struct {
+	// Number counts the entries, starting with 1, without gaps.
+	Number  int64     `json:"number"`
+	Kind    AuditKind `json:"kind"`
+	Who     string    `json:"who"`
+	When    time.Time `json:"when"`
+	Message string    `json:"message,omitempty"`
+	// Attempt identifies the write, so that it can be read back after a lost answer.
+	Attempt string `json:"attempt"`
+	// Revision is the configuration revision of an apply.
+	Revision int64 `json:"revision,omitempty"`
+	// Changes summarizes an apply by site; long lists are cut.
+	Changes     map[string][]string `json:"changes,omitempty"`
+	Key         entity.KeyID        `json:"key,omitempty"`
+	Workspace   entity.WorkspaceID  `json:"workspace,omitempty"`
+	Host        entity.HostID       `json:"host,omitempty"`
+	Incarnation entity.Incarnation  `json:"incarnation,omitempty"`
+}
+
+// GoneRecord is an operator's confirmation that the process of a host no longer exists.
+type GoneRecord struct {
+	Host        entity.HostID      `json:"host"`
+	Incarnation entity.Incarnation `json:"incarnation"`
+	Who         string             `json:"who"`
+	When        time.Time          `json:"when"`
+	Attempt     string             `json:"attempt"`
+}
+
+// Digest returns the name of a document: the hexadecimal SHA-256 of its bytes.
+func Digest(document []byte) string {
+	sum := sha256.Sum256(document)
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/internal/config/strictjson/strictjson.go
@@ -0,0 +1,357 @@
+// Package strictjson reads JSON documents into typed values and reports every fault at once,
+// each with the path of its field and what is allowed there. It is stricter than encoding/json:
+// unknown fields, repeated fields, wrong letter case and trailing data are faults.
+//
+// Struct fields may carry a `default` tag, whose text is used as JSON when the field is missing,
+// and a `validate` tag for go-playground/validator.
+package strictjson
+
+import (
+	"bytes"
+	"encoding"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// maxDepth bounds nesting so that a hostile document cannot exhaust the stack.
+const maxDepth = 32
+
+// FieldError is one fault of a document.
+type FieldError struct {
+	// Document names the document, for example "base" or a file; empty when there is only one.
+	Document string `json:"document,omitempty"`
+	// Path is the field, for example "models[label-001].bytes"; empty for the document as a whole.
+	Path string `json:"path,omitempty"`
+	// Reason says what is wrong.
+	Reason string `json:"reason"`
+	// Allowed says what is allowed at this place.
+	Allowed string `json:"allowed,omitempty"`
+}
+
+// String returns the fault on one line.
+func (f FieldError) String() string {
+	var parts []string
+	if f.Document != "" {
+		parts = append(parts, f.Document)
+	}
+	if f.Path != "" {
+		parts = append(parts, f.Path)
+	}
+	text := strings.Join(append(parts, f.Reason), ": ")
+	if f.Allowed != "" {
+		text += " (allowed: " + f.Allowed + ")"
+	}
+	return text
+}
+
+// Describer is implemented by text types that can say what they accept.
+type Describer interface {
+	// AllowedText describes the accepted texts.
+	AllowedText() string
+}
+
+// Parse reads one JSON object. Numbers are kept as json.Number.
+func Parse(data []byte) (map[string]any, []FieldError) {
+	p := parser{dec: json.NewDecoder(bytes.NewReader(data))}
+	p.dec.UseNumber()
+	v, err := p.value("", 0)
+	if err != nil {
+		return nil, append(p.faults, FieldError{Reason: "is not valid JSON: " + err.Error(), Allowed: "one JSON object"})
+	}
+	if _, err := p.dec.Token(); !errors.Is(err, io.EOF) {
+		p.fault("", "has data after the JSON object", "one JSON object")
+	}
+	object, ok := v.(map[string]any)
+	if !ok {
+		p.fault("", "is "+describe(v), "one JSON object")
+	}
+	return object, p.faults
+}
+
+type parser struct {
+	dec    *json.Decoder
+	faults []FieldError
+}
+
+func (p *parser) fault(path, reason, allowed string) {
+	p.faults = append(p.faults, FieldError{Path: path, Reason: reason, Allowed: allowed})
+}
+
+func (p *parser) value(path string, depth int) (any, error) {
+	if depth > maxDepth {
+		return nil, fmt.Errorf("nested deeper than %d levels", maxDepth)
+	}
+	token, err := p.dec.Token()
+	if errors.Is(err, io.EOF) {
+		return nil, io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return nil, err
+	}
+	switch token {
+	case json.Delim('{'):
+		return p.object(path, depth)
+	case json.Delim('['):
+		return p.array(path, depth)
+	}
+	return token, nil
+}
+
+func (p *parser) object(path string, depth int) (any, error) {
+	object := map[string]any{}
+	for p.dec.More() {
+		token, err := p.dec.Token()
+		if err != nil {
+			return nil, err
+		}
+		name, ok := token.(string)
+		if !ok {
+			return nil, fmt.Errorf("unexpected %v for a field name", token)
+		}
+		if _, seen := object[name]; seen {
+			p.fault(join(path, name), "is given more than once", "each field once")
+		}
+		value, err := p.value(join(path, name), depth+1)
+		if err != nil {
+			return nil, err
+		}
+		object[name] = value
+	}
+	_, err := p.dec.Token()
+	return object, err
+}
+
+func (p *parser) array(path string, depth int) (any, error) {
+	array := []any{}
+	for p.dec.More() {
+		value, err := p.value(index(path, strconv.Itoa(len(array))), depth+1)
+		if err != nil {
+			return nil, err
+		}
+		array = append(array, value)
+	}
+	_, err := p.dec.Token()
+	return array, err
+}
+
+// Check compares a parsed value with the type that it is to be decoded into. With patch set,
+// null is allowed as the value of a field, where it deletes the field.
+func Check(v any, t reflect.Type, patch bool) []FieldError {
+	c := checker{patch: patch}
+	c.check("", v, t)
+	return c.faults
+}
+
+type checker struct {
+	patch  bool
+	faults []FieldError
+}
+
+func (c *checker) fault(path, reason, allowed string) {
+	c.faults = append(c.faults, FieldError{Path: path, Reason: reason, Allowed: allowed})
+}
+
+func (c *checker) member(path string, v any, t reflect.Type) {
+	if v == nil && c.patch {
+		return
+	}
+	c.check(path, v, t)
+}
+
+func (c *checker) check(path string, v any, t reflect.Type) {
+	if unmarshaler, ok := reflect.New(t).Interface().(encoding.TextUnmarshaler); ok {
+		c.checkText(path, v, unmarshaler)
+		return
+	}
+	switch t.Kind() {
+	case reflect.Struct:
+		c.checkStruct(path, v, t)
+	case reflect.Map:
+		c.checkMap(path, v, t)
+	case reflect.Slice:
+		c.checkSlice(path, v, t)
+	case reflect.String:
+		if _, ok := v.(string); !ok {
+			c.fault(path, "is "+describe(v), "a string")
+		}
+	case reflect.Bool:
+		if _, ok := v.(bool); !ok {
+			c.fault(path, "is "+describe(v), "true or false")
+		}
+	case reflect.Int, reflect.Int8, reflect.Int16, reflect.Int32, reflect.Int64:
+		number, ok := v.(json.Number)
+		if _, err := strconv.ParseInt(string(number), 10, t.Bits()); !ok || err != nil {
+			c.fault(path, "is "+describe(v), fmt.Sprintf("a whole number of %d bits", t.Bits()))
+		}
+	case reflect.Float32, reflect.Float64:
+		number, ok := v.(json.Number)
+		if _, err := strconv.ParseFloat(string(number), t.Bits()); !ok || err != nil {
+			c.fault(path, "is "+describe(v), "a number")
+		}
+	default:
+		panic(fmt.Sprintf("strictjson: type %s is not supported", t))
+	}
+}
+
+func (c *checker) checkText(path string, v any, u encoding.TextUnmarshaler) {
+	allowed := "a string"
+	if d, ok := u.(Describer); ok {
+		allowed = d.AllowedText()
+	}
+	text, ok := v.(string)
+	if !ok {
+		c.fault(path, "is "+describe(v), allowed)
+		return
+	}
+	if err := u.UnmarshalText([]byte(text)); err != nil {
+		c.fault(path, err.Error(), allowed)
+	}
+}
+
+func (c *checker) checkStruct(path string, v any, t reflect.Type) {
+	object, ok := v.(map[string]any)
+	if !ok {
+		c.fault(path, "is "+describe(v), "an object")
+		return
+	}
+	fields := fieldsOf(t)
+	for _, name := range sortedKeys(object) {
+		field, known := fields[name]
+		if !known {
+			c.fault(join(path, name), "is an unknown field", strings.Join(sortedKeys(fields), ", "))
+			continue
+		}
+		c.member(join(path, name), object[name], field.Type)
+	}
+}
+
+func (c *checker) checkMap(path string, v any, t reflect.Type) {
+	object, ok := v.(map[string]any)
+	if !ok {
+		c.fault(path, "is "+describe(v), "an object")
+		return
+	}
+	for _, name := range sortedKeys(object) {
+		c.member(index(path, name), object[name], t.Elem())
+	}
+}
+
+func (c *checker) checkSlice(path string, v any, t reflect.Type) {
+	array, ok := v.([]any)
+	if !ok {
+		c.fault(path, "is "+describe(v), "an array")
+		return
+	}
+	for i, element := range array {
+		c.check(index(path, strconv.Itoa(i)), element, t.Elem())
+	}
+}
+
+// FillDefaults adds the missing fields that have a `default` tag, at every level. The value
+// must have passed Check without nulls.
+func FillDefaults(v any, t reflect.Type) {
+	object, ok := v.(map[string]any)
+	if !ok {
+		return
+	}
+	switch t.Kind() {
+	case reflect.Map:
+		for _, element := range object {
+			FillDefaults(element, t.Elem())
+		}
+	case reflect.Struct:
+		for name, field := range fieldsOf(t) {
+			fillField(object, name, field)
+		}
+	}
+}
+
+func fillField(object map[string]any, name string, field reflect.StructField) {
+	if _, given := object[name]; !given {
+		if text, ok := field.Tag.Lookup("default"); ok {
+			object[name] = json.RawMessage(text)
+			return
+		}
+		if !isObject(field.Type) {
+			return
+		}
+		object[name] = map[string]any{}
+	}
+	FillDefaults(object[name], field.Type)
+}
+
+func isObject(t reflect.Type) bool {
+	_, text := reflect.New(t).Interface().(encoding.TextUnmarshaler)
+	return t.Kind() == reflect.Struct && !text
+}
+
+// Decode stores a checked value into target, a pointer.
+func Decode(v any, target any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, target)
+}
+
+func fieldsOf(t reflect.Type) map[string]reflect.StructField {
+	fields := map[string]reflect.StructField{}
+	for i := range t.NumField() {
+		field := t.Field(i)
+		name := JSONName(field)
+		if field.IsExported() && name != "" {
+			fields[name] = field
+		}
+	}
+	return fields
+}
+
+// JSONName returns the name of a struct field in JSON, or "" if it has none.
+func JSONName(field reflect.StructField) string {
+	name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+	switch name {
+	case "-":
+		return ""
+	case "":
+		return field.Name
+	}
+	return name
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func index(path, name string) string { return path + "[" + name + "]" }
+
+func describe(v any) string {
+	switch v := v.(type) {
+	case nil:
+		return "null"
+	case map[string]any:
+		return "an object"
+	case []any:
+		return "an array"
+	case string:
+		return strconv.Quote(v)
+	}
+	return fmt.Sprint(v)
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
