--- a/internal/config/head.go
+++ b/internal/config/head.go
@@ -33,7 +33,7 @@
 	Who     string    `json:"who"`
 	When    time.Time `json:"when"`
 	Message string    `json:"message,omitempty"`
-	// ModRevision is the store revision of the record, or zero if it was not read from HeadKey.
+	// ModRevision is the store revision of the transaction that wrote the record.
 	ModRevision int64 `json:"-"`
 }
 
--- /dev/null
+++ b/internal/config/keys.go
@@ -0,0 +1,257 @@
+package config
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/platform"
+)
+
+const (
+	// callerKeyPrefix marks caller keys, so that leaked ones can be recognized.
+	callerKeyPrefix = "fxp_"
+	// callerKeyBytes is the random part of a caller key.
+	callerKeyBytes = 20
+	keyIDPrefix    = "k-"
+	// keyIDDigits is the number of digest digits in a key ID. With 64 bits, an ID finds its
+	// record by a prefix read and tells nothing useful about the key.
+	keyIDDigits = 16
+)
+
+// ErrAlreadyWithdrawn is returned with the record by WithdrawKey when the key no longer works.
+var ErrAlreadyWithdrawn = errors.New("config: key is already withdrawn")
+
+// IssueKey creates a key for a workspace. The plain key is returned once and never stored. After
+// an error that wraps platform.ErrUnknown the key may exist; the record names the ID to withdraw.
+func (s *Store) IssueKey(ctx context.Context, workspace entity.WorkspaceID, who string) (string, KeyRecord, error) {
+	if who == "" || !namePattern.MatchString(string(workspace)) {
+		return "", KeyRecord{}, fmt.Errorf("config: issuing a key needs an operator and a workspace name of %s", nameAllowed)
+	}
+	plain := callerKeyPrefix + entity.RandomHex(callerKeyBytes)
+	digest := Digest([]byte(plain))
+	record := KeyRecord{
+		ID:        entity.KeyID(keyIDPrefix + digest[:keyIDDigits]),
+		Workspace: workspace,
+		Issued:    s.now().UTC(),
+		Attempt:   entity.RandomHex(16),
+	}
+	entry := AuditEntry{
+		Kind: AuditIssueKey, Who: who, When: record.Issued,
+		Attempt: record.Attempt, Key: record.ID, Workspace: workspace,
+	}
+	key := KeysPrefix + digest
+	if _, err := s.commitRecord(ctx, platform.Unchanged(key, 0), key, record, entry); err != nil {
+		return "", record, fmt.Errorf("config: issuing key %s: %w", record.ID, err)
+	}
+	return plain, record, nil
+}
+
+func (s *Store) commitRecord(ctx context.Context, guard platform.Compare, key string, record any, entry AuditEntry) (int64, error) {
+	value, err := json.Marshal(record)
+	if err != nil {
+		return 0, err
+	}
+	return s.commit(ctx, change{guard: guard, ops: []platform.Op{platform.Put(key, value)}, entry: entry})
+}
+
+// WithdrawKey ends a key for good. A key that is already withdrawn gives ErrAlreadyWithdrawn, an
+// unknown ID ErrNotFound.
+func (s *Store) WithdrawKey(ctx context.Context, id entity.KeyID, who string) (KeyRecord, error) {
+	digits, ok := strings.CutPrefix(string(id), keyIDPrefix)
+	if _, err := hex.DecodeString(digits); !ok || err != nil || len(digits) != keyIDDigits {
+		return KeyRecord{}, fmt.Errorf("%w: key %q, an ID is %s and %d hexadecimal digits", ErrNotFound, id, keyIDPrefix, keyIDDigits)
+	}
+	if who == "" {
+		return KeyRecord{}, errors.New("config: withdrawing a key needs the name of the operator")
+	}
+	for {
+		pair, record, err := s.findKey(ctx, id, digits)
+		if err != nil {
+			return KeyRecord{}, err
+		}
+		if !record.Withdrawn.IsZero() {
+			return record, fmt.Errorf("%w: %s", ErrAlreadyWithdrawn, id)
+		}
+		record.Withdrawn = s.now().UTC()
+		record.Attempt = entity.RandomHex(16)
+		entry := AuditEntry{
+			Kind: AuditWithdrawKey, Who: who, When: record.Withdrawn,
+			Attempt: record.Attempt, Key: id, Workspace: record.Workspace,
+		}
+		_, err = s.commitRecord(ctx, platform.Unchanged(pair.Key, pair.ModRevision), pair.Key, record, entry)
+		if errors.Is(err, errGuard) {
+			continue
+		}
+		if err != nil {
+			return KeyRecord{}, fmt.Errorf("config: withdrawing key %s: %w", id, err)
+		}
+		return record, nil
+	}
+}
+
+func (s *Store) findKey(ctx context.Context, id entity.KeyID, digits string) (platform.Pair, KeyRecord, error) {
+	result, err := s.kv.Range(ctx, platform.RangeRequest{Prefix: KeysPrefix + digits})
+	if err != nil {
+		return platform.Pair{}, KeyRecord{}, readError(err)
+	}
+	if len(result.Pairs) != 1 {
+		return platform.Pair{}, KeyRecord{}, fmt.Errorf("%w: key %s", ErrNotFound, id)
+	}
+	var record KeyRecord
+	if err := json.Unmarshal(result.Pairs[0].Value, &record); err != nil {
+		return platform.Pair{}, KeyRecord{}, fmt.Errorf("config: record of key %s is damaged: %w", id, err)
+	}
+	return result.Pairs[0], record, nil
+}
+
+// ListKeys returns the records of all keys, withdrawn ones included, in the order of their digests.
+func (s *Store) ListKeys(ctx context.Context) ([]KeyRecord, error) {
+	result, err := s.kv.Range(ctx, platform.RangeRequest{Prefix: KeysPrefix})
+	if err != nil {
+		return nil, readError(err)
+	}
+	records := make([]KeyRecord, len(result.Pairs))
+	for i, pair := range result.Pairs {
+		if err := json.Unmarshal(pair.Value, &records[i]); err != nil {
+			return nil, fmt.Errorf("config: key %s is damaged: %w", pair.Key, err)
+		}
+	}
+	return records, nil
+}
+
+// ConfirmGone records an operator's confirmation that a host's process no longer exists, so that
+// others may free the placement entries that it owned. Repeating it keeps the first record.
+func (s *Store) ConfirmGone(ctx context.Context, host entity.HostID, incarnation entity.Incarnation, who string) (GoneRecord, error) {
+	if who == "" || !namePattern.MatchString(string(host)) || !namePattern.MatchString(string(incarnation)) {
+		return GoneRecord{}, fmt.Errorf("config: confirming a gone host needs an operator, and a host and incarnation of %s", nameAllowed)
+	}
+	key := GonePrefix + string(host) + "/" + string(incarnation)
+	record := GoneRecord{Host: host, Incarnation: incarnation, Who: who, When: s.now().UTC(), Attempt: entity.RandomHex(16)}
+	entry := AuditEntry{
+		Kind: AuditHostGone, Who: who, When: record.When,
+		Attempt: record.Attempt, Host: host, Incarnation: incarnation,
+	}
+	_, err := s.commitRecord(ctx, platform.Unchanged(key, 0), key, record, entry)
+	if errors.Is(err, errGuard) {
+		_, err = s.read(ctx, key, &record)
+	}
+	if err != nil {
+		return GoneRecord{}, fmt.Errorf("config: confirming that host %s is gone: %w", host, err)
+	}
+	return record, nil
+}
+
+// keyShards splits a KeyTable so that an update copies only the shards that it changes.
+const keyShards = 256
+
+// KeyDigest is the SHA-256 digest of a caller key.
+type KeyDigest = [sha256.Size]byte
+
+// KeyTable looks up key records by digest. It is immutable and safe for concurrent use. A nil
+// table is empty.
+type KeyTable struct {
+	shards [keyShards]map[KeyDigest]KeyRecord
+	size   int
+}
+
+// NewKeyTable builds a table from the pairs below KeysPrefix. The error lists the pairs that are
+// damaged; the table is usable without them, so that damaged records let no caller in.
+func NewKeyTable(pairs []platform.Pair) (*KeyTable, error) {
+	return (*KeyTable)(nil).Update(pairs)
+}
+
+// Update returns a table with the changed pairs applied; the receiver is left as it is. A pair
+// without a value, or with a damaged one, removes the key from the table.
+func (t *KeyTable) Update(changed []platform.Pair) (*KeyTable, error) {
+	next := &KeyTable{}
+	if t != nil {
+		*next = *t
+	}
+	var copied [keyShards]bool
+	var faults []error
+	for _, pair := range changed {
+		digest, err := parseDigest(pair.Key)
+		if err != nil {
+			faults = append(faults, err)
+			continue
+		}
+		shard := digest[0]
+		if !copied[shard] {
+			next.shards[shard] = cloneShard(next.shards[shard])
+			copied[shard] = true
+		}
+		if err := setRecord(next.shards[shard], digest, pair); err != nil {
+			faults = append(faults, err)
+		}
+	}
+	next.size = 0
+	for _, shard := range next.shards {
+		next.size += len(shard)
+	}
+	return next, errors.Join(faults...)
+}
+
+func parseDigest(key string) (KeyDigest, error) {
+	var digest KeyDigest
+	text, ok := strings.CutPrefix(key, KeysPrefix)
+	if !ok || len(text) != hex.EncodedLen(len(digest)) {
+		return digest, fmt.Errorf("config: %q is not the key of a key record", key)
+	}
+	if _, err := hex.Decode(digest[:], []byte(text)); err != nil {
+		return digest, fmt.Errorf("config: %q is not the key of a key record: %w", key, err)
+	}
+	return digest, nil
+}
+
+func cloneShard(m map[KeyDigest]KeyRecord) map[KeyDigest]KeyRecord {
+	out := make(map[KeyDigest]KeyRecord, len(m)+1)
+	for digest, record := range m {
+		out[digest] = record
+	}
+	return out
+}
+
+func setRecord(shard map[KeyDigest]KeyRecord, digest KeyDigest, pair platform.Pair) error {
+	delete(shard, digest)
+	if len(pair.Value) == 0 {
+		return nil
+	}
+	var record KeyRecord
+	if err := json.Unmarshal(pair.Value, &record); err != nil {
+		return fmt.Errorf("config: record %q is damaged: %w", pair.Key, err)
+	}
+	shard[digest] = record
+	return nil
+}
+
+// Lookup returns the record of a caller key, whether it is withdrawn or not.
+func (t *KeyTable) Lookup(plain []byte) (KeyRecord, bool) {
+	return t.LookupDigest(sha256.Sum256(plain))
+}
+
+// LookupDigest returns the record of the caller key with this digest.
+func (t *KeyTable) LookupDigest(digest KeyDigest) (KeyRecord, bool) {
+	if t == nil {
+		return KeyRecord{}, false
+	}
+	record, ok := t.shards[digest[0]][digest]
+	return record, ok
+}
+
+// Len returns the number of keys, withdrawn ones included.
+func (t *KeyTable) Len() int {
+	if t == nil {
+		return 0
+	}
+	return t.size
+}
+
+// Active says whether the key works. A withdrawal counts from the moment it is known,
+// whatever the clocks of the operator and the host say.
+func (k KeyRecord) Active() bool { return k.ID != "" && k.Withdrawn.IsZero() }
--- /dev/null
+++ b/internal/config/store.go
@@ -0,0 +1,567 @@
+package config
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/platform"
+)
+
+const (
+	// MaxDocumentBytes bounds a compacted document, and all new documents of one apply together,
+	// because the key-value service takes values up to 1 MB.
+	MaxDocumentBytes = 1_000_000
+	// maxAttempts bounds the tries of one change that loses the audit number or the answer.
+	maxAttempts = 60
+	// retryPause is the mean pause between two tries.
+	retryPause = 5 * time.Millisecond
+	// batchGets is the number of reads in one transaction; etcd allows 128 operations by default.
+	batchGets = 100
+	// auditChanges bounds the summarized changes of one site in an audit entry.
+	auditChanges = 50
+)
+
+// ErrNotFound is returned for a document, revision or key that does not exist.
+var ErrNotFound = errors.New("config: not found")
+
+// ConflictError says that another apply came first. Nothing of the losing apply took effect.
+type ConflictError struct {
+	// BaseRevision is the revision that the losing apply started from.
+	BaseRevision int64 `json:"base_revision"`
+	// Winner is the head in force.
+	Winner Head `json:"winner"`
+}
+
+// Error names the winner.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("config: conflict: revision %d by %s at %s is in force, the change started from revision %d",
+		e.Winner.Revision, e.Winner.Who, e.Winner.When.Format(time.RFC3339), e.BaseRevision)
+}
+
+// Store applies, lists and audits configurations and keys. It keeps no state of its own and is
+// safe for concurrent use by any number of processes.
+//
+// Errors of writes wrap platform.ErrUnavailable when the change certainly did not take effect
+// and platform.ErrUnknown when it may have.
+type Store struct {
+	kv  platform.KV
+	now func() time.Time
+}
+
+// NewStore returns a Store over kv, whose keys are relative to the installation's prefix.
+func NewStore(kv platform.KV) *Store { return &Store{kv: kv, now: time.Now} }
+
+// ApplyRequest asks to put a configuration in force.
+type ApplyRequest struct {
+	// BaseRevision is the revision that the change started from; zero for the first apply.
+	BaseRevision int64
+	// Base is the base document; nil keeps the one in force.
+	Base []byte
+	// Overlays maps sites to overlays. Sites that are missing or nil keep theirs.
+	Overlays map[string][]byte
+	Who      string
+	Message  string
+	// Attempt identifies the apply. A caller that repeats an apply with an unknown outcome
+	// passes the same value; empty means a new one.
+	Attempt string
+}
+
+// Apply validates the configuration of every site and puts it in force in one transaction.
+// It returns a *ValidationError, a *ConflictError, or an error of the key-value service.
+func (s *Store) Apply(ctx context.Context, req ApplyRequest) (Head, error) {
+	if req.Who == "" {
+		return Head{}, errors.New("config: apply needs the name of the operator")
+	}
+	if req.Attempt == "" {
+		req.Attempt = entity.RandomHex(16)
+	}
+	current, err := s.Head(ctx)
+	if err != nil {
+		return Head{}, err
+	}
+	if current.Revision != req.BaseRevision {
+		return s.lost(ctx, req, current)
+	}
+	next, docs, entry, err := s.prepare(ctx, req, current)
+	if err != nil {
+		return Head{}, err
+	}
+	ops, err := applyOps(next, docs)
+	if err != nil {
+		return Head{}, err
+	}
+	guard := platform.Unchanged(HeadKey, current.ModRevision)
+	revision, err := s.commit(ctx, change{guard: guard, ops: ops, entry: entry})
+	if errors.Is(err, errGuard) {
+		if current, err = s.Head(ctx); err != nil {
+			return Head{}, err
+		}
+		return s.lost(ctx, req, current)
+	}
+	if err != nil {
+		return Head{}, fmt.Errorf("config: apply attempt %s: %w", req.Attempt, err)
+	}
+	next.ModRevision = revision
+	return next, nil
+}
+
+// lost reports a conflict, unless this very attempt took effect earlier.
+func (s *Store) lost(ctx context.Context, req ApplyRequest, winner Head) (Head, error) {
+	conflict := &ConflictError{BaseRevision: req.BaseRevision, Winner: winner}
+	if winner.Revision < req.BaseRevision {
+		return Head{}, conflict
+	}
+	own, err := s.HeadAt(ctx, req.BaseRevision+1)
+	if err != nil && !errors.Is(err, ErrNotFound) {
+		return Head{}, err
+	}
+	if err == nil && own.Attempt == req.Attempt {
+		return own, nil
+	}
+	return Head{}, conflict
+}
+
+// prepare builds the next head, the documents that it adds and its audit entry.
+func (s *Store) prepare(ctx context.Context, req ApplyRequest, current Head) (Head, map[string][]byte, AuditEntry, error) {
+	next := Head{
+		Revision: current.Revision + 1,
+		Base:     current.Base,
+		Overlays: maps.Clone(current.Overlays),
+		Attempt:  req.Attempt,
+		Who:      req.Who,
+		When:     s.now().UTC(),
+		Message:  req.Message,
+	}
+	if next.Overlays == nil {
+		next.Overlays = map[string]string{}
+	}
+	fail := func(err error) (Head, map[string][]byte, AuditEntry, error) {
+		return Head{}, nil, AuditEntry{}, err
+	}
+	known, err := s.Documents(ctx, current)
+	if err != nil {
+		return fail(err)
+	}
+	added := map[string][]byte{}
+	add := func(name string, data []byte) (string, error) {
+		digest, compacted, err := compactDocument(name, data)
+		if err == nil && known[digest] == nil {
+			added[digest] = compacted
+		}
+		return digest, err
+	}
+	if req.Base != nil {
+		if next.Base, err = add("base", req.Base); err != nil {
+			return fail(err)
+		}
+	}
+	if next.Base == "" {
+		return fail(&ValidationError{Fields: []FieldError{{Document: "base", Reason: "is missing", Allowed: "a base document with the first apply"}}})
+	}
+	for site, data := range req.Overlays {
+		if data == nil {
+			continue
+		}
+		if next.Overlays[site], err = add("overlay "+site, data); err != nil {
+			return fail(err)
+		}
+	}
+	if err := checkSizes(added); err != nil {
+		return fail(err)
+	}
+	all := maps.Clone(known)
+	maps.Copy(all, added)
+	sites, err := CompileAll(next, all)
+	if err != nil {
+		return fail(err)
+	}
+	entry := AuditEntry{
+		Kind: AuditApply, Who: next.Who, When: next.When, Message: next.Message,
+		Attempt: next.Attempt, Revision: next.Revision, Changes: summarize(current, known, sites),
+	}
+	return next, added, entry, nil
+}
+
+func compactDocument(name string, data []byte) (string, []byte, error) {
+	var out bytes.Buffer
+	if err := json.Compact(&out, data); err != nil {
+		fault := FieldError{Document: name, Reason: "is not valid JSON: " + err.Error(), Allowed: "one JSON object"}
+		return "", nil, &ValidationError{Fields: []FieldError{fault}}
+	}
+	return Digest(out.Bytes()), out.Bytes(), nil
+}
+
+func checkSizes(added map[string][]byte) error {
+	total := 0
+	for _, data := range added {
+		total += len(data)
+	}
+	if total <= MaxDocumentBytes {
+		return nil
+	}
+	return &ValidationError{Fields: []FieldError{{
+		Reason:  fmt.Sprintf("the changed documents take %d bytes together", total),
+		Allowed: fmt.Sprintf("at most %d bytes in one apply", MaxDocumentBytes),
+	}}}
+}
+
+// CompileAll compiles every site of a head from documents by digest. A head without sites is
+// compiled as its base alone, under the empty name. The error lists the faults of all sites.
+func CompileAll(h Head, documents map[string][]byte) (map[string]*Site, error) {
+	names := h.Sites()
+	if len(names) == 0 {
+		names = []string{""}
+	}
+	sites := map[string]*Site{}
+	var all ValidationError
+	for _, name := range names {
+		site, err := Compile(name, h.Revision, documents[h.Base], documents[h.Overlays[name]])
+		var invalid *ValidationError
+		if errors.As(err, &invalid) {
+			all.add(invalid.Fields)
+			continue
+		}
+		sites[name] = site
+	}
+	if len(all.Fields) > 0 {
+		return nil, &all
+	}
+	return sites, nil
+}
+
+// add appends the faults that are not listed yet; faults of the base show up at every site.
+func (e *ValidationError) add(faults []FieldError) {
+	for _, f := range faults {
+		if !slices.Contains(e.Fields, f) {
+			e.Fields = append(e.Fields, f)
+		}
+	}
+}
+
+func summarize(current Head, documents map[string][]byte, sites map[string]*Site) map[string][]string {
+	out := map[string][]string{}
+	old := map[string]*Site{}
+	if current.Revision > 0 {
+		var err error
+		if old, err = CompileAll(current, documents); err != nil {
+			// Rules may have become stricter since the former configuration was accepted.
+			return map[string][]string{"": {"the former configuration is not valid for this build; changes are not listed"}}
+		}
+	}
+	for name, site := range sites {
+		changes := Diff(old[name], site)
+		for _, c := range changes[:min(len(changes), auditChanges)] {
+			out[name] = append(out[name], c.String())
+		}
+		if more := len(changes) - auditChanges; more > 0 {
+			out[name] = append(out[name], fmt.Sprintf("and %d more", more))
+		}
+	}
+	return out
+}
+
+func applyOps(next Head, docs map[string][]byte) ([]platform.Op, error) {
+	record, err := json.Marshal(next)
+	if err != nil {
+		return nil, err
+	}
+	ops := []platform.Op{platform.Put(HeadKey, record), platform.Put(historyKey(next.Revision), record)}
+	for _, digest := range slices.Sorted(maps.Keys(docs)) {
+		ops = append(ops, platform.Put(DocumentsPrefix+digest, docs[digest]))
+	}
+	return ops, nil
+}
+
+func historyKey(revision int64) string { return fmt.Sprintf("%s%016d", HistoryPrefix, revision) }
+
+func auditKey(number int64) string { return fmt.Sprintf("%s%016d", AuditPrefix, number) }
+
+// errGuard says that the guard of a change no longer holds.
+var errGuard = errors.New("config: record has changed")
+
+// errNumberTaken says that another writer took the audit number.
+var errNumberTaken = errors.New("config: audit number was taken")
+
+// change is one audited transaction. Its guard is a compare of a ModRevision.
+type change struct {
+	guard platform.Compare
+	ops   []platform.Op
+	entry AuditEntry
+}
+
+// commit runs a change together with its audit entry and returns the store revision. It takes
+// the next audit number and tries again when another writer took it. After a lost answer it
+// looks for the entry under each number that it tried, because a delayed transaction can still
+// take effect between two tries.
+func (s *Store) commit(ctx context.Context, c change) (int64, error) {
+	var tried []int64
+	var last error
+	for range maxAttempts {
+		revision, err := s.attempt(ctx, &c, &tried)
+		if err == nil || errors.Is(err, errGuard) {
+			return revision, err
+		}
+		if len(tried) == 0 && !errors.Is(err, errNumberTaken) {
+			return 0, err
+		}
+		last = err
+		if pause(ctx) != nil {
+			break
+		}
+	}
+	if len(tried) > 0 {
+		return 0, fmt.Errorf("%w: %v", platform.ErrUnknown, last)
+	}
+	return 0, fmt.Errorf("%w: %w", platform.ErrUnavailable, last)
+}
+
+// attempt runs one try of a change. It adds the audit number to tried when the try may have
+// taken effect.
+func (s *Store) attempt(ctx context.Context, c *change, tried *[]int64) (int64, error) {
+	done, err := s.readBack(ctx, c.entry.Attempt, *tried)
+	if err != nil || done != 0 {
+		return done, err
+	}
+	number, counterRev, err := s.counter(ctx)
+	if err != nil {
+		return 0, err
+	}
+	c.entry.Number = number + 1
+	result, err := s.try(ctx, *c, counterRev)
+	if mayHaveRun(err) {
+		*tried = append(*tried, c.entry.Number)
+	}
+	if err != nil {
+		return 0, err
+	}
+	if result.Succeeded {
+		return result.Revision, nil
+	}
+	if modRevision(result.Gets[0]) == c.guard.Value {
+		return 0, errNumberTaken
+	}
+	done, err = s.readBack(ctx, c.entry.Attempt, *tried)
+	if err != nil || done != 0 {
+		return done, err
+	}
+	return 0, errGuard
+}
+
+// mayHaveRun says whether a transaction that ended with err may have taken effect. A client that
+// was interrupted by its context cannot know.
+func mayHaveRun(err error) bool {
+	if errors.Is(err, platform.ErrUnavailable) {
+		return false
+	}
+	return errors.Is(err, platform.ErrUnknown) || errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
+}
+
+func (s *Store) try(ctx context.Context, c change, counterRev int64) (platform.TxnResult, error) {
+	entry, err := json.Marshal(c.entry)
+	if err != nil {
+		return platform.TxnResult{}, err
+	}
+	ops := append(slices.Clone(c.ops),
+		platform.Put(auditKey(c.entry.Number), entry),
+		platform.Put(AuditCounterKey, fmt.Appendf(nil, "%d", c.entry.Number)),
+	)
+	return s.kv.Txn(ctx, platform.Txn{
+		Compares: []platform.Compare{c.guard, platform.Unchanged(AuditCounterKey, counterRev), platform.Absent(auditKey(c.entry.Number))},
+		Success:  ops,
+		Failure:  []platform.Op{{Kind: platform.OpGet, Key: c.guard.Key}},
+	})
+}
+
+// readBack returns the store revision of the attempt's audit entry, or zero if it is not there.
+func (s *Store) readBack(ctx context.Context, attempt string, numbers []int64) (int64, error) {
+	for _, n := range numbers {
+		var entry AuditEntry
+		rev, err := s.read(ctx, auditKey(n), &entry)
+		if err != nil {
+			return 0, err
+		}
+		if rev != 0 && entry.Attempt == attempt {
+			return rev, nil
+		}
+	}
+	return 0, nil
+}
+
+func modRevision(p *platform.Pair) int64 {
+	if p == nil {
+		return 0
+	}
+	return p.ModRevision
+}
+
+func pause(ctx context.Context) error {
+	timer := time.NewTimer(rand.N(2 * retryPause))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// counter returns the newest audit number and the ModRevision of its key.
+func (s *Store) counter(ctx context.Context) (number, revision int64, err error) {
+	revision, err = s.read(ctx, AuditCounterKey, &number)
+	return number, revision, err
+}
+
+// readError reports a failed read as unavailable: a read whose answer is lost changes nothing.
+func readError(err error) error {
+	if mayHaveRun(err) {
+		return fmt.Errorf("%w: %v", platform.ErrUnavailable, err)
+	}
+	return err
+}
+
+func (s *Store) get(ctx context.Context, key string) (*platform.Pair, error) {
+	pair, _, err := s.kv.Get(ctx, key)
+	return pair, readError(err)
+}
+
+// read decodes the value of a key and returns its ModRevision, zero if the key is absent.
+func (s *Store) read(ctx context.Context, key string, into any) (int64, error) {
+	pair, err := s.get(ctx, key)
+	if err != nil || pair == nil {
+		return 0, err
+	}
+	if err := json.Unmarshal(pair.Value, into); err != nil {
+		return 0, fmt.Errorf("config: key %s is damaged: %w", key, err)
+	}
+	return pair.ModRevision, nil
+}
+
+// Head returns the head in force; its Revision is zero before the first apply.
+func (s *Store) Head(ctx context.Context) (Head, error) {
+	var h Head
+	rev, err := s.read(ctx, HeadKey, &h)
+	if err != nil {
+		return Head{}, err
+	}
+	h.ModRevision = rev
+	return h, nil
+}
+
+// ParseHead decodes a head record from a pair of the watched prefix.
+func ParseHead(p platform.Pair) (Head, error) {
+	var h Head
+	if err := json.Unmarshal(p.Value, &h); err != nil {
+		return Head{}, fmt.Errorf("config: head record is damaged: %w", err)
+	}
+	h.ModRevision = p.ModRevision
+	return h, nil
+}
+
+// HeadAt returns the head record of a revision, or ErrNotFound.
+func (s *Store) HeadAt(ctx context.Context, revision int64) (Head, error) {
+	var h Head
+	rev, err := s.read(ctx, historyKey(revision), &h)
+	h.ModRevision = rev
+	if err == nil && rev == 0 {
+		err = fmt.Errorf("%w: revision %d", ErrNotFound, revision)
+	}
+	return h, err
+}
+
+// Document returns a document by digest, or ErrNotFound.
+func (s *Store) Document(ctx context.Context, digest string) ([]byte, error) {
+	pair, err := s.get(ctx, DocumentsPrefix+digest)
+	if err != nil {
+		return nil, err
+	}
+	if pair == nil {
+		return nil, fmt.Errorf("%w: document %s", ErrNotFound, digest)
+	}
+	if Digest(pair.Value) != digest {
+		return nil, fmt.Errorf("config: document %s is damaged", digest)
+	}
+	return pair.Value, nil
+}
+
+// Documents returns all documents of a head by digest.
+func (s *Store) Documents(ctx context.Context, h Head) (map[string][]byte, error) {
+	out := map[string][]byte{}
+	if h.Revision == 0 {
+		return out, nil
+	}
+	digests := append(slices.Collect(maps.Values(h.Overlays)), h.Base)
+	for _, digest := range digests {
+		if out[digest] != nil {
+			continue
+		}
+		data, err := s.Document(ctx, digest)
+		if err != nil {
+			return nil, err
+		}
+		out[digest] = data
+	}
+	return out, nil
+}
+
+// DocumentsAt returns the head and all documents of a revision.
+func (s *Store) DocumentsAt(ctx context.Context, revision int64) (Head, map[string][]byte, error) {
+	h, err := s.HeadAt(ctx, revision)
+	if err != nil {
+		return Head{}, nil, err
+	}
+	docs, err := s.Documents(ctx, h)
+	return h, docs, err
+}
+
+// History returns up to limit head records, newest first.
+func (s *Store) History(ctx context.Context, limit int) ([]Head, error) {
+	h, err := s.Head(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return newest[Head](ctx, s.kv, h.Revision, limit, historyKey)
+}
+
+// Audit returns up to limit audit entries, newest first.
+func (s *Store) Audit(ctx context.Context, limit int) ([]AuditEntry, error) {
+	number, _, err := s.counter(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return newest[AuditEntry](ctx, s.kv, number, limit, auditKey)
+}
+
+// newest reads numbered records from last downwards, many in one call.
+func newest[T any](ctx context.Context, kv platform.KV, last int64, limit int, key func(int64) string) ([]T, error) {
+	var out []T
+	first := max(1, last-int64(limit)+1)
+	for last >= first {
+		var ops []platform.Op
+		for ; last >= first && len(ops) < batchGets; last-- {
+			ops = append(ops, platform.Op{Kind: platform.OpGet, Key: key(last)})
+		}
+		result, err := kv.Txn(ctx, platform.Txn{Success: ops})
+		if err != nil {
+			return nil, readError(err)
+		}
+		for i, pair := range result.Gets {
+			var record T
+			if pair == nil {
+				return nil, fmt.Errorf("%w: record %s", ErrNotFound, ops[i].Key)
+			}
+			if err := json.Unmarshal(pair.Value, &record); err != nil {
+				return nil, fmt.Errorf("config: key %s is damaged: %w", pair.Key, err)
+			}
+			out = append(out, record)
+		}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/config/store_test.go
@@ -0,0 +1,299 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/foxtailpass/foxtailpass/internal/platform"
+)
+
+// memKV keeps pairs in memory. before and after run around each transaction that writes, read
+// before each single read.
+type memKV struct {
+	platform.KV
+	mu            sync.Mutex
+	rev           int64
+	pairs         map[string]platform.Pair
+	before, after func() error
+	read          func() error
+}
+
+func newMemKV() *memKV {
+	ok := func() error { return nil }
+	return &memKV{rev: 1, pairs: map[string]platform.Pair{}, before: ok, after: ok, read: ok}
+}
+
+func (m *memKV) lookup(key string) *platform.Pair {
+	if p, ok := m.pairs[key]; ok {
+		return &p
+	}
+	return nil
+}
+
+func (m *memKV) Get(_ context.Context, key string) (*platform.Pair, int64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.read(); err != nil {
+		return nil, 0, err
+	}
+	return m.lookup(key), m.rev, nil
+}
+
+func (m *memKV) Range(_ context.Context, r platform.RangeRequest) (platform.RangeResult, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := platform.RangeResult{Revision: m.rev}
+	for key, p := range m.pairs {
+		if strings.HasPrefix(key, r.Prefix) {
+			out.Pairs = append(out.Pairs, p)
+		}
+	}
+	return out, nil
+}
+
+func (m *memKV) Txn(_ context.Context, t platform.Txn) (platform.TxnResult, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(t.Compares) > 0 {
+		if err := m.before(); err != nil {
+			return platform.TxnResult{}, err
+		}
+	}
+	res := m.run(t)
+	if len(t.Compares) > 0 {
+		if err := m.after(); err != nil {
+			return platform.TxnResult{}, err
+		}
+	}
+	return res, nil
+}
+
+func (m *memKV) run(t platform.Txn) platform.TxnResult {
+	res := platform.TxnResult{Succeeded: true}
+	for _, c := range t.Compares {
+		res.Succeeded = res.Succeeded && modRevision(m.lookup(c.Key)) == c.Value
+	}
+	ops := t.Success
+	if !res.Succeeded {
+		ops = t.Failure
+	} else if len(t.Compares) > 0 {
+		m.rev++
+	}
+	for _, op := range ops {
+		if op.Kind == platform.OpGet {
+			res.Gets = append(res.Gets, m.lookup(op.Key))
+			continue
+		}
+		m.pairs[op.Key] = platform.Pair{Key: op.Key, Value: op.Value, ModRevision: m.rev}
+	}
+	res.Revision = m.rev
+	return res
+}
+
+func applyGood(t *testing.T, s *Store) Head {
+	t.Helper()
+	h, err := s.Apply(t.Context(), ApplyRequest{Base: []byte(goodBase), Overlays: map[string][]byte{"s": []byte(`{}`)}, Who: "a"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return h
+}
+
+// Guards against two operators who both believe that their change is in force, and against
+// audit numbers that collide or have gaps while keys are issued at the same time.
+func TestRacingApplies(t *testing.T) {
+	kv := newMemKV()
+	s := NewStore(kv)
+	applyGood(t, s)
+	const writers = 8
+	var wins, conflicts int
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for i := range writers {
+		wg.Go(func() {
+			overlay := fmt.Appendf(nil, `{"limits":{"max_attempts":%d}}`, i+1)
+			h, err := s.Apply(t.Context(), ApplyRequest{BaseRevision: 1, Overlays: map[string][]byte{"s": overlay}, Who: fmt.Sprint("w", i)})
+			mu.Lock()
+			defer mu.Unlock()
+			var conflict *ConflictError
+			switch {
+			case err == nil && h.Revision == 2:
+				wins++
+			case errors.As(err, &conflict) && conflict.Winner.Revision == 2 && conflict.Winner.Who != fmt.Sprint("w", i) && !conflict.Winner.When.IsZero():
+				conflicts++
+			default:
+				t.Errorf("writer %d: %+v, %v", i, h, err)
+			}
+		})
+		wg.Go(func() {
+			if _, _, err := s.IssueKey(t.Context(), "w", "k"); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	wg.Wait()
+	if wins != 1 || conflicts != writers-1 {
+		t.Errorf("%d wins and %d conflicts", wins, conflicts)
+	}
+	entries, err := s.Audit(t.Context(), 100)
+	if err != nil || len(entries) != 2+writers || entries[0].Number != 2+writers {
+		t.Errorf("audit has %d entries, %v", len(entries), err)
+	}
+	if history, err := s.History(t.Context(), 1); err != nil || len(history) != 1 || history[0].Revision != 2 {
+		t.Errorf("history: %+v, %v", history, err)
+	}
+	if _, err := s.Document(t.Context(), Digest([]byte("{}"))); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against an apply that is reported wrongly, or done twice, after a lost answer.
+func TestApplyAfterLostAnswer(t *testing.T) {
+	lost := fmt.Errorf("lost: %w", platform.ErrUnknown)
+	tests := []struct {
+		name           string
+		before, after  []error
+		reads          []error
+		want           error
+		revision, next int64
+	}{
+		{"applied", nil, []error{lost}, nil, nil, 2, 2},
+		{"not applied, then applied", []error{lost}, nil, nil, nil, 2, 2},
+		// The reads are the head, two documents, the audit counter and then the read-back.
+		{"applied, then unavailable", nil, []error{lost}, []error{nil, nil, nil, nil, platform.ErrUnavailable, lost}, nil, 2, 2},
+		{"unavailable", []error{platform.ErrUnavailable}, nil, nil, platform.ErrUnavailable, 1, 2},
+		{"lost read", nil, nil, []error{lost}, platform.ErrUnavailable, 1, 2},
+		{"interrupted", []error{context.DeadlineExceeded, platform.ErrUnavailable, platform.ErrUnavailable}, nil, nil, nil, 2, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			kv := newMemKV()
+			s := NewStore(kv)
+			applyGood(t, s)
+			kv.before, kv.after, kv.read = faults(tt.before), faults(tt.after), faults(tt.reads)
+			req := ApplyRequest{BaseRevision: 1, Overlays: map[string][]byte{"s": []byte(`{"limits":{"max_attempts":1}}`)}, Who: "b", Attempt: "x"}
+			_, err := s.Apply(t.Context(), req)
+			if !errors.Is(err, tt.want) {
+				t.Fatalf("got %v, want %v", err, tt.want)
+			}
+			if h, _ := s.Head(t.Context()); h.Revision != tt.revision {
+				t.Errorf("revision %d, want %d", h.Revision, tt.revision)
+			}
+			// A repeated call with the same attempt must not apply again, even after a later apply.
+			if h, err := s.Apply(t.Context(), req); err != nil || h.Revision != tt.next {
+				t.Errorf("repeated: %+v, %v", h, err)
+			}
+			if _, err := s.Apply(t.Context(), ApplyRequest{BaseRevision: 2, Who: "c"}); err != nil {
+				t.Error(err)
+			}
+			if h, err := s.Apply(t.Context(), req); err != nil || h.Revision != tt.next || h.Who != "b" {
+				t.Errorf("repeated late: %+v, %v", h, err)
+			}
+		})
+	}
+}
+
+func faults(list []error) func() error {
+	return func() error {
+		if len(list) == 0 {
+			return nil
+		}
+		err := list[0]
+		list = list[1:]
+		return err
+	}
+}
+
+// Guards against an outcome that is called certain while every answer is lost.
+func TestApplyStaysUnknown(t *testing.T) {
+	kv := newMemKV()
+	kv.before = func() error { return platform.ErrUnknown }
+	_, err := NewStore(kv).Apply(t.Context(), ApplyRequest{Base: []byte(goodBase), Who: "a"})
+	if !errors.Is(err, platform.ErrUnknown) || errors.Is(err, platform.ErrUnavailable) {
+		t.Errorf("got %v", err)
+	}
+}
+
+// Guards against half-applied changes: a fault at one site or a stale base must write nothing.
+func TestRefusedApplyWritesNothing(t *testing.T) {
+	kv := newMemKV()
+	s := NewStore(kv)
+	applyGood(t, s)
+	rev, count := kv.rev, len(kv.pairs)
+	_, err := s.Apply(t.Context(), ApplyRequest{BaseRevision: 1, Who: "b", Overlays: map[string][]byte{
+		"s": []byte(`{"limits":{"max_attempts":1}}`), "u": []byte(`{"models":{"m1":null}}`)}})
+	var invalid *ValidationError
+	if !errors.As(err, &invalid) || invalid.Fields[0].Document != "site u" {
+		t.Errorf("got %v", err)
+	}
+	var conflict *ConflictError
+	for _, stale := range []int64{0, 2} {
+		if _, err := s.Apply(t.Context(), ApplyRequest{BaseRevision: stale, Who: "b"}); !errors.As(err, &conflict) {
+			t.Errorf("base revision %d: %v", stale, err)
+		}
+	}
+	if kv.rev != rev || len(kv.pairs) != count {
+		t.Error("a refused apply wrote something")
+	}
+}
+
+// Guards against plain keys in the store, a withdrawal that a lost answer hides, and key tables
+// that change under a reader or let a damaged record in.
+func TestKeyLifecycle(t *testing.T) {
+	kv := newMemKV()
+	s := NewStore(kv)
+	kv.after = faults([]error{platform.ErrUnknown, nil, platform.ErrUnknown})
+	plain, record, err := s.IssueKey(t.Context(), "w", "a")
+	if err != nil || len(plain) != 44 || !strings.HasPrefix(plain, "fxp_") {
+		t.Fatalf("%q, %v", plain, err)
+	}
+	other, _, err := s.IssueKey(t.Context(), "w", "a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for key, p := range kv.pairs {
+		if strings.Contains(key+string(p.Value), plain[4:]) {
+			t.Errorf("%s holds the plain key", key)
+		}
+	}
+	pairs := func() []platform.Pair {
+		r, _ := kv.Range(t.Context(), platform.RangeRequest{Prefix: KeysPrefix + strings.TrimPrefix(string(record.ID), "k-")})
+		return r.Pairs
+	}
+	all, _ := kv.Range(t.Context(), platform.RangeRequest{Prefix: KeysPrefix})
+	table, err := NewKeyTable(all.Pairs)
+	if err != nil || table.Len() != 2 {
+		t.Fatalf("%d keys, %v", table.Len(), err)
+	}
+	if _, err := s.WithdrawKey(t.Context(), record.ID, "b"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.WithdrawKey(t.Context(), record.ID, "b"); !errors.Is(err, ErrAlreadyWithdrawn) {
+		t.Errorf("second withdrawal: %v", err)
+	}
+	if _, err := s.WithdrawKey(t.Context(), "k-0123456789abcdef", "b"); !errors.Is(err, ErrNotFound) {
+		t.Errorf("unknown key: %v", err)
+	}
+	after, err := table.Update(pairs())
+	if err != nil {
+		t.Fatal(err)
+	}
+	before, _ := table.Lookup([]byte(plain))
+	now, _ := after.Lookup([]byte(plain))
+	kept, _ := after.Lookup([]byte(other))
+	if !before.Active() || now.Active() || !kept.Active() {
+		t.Errorf("before %+v, now %+v, other %+v", before, now, kept)
+	}
+	damaged := platform.Pair{Key: KeysPrefix + Digest([]byte(other)), Value: []byte("{")}
+	after, err = after.Update([]platform.Pair{damaged})
+	if _, found := after.Lookup([]byte(other)); err == nil || found {
+		t.Error("a damaged record still lets its key in")
+	}
+	if entries, err := s.Audit(t.Context(), 10); err != nil || len(entries) != 3 || entries[0].Kind != AuditWithdrawKey {
+		t.Errorf("audit: %+v, %v", entries, err)
+	}
+}
