--- a/internal/config/strictjson/strictjson.go
+++ b/internal/config/strictjson/strictjson.go
@@ -355,3 +355,35 @@
 	slices.Sort(keys)
 	return keys
 }
+
+// Prune removes the fields that have a fault from a parsed object, so that the rest can be
+// decoded and checked further. An array with a faulty element is removed as a whole.
+func Prune(object map[string]any, faults []FieldError) {
+	bad := map[string]bool{}
+	for _, f := range faults {
+		bad[f.Path] = true
+	}
+	prune("", object, bad)
+}
+
+// prune says whether the value at path has to go.
+func prune(path string, v any, bad map[string]bool) bool {
+	if bad[path] {
+		return true
+	}
+	switch v := v.(type) {
+	case map[string]any:
+		for name, member := range v {
+			if prune(join(path, name), member, bad) || prune(index(path, name), member, bad) {
+				delete(v, name)
+			}
+		}
+	case []any:
+		for i, element := range v {
+			if prune(index(path, strconv.Itoa(i)), element, bad) {
+				return true
+			}
+		}
+	}
+	return false
+}
