--- /dev/null
+++ b/internal/standin/engine/engine_test.go
@@ -0,0 +1,308 @@
+package engine
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/command"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/wire"
+)
+
+func start(t *testing.T, o Options) *Engine {
+	t.Helper()
+	e := New(o)
+	if err := e.Start("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Stop)
+	return e
+}
+
+func fastStore() *WeightStore {
+	return NewWeightStore(WeightStoreOptions{TimeScale: 0.005})
+}
+
+func load(t *testing.T, e *Engine, m entity.ModelID) {
+	t.Helper()
+	o := command.Order{OrderID: "load-" + string(m), Fence: 1, Action: command.LoadModel, Model: m, Bytes: 1 << 30}
+	if status, code := e.Order(o); status != 202 {
+		t.Fatalf("load: %d %s", status, code)
+	}
+	waitFor(t, func() bool { return stateOf(e, m) == stateReady })
+}
+
+func stateOf(e *Engine, m entity.ModelID) string {
+	for _, entry := range e.Report().Entries {
+		if entry.Model == m && entry.Adapter == "" {
+			return entry.State
+		}
+	}
+	return ""
+}
+
+func waitFor(t *testing.T, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("condition not met in 5 s")
+		}
+	}
+}
+
+// post sends one request; a broken body is returned as far as it arrived.
+func post(e *Engine, path, id, body string) (status int, header http.Header, got string, err error) {
+	req, _ := http.NewRequest("POST", "http://"+e.Addr()+path, strings.NewReader(body))
+	req.Header.Set(HeaderRequestID, id)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, resp.Header, string(b), err
+}
+
+// sseText joins the token texts of a stream and reports whether it ended with [DONE].
+func sseText(t *testing.T, body string) (text string, done bool) {
+	t.Helper()
+	for _, line := range strings.Split(body, "\n") {
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return text, true
+		}
+		var chunk struct {
+			Choices []struct {
+				Delta struct{ Content string }
+			}
+		}
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+			t.Fatalf("bad chunk %q: %v", data, err)
+		}
+		for _, c := range chunk.Choices {
+			text += c.Delta.Content
+		}
+	}
+	return text, false
+}
+
+func chatBody(model string, n int, more string) string {
+	return fmt.Sprintf(`{"model":%q,"max_tokens":%d,"messages":[{"role":"user","content":"hello"}]%s}`, model, n, more)
+}
+
+// Guards against answers that a completeness check would wrongly reject or accept.
+func TestAnswersAreExpectedText(t *testing.T) {
+	e := start(t, Options{ID: "e1", Store: fastStore(), TokenInterval: 100 * time.Microsecond})
+	load(t, e, "m")
+	want := ExpectedText("r1", "m", 20)
+	_, h, body, err := post(e, "/v1/chat/completions", "r1", chatBody("m", 20, ""))
+	if err != nil || !strings.Contains(body, want) || h.Get(HeaderRequestID) != "r1" {
+		t.Fatalf("whole answer: %v %q", err, body)
+	}
+	if !strings.Contains(body, `"prompt_tokens":2,"completion_tokens":20`) {
+		t.Fatalf("usage: %s", body)
+	}
+	_, _, body, err = post(e, "/v1/chat/completions", "r1", chatBody("m", 20, `,"stream":true`))
+	if text, done := sseText(t, body); err != nil || text != want || !done {
+		t.Fatalf("stream: %v %q", err, body)
+	}
+	if e.Runs("r1") != 2 || e.Record().RepeatedIDs != 1 {
+		t.Fatal("runs by request ID are not counted")
+	}
+	status, h, _, _ := post(e, "/v1/completions", "r2", `{"model":"other","prompt":"x"}`)
+	if status != 409 || h.Get(HeaderRan) != "no" {
+		t.Fatalf("not loaded: %d", status)
+	}
+}
+
+// Guards against a stand-in that hides overcommitted memory, stale orders or repeated loads.
+func TestOrders(t *testing.T) {
+	cases := []struct {
+		name   string
+		checks bool
+		order  command.Order
+		status int
+		code   string
+	}{
+		{"repeated ID", true, command.Order{OrderID: "load-m", Fence: 1, Action: command.LoadModel, Model: "m", Bytes: 1 << 30}, 202, ""},
+		{"load of a ready model", true, command.Order{OrderID: "x", Fence: 2, Action: command.LoadModel, Model: "m", Bytes: 1 << 30}, 202, ""},
+		{"stale fence", true, command.Order{OrderID: "x", Fence: 0, Action: command.UnloadModel, Model: "m"}, 409, "stale_fence"},
+		{"stale fence ignored", false, command.Order{OrderID: "x", Fence: 0, Action: command.UnloadModel, Model: "m"}, 202, ""},
+		{"no memory", true, command.Order{OrderID: "x", Fence: 1, Action: command.LoadModel, Model: "n", Bytes: 2 << 30}, 507, "no_memory"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			e := start(t, Options{ID: "e1", Store: fastStore(), ChecksFence: c.checks, MemoryBytes: 2 << 30})
+			load(t, e, "m")
+			if status, code := e.Order(c.order); status != c.status || code != c.code {
+				t.Fatalf("got %d %q", status, code)
+			}
+			rec := e.Record()
+			if len(rec.LoadsOf("m")) != 1 || rec.MaxReservedBytes > 2<<30 {
+				t.Fatalf("loads %v, reserved %d", rec.Loads, rec.MaxReservedBytes)
+			}
+			if (c.status == 507) != (len(rec.MemoryViolations) == 1) {
+				t.Fatalf("violations: %v", rec.MemoryViolations)
+			}
+		})
+	}
+}
+
+// Guards against a resume that loses or repeats tokens after a broken stream.
+func TestBreakAndResume(t *testing.T) {
+	e := start(t, Options{Store: fastStore(), TokenInterval: time.Millisecond})
+	load(t, e, "m")
+	if err := e.SetFault(Fault{Kind: FaultBreak, Count: 1, Tokens: 5}); err != nil {
+		t.Fatal(err)
+	}
+	_, _, body, err := post(e, "/v1/chat/completions", "r1", chatBody("m", 12, `,"stream":true`))
+	first, done := sseText(t, body)
+	if err == nil || done || len(first) != 5*charsPerToken {
+		t.Fatalf("break: %v %q", err, first)
+	}
+	resp, err := http.Get("http://" + e.Addr() + "/engine/v1/streams/r1?from=5")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	b, _ := io.ReadAll(resp.Body)
+	rest, done := sseText(t, string(b))
+	if !done || first+rest != ExpectedText("r1", "m", 12) || e.Runs("r1") != 1 {
+		t.Fatalf("resumed %q", rest)
+	}
+}
+
+// Guards against faults that do not show on the wire, since host tests rely on them.
+func TestFaults(t *testing.T) {
+	e := start(t, Options{Store: fastStore()})
+	load(t, e, "m")
+	send := func(id string) (int, http.Header, string, error) {
+		return post(e, "/v1/chat/completions", id, chatBody("m", 8, ""))
+	}
+	set := func(f Fault) {
+		if err := e.SetFault(f); err != nil {
+			t.Fatal(err)
+		}
+	}
+	set(Fault{Kind: FaultRefuse, Count: 1})
+	if status, h, _, _ := send("a"); status != 503 || h.Get(HeaderRan) != "no" || e.Runs("a") != 0 {
+		t.Fatalf("refuse: %d", status)
+	}
+	set(Fault{Kind: FaultTruncate, Count: 1})
+	if _, _, body, err := send("b"); err == nil || body == "" {
+		t.Fatalf("truncate: %v %q", err, body)
+	}
+	set(Fault{Kind: FaultCross, Count: 2})
+	var wg sync.WaitGroup
+	for _, pair := range [][2]string{{"c", "d"}, {"d", "c"}} {
+		wg.Go(func() {
+			_, h, body, _ := send(pair[0])
+			if h.Get(HeaderRequestID) != pair[1] || !strings.Contains(body, ExpectedText(entity.RequestID(pair[1]), "m", 8)) {
+				t.Errorf("cross: %s got the answer of %s", pair[0], h.Get(HeaderRequestID))
+			}
+		})
+	}
+	wg.Wait()
+	set(Fault{Kind: FaultHang, Count: 1})
+	time.AfterFunc(50*time.Millisecond, func() { _ = e.Restart() })
+	boot := e.Boot()
+	if _, _, _, err := send("e"); err == nil {
+		t.Fatal("hang: got an answer")
+	}
+	waitFor(t, func() bool { return e.Boot() != boot })
+	if status, _, _, _ := send("f"); status != 409 || len(e.Report().Entries) != 0 {
+		t.Fatalf("memory survived the restart: %d", status)
+	}
+	if now, most := e.opts.Store.Replicas("m"); now != 0 || most != 1 {
+		t.Fatalf("replicas %d, most %d", now, most)
+	}
+}
+
+// Guards against reports that are newer than their lag, which would hide races in hosts.
+func TestReportLag(t *testing.T) {
+	e := start(t, Options{Store: fastStore(), ReportLag: 200 * time.Millisecond})
+	load(t, e, "m")
+	get := func() (r wire.UpstreamReport) {
+		resp, err := http.Get("http://" + e.Addr() + "/engine/v1/state")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		if err := json.NewDecoder(resp.Body).Decode(&r); err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	if r := get(); len(r.Entries) != 0 {
+		t.Fatalf("report without lag: %+v", r)
+	}
+	waitFor(t, func() bool {
+		r := get()
+		return len(r.Entries) == 1 && r.Entries[0].State == stateReady && r.Age >= 200*time.Millisecond
+	})
+}
+
+// Guards against loads that are faster than the weight store allows.
+func TestWeightStoreShares(t *testing.T) {
+	s := NewWeightStore(WeightStoreOptions{LoadsPerSecond: 1000, Parallel: 2})
+	began := time.Now()
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() { _ = s.Load(t.Context(), 100*time.Millisecond) })
+	}
+	wg.Wait()
+	if took := time.Since(began); took < 190*time.Millisecond {
+		t.Fatalf("4 loads of 100 ms at 2 in parallel took %v", took)
+	}
+}
+
+// Guards against a waiting list that ignores priorities and a prefix cache without hits.
+func TestPriorityAndPrefixCache(t *testing.T) {
+	e := start(t, Options{Store: fastStore(), Slots: 1, TokenInterval: 5 * time.Millisecond, ReceivedLimit: 16})
+	load(t, e, "m")
+	prompt := strings.Repeat("x", 2*prefixBlockChars)
+	body := func(priority int) string {
+		return fmt.Sprintf(`{"model":"m","max_tokens":10,"prompt":%q,"priority":%d}`, prompt, priority)
+	}
+	var mu sync.Mutex
+	var order []string
+	var wg sync.WaitGroup
+	for i, r := range []struct {
+		id       string
+		priority int
+	}{{"first", 0}, {"late", 9}, {"urgent", 1}} {
+		wg.Go(func() {
+			_, _, _, _ = post(e, "/v1/completions", r.id, body(r.priority))
+			mu.Lock()
+			defer mu.Unlock()
+			order = append(order, r.id)
+		})
+		waitFor(t, func() bool { return len(e.Received()) == i+1 })
+	}
+	wg.Wait()
+	if fmt.Sprint(order) != "[first urgent late]" {
+		t.Fatalf("order %v", order)
+	}
+	if got := e.Record().CachedTokens; got != 2*2*prefixBlockTokens {
+		t.Fatalf("cached tokens %d", got)
+	}
+	resp, err := http.Get("http://" + e.Addr() + "/engine/v1/events?since=0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	raw, _ := io.ReadAll(resp.Body)
+	if !bytes.Contains(raw, []byte(PrefixHashes("m", prompt)[1])) {
+		t.Fatalf("events %s", raw)
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/serve.go
@@ -0,0 +1,647 @@
+package engine
+
+import (
+	"bufio"
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http/httputil"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/command"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/valyala/fasthttp"
+)
+
+// Headers of the upstream protocol.
+const (
+	HeaderRequestID = "X-Request-Id"
+	// HeaderRan has the value "no" when it is proven that the request was not run.
+	HeaderRan = "X-Engine-Ran"
+)
+
+const (
+	defaultMaxTokens = 16
+	// statusCanceled is the customary status of a request that was canceled by its sender.
+	statusCanceled = 499
+	streamsPath    = "/engine/v1/streams/"
+)
+
+// completionRequest is the part of a completion request that the engine looks at.
+type completionRequest struct {
+	Model    string `json:"model"`
+	Messages []struct {
+		Content json.RawMessage `json:"content"`
+	} `json:"messages"`
+	Prompt              json.RawMessage `json:"prompt"`
+	MaxTokens           int             `json:"max_tokens"`
+	MaxCompletionTokens int             `json:"max_completion_tokens"`
+	Stream              bool            `json:"stream"`
+	Priority            int             `json:"priority"`
+}
+
+func (e *Engine) handle(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	e.rec.receive(&ctx.Request)
+	switch {
+	case path == "/v1/chat/completions" && ctx.IsPost():
+		e.handleCompletion(ctx, true)
+	case path == "/v1/completions" && ctx.IsPost():
+		e.handleCompletion(ctx, false)
+	case path == "/engine/v1/state":
+		e.handleState(ctx)
+	case path == "/engine/v1/orders" && ctx.IsPost():
+		e.handleOrder(ctx)
+	case path == "/engine/v1/cancel" && ctx.IsPost():
+		e.handleCancel(ctx)
+	case path == "/engine/v1/events":
+		e.handleEvents(ctx)
+	case strings.HasPrefix(path, streamsPath):
+		e.handleResume(ctx, entity.RequestID(path[len(streamsPath):]))
+	case path == "/standin/faults" && ctx.IsPost():
+		e.handleFaults(ctx)
+	case path == "/standin/record":
+		writeJSON(ctx, fasthttp.StatusOK, e.Record())
+	case path == "/standin/received":
+		writeJSON(ctx, fasthttp.StatusOK, e.Received())
+	default:
+		writeError(ctx, fasthttp.StatusNotFound, "not_found", true)
+	}
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, status int, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
+
+func writeError(ctx *fasthttp.RequestCtx, status int, code string, notRun bool) {
+	if notRun {
+		ctx.Response.Header.Set(HeaderRan, "no")
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(errorBody(code))
+}
+
+func errorBody(code string) []byte {
+	return fmt.Appendf(nil, `{"error":{"message":%q,"type":"engine_error","code":%q}}`, "engine: "+code, code)
+}
+
+// memoryNow returns the current boot's memory, to be compared after a wait.
+func (e *Engine) memoryNow() *memory {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.mem
+}
+
+// lockIf locks the engine if m is still its memory; work of a killed boot must not go on.
+func (e *Engine) lockIf(m *memory) bool {
+	e.mu.Lock()
+	if e.mem == m {
+		return true
+	}
+	e.mu.Unlock()
+	return false
+}
+
+func (e *Engine) handleCompletion(ctx *fasthttp.RequestCtx, chat bool) {
+	id := entity.RequestID(ctx.Request.Header.Peek(HeaderRequestID))
+	if id == "" {
+		id = entity.RequestID("engine-" + entity.RandomHex(8))
+	}
+	ctx.Response.Header.Set(HeaderRequestID, string(id))
+	m := e.memoryNow()
+	var body completionRequest
+	if err := json.Unmarshal(ctx.PostBody(), &body); err != nil {
+		writeError(ctx, fasthttp.StatusBadRequest, "bad_request", true)
+		return
+	}
+	if f, ok := e.faults.take(FaultDelay, body.Model); ok {
+		_ = sleep(m.ctx, f.delay())
+	}
+	if _, ok := e.faults.take(FaultRefuse, body.Model); ok {
+		writeError(ctx, fasthttp.StatusServiceUnavailable, "refused", true)
+		return
+	}
+	st := body.stream(id, chat)
+	if code := e.enqueue(m, st); code != "" {
+		writeError(ctx, refusalStatus(code), code, true)
+		return
+	}
+	if !e.holdAnswer(ctx, m, st) {
+		return
+	}
+	if body.Stream {
+		e.answerStream(ctx, e.faults.cross(st))
+		return
+	}
+	e.answerWhole(ctx, m, st)
+}
+
+func refusalStatus(code string) int {
+	switch code {
+	case "not_loaded":
+		return fasthttp.StatusConflict
+	case "canceled":
+		return statusCanceled
+	}
+	return fasthttp.StatusServiceUnavailable
+}
+
+func (b *completionRequest) stream(id entity.RequestID, chat bool) *stream {
+	st := newStream(id, b.Model)
+	st.chat = chat
+	st.prompt = b.promptText()
+	st.promptTokens = (len(st.prompt) + charsPerToken - 1) / charsPerToken
+	st.maxTokens = max(b.MaxTokens, b.MaxCompletionTokens)
+	if st.maxTokens <= 0 {
+		st.maxTokens = defaultMaxTokens
+	}
+	st.priority = b.Priority
+	return st
+}
+
+// promptText joins all text of the request without separators.
+func (b *completionRequest) promptText() string {
+	var sb strings.Builder
+	for _, msg := range b.Messages {
+		appendText(&sb, msg.Content)
+	}
+	appendText(&sb, b.Prompt)
+	return sb.String()
+}
+
+// appendText appends a JSON string, or the strings and text parts of a JSON list.
+func appendText(sb *strings.Builder, raw json.RawMessage) {
+	if len(raw) == 0 {
+		return
+	}
+	switch raw[0] {
+	case '"':
+		var s string
+		_ = json.Unmarshal(raw, &s)
+		sb.WriteString(s)
+	case '[':
+		var parts []json.RawMessage
+		_ = json.Unmarshal(raw, &parts)
+		for _, p := range parts {
+			appendText(sb, p)
+		}
+	case '{':
+		var part struct {
+			Text string `json:"text"`
+		}
+		_ = json.Unmarshal(raw, &part)
+		sb.WriteString(part.Text)
+	}
+}
+
+func splitModel(name string) (entity.ModelID, entity.AdapterID) {
+	model, adapter, _ := strings.Cut(name, ":")
+	return entity.ModelID(model), entity.AdapterID(adapter)
+}
+
+// enqueue puts the request on the waiting list of its replica or returns a refusal code.
+func (e *Engine) enqueue(m *memory, st *stream) string {
+	if !e.lockIf(m) {
+		return "killed"
+	}
+	defer e.mu.Unlock()
+	if m.leaving {
+		return "draining"
+	}
+	model, adapter := splitModel(st.model)
+	r := m.replicas[model]
+	if r == nil || r.state != stateReady {
+		return "not_loaded"
+	}
+	if adapter != "" {
+		if a := m.adapters[st.model]; a == nil || a.state != stateReady {
+			return "not_loaded"
+		}
+	}
+	now := time.Now()
+	m.arrivals++
+	st.arrival = m.arrivals
+	m.streams[st.id] = st
+	m.seq++
+	heap.Push(&r.waiting, st)
+	e.pump(r, now)
+	return ""
+}
+
+// pump starts waiting requests while there are free slots.
+func (e *Engine) pump(r *replica, now time.Time) {
+	for r.running < e.opts.Slots && len(r.waiting) > 0 {
+		st := heap.Pop(&r.waiting).(*stream)
+		if !st.set(phaseRunning, "") {
+			// It was canceled while it waited.
+			e.keep(st, now)
+			continue
+		}
+		e.settle(r, now)
+		r.running++
+		e.rec.ran(st.id)
+		hit := e.mem.cache.use(st.model, st.prompt, st.id, now)
+		st.prompt = ""
+		e.rec.prefill(st.promptTokens, min(hit, st.promptTokens))
+		go e.generate(e.mem, r, st, max(st.promptTokens-hit, 0))
+	}
+}
+
+// generate produces the tokens of one request in real time. It keeps to an absolute schedule,
+// so that late timers do not add up.
+func (e *Engine) generate(m *memory, r *replica, st *stream, prefillTokens int) {
+	next := time.Now().Add(time.Duration(prefillTokens) * e.opts.PrefillPerToken)
+	err := sleep(m.ctx, time.Until(next))
+	if e.opts.TokenInterval <= 0 && err == nil {
+		st.produce(st.maxTokens)
+		e.endGeneration(m, r, st, st.maxTokens, phaseDone)
+		return
+	}
+	made := 0
+	for err == nil && made < st.maxTokens {
+		next = next.Add(e.tokenTime(r))
+		if err = sleep(m.ctx, time.Until(next)); err != nil || !st.produce(1) {
+			break
+		}
+		made++
+	}
+	last := phaseDone
+	if made < st.maxTokens {
+		last = phaseCanceled
+	}
+	e.endGeneration(m, r, st, made, last)
+}
+
+func (e *Engine) tokenTime(r *replica) time.Duration {
+	e.mu.Lock()
+	others := r.running - 1
+	e.mu.Unlock()
+	return time.Duration(float64(e.opts.TokenInterval) * (1 + e.opts.BatchSlowdown*float64(others)))
+}
+
+func (e *Engine) endGeneration(m *memory, r *replica, st *stream, made int, last phase) {
+	e.rec.generated(made)
+	st.set(last, "canceled")
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if r.gone {
+		return
+	}
+	now := time.Now()
+	e.settle(r, now)
+	r.running--
+	m.seq++
+	e.keep(st, now)
+	if r.state == stateUnloading && r.running == 0 {
+		e.free(r, now)
+		return
+	}
+	e.pump(r, now)
+}
+
+// keep lets an ended stream be resumed for a while and forgets those whose time is over.
+func (e *Engine) keep(st *stream, now time.Time) {
+	m := e.mem
+	m.expiry = append(m.expiry, expiringStream{now.Add(e.opts.StreamKeep), st})
+	for len(m.expiry) > 0 && m.expiry[0].at.Before(now) {
+		old := m.expiry[0].stream
+		if m.streams[old.id] == old {
+			delete(m.streams, old.id)
+		}
+		m.expiry = m.expiry[1:]
+	}
+}
+
+// holdAnswer applies the hang fault and reports whether the request is still to be answered.
+func (e *Engine) holdAnswer(ctx *fasthttp.RequestCtx, m *memory, st *stream) bool {
+	f, ok := e.faults.take(FaultHang, st.model)
+	if !ok {
+		return true
+	}
+	conn := ctx.Conn()
+	if f.DelayMS > 0 {
+		return sleep(m.ctx, f.delay()) == nil
+	}
+	// The read returns when the other side closes the connection or the engine is killed.
+	_, _ = conn.Read(make([]byte, 1))
+	_ = conn.Close()
+	return false
+}
+
+func (e *Engine) answerWhole(ctx *fasthttp.RequestCtx, m *memory, st *stream) {
+	if f, ok := e.faults.take(FaultBreak, st.model); ok {
+		st.waitBeyond(f.Tokens - 1)
+		_ = ctx.Conn().Close()
+		return
+	}
+	p, reason := st.waitEnded()
+	if p != phaseDone {
+		e.refuseEnded(ctx, p, reason)
+		return
+	}
+	if _, ok := e.faults.take(FaultFail, st.model); ok {
+		writeError(ctx, fasthttp.StatusInternalServerError, "failed", false)
+		return
+	}
+	if f, ok := e.faults.take(FaultLate, st.model); ok {
+		_ = sleep(m.ctx, f.delay())
+	}
+	st = e.faults.cross(st)
+	st.waitEnded()
+	ctx.Response.Header.Set(HeaderRequestID, string(st.id))
+	body := st.wholeBody()
+	if _, ok := e.faults.take(FaultTruncate, st.model); ok {
+		truncateAnswer(ctx, st.id, body)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
+
+func (e *Engine) refuseEnded(ctx *fasthttp.RequestCtx, p phase, reason string) {
+	if reason == "killed" {
+		_ = ctx.Conn().Close()
+		return
+	}
+	writeError(ctx, refusalStatus(reason), reason, p == phaseRefused)
+}
+
+// truncateAnswer announces the whole body, sends half of it and closes the connection.
+func truncateAnswer(ctx *fasthttp.RequestCtx, id entity.RequestID, body []byte) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(c net.Conn) {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
+			HeaderRequestID, id, len(body), body[:len(body)/2])
+		_ = c.Close()
+	})
+}
+
+func (s *stream) objectNames() (whole, chunk string) {
+	if s.chat {
+		return "chat.completion", "chat.completion.chunk"
+	}
+	return "text_completion", "text_completion"
+}
+
+func quote(s string) []byte {
+	b, _ := json.Marshal(s)
+	return b
+}
+
+func (s *stream) usage() string {
+	return fmt.Sprintf(`{"prompt_tokens":%d,"completion_tokens":%d,"total_tokens":%d}`,
+		s.promptTokens, s.maxTokens, s.promptTokens+s.maxTokens)
+}
+
+func (s *stream) wholeBody() []byte {
+	object, _ := s.objectNames()
+	b := make([]byte, 0, 320+charsPerToken*s.maxTokens)
+	b = fmt.Appendf(b, `{"id":%s,"object":%q,"created":%d,"model":%s,"choices":[{"index":0,`,
+		quote(string(s.id)), object, s.created, quote(s.model))
+	if s.chat {
+		b = append(b, `"message":{"role":"assistant","content":"`...)
+	} else {
+		b = append(b, `"text":"`...)
+	}
+	b = appendTokens(b, s.seed, 0, s.maxTokens)
+	b = append(b, '"')
+	if s.chat {
+		b = append(b, '}')
+	}
+	return fmt.Appendf(b, `,"finish_reason":"length"}],"usage":%s}`, s.usage())
+}
+
+func (e *Engine) answerStream(ctx *fasthttp.RequestCtx, st *stream) {
+	if p, reason := st.waitStarted(); p == phaseRefused {
+		e.refuseEnded(ctx, p, reason)
+		return
+	}
+	if _, ok := e.faults.take(FaultFail, st.model); ok {
+		writeError(ctx, fasthttp.StatusInternalServerError, "failed", false)
+		return
+	}
+	if f, ok := e.faults.take(FaultLate, st.model); ok {
+		st.waitEnded()
+		time.Sleep(f.delay())
+	}
+	e.sendStream(ctx, st, 0)
+}
+
+// noLimit is a token position that no stream reaches.
+const noLimit = 1 << 62
+
+// sendStream sends the tokens from a position on as server-sent events, one token per event.
+func (e *Engine) sendStream(ctx *fasthttp.RequestCtx, st *stream, from int) {
+	if f, ok := e.faults.take(FaultBreak, st.model); ok {
+		breakStream(ctx, st, from, f.Tokens)
+		return
+	}
+	limit := noLimit
+	if f, ok := e.faults.take(FaultTruncate, st.model); ok {
+		limit = f.Tokens
+	}
+	ctx.Response.Header.Set(HeaderRequestID, string(st.id))
+	ctx.SetContentType("text/event-stream")
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) { st.write(w, from, limit) })
+}
+
+// breakStream sends the first tokens and closes the connection inside the chunked body. The
+// server's own body writer cannot do that: it sends behind the writer of the stream.
+func breakStream(ctx *fasthttp.RequestCtx, st *stream, from, limit int) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(c net.Conn) {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n\r\n",
+			HeaderRequestID, st.id)
+		st.write(bufio.NewWriter(httputil.NewChunkedWriter(c)), from, limit)
+		_ = c.Close()
+	})
+}
+
+// write sends events until the stream ends or limit tokens of it have been sent.
+func (s *stream) write(w *bufio.Writer, sent, limit int) {
+	head, tail := s.chunkParts()
+	var text []byte
+	for {
+		produced, p := s.waitBeyond(sent)
+		for ; sent < min(produced, limit); sent++ {
+			text = appendTokens(text[:0], s.seed, sent, sent+1)
+			_, _ = w.Write(head)
+			_, _ = w.Write(text)
+			_, _ = w.WriteString(tail)
+		}
+		if err := w.Flush(); err != nil || sent >= limit {
+			return
+		}
+		switch {
+		case p > phaseDone:
+			_, _ = fmt.Fprintf(w, "data: %s\n\n", errorBody("canceled"))
+			_ = w.Flush()
+			return
+		case p == phaseDone && sent == s.maxTokens:
+			s.writeEnd(w)
+			return
+		}
+	}
+}
+
+func (s *stream) chunkParts() (head []byte, tail string) {
+	_, object := s.objectNames()
+	head = fmt.Appendf(nil, `data: {"id":%s,"object":%q,"created":%d,"model":%s,"choices":[{"index":0,`,
+		quote(string(s.id)), object, s.created, quote(s.model))
+	if s.chat {
+		return append(head, `"delta":{"content":"`...), "\"},\"finish_reason\":null}]}\n\n"
+	}
+	return append(head, `"text":"`...), "\",\"finish_reason\":null}]}\n\n"
+}
+
+func (s *stream) writeEnd(w *bufio.Writer) {
+	_, object := s.objectNames()
+	empty := `"text":""`
+	if s.chat {
+		empty = `"delta":{}`
+	}
+	_, _ = fmt.Fprintf(w, `data: {"id":%s,"object":%q,"created":%d,"model":%s,"choices":[{"index":0,%s,"finish_reason":"length"}],"usage":%s}`,
+		quote(string(s.id)), object, s.created, quote(s.model), empty, s.usage())
+	_, _ = w.WriteString("\n\ndata: [DONE]\n\n")
+	_ = w.Flush()
+}
+
+func (e *Engine) handleResume(ctx *fasthttp.RequestCtx, id entity.RequestID) {
+	e.mu.Lock()
+	st := e.mem.streams[id]
+	e.mu.Unlock()
+	if st == nil {
+		writeError(ctx, fasthttp.StatusNotFound, "unknown_stream", false)
+		return
+	}
+	from, err := strconv.Atoi(string(ctx.QueryArgs().Peek("from")))
+	if err != nil || from < 0 || from > st.maxTokens {
+		writeError(ctx, fasthttp.StatusBadRequest, "bad_position", false)
+		return
+	}
+	if p, reason := st.waitStarted(); p == phaseRefused {
+		e.refuseEnded(ctx, p, reason)
+		return
+	}
+	e.rec.resumed()
+	e.sendStream(ctx, st, from)
+}
+
+func (e *Engine) handleState(ctx *fasthttp.RequestCtx) {
+	e.mu.Lock()
+	report := e.laggedReport(time.Now())
+	e.mu.Unlock()
+	writeJSON(ctx, fasthttp.StatusOK, report)
+}
+
+func (e *Engine) handleOrder(ctx *fasthttp.RequestCtx) {
+	m := e.memoryNow()
+	var o command.Order
+	if err := json.Unmarshal(ctx.PostBody(), &o); err != nil || o.OrderID == "" || o.Model == "" {
+		writeError(ctx, fasthttp.StatusBadRequest, "bad_order", true)
+		return
+	}
+	if f, ok := e.faults.take(FaultOrderDelay, string(o.Model)); ok {
+		_ = sleep(m.ctx, f.delay())
+	}
+	if !e.lockIf(m) {
+		_ = ctx.Conn().Close()
+		return
+	}
+	res := e.order(o, time.Now())
+	e.mu.Unlock()
+	e.rec.order(o, res)
+	if _, ok := e.faults.take(FaultOrderLost, string(o.Model)); ok {
+		_ = ctx.Conn().Close()
+		return
+	}
+	if res != orderAccepted {
+		writeError(ctx, res.status, res.code, true)
+		return
+	}
+	writeJSON(ctx, res.status, map[string]string{"order_id": o.OrderID, "status": "accepted"})
+}
+
+// CancelResult is the answer to POST /engine/v1/cancel.
+type CancelResult struct {
+	Canceled bool `json:"canceled"`
+	// Ran says whether the request had started.
+	Ran bool `json:"ran"`
+}
+
+// Cancel ends a waiting or running request.
+func (e *Engine) Cancel(id entity.RequestID) CancelResult {
+	e.mu.Lock()
+	st := e.mem.streams[id]
+	e.mu.Unlock()
+	if st == nil {
+		return CancelResult{}
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	switch st.phase {
+	case phaseWaiting:
+		st.phase = phaseRefused
+	case phaseRunning:
+		st.phase = phaseCanceled
+	default:
+		return CancelResult{Ran: st.phase != phaseRefused}
+	}
+	st.reason = "canceled"
+	st.cond.Broadcast()
+	return CancelResult{Canceled: true, Ran: st.phase == phaseCanceled}
+}
+
+func (e *Engine) handleCancel(ctx *fasthttp.RequestCtx) {
+	var body struct {
+		RequestID entity.RequestID `json:"request_id"`
+	}
+	if err := json.Unmarshal(ctx.PostBody(), &body); err != nil || body.RequestID == "" {
+		writeError(ctx, fasthttp.StatusBadRequest, "bad_request", true)
+		return
+	}
+	writeJSON(ctx, fasthttp.StatusOK, e.Cancel(body.RequestID))
+}
+
+func (e *Engine) handleEvents(ctx *fasthttp.RequestCtx) {
+	since := ctx.QueryArgs().GetUintOrZero("since")
+	e.mu.Lock()
+	events, newest := e.mem.cache.since(uint64(since), time.Now().Add(-e.opts.EventLag), e.opts.EventGapEvery)
+	out := CacheEvents{Boot: e.mem.boot, Newest: newest, Events: events}
+	e.mu.Unlock()
+	writeJSON(ctx, fasthttp.StatusOK, out)
+}
+
+func (e *Engine) handleFaults(ctx *fasthttp.RequestCtx) {
+	var body FaultsRequest
+	if err := json.Unmarshal(ctx.PostBody(), &body); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	if body.Clear {
+		e.ClearFaults()
+	}
+	for _, f := range body.Set {
+		if f.Kind == FaultStop || f.Kind == FaultRestart {
+			// The engine stops its own server, which waits for nothing but must not run here.
+			go func() { _ = e.SetFault(f) }()
+			continue
+		}
+		if err := e.SetFault(f); err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+			return
+		}
+	}
+	writeJSON(ctx, fasthttp.StatusOK, body)
+}
