--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -28,8 +28,6 @@
 	Upstream entity.UpstreamID
 	// Attempt counts from 1.
 	Attempt int
-	// Resume asks to resume the broken stream instead of starting anew.
-	Resume bool
 }
 
 // CancelAttempt stops a running attempt; the refusal is sent to the caller as an error or error event.
--- /dev/null
+++ b/internal/control/core.go
@@ -0,0 +1,588 @@
+package control
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/command"
+	"github.com/foxtailpass/foxtailpass/internal/config"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/limits"
+	"github.com/foxtailpass/foxtailpass/internal/placement"
+	"github.com/foxtailpass/foxtailpass/internal/schedule"
+	"github.com/foxtailpass/foxtailpass/internal/wire"
+)
+
+const (
+	// plainSlots bounds the requests that one host has at one plain service.
+	plainSlots = 256
+	// demandInterval is the time between two repetitions of demand that has not changed; the
+	// decider drops the sums of a host that is silent for 3 s.
+	demandInterval = time.Second
+	// demandBatch delays changed demand a little, so that a burst of requests is one message.
+	demandBatch = 2 * time.Millisecond
+)
+
+// Options configures a Core.
+type Options struct {
+	Self      entity.HostID
+	Throttler *limits.Throttler
+	Scheduler func(readyIn func(schedule.PoolID, time.Time) (time.Duration, bool)) *schedule.Scheduler
+	Placer    *placement.Placer
+	// OnInvalidRecord is told about records that cannot be read. May be nil.
+	OnInvalidRecord func(key string, err error)
+}
+
+// phase is how far a request has come.
+type phase uint8
+
+const (
+	phaseAdmitting phase = iota
+	phaseClaiming
+	phaseScheduled
+)
+
+// request is one row of the table of requests without a final answer.
+type request struct {
+	row     *schedule.Request
+	caller  Caller
+	charge  float64
+	charged bool
+	claim   bool
+	phase   phase
+}
+
+// writer identifies the system that asked for a write.
+type writer struct {
+	system system
+	id     uint64
+}
+
+type system uint8
+
+const (
+	systemLimits system = iota
+	systemPlacement
+)
+
+// Core holds the control state of one host. It is pure and belongs to one goroutine.
+type Core struct {
+	opts      Options
+	site      *config.Site
+	requests  map[entity.RequestID]*request
+	throttler *limits.Throttler
+	scheduler *schedule.Scheduler
+	placer    *placement.Placer
+	upstreams map[entity.UpstreamID]config.UpstreamRecord
+	hosts     map[entity.HostID]config.HostRecord
+	linked    map[entity.HostID]entity.Incarnation
+	writers   map[uint64]writer
+	nextWrite uint64
+	// pools holds the model pools that had requests, with the placement version of their targets.
+	pools         map[schedule.PoolID]uint64
+	placerVersion uint64
+	demandDue     time.Time
+	demandAll     time.Time
+	out           []command.Command
+}
+
+// NewCore returns a Core without configuration.
+func NewCore(o Options) *Core {
+	c := &Core{
+		opts:      o,
+		requests:  make(map[entity.RequestID]*request),
+		throttler: o.Throttler,
+		placer:    o.Placer,
+		upstreams: make(map[entity.UpstreamID]config.UpstreamRecord),
+		hosts:     make(map[entity.HostID]config.HostRecord),
+		linked:    make(map[entity.HostID]entity.Incarnation),
+		writers:   make(map[uint64]writer),
+		pools:     make(map[schedule.PoolID]uint64),
+	}
+	c.scheduler = o.Scheduler(c.readyIn)
+	return c
+}
+
+// Handle takes over one event and returns the commands that leave the host.
+func (c *Core) Handle(e Event, now time.Time) []command.Command {
+	c.out = c.out[:0]
+	c.handle(e, now)
+	c.refreshTargets(now)
+	c.sendDemand(now)
+	return c.out
+}
+
+func (c *Core) handle(e Event, now time.Time) {
+	switch e := e.(type) {
+	case Arrived:
+		c.arrived(e, now)
+	case Claimed:
+		c.claimed(e, now)
+	case AttemptEnded:
+		c.attemptEnded(e, now)
+	case CallerGone:
+		c.callerGone(e, now)
+	case SiteChanged:
+		c.siteChanged(e.Site, now)
+	case KeysWithdrawn:
+		c.keysWithdrawn(e.Keys, now)
+	case ViewChanged:
+		c.viewChanged(e.Changes, now)
+	case PeerMessage:
+		c.peerMessage(e, now)
+	case PeerLink:
+		c.peerLink(e, now)
+	case HeartbeatReceived:
+		c.throttler.HandlePeerLevels(e.From, e.Heartbeat.Levels, now)
+	case Report:
+		c.report(e.Report, e.ReceivedAt, now)
+	case WriteResult:
+		c.writeResult(e, now)
+	case OrderResult:
+		c.run(systemPlacement, c.placer.HandleOrderResult(e.OrderID, e.Outcome, now), now)
+	case LeaseRenewed:
+		c.throttler.HandleLease(e.ValidUntil, now)
+	case WitnessAnswered:
+		c.throttler.HandleWitness(e.Host, e.Incarnation, e.SentAt)
+	case Stopping:
+		c.run(systemLimits, c.throttler.Stop(now), now)
+	case Query:
+		e.Run(c, now)
+	case Tick:
+		c.tick(now)
+	}
+}
+
+func (c *Core) tick(now time.Time) {
+	c.run(systemLimits, c.throttler.Tick(now), now)
+	c.run(systemPlacement, c.placer.Tick(now), now)
+	c.run(systemPlacement, c.scheduler.Tick(now), now)
+}
+
+// arrived puts a request into the table and asks for its tokens.
+func (c *Core) arrived(e Arrived, now time.Time) {
+	r := &request{row: e.Request, caller: e.Caller, charge: e.Charge, claim: e.Claim}
+	c.requests[e.Request.ID] = r
+	if e.Charge == 0 {
+		c.admitted(r, now)
+		return
+	}
+	c.run(systemLimits, c.throttler.Request(limits.Admission{
+		ID:        e.Request.ID,
+		Workspace: e.Request.Workspace,
+		Tokens:    e.Charge,
+		Deadline:  e.Request.Deadline,
+	}, now), now)
+}
+
+// admitted takes a request on after its tokens are charged.
+func (c *Core) admitted(r *request, now time.Time) {
+	if r.claim {
+		r.phase = phaseClaiming
+		r.caller.ClaimFirst()
+		return
+	}
+	c.enqueue(r, now)
+}
+
+func (c *Core) claimed(e Claimed, now time.Time) {
+	if r, ok := c.requests[e.Request]; ok && r.phase == phaseClaiming {
+		c.enqueue(r, now)
+	}
+}
+
+func (c *Core) enqueue(r *request, now time.Time) {
+	r.phase = phaseScheduled
+	pool := r.row.Pool
+	if _, ok := c.pools[pool]; !ok && pool.Kind == "" {
+		c.pools[pool] = 0
+		c.refreshPool(pool, now)
+	}
+	c.run(systemPlacement, c.scheduler.Enqueue(r.row, now), now)
+}
+
+func (c *Core) attemptEnded(e AttemptEnded, now time.Time) {
+	r, ok := c.requests[e.Request]
+	if !ok {
+		return
+	}
+	commands := c.scheduler.AttemptEnded(e.AttemptResult, now)
+	if e.Outcome == entity.Completed || e.Outcome == entity.Canceled {
+		c.finish(r, e.UsedTokens, now)
+	}
+	c.run(systemPlacement, commands, now)
+}
+
+// callerGone ends a request that no attempt will report on.
+func (c *Core) callerGone(e CallerGone, now time.Time) {
+	r, ok := c.requests[e.Request]
+	if !ok {
+		return
+	}
+	var commands []command.Command
+	switch r.phase {
+	case phaseAdmitting:
+		commands = c.throttler.Cancel(e.Request, now)
+	case phaseScheduled:
+		c.scheduler.Cancel(e.Request)
+		// The caller may have left just when the request was dispatched; then nobody runs the attempt.
+		commands = c.scheduler.AttemptEnded(schedule.AttemptResult{Request: e.Request, Outcome: entity.Canceled}, now)
+	}
+	c.finish(r, e.UsedTokens, now)
+	c.run(systemLimits, commands, now)
+}
+
+// finish removes a request and settles what it has cost.
+func (c *Core) finish(r *request, used float64, now time.Time) {
+	delete(c.requests, r.row.ID)
+	if r.charged {
+		c.throttler.Settle(r.row.ID, used, now)
+	}
+}
+
+// run carries out commands inside the host and collects the others.
+func (c *Core) run(from system, commands []command.Command, now time.Time) {
+	for _, cmd := range commands {
+		switch cmd := cmd.(type) {
+		case command.Admit:
+			if r, ok := c.requests[cmd.Request]; ok {
+				r.charged = true
+				c.admitted(r, now)
+			}
+		case command.Refuse:
+			c.refuse(cmd.Request, cmd.Refusal, now)
+		case command.CancelAttempt:
+			if r, ok := c.requests[cmd.Request]; ok {
+				r.caller.CancelAttempt(cmd.Refusal)
+			}
+		case command.Dispatch:
+			if r, ok := c.requests[cmd.Request]; ok {
+				r.caller.Dispatch(cmd.Upstream, c.Addr(cmd.Upstream), cmd.Attempt)
+			}
+		case command.WriteRecords:
+			c.nextWrite++
+			c.writers[c.nextWrite] = writer{system: from, id: cmd.ID}
+			c.out = append(c.out, command.WriteRecords{ID: c.nextWrite, Txn: cmd.Txn})
+		default:
+			c.out = append(c.out, cmd)
+		}
+	}
+}
+
+// refuse gives a request its final answer. The charge is kept when the request may have run.
+func (c *Core) refuse(id entity.RequestID, refusal entity.Refusal, now time.Time) {
+	r, ok := c.requests[id]
+	if !ok {
+		return
+	}
+	used := r.charge
+	if refusal.Ran == entity.NotRun {
+		used = 0
+	}
+	c.finish(r, used, now)
+	r.caller.Refuse(refusal)
+}
+
+func (c *Core) siteChanged(site *config.Site, now time.Time) {
+	c.site = site
+	c.throttler.HandleSite(site, now)
+	c.placer.HandleSite(site, now)
+	c.run(systemPlacement, c.scheduler.SetSite(site, now), now)
+	for kind := range c.plainKinds() {
+		c.refreshPlain(kind, now)
+	}
+	for pool := range c.pools {
+		c.pools[pool] = 0
+	}
+}
+
+// plainKinds returns the kinds of plain services that routes name.
+func (c *Core) plainKinds() map[string]bool {
+	kinds := make(map[string]bool)
+	if c.site == nil {
+		return kinds
+	}
+	for _, r := range c.site.Routes {
+		kinds[r.UpstreamKind] = true
+	}
+	return kinds
+}
+
+func (c *Core) refreshPlain(kind string, now time.Time) {
+	var targets []schedule.Target
+	for id, u := range c.upstreams {
+		if u.Kind == kind && u.State == config.UpstreamLive {
+			targets = append(targets, schedule.Target{Upstream: id, Slots: plainSlots})
+		}
+	}
+	c.run(systemPlacement, c.scheduler.SetTargets(schedule.PoolID{Kind: kind}, targets, now), now)
+}
+
+// keysWithdrawn ends every request that came with one of the keys.
+func (c *Core) keysWithdrawn(keys map[entity.KeyID]bool, now time.Time) {
+	for id, r := range c.requests {
+		if r.phase == phaseScheduled || !keys[r.row.Key] {
+			continue
+		}
+		var commands []command.Command
+		if r.phase == phaseAdmitting {
+			commands = c.throttler.Cancel(id, now)
+		}
+		c.refuse(id, entity.Refusal{Status: 401, Code: "key_withdrawn", Message: "The key has been withdrawn."}, now)
+		c.run(systemLimits, commands, now)
+	}
+	c.run(systemPlacement, c.scheduler.RefuseKeys(keys), now)
+}
+
+// viewChanged hands changed records to the systems that they belong to.
+func (c *Core) viewChanged(changes []KeyChange, now time.Time) {
+	hosts := false
+	for _, ch := range changes {
+		switch {
+		case strings.HasPrefix(ch.Key, config.LimitsPrefix):
+			ws := entity.WorkspaceID(ch.Key[len(config.LimitsPrefix):])
+			c.run(systemLimits, c.throttler.HandleRecord(ws, ch.Pair, now), now)
+		case strings.HasPrefix(ch.Key, config.PlaceModels), strings.HasPrefix(ch.Key, config.PlaceUpstreams):
+			c.placer.HandleRecord(ch.Key, ch.Pair, now)
+		case strings.HasPrefix(ch.Key, config.UpstreamsPrefix):
+			c.upstreamChanged(ch, now)
+		case strings.HasPrefix(ch.Key, config.HostsPrefix):
+			hosts = c.hostChanged(ch) || hosts
+		case strings.HasPrefix(ch.Key, config.GonePrefix):
+			c.hostGone(ch.Key, now)
+		}
+	}
+	if hosts {
+		c.hostsChanged(now)
+	}
+}
+
+func (c *Core) invalid(key string, err error) {
+	if c.opts.OnInvalidRecord != nil {
+		c.opts.OnInvalidRecord(key, err)
+	}
+}
+
+func (c *Core) upstreamChanged(ch KeyChange, now time.Time) {
+	id := entity.UpstreamID(ch.Key[len(config.UpstreamsPrefix):])
+	former := c.upstreams[id]
+	if ch.Pair == nil {
+		delete(c.upstreams, id)
+		c.placer.HandleUpstreams(nil, []entity.UpstreamID{id}, now)
+		c.refreshKind(former.Kind, now)
+		return
+	}
+	var rec config.UpstreamRecord
+	if err := json.Unmarshal(ch.Pair.Value, &rec); err != nil {
+		c.invalid(ch.Key, err)
+		return
+	}
+	rec.ID = id
+	c.upstreams[id] = rec
+	c.placer.HandleUpstreams([]config.UpstreamRecord{rec}, nil, now)
+	c.refreshKind(rec.Kind, now)
+	if former.Kind != rec.Kind {
+		c.refreshKind(former.Kind, now)
+	}
+}
+
+func (c *Core) refreshKind(kind string, now time.Time) {
+	if c.plainKinds()[kind] {
+		c.refreshPlain(kind, now)
+	}
+}
+
+func (c *Core) hostChanged(ch KeyChange) bool {
+	id := entity.HostID(ch.Key[len(config.HostsPrefix):])
+	if ch.Pair == nil {
+		delete(c.hosts, id)
+		return true
+	}
+	var rec config.HostRecord
+	if err := json.Unmarshal(ch.Pair.Value, &rec); err != nil {
+		c.invalid(ch.Key, err)
+		return false
+	}
+	rec.ID = id
+	c.hosts[id] = rec
+	return true
+}
+
+func (c *Core) hostsChanged(now time.Time) {
+	live := make([]config.HostRecord, 0, len(c.hosts))
+	for _, h := range c.hosts {
+		live = append(live, h)
+	}
+	c.throttler.HandleHosts(live, now)
+	c.placer.HandleHosts(live, c.reachable, now)
+}
+
+// reachable says whether this host has a link to the registered incarnation of a host.
+func (c *Core) reachable(id entity.HostID) bool {
+	if id == c.opts.Self {
+		return true
+	}
+	inc, ok := c.linked[id]
+	return ok && inc == c.hosts[id].Incarnation
+}
+
+func (c *Core) hostGone(key string, now time.Time) {
+	host, inc, ok := strings.Cut(key[len(config.GonePrefix):], "/")
+	if ok {
+		c.placer.HandleGone(entity.HostID(host), entity.Incarnation(inc), now)
+	}
+}
+
+func (c *Core) peerLink(e PeerLink, now time.Time) {
+	if e.Up {
+		c.linked[e.Host] = e.Incarnation
+	} else if c.linked[e.Host] == e.Incarnation {
+		delete(c.linked, e.Host)
+	}
+	c.hostsChanged(now)
+}
+
+func (c *Core) peerMessage(e PeerMessage, now time.Time) {
+	switch m := e.Message.(type) {
+	case *wire.LoanAsk, *wire.LoanGrant, *wire.FenceRequest, *wire.FenceGrant:
+		c.run(systemLimits, c.throttler.HandleMessage(e.From, e.Incarnation, m, now), now)
+	case *wire.Demand:
+		c.placer.HandleDemand(e.From, m.Models, now)
+	case *wire.Reports:
+		for i := range m.Reports {
+			c.report(&m.Reports[i], e.ReceivedAt, now)
+		}
+	}
+}
+
+func (c *Core) report(r *wire.UpstreamReport, receivedAt, now time.Time) {
+	c.placer.HandleReport(*r, receivedAt)
+	c.run(systemPlacement, c.scheduler.HandleReport(r, now), now)
+}
+
+func (c *Core) writeResult(e WriteResult, now time.Time) {
+	w, ok := c.writers[e.ID]
+	if !ok {
+		return
+	}
+	delete(c.writers, e.ID)
+	if w.system == systemLimits {
+		c.run(systemLimits, c.throttler.HandleWriteResult(w.id, e.Result, e.Err, now), now)
+		return
+	}
+	c.run(systemPlacement, c.placer.HandleWriteResult(w.id, e.Result, e.Err, now), now)
+}
+
+// refreshTargets hands changed replicas to the scheduler.
+func (c *Core) refreshTargets(now time.Time) {
+	if v := c.placer.Version(); v != c.placerVersion {
+		c.placerVersion = v
+		for pool, seen := range c.pools {
+			if c.placer.ModelVersion(pool.Model) != seen {
+				c.refreshPool(pool, now)
+			}
+		}
+	}
+}
+
+func (c *Core) refreshPool(pool schedule.PoolID, now time.Time) {
+	c.pools[pool] = c.placer.ModelVersion(pool.Model)
+	var targets []schedule.Target
+	for _, r := range c.placer.Replicas(pool.Model, pool.Adapter) {
+		if r.Ready && !r.Draining {
+			targets = append(targets, schedule.Target{Upstream: r.Upstream, Slots: r.Slots})
+		}
+	}
+	c.run(systemPlacement, c.scheduler.SetTargets(pool, targets, now), now)
+}
+
+// readyIn estimates when a pool without targets will have one.
+func (c *Core) readyIn(pool schedule.PoolID, now time.Time) (time.Duration, bool) {
+	if pool.Kind != "" {
+		return 0, false
+	}
+	wait := c.placer.NextLoadEstimate(pool.Model, now)
+	return wait, wait != placement.NoLoad
+}
+
+// sendDemand tells the decider about changed sums soon, and about all sums from time to time.
+func (c *Core) sendDemand(now time.Time) {
+	if now.Before(c.demandDue) || c.site == nil {
+		return
+	}
+	all := !now.Before(c.demandAll)
+	c.demandDue = now.Add(demandBatch)
+	if all {
+		c.demandAll = now.Add(demandInterval)
+	}
+	d := c.scheduler.Demand(all, now)
+	if len(d) == 0 {
+		return
+	}
+	// Every host knows its own sums, so that any of them can take over as the decider.
+	c.placer.HandleDemand(c.opts.Self, d, now)
+	if decider := c.placer.Decider(); decider != "" && decider != c.opts.Self {
+		c.out = append(c.out, command.SendPeer{To: decider, Message: &wire.Demand{Models: d}})
+	}
+}
+
+// Addr returns the address of an upstream, or empty if it is not listed.
+func (c *Core) Addr(id entity.UpstreamID) string { return c.upstreams[id].Addr }
+
+// Levels returns the token state for heartbeats.
+func (c *Core) Levels(now time.Time) []wire.WorkspaceLevel { return c.throttler.Levels(now) }
+
+// AnswersHeartbeat says whether the incarnation may count this host as its witness.
+func (c *Core) AnswersHeartbeat(inc entity.Incarnation, now time.Time) bool {
+	return c.throttler.AnswerHeartbeat(inc, now)
+}
+
+// Released says that all shares have been given back after Stopping.
+func (c *Core) Released() bool { return c.throttler.Released() }
+
+// Requests returns the number of requests without a final answer.
+func (c *Core) Requests() int { return len(c.requests) }
+
+// Status is the operator view of the control state.
+type Status struct {
+	Requests  int                                  `json:"requests"`
+	Scheduler schedule.Status                      `json:"scheduler"`
+	Limits    []limits.AccountStatus               `json:"limits"`
+	Placement placement.Status                     `json:"placement"`
+	Hosts     map[entity.HostID]HostStatus         `json:"hosts"`
+	Upstreams map[entity.UpstreamID]UpstreamStatus `json:"upstreams"`
+}
+
+// HostStatus is what this host knows about another.
+type HostStatus struct {
+	Incarnation entity.Incarnation `json:"incarnation"`
+	State       string             `json:"state"`
+	Linked      bool               `json:"linked"`
+}
+
+// UpstreamStatus is what the platform's list says about an upstream.
+type UpstreamStatus struct {
+	Kind  string `json:"kind"`
+	Addr  string `json:"addr"`
+	State string `json:"state"`
+}
+
+// Status returns the operator view.
+func (c *Core) Status(now time.Time) Status {
+	s := Status{
+		Requests:  len(c.requests),
+		Scheduler: c.scheduler.Status(),
+		Limits:    c.throttler.Status(now),
+		Placement: c.placer.Status(),
+		Hosts:     make(map[entity.HostID]HostStatus),
+		Upstreams: make(map[entity.UpstreamID]UpstreamStatus),
+	}
+	for id, h := range c.hosts {
+		s.Hosts[id] = HostStatus{Incarnation: h.Incarnation, State: h.State, Linked: c.reachable(id)}
+	}
+	for id, u := range c.upstreams {
+		s.Upstreams[id] = UpstreamStatus{Kind: u.Kind, Addr: u.Addr, State: u.State}
+	}
+	return s
+}
--- /dev/null
+++ b/internal/control/loop.go
@@ -0,0 +1,100 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/command"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/wire"
+)
+
+const (
+	// tickInterval is the longest time for which a decision that depends only on time is late.
+	tickInterval = 10 * time.Millisecond
+	// eventQueue bounds the events that wait for the control goroutine; senders block beyond it.
+	eventQueue = 8192
+)
+
+// Effects carries out the commands that leave the host. Its methods must not block and must not
+// call Loop.Send on the calling goroutine; results come back as events.
+type Effects interface {
+	SendPeer(to entity.HostID, m wire.Message)
+	WriteRecords(id uint64, txn platform.Txn)
+	SendOrder(addr string, o command.SendOrder)
+}
+
+// Loop runs a Core on one goroutine.
+type Loop struct {
+	core    *Core
+	effects Effects
+	events  chan Event
+	done    chan struct{}
+}
+
+// NewLoop returns a loop that is not running yet. Events can be sent at once.
+func NewLoop(core *Core, effects Effects) *Loop {
+	return &Loop{core: core, effects: effects, events: make(chan Event, eventQueue), done: make(chan struct{})}
+}
+
+// Send gives an event to the control goroutine. It blocks while the queue is full and drops the
+// event once the loop has ended.
+func (l *Loop) Send(e Event) {
+	select {
+	case l.events <- e:
+	case <-l.done:
+	}
+}
+
+// Query runs f on the control goroutine and waits for it. It returns false when the loop has ended.
+func (l *Loop) Query(f func(c *Core, now time.Time)) bool {
+	finished := make(chan struct{})
+	l.Send(Query{Run: func(c *Core, now time.Time) {
+		f(c, now)
+		close(finished)
+	}})
+	select {
+	case <-finished:
+		return true
+	case <-l.done:
+		return false
+	}
+}
+
+// Run handles events until ctx ends.
+func (l *Loop) Run(ctx context.Context) {
+	defer close(l.done)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-l.events:
+			l.handle(e)
+		case <-ticker.C:
+			l.handle(Tick{})
+		}
+	}
+}
+
+// handle reads the clock after the event has been received: the process may have been paused
+// before, and terms may have ended meanwhile.
+func (l *Loop) handle(e Event) {
+	now := time.Now()
+	for _, c := range l.core.Handle(e, now) {
+		l.execute(c)
+	}
+}
+
+func (l *Loop) execute(c command.Command) {
+	switch c := c.(type) {
+	case command.SendPeer:
+		l.effects.SendPeer(c.To, c.Message)
+	case command.WriteRecords:
+		l.effects.WriteRecords(c.ID, c.Txn)
+	case command.SendOrder:
+		l.effects.SendOrder(l.core.Addr(c.Upstream), c)
+	}
+}
--- /dev/null
+++ b/internal/gateway/answer.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+)
+
+// errorBody is the OpenAI error shape with the fields that callers need to decide about a retry.
+type errorBody struct {
+	Error errorFields `json:"error"`
+}
+
+type errorFields struct {
+	Message          string `json:"message"`
+	Type             string `json:"type"`
+	Code             string `json:"code"`
+	Ran              string `json:"ran"`
+	RetryAfterMillis int64  `json:"retry_after_ms,omitempty"`
+}
+
+// errorType maps a status to the types that OpenAI clients know.
+func errorType(status int) string {
+	switch {
+	case status == fasthttp.StatusUnauthorized:
+		return "authentication_error"
+	case status == fasthttp.StatusForbidden:
+		return "permission_error"
+	case status == fasthttp.StatusTooManyRequests:
+		return "rate_limit_error"
+	case status < 500:
+		return "invalid_request_error"
+	}
+	return "server_error"
+}
+
+func encodeRefusal(r entity.Refusal) []byte {
+	body, err := json.Marshal(errorBody{Error: errorFields{
+		Message:          r.Message,
+		Type:             errorType(r.Status),
+		Code:             r.Code,
+		Ran:              r.Ran.String(),
+		RetryAfterMillis: r.RetryAfter.Milliseconds(),
+	}})
+	if err != nil {
+		panic(fmt.Sprintf("gateway: refusal cannot be encoded: %v", err))
+	}
+	return body
+}
+
+// writeRefusal writes a refusal as the whole answer.
+func writeRefusal(ctx *fasthttp.RequestCtx, r entity.Refusal) {
+	ctx.Response.ResetBody()
+	ctx.SetStatusCode(r.Status)
+	ctx.SetContentType("application/json")
+	ctx.Response.Header.Set(RanHeader, r.Ran.String())
+	if r.RetryAfter > 0 {
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, retryAfterSeconds(r.RetryAfter))
+	}
+	ctx.SetBody(encodeRefusal(r))
+}
+
+// retryAfterSeconds rounds up, because the header has whole seconds and an earlier retry would
+// be refused again.
+func retryAfterSeconds(d time.Duration) string {
+	return strconv.Itoa(int(math.Ceil(d.Seconds())))
+}
--- /dev/null
+++ b/internal/gateway/claim.go
@@ -0,0 +1,116 @@
+package gateway
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/foxtailpass/foxtailpass/internal/claims"
+	"github.com/foxtailpass/foxtailpass/internal/control"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+)
+
+const (
+	// claimTimeout bounds the wait for a claim; the request has not run until then.
+	claimTimeout = 2 * time.Second
+	// storeTimeout bounds the wait for storing a result before the caller gets it.
+	storeTimeout = time.Second
+)
+
+func (g *Gateway) claimRequest(s *session) claims.Request {
+	digest := sha256.New()
+	digest.Write([]byte(s.call.method))
+	digest.Write([]byte(s.call.uri))
+	digest.Write(s.call.body)
+	return claims.Request{
+		Workspace:   s.request.Workspace,
+		Key:         s.call.claimKey,
+		Digest:      hex.EncodeToString(digest.Sum(nil)),
+		Request:     s.request.ID,
+		Host:        g.opts.Host,
+		Incarnation: g.opts.Incarnation,
+	}
+}
+
+// claim makes the idempotency claim. It returns false when the request already has its answer.
+func (g *Gateway) claim(e *exchange, s *session) bool {
+	ctx, cancel := context.WithTimeout(s.ctx, claimTimeout)
+	defer cancel()
+	res := g.opts.Claims.Claim(ctx, g.claimRequest(s))
+	if res.Kind == claims.Granted {
+		s.claimed = true
+		g.opts.Control.Send(control.Claimed{Request: s.request.ID})
+		return true
+	}
+	g.opts.Control.Send(control.CallerGone{Request: s.request.ID})
+	if res.Kind == claims.Replay {
+		replay(e, res.Answer)
+		return false
+	}
+	e.refuse(claimRefusal(res.Kind))
+	return false
+}
+
+func replay(e *exchange, a claims.StoredAnswer) {
+	e.code = "replayed"
+	e.ctx.SetStatusCode(a.Status)
+	e.ctx.SetContentType(a.ContentType)
+	e.ctx.Response.Header.Set("X-Foxtailpass-Replayed", "true")
+	if a.Status >= 500 {
+		e.ctx.Response.Header.Set(RanHeader, entity.RanUnknown.String())
+	}
+	e.ctx.SetBody(a.Body)
+}
+
+func claimRefusal(kind claims.Kind) entity.Refusal {
+	switch kind {
+	case claims.InProgress:
+		return entity.Refusal{Status: 409, Code: "in_progress", Message: "A request with this idempotency key is running.", Ran: entity.RanUnknown, RetryAfter: time.Second}
+	case claims.OutcomeUnknown:
+		return entity.Refusal{Status: 409, Code: "outcome_unknown", Message: "A request with this idempotency key may have run; it is not repeated.", Ran: entity.RanUnknown}
+	case claims.Mismatch:
+		return entity.Refusal{Status: 422, Code: "idempotency_key_reused", Message: "The idempotency key was used for a different request."}
+	}
+	return entity.Refusal{Status: 503, Code: "claims_unavailable", Message: "The request cannot be protected against a second run at the moment.", RetryAfter: 2 * time.Second}
+}
+
+// releaseClaim gives up the claim of a request that was not run.
+func (g *Gateway) releaseClaim(s *session) {
+	if !s.claimed {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	if err := g.opts.Claims.Release(ctx, g.claimRequest(s)); err != nil {
+		g.opts.Log.Warn("Claim not released.", "request", s.request.ID, "err", err)
+	}
+}
+
+// settleClaim releases the claim of a request that was proven not run. Otherwise the refusal is
+// stored, so that a repetition is told that the outcome is unknown.
+func (g *Gateway) settleClaim(s *session, r entity.Refusal) {
+	if !s.claimed {
+		return
+	}
+	if r.Ran == entity.NotRun {
+		g.releaseClaim(s)
+		return
+	}
+	g.completeClaim(s, fasthttp.StatusConflict, "application/json", encodeRefusal(r))
+}
+
+// completeClaim stores the result of a request.
+func (g *Gateway) completeClaim(s *session, status int, contentType string, body []byte) {
+	if !s.claimed {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	answer := claims.StoredAnswer{Status: status, ContentType: contentType, Body: append([]byte(nil), body...)}
+	if err := g.opts.Claims.Complete(ctx, g.claimRequest(s), answer); err != nil {
+		g.opts.Log.Warn("Result not stored.", "request", s.request.ID, "err", err)
+	}
+}
--- /dev/null
+++ b/internal/gateway/errors.go
@@ -0,0 +1,17 @@
+package gateway
+
+import (
+	"errors"
+	"net"
+
+	"github.com/valyala/fasthttp"
+)
+
+func asSmallBuffer(err error, target **fasthttp.ErrSmallBuffer) bool { return errors.As(err, target) }
+
+func isTooLarge(err error) bool { return errors.Is(err, fasthttp.ErrBodyTooLarge) }
+
+func isTimeout(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,496 @@
+// Package gateway is the HTTP server towards callers. It authenticates requests, hands them to
+// the control state, runs the attempts that the control state decides on, and makes sure that
+// every request gets exactly one final answer.
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sort"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+
+	"github.com/foxtailpass/foxtailpass/internal/claims"
+	"github.com/foxtailpass/foxtailpass/internal/config"
+	"github.com/foxtailpass/foxtailpass/internal/control"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/metrics"
+	"github.com/foxtailpass/foxtailpass/internal/schedule"
+	"github.com/foxtailpass/foxtailpass/internal/upstream"
+)
+
+// State is what the gateway reads on every request. It is immutable.
+type State struct {
+	Site *config.Site
+	Keys *config.KeyTable
+}
+
+// Sender takes events to the control state.
+type Sender interface{ Send(control.Event) }
+
+// Claims makes requests with an idempotency key run at most once.
+type Claims interface {
+	Claim(ctx context.Context, r claims.Request) claims.Result
+	Complete(ctx context.Context, r claims.Request, a claims.StoredAnswer) error
+	Release(ctx context.Context, r claims.Request) error
+}
+
+// Options configures a Gateway.
+type Options struct {
+	// Control takes the requests; required.
+	Control Sender
+	// Upstreams runs the attempts; required.
+	Upstreams *upstream.Client
+	// Claims stores idempotency claims; required.
+	Claims Claims
+	// Fresh says whether the configuration and keys may still be trusted; required.
+	Fresh func() bool
+	// Metrics counts answers; required.
+	Metrics *metrics.Metrics
+	// Log is the logger of this part; required.
+	Log *log.Logger
+	// Host and Incarnation identify this process in claims.
+	Host        entity.HostID
+	Incarnation entity.Incarnation
+	// MaxConnections bounds the open connections of callers. Default 20000.
+	MaxConnections int
+	// MaxHeaderBytes bounds a request header. Default 16 KiB.
+	MaxHeaderBytes int
+	// MaxBodyBytes bounds a request body before any configuration is read. Default 8 MiB.
+	MaxBodyBytes int
+	// ReadTimeout bounds the time in which a request must arrive. Default 15 s.
+	ReadTimeout time.Duration
+	// IdleTimeout bounds the time between two requests of a connection. Default 75 s.
+	IdleTimeout time.Duration
+	// WriteTimeout bounds the time in which a caller must take a part of an answer. Default 15 s.
+	WriteTimeout time.Duration
+}
+
+// Gateway serves callers. Its methods are safe for concurrent use.
+type Gateway struct {
+	opts     Options
+	server   *fasthttp.Server
+	state    atomic.Pointer[State]
+	watcher  *callerWatcher
+	stopping atomic.Bool
+	active   atomic.Int64
+}
+
+// New returns a gateway that refuses all requests until SetState is called.
+func New(o Options) *Gateway {
+	o = withDefaults(o)
+	g := &Gateway{opts: o, watcher: newCallerWatcher()}
+	r := router.New()
+	r.HandleMethodNotAllowed = true
+	r.POST("/v1/chat/completions", g.handle("chat", g.completion))
+	r.POST("/v1/completions", g.handle("completions", g.completion))
+	r.GET("/v1/models", g.handle("models", g.models))
+	r.NotFound = g.handle("plain", g.plain)
+	r.MethodNotAllowed = func(ctx *fasthttp.RequestCtx) {
+		writeRefusal(ctx, entity.Refusal{Status: 405, Code: "method_not_allowed", Message: "This route does not take the method."})
+	}
+	r.PanicHandler = nil
+	g.server = &fasthttp.Server{
+		Handler:               r.Handler,
+		Name:                  "foxtailpass",
+		Concurrency:           o.MaxConnections,
+		ReadBufferSize:        o.MaxHeaderBytes,
+		MaxRequestBodySize:    o.MaxBodyBytes,
+		ReadTimeout:           o.ReadTimeout,
+		IdleTimeout:           o.IdleTimeout,
+		NoDefaultServerHeader: true,
+		CloseOnShutdown:       true,
+		ErrorHandler:          g.badRequest,
+		Logger:                quietLogger{o.Log},
+	}
+	return g
+}
+
+func withDefaults(o Options) Options {
+	set := func(v *int, def int) {
+		if *v == 0 {
+			*v = def
+		}
+	}
+	setTime := func(v *time.Duration, def time.Duration) {
+		if *v == 0 {
+			*v = def
+		}
+	}
+	set(&o.MaxConnections, 20000)
+	set(&o.MaxHeaderBytes, 16<<10)
+	set(&o.MaxBodyBytes, 8<<20)
+	setTime(&o.ReadTimeout, 15*time.Second)
+	setTime(&o.IdleTimeout, 75*time.Second)
+	setTime(&o.WriteTimeout, 15*time.Second)
+	return o
+}
+
+// quietLogger sends the HTTP library's messages about single connections to the debug level.
+type quietLogger struct{ log *log.Logger }
+
+// Printf implements fasthttp.Logger.
+func (q quietLogger) Printf(format string, args ...any) {
+	q.log.Debug("Connection ended early.", "reason", fmt.Sprintf(format, args...))
+}
+
+// SetState puts a configuration and the keys in force for new requests.
+func (g *Gateway) SetState(s *State) { g.state.Store(s) }
+
+// Active returns the number of requests that have no final answer yet.
+func (g *Gateway) Active() int64 { return g.active.Load() }
+
+// Serve accepts callers until Shutdown.
+func (g *Gateway) Serve(ln net.Listener) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go g.watcher.run(ctx)
+	if err := g.server.Serve(ln); err != nil {
+		return fmt.Errorf("gateway: %w", err)
+	}
+	return nil
+}
+
+// Drain makes every answer close its connection, so that callers move to other hosts while
+// this one still serves.
+func (g *Gateway) Drain() { g.stopping.Store(true) }
+
+// Shutdown stops accepting connections and returns when all requests have their final answer.
+func (g *Gateway) Shutdown(ctx context.Context) error {
+	if err := g.server.ShutdownWithContext(ctx); err != nil {
+		return fmt.Errorf("gateway: shutdown: %w", err)
+	}
+	return nil
+}
+
+// badRequest answers what the HTTP library could not read.
+func (g *Gateway) badRequest(ctx *fasthttp.RequestCtx, err error) {
+	refusal := entity.Refusal{Status: 400, Code: "malformed_request", Message: "The request could not be read."}
+	var small *fasthttp.ErrSmallBuffer
+	switch {
+	case asSmallBuffer(err, &small):
+		refusal = entity.Refusal{Status: 431, Code: "header_too_large", Message: "The request header is too large."}
+	case isTooLarge(err):
+		refusal = bodyTooLarge(g.opts.MaxBodyBytes)
+	case isTimeout(err):
+		refusal = entity.Refusal{Status: 408, Code: "request_timeout", Message: "The request did not arrive in time."}
+	}
+	writeRefusal(ctx, refusal)
+	g.opts.Metrics.Request("unread", refusal.Status, refusal.Code, 0)
+}
+
+func bodyTooLarge(limit int) entity.Refusal {
+	return entity.Refusal{Status: 413, Code: "body_too_large", Message: fmt.Sprintf("The body must have at most %d bytes.", limit)}
+}
+
+// exchange is one request on its way through the handler.
+type exchange struct {
+	ctx   *fasthttp.RequestCtx
+	state *State
+	now   time.Time
+	label string
+	key   string
+	// code is the stable reason of a refusal, for metrics.
+	code string
+	// streamed says that the answer is written after the handler and counted there.
+	streamed bool
+}
+
+func (e *exchange) refuse(r entity.Refusal) {
+	e.code = r.Code
+	writeRefusal(e.ctx, r)
+}
+
+type handler func(e *exchange)
+
+// handle wraps a handler with what all routes share.
+func (g *Gateway) handle(label string, h handler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		g.active.Add(1)
+		e := &exchange{ctx: ctx, state: g.state.Load(), now: time.Now(), label: label}
+		if e.state == nil || e.state.Site == nil {
+			e.refuse(entity.Refusal{Status: 503, Code: "not_ready", Message: "This host has no configuration yet.", RetryAfter: time.Second})
+		} else {
+			h(e)
+		}
+		if g.stopping.Load() {
+			ctx.SetConnectionClose()
+		}
+		if e.streamed {
+			return
+		}
+		g.opts.Metrics.Request(e.label, ctx.Response.StatusCode(), e.code, time.Since(e.now))
+		g.active.Add(-1)
+	}
+}
+
+// authenticate returns the record of the request's key.
+func (g *Gateway) authenticate(e *exchange) (config.KeyRecord, *entity.Refusal) {
+	e.key = bearerKey(&e.ctx.Request.Header)
+	if e.key == "" {
+		return config.KeyRecord{}, &entity.Refusal{Status: 401, Code: "key_missing", Message: "Send the key in the header Authorization: Bearer."}
+	}
+	if !g.opts.Fresh() {
+		return config.KeyRecord{}, staleRefusal()
+	}
+	rec, ok := e.state.Keys.Lookup([]byte(e.key))
+	switch {
+	case !ok:
+		return rec, &entity.Refusal{Status: 401, Code: "key_unknown", Message: "The key is not known."}
+	case !rec.Withdrawn.IsZero():
+		return rec, &entity.Refusal{Status: 401, Code: "key_withdrawn", Message: "The key has been withdrawn."}
+	}
+	if _, ok := e.state.Site.Workspaces[rec.Workspace]; !ok {
+		return rec, &entity.Refusal{Status: 403, Code: "workspace_unknown", Message: "The workspace of this key is not declared at this site."}
+	}
+	return rec, nil
+}
+
+// staleRefusal is given when this host may have missed the withdrawal of a key.
+func staleRefusal() *entity.Refusal {
+	return &entity.Refusal{
+		Status:     503,
+		Code:       "stale_configuration",
+		Message:    "This host cannot confirm that its keys are current.",
+		RetryAfter: time.Second,
+	}
+}
+
+// completion serves both completion routes.
+func (g *Gateway) completion(e *exchange) {
+	rec, refusal := g.authenticate(e)
+	if refusal == nil {
+		refusal = g.runCompletion(e, rec)
+	}
+	if refusal != nil {
+		e.refuse(*refusal)
+	}
+}
+
+func (g *Gateway) runCompletion(e *exchange, rec config.KeyRecord) *entity.Refusal {
+	site := e.state.Site
+	header := &e.ctx.Request.Header
+	body := e.ctx.PostBody()
+	if len(body) > site.Limits.MaxBodyBytes {
+		r := bodyTooLarge(site.Limits.MaxBodyBytes)
+		return &r
+	}
+	if containsKey(body, e.key) {
+		return keyInRequest()
+	}
+	class, refusal := requestClass(header)
+	if refusal != nil {
+		return refusal
+	}
+	c, refusal := parseCompletion(body, class, site.Limits)
+	if refusal != nil {
+		return refusal
+	}
+	if refusal := g.checkModel(site, rec.Workspace, c); refusal != nil {
+		return refusal
+	}
+	deadline, refusal := requestDeadline(header, e.now, site.Limits.DefaultDeadline(class))
+	if refusal != nil {
+		return refusal
+	}
+	idem, refusal := idempotencyKey(header)
+	if refusal != nil {
+		return refusal
+	}
+	tokens := float64(c.promptTokens + c.outputTokens)
+	s := newSession(&schedule.Request{
+		ID:         entity.RequestID(entity.RandomHex(12)),
+		Workspace:  rec.Workspace,
+		Key:        rec.ID,
+		Pool:       schedule.PoolID{Model: c.model, Adapter: c.adapter},
+		Class:      class,
+		Arrived:    e.now,
+		Deadline:   deadline,
+		Tokens:     tokens,
+		Bytes:      int64(len(c.body)),
+		Idempotent: idem == "",
+		Prefix:     c.prefix,
+	}, e.now)
+	s.key = e.key
+	s.call = callPlan{
+		engine:     true,
+		method:     fasthttp.MethodPost,
+		uri:        string(e.ctx.Path()),
+		body:       c.body,
+		stream:     c.stream,
+		claimKey:   idem,
+		tokens:     tokens,
+		prompt:     float64(c.promptTokens),
+		idempotent: idem == "",
+	}
+	copyForwardedHeaders(&s.call.header, header, e.key)
+	g.serve(e, s, tokens)
+	return nil
+}
+
+func keyInRequest() *entity.Refusal {
+	return &entity.Refusal{Status: 400, Code: "key_in_request", Message: "The key must only be sent in the Authorization header."}
+}
+
+func (g *Gateway) checkModel(site *config.Site, ws entity.WorkspaceID, c completion) *entity.Refusal {
+	m, ok := site.Models[c.model]
+	if !ok || !site.Workspaces[ws].MayCallModel(c.model) {
+		// Both cases look alike, so that names of models are not revealed.
+		return &entity.Refusal{Status: 404, Code: "model_not_found", Message: "The model does not exist, or the workspace may not call it."}
+	}
+	if c.adapter == "" {
+		return nil
+	}
+	if _, ok := m.Adapters[c.adapter]; !ok {
+		return &entity.Refusal{Status: 404, Code: "adapter_not_found", Message: "The model has no such adapter."}
+	}
+	return nil
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// models lists what the key may use.
+func (g *Gateway) models(e *exchange) {
+	rec, refusal := g.authenticate(e)
+	if refusal != nil {
+		e.refuse(*refusal)
+		return
+	}
+	list := modelList{Object: "list", Data: []modelItem{}}
+	ws := e.state.Site.Workspaces[rec.Workspace]
+	for id, m := range e.state.Site.Models {
+		if !ws.MayCallModel(id) {
+			continue
+		}
+		list.Data = append(list.Data, modelItem{ID: string(id), Object: "model", OwnedBy: "foxtailpass"})
+		for a := range m.Adapters {
+			list.Data = append(list.Data, modelItem{ID: string(id) + ":" + string(a), Object: "model", OwnedBy: "foxtailpass"})
+		}
+	}
+	sort.Slice(list.Data, func(i, j int) bool { return list.Data[i].ID < list.Data[j].ID })
+	body, err := json.Marshal(list)
+	if err != nil {
+		panic(fmt.Sprintf("gateway: model list cannot be encoded: %v", err))
+	}
+	e.ctx.SetContentType("application/json")
+	e.ctx.SetBody(body)
+}
+
+// plain serves the declared routes to plain services.
+func (g *Gateway) plain(e *exchange) {
+	prefix, route, ok := findRoute(e.state.Site, string(e.ctx.Path()))
+	if !ok {
+		e.refuse(entity.Refusal{Status: 404, Code: "route_not_found", Message: "There is no such route."})
+		return
+	}
+	e.label = prefix
+	if refusal := g.runPlain(e, prefix, route); refusal != nil {
+		e.refuse(*refusal)
+	}
+}
+
+// findRoute returns the route with the longest prefix of the path.
+func findRoute(site *config.Site, path string) (string, config.Route, bool) {
+	best := ""
+	for prefix := range site.Routes {
+		if strings.HasPrefix(path, prefix) && len(prefix) > len(best) {
+			best = prefix
+		}
+	}
+	return best, site.Routes[best], best != ""
+}
+
+func (g *Gateway) runPlain(e *exchange, prefix string, route config.Route) *entity.Refusal {
+	site := e.state.Site
+	header := &e.ctx.Request.Header
+	var rec config.KeyRecord
+	if route.Open {
+		e.key = bearerKey(header)
+	} else {
+		var refusal *entity.Refusal
+		rec, refusal = g.authenticate(e)
+		if refusal != nil {
+			return refusal
+		}
+		if !site.Workspaces[rec.Workspace].MayCallRoute(prefix) {
+			return &entity.Refusal{Status: 403, Code: "route_not_allowed", Message: "The workspace may not call this route."}
+		}
+	}
+	body := e.ctx.PostBody()
+	if len(body) > site.Limits.MaxBodyBytes {
+		r := bodyTooLarge(site.Limits.MaxBodyBytes)
+		return &r
+	}
+	path := string(e.ctx.URI().PathOriginal())
+	if containsKey(body, e.key) || isSecret(path, e.key) {
+		return keyInRequest()
+	}
+	deadline, refusal := requestDeadline(header, e.now, time.Duration(route.TimeoutMillis)*time.Millisecond)
+	if refusal != nil {
+		return refusal
+	}
+	idem, refusal := idempotencyKey(header)
+	if refusal != nil {
+		return refusal
+	}
+	if idem != "" && route.Open {
+		return invalid("The header %s needs a route with keys.", IdempotencyKeyHeader)
+	}
+	g.serve(e, g.plainSession(e, route, rec, deadline, idem, path), plainCharge(route))
+	return nil
+}
+
+func plainCharge(route config.Route) float64 {
+	if route.Open {
+		return 0
+	}
+	return route.CostTokens
+}
+
+func (g *Gateway) plainSession(e *exchange, route config.Route, rec config.KeyRecord, deadline time.Time, idem, path string) *session {
+	header := &e.ctx.Request.Header
+	method := string(header.Method())
+	idempotent := route.Idempotent && idem == ""
+	body := append([]byte(nil), e.ctx.PostBody()...)
+	s := newSession(&schedule.Request{
+		ID:         entity.RequestID(entity.RandomHex(12)),
+		Workspace:  rec.Workspace,
+		Key:        rec.ID,
+		Pool:       schedule.PoolID{Kind: route.UpstreamKind},
+		Arrived:    e.now,
+		Deadline:   deadline,
+		Tokens:     max(route.CostTokens, 1),
+		Bytes:      int64(len(body)),
+		Idempotent: idempotent,
+	}, e.now)
+	s.key = e.key
+	s.call = callPlan{
+		method:     method,
+		uri:        path,
+		body:       body,
+		claimKey:   idem,
+		idempotent: idempotent,
+		tokens:     plainCharge(route),
+	}
+	if query := forwardedQuery(e.ctx.QueryArgs(), e.key); query != "" {
+		s.call.uri += "?" + query
+	}
+	copyForwardedHeaders(&s.call.header, header, e.key)
+	return s
+}
--- /dev/null
+++ b/internal/gateway/watcher.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// watchInterval is the longest time after which a caller that left is noticed.
+const watchInterval = 200 * time.Millisecond
+
+// callerWatcher notices callers that close their connection while their request waits or runs.
+// The HTTP server reads a connection only between requests, so it cannot tell.
+type callerWatcher struct {
+	mu       sync.Mutex
+	sessions map[*session]syscall.RawConn
+}
+
+func newCallerWatcher() *callerWatcher {
+	return &callerWatcher{sessions: make(map[*session]syscall.RawConn)}
+}
+
+func (w *callerWatcher) add(s *session, c net.Conn) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return
+	}
+	w.mu.Lock()
+	w.sessions[s] = raw
+	w.mu.Unlock()
+}
+
+func (w *callerWatcher) remove(s *session) {
+	w.mu.Lock()
+	delete(w.sessions, s)
+	w.mu.Unlock()
+}
+
+// run checks all connections until ctx ends.
+func (w *callerWatcher) run(ctx context.Context) {
+	t := time.NewTicker(watchInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			w.check()
+		}
+	}
+}
+
+func (w *callerWatcher) check() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for s, raw := range w.sessions {
+		if closedByCaller(raw) {
+			s.cancel(errCallerGone)
+			delete(w.sessions, s)
+		}
+	}
+}
+
+// closedByCaller says whether the connection has ended. Bytes of a pipelined request are not an
+// end and stay unread.
+func closedByCaller(raw syscall.RawConn) bool {
+	var closed bool
+	err := raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, rerr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case rerr == syscall.EAGAIN || rerr == syscall.EWOULDBLOCK || rerr == syscall.EINTR:
+		case rerr != nil:
+			closed = true
+		default:
+			closed = n == 0
+		}
+	})
+	return err != nil || closed
+}
--- /dev/null
+++ b/internal/host/register.go
@@ -0,0 +1,214 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/foxtailpass/foxtailpass/internal/config"
+	"github.com/foxtailpass/foxtailpass/internal/control"
+	"github.com/foxtailpass/foxtailpass/internal/platform"
+)
+
+// ErrSuperseded means that a newer process has registered under this host's name.
+var ErrSuperseded = errors.New("host: a newer process has registered under this host name")
+
+// registerRetry is the pause after a failed call of the key-value service.
+const registerRetry = 300 * time.Millisecond
+
+// registrar keeps the registration of this process under a lease. One lease serves all records
+// of the process, so renewing costs one call per third of its life.
+type registrar struct {
+	kv   platform.KV
+	ttl  time.Duration
+	log  *log.Logger
+	send func(control.Event)
+
+	mu    sync.Mutex
+	rec   config.HostRecord
+	lease platform.LeaseID
+	// revision is the mod revision of this process's registration, zero before the first.
+	revision int64
+	dirty    bool
+	wake     chan struct{}
+}
+
+func newRegistrar(kv platform.KV, rec config.HostRecord, ttl time.Duration, l *log.Logger, send func(control.Event)) *registrar {
+	return &registrar{kv: kv, rec: rec, ttl: ttl, log: l, send: send, dirty: true, wake: make(chan struct{}, 1)}
+}
+
+// setState changes the state in the registration.
+func (r *registrar) setState(state string) {
+	r.mu.Lock()
+	r.rec.State = state
+	r.dirty = true
+	r.mu.Unlock()
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run registers and renews until ctx ends. It returns ErrSuperseded when a newer process has
+// taken the name.
+func (r *registrar) run(ctx context.Context) error {
+	failing := false
+	for {
+		wait := r.ttl / 3
+		err := r.step(ctx)
+		switch {
+		case errors.Is(err, ErrSuperseded):
+			return err
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case err != nil:
+			if !failing {
+				r.log.Warn("Registration not renewed.", "err", err)
+			}
+			failing = true
+			wait = registerRetry
+		case failing:
+			failing = false
+			r.log.Info("Registration renewed again.")
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-r.wake:
+		case <-time.After(wait):
+		}
+	}
+}
+
+// step renews the lease and writes the registration when it is missing or has changed.
+func (r *registrar) step(ctx context.Context) error {
+	// The term counts from before the call, so that it never outlasts the lease at the service.
+	asked := time.Now()
+	ttl, err := r.renew(ctx)
+	if err != nil {
+		return err
+	}
+	if err := r.write(ctx); err != nil {
+		return err
+	}
+	r.send(control.LeaseRenewed{ValidUntil: asked.Add(ttl)})
+	return nil
+}
+
+func (r *registrar) renew(ctx context.Context) (time.Duration, error) {
+	r.mu.Lock()
+	lease := r.lease
+	r.mu.Unlock()
+	if lease != 0 {
+		ttl, err := r.kv.KeepAlive(ctx, lease)
+		if err == nil {
+			return min(ttl, r.ttl), nil
+		}
+		if !errors.Is(err, platform.ErrLeaseNotFound) {
+			return 0, fmt.Errorf("host: renew lease: %w", err)
+		}
+		r.log.Warn("Lease expired; registering again.")
+	}
+	lease, err := r.kv.Grant(ctx, r.ttl)
+	if err != nil {
+		return 0, fmt.Errorf("host: grant lease: %w", err)
+	}
+	r.mu.Lock()
+	r.lease = lease
+	r.dirty = true
+	r.mu.Unlock()
+	return r.ttl, nil
+}
+
+// write puts the registration unless a newer process has put its own.
+func (r *registrar) write(ctx context.Context) error {
+	r.mu.Lock()
+	rec, lease, revision, dirty := r.rec, r.lease, r.revision, r.dirty
+	r.dirty = false
+	r.mu.Unlock()
+	if !dirty {
+		return nil
+	}
+	rev, err := r.put(ctx, rec, lease, revision)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err != nil {
+		r.dirty = true
+		return err
+	}
+	r.revision = rev
+	return nil
+}
+
+func (r *registrar) put(ctx context.Context, rec config.HostRecord, lease platform.LeaseID, revision int64) (int64, error) {
+	key := config.HostsPrefix + string(rec.ID)
+	value, err := json.Marshal(rec)
+	if err != nil {
+		return 0, fmt.Errorf("host: encode registration: %w", err)
+	}
+	txn := platform.Txn{Success: []platform.Op{platform.PutLeased(key, value, lease)}, Failure: []platform.Op{{Kind: platform.OpGet, Key: key}}}
+	if revision != 0 {
+		txn.Compares = []platform.Compare{platform.Unchanged(key, revision)}
+	}
+	res, err := r.kv.Txn(ctx, txn)
+	switch {
+	case err != nil:
+		return 0, fmt.Errorf("host: write registration: %w", err)
+	case res.Succeeded:
+		return res.Revision, nil
+	}
+	return r.resolve(ctx, rec, lease, res)
+}
+
+// resolve handles a registration that has changed since it was written: it has expired with its
+// lease, an earlier write of this process has taken effect after all, or another process has it.
+func (r *registrar) resolve(ctx context.Context, rec config.HostRecord, lease platform.LeaseID, res platform.TxnResult) (int64, error) {
+	var found *platform.Pair
+	if len(res.Gets) > 0 {
+		found = res.Gets[0]
+	}
+	if found == nil {
+		key := config.HostsPrefix + string(rec.ID)
+		value, err := json.Marshal(rec)
+		if err != nil {
+			return 0, fmt.Errorf("host: encode registration: %w", err)
+		}
+		res, err := r.kv.Txn(ctx, platform.Txn{
+			Compares: []platform.Compare{platform.Absent(key)},
+			Success:  []platform.Op{platform.PutLeased(key, value, lease)},
+		})
+		if err != nil {
+			return 0, fmt.Errorf("host: write registration: %w", err)
+		}
+		if !res.Succeeded {
+			return 0, fmt.Errorf("host: write registration: changed meanwhile")
+		}
+		return res.Revision, nil
+	}
+	var other config.HostRecord
+	if err := json.Unmarshal(found.Value, &other); err != nil {
+		return 0, fmt.Errorf("host: read registration: %w", err)
+	}
+	if other.Incarnation != rec.Incarnation {
+		return 0, ErrSuperseded
+	}
+	return r.put(ctx, rec, lease, found.ModRevision)
+}
+
+// release gives the lease back, which removes the registration.
+func (r *registrar) release(ctx context.Context) {
+	r.mu.Lock()
+	lease := r.lease
+	r.mu.Unlock()
+	if lease == 0 {
+		return
+	}
+	if err := r.kv.Revoke(ctx, lease); err != nil {
+		r.log.Warn("Lease not released; it will expire.", "err", err)
+	}
+}
--- /dev/null
+++ b/internal/host/settings.go
@@ -0,0 +1,72 @@
+// Package host wires the parts of a foxtailpass host together and runs its life from start to
+// graceful shutdown.
+package host
+
+import (
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/settings"
+)
+
+// Settings is the JSON settings file of a host.
+type Settings struct {
+	// Host names this host; it is unique in the installation and survives restarts.
+	Host entity.HostID `json:"host" validate:"required"`
+	// Site selects the overlay of the configuration.
+	Site string `json:"site" validate:"required"`
+	// Region and FailureDomain say where the host stands.
+	Region        string `json:"region" validate:"required"`
+	FailureDomain string `json:"failure_domain" validate:"required"`
+	// CallerAddr is where callers are served.
+	CallerAddr string `json:"caller_addr" validate:"ip_port"`
+	// OperatorAddr serves metrics, health and status. It must not be reachable by callers.
+	OperatorAddr string `json:"operator_addr" validate:"ip_port"`
+	// PeerAddr is where other hosts connect.
+	PeerAddr string `json:"peer_addr" validate:"ip_port"`
+	// Platform tells how to reach the key-value service.
+	Platform PlatformSettings `json:"platform"`
+	// LeaseTTL is how long the registration of a dead host lasts. Default 5s.
+	LeaseTTL settings.Duration `json:"lease_ttl" default:"\"5s\"" validate:"gte=1s,lte=60s"`
+	// StopLag is how long a stopping host goes on accepting requests after its readiness fails:
+	// the time that the balancer takes to notice. Default 5s.
+	StopLag settings.Duration `json:"stop_lag" default:"\"5s\"" validate:"gte=0s,lte=300s"`
+	// StopLimit bounds the whole graceful shutdown. Default 1h.
+	StopLimit settings.Duration `json:"stop_limit" default:"\"1h\"" validate:"gte=1s,lte=24h"`
+	// ReportInterval is the time between two reads of an engine's load. Default 100ms.
+	ReportInterval settings.Duration `json:"report_interval" default:"\"100ms\"" validate:"gte=10ms,lte=10s"`
+	// MaxConnections bounds the connections of callers. Default 20000.
+	MaxConnections int `json:"max_connections" default:"20000" validate:"gte=1"`
+	// Policies selects baselines for measurements; production uses the defaults.
+	Policies PolicySettings `json:"policies"`
+	// Log tells what is logged and how.
+	Log LogSettings `json:"log"`
+}
+
+// PlatformSettings tells how to reach the key-value service.
+type PlatformSettings struct {
+	// Endpoints are host:port of the service's JSON gateway.
+	Endpoints []string `json:"endpoints" validate:"min=1,dive,ip_port"`
+	// Prefix is the part of the key space that belongs to this installation. Default "foxtailpass/".
+	Prefix string `json:"prefix" default:"\"foxtailpass/\"" validate:"required,endswith=/"`
+	// Timeout bounds one call. Default 1s.
+	Timeout settings.Duration `json:"timeout" default:"\"1s\"" validate:"gte=10ms,lte=60s"`
+}
+
+// PolicySettings selects decision policies.
+type PolicySettings struct {
+	// Limits is "loans" or the baseline "static".
+	Limits string `json:"limits" default:"\"loans\"" validate:"oneof=loans static"`
+	// Queue is "fair" or the baseline "fifo".
+	Queue string `json:"queue" default:"\"fair\"" validate:"oneof=fair fifo"`
+	// Replica is "power_of_two" or the baseline "random".
+	Replica string `json:"replica" default:"\"power_of_two\"" validate:"oneof=power_of_two random"`
+	// Placement is "demand" or one of the baselines "random", "fifo" and "keep".
+	Placement string `json:"placement" default:"\"demand\"" validate:"oneof=demand random fifo keep"`
+}
+
+// LogSettings tells what is logged and how.
+type LogSettings struct {
+	// Level is the lowest level that is logged. Default "info".
+	Level string `json:"level" default:"\"info\"" validate:"oneof=debug info warn error"`
+	// Format is "text", "logfmt" or "json". Default "text".
+	Format string `json:"format" default:"\"text\"" validate:"oneof=text logfmt json"`
+}
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,135 @@
+// Package metrics defines the OpenTelemetry instruments of a host and serves them in the
+// Prometheus text format. Every instrument is documented in docs/operations.md.
+package metrics
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+)
+
+// Metrics holds the instruments of one host. It is safe for concurrent use.
+type Metrics struct {
+	registry *prometheus.Registry
+	meter    metric.Meter
+
+	requests  metric.Int64Counter
+	latency   metric.Float64Histogram
+	firstByte metric.Float64Histogram
+	attempts  metric.Int64Counter
+	coldWaits metric.Float64Histogram
+}
+
+// latencyBuckets are in seconds and reach from a warm short answer to a cold start.
+var latencyBuckets = []float64{0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60, 300}
+
+// New returns the instruments with an exporter of their own.
+func New() (*Metrics, error) {
+	m := &Metrics{registry: prometheus.NewRegistry()}
+	exporter, err := otelprom.New(otelprom.WithRegisterer(m.registry), otelprom.WithoutScopeInfo())
+	if err != nil {
+		return nil, fmt.Errorf("metrics: %w", err)
+	}
+	m.meter = sdk.NewMeterProvider(sdk.WithReader(exporter)).Meter("foxtailpass")
+	return m, m.define()
+}
+
+func (m *Metrics) define() error {
+	var err error
+	set := func(e error) {
+		if err == nil {
+			err = e
+		}
+	}
+	var e error
+	m.requests, e = m.meter.Int64Counter("foxtailpass_requests", metric.WithDescription("Final answers to callers by route, status and code."))
+	set(e)
+	m.latency, e = m.histogram("foxtailpass_request_duration_seconds", "Time from the request's arrival to its final answer.")
+	set(e)
+	m.firstByte, e = m.histogram("foxtailpass_first_token_seconds", "Time from the request's arrival to the first part of a streamed answer.")
+	set(e)
+	m.attempts, e = m.meter.Int64Counter("foxtailpass_attempts", metric.WithDescription("Attempts at upstreams by outcome."))
+	set(e)
+	m.coldWaits, e = m.histogram("foxtailpass_dispatch_wait_seconds", "Time from a request's arrival to its first dispatch.")
+	set(e)
+	if err != nil {
+		return fmt.Errorf("metrics: %w", err)
+	}
+	return nil
+}
+
+func (m *Metrics) histogram(name, description string) (metric.Float64Histogram, error) {
+	return m.meter.Float64Histogram(name, metric.WithDescription(description), metric.WithUnit("s"),
+		metric.WithExplicitBucketBoundaries(latencyBuckets...))
+}
+
+// Request counts a final answer. The code is empty for answers of upstreams.
+func (m *Metrics) Request(route string, status int, code string, took time.Duration) {
+	ctx := context.Background()
+	m.requests.Add(ctx, 1, metric.WithAttributes(
+		attribute.String("route", route), attribute.Int("status", status), attribute.String("code", code)))
+	m.latency.Record(ctx, took.Seconds(), metric.WithAttributes(attribute.String("route", route)))
+}
+
+// FirstPart records the time to the first part of a streamed answer.
+func (m *Metrics) FirstPart(took time.Duration) {
+	m.firstByte.Record(context.Background(), took.Seconds())
+}
+
+// Attempt counts the end of an attempt.
+func (m *Metrics) Attempt(outcome string) {
+	m.attempts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
+// DispatchWait records the time until the first dispatch.
+func (m *Metrics) DispatchWait(took time.Duration) {
+	m.coldWaits.Record(context.Background(), took.Seconds())
+}
+
+// Observation is one value of an observed instrument.
+type Observation struct {
+	Value      float64
+	Attributes []attribute.KeyValue
+}
+
+// Gauge registers a value that is read when metrics are collected.
+func (m *Metrics) Gauge(name, description string, read func() []Observation) error {
+	return m.observe(name, description, read, false)
+}
+
+// Counter registers a growing value that is read when metrics are collected.
+func (m *Metrics) Counter(name, description string, read func() []Observation) error {
+	return m.observe(name, description, read, true)
+}
+
+func (m *Metrics) observe(name, description string, read func() []Observation, counter bool) error {
+	callback := func(_ context.Context, o metric.Float64Observer) error {
+		for _, v := range read() {
+			o.Observe(v.Value, metric.WithAttributes(v.Attributes...))
+		}
+		return nil
+	}
+	var err error
+	if counter {
+		_, err = m.meter.Float64ObservableCounter(name, metric.WithDescription(description), metric.WithFloat64Callback(callback))
+	} else {
+		_, err = m.meter.Float64ObservableGauge(name, metric.WithDescription(description), metric.WithFloat64Callback(callback))
+	}
+	if err != nil {
+		return fmt.Errorf("metrics: %s: %w", name, err)
+	}
+	return nil
+}
+
+// Handler serves the metrics.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
--- /dev/null
+++ b/internal/schedule/upstream.go
@@ -0,0 +1,101 @@
+package schedule
+
+import (
+	"math"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/wire"
+)
+
+const (
+	// reportDecay is the time in which the load that other hosts had at a report loses most of
+	// its weight. Reports lag, so an old one says little about the present.
+	reportDecay = 500 * time.Millisecond
+	// ejectBase and ejectMax bound how long an unreachable upstream gets no work; the time
+	// doubles with every failure in a row.
+	ejectBase = 50 * time.Millisecond
+	ejectMax  = 2 * time.Second
+	// interactiveHeadroom lets interactive requests exceed the slots by a quarter, because the
+	// engine runs them before the patient ones that it has waiting.
+	interactiveHeadroom = 1.25
+)
+
+// upstream is one row of the upstream table: the load and health of one upstream as this host
+// sees it.
+type upstream struct {
+	id       entity.UpstreamID
+	inflight int
+	// average is inflight smoothed over the report lag, to be compared with lagging reports.
+	average   float64
+	averageAt time.Time
+	others    float64
+	othersAt  time.Time
+	failures  int
+	ejected   time.Time
+	retries   retryBudget
+	pools     []*pool
+}
+
+func (u *upstream) attach(p *pool) { u.pools = append(u.pools, p) }
+
+func (u *upstream) detach(p *pool) {
+	for i, q := range u.pools {
+		if q == p {
+			u.pools = append(u.pools[:i:i], u.pools[i+1:]...)
+			return
+		}
+	}
+}
+
+// add changes the number of this host's requests at the upstream.
+func (u *upstream) add(n int, now time.Time) {
+	u.updateAverage(now)
+	u.inflight += n
+	if u.inflight < 0 {
+		panic("schedule: negative in-flight count at upstream " + string(u.id))
+	}
+}
+
+func (u *upstream) updateAverage(now time.Time) {
+	dt := now.Sub(u.averageAt)
+	u.averageAt = now
+	keep := math.Exp(-dt.Seconds() / reportDecay.Seconds())
+	u.average = u.average*keep + float64(u.inflight)*(1-keep)
+}
+
+// handleReport derives the load of the other hosts from a lagging report.
+func (u *upstream) handleReport(r *wire.UpstreamReport, now time.Time) {
+	u.updateAverage(now)
+	u.others = max(0, float64(r.Running+r.Waiting)-u.average)
+	u.othersAt = now.Add(-r.Age)
+}
+
+// load estimates all requests at the upstream.
+func (u *upstream) load(now time.Time) float64 {
+	age := now.Sub(u.othersAt)
+	return float64(u.inflight) + u.others*math.Exp(-age.Seconds()/reportDecay.Seconds())
+}
+
+// accepts says whether another request of a tier may be sent now.
+func (u *upstream) accepts(tier entity.Class, slots int, now time.Time) bool {
+	if now.Before(u.ejected) {
+		return false
+	}
+	limit := float64(slots)
+	if tier == entity.Interactive {
+		limit = math.Ceil(limit * interactiveHeadroom)
+	}
+	return u.load(now) < limit
+}
+
+// handleOutcome ejects an upstream that does not accept connections, for a growing time.
+func (u *upstream) handleOutcome(res AttemptResult, now time.Time) {
+	if !res.Unreachable {
+		u.failures = 0
+		return
+	}
+	u.failures++
+	wait := ejectBase << min(u.failures-1, 10)
+	u.ejected = now.Add(min(wait, ejectMax))
+}
