--- /dev/null
+++ b/cmd/foxtailctl/hosts.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/config"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/platform"
+)
+
+const (
+	// pollInterval is the pause between two rounds of questions to the hosts.
+	pollInterval = 200 * time.Millisecond
+	// askTimeout bounds the question to one host.
+	askTimeout = time.Second
+	// parallelAsks bounds the open connections to hosts.
+	parallelAsks = 64
+	// maxStatusBytes bounds the answer of one host.
+	maxStatusBytes = 1 << 20
+)
+
+// hostStatus is what one host reports about itself.
+type hostStatus struct {
+	Host        entity.HostID      `json:"host"`
+	Incarnation entity.Incarnation `json:"incarnation"`
+	Address     string             `json:"address"`
+	// Revision is the configuration revision that the host has in force.
+	Revision  int64  `json:"config_revision"`
+	Confirmed bool   `json:"confirmed"`
+	Error     string `json:"error,omitempty"`
+}
+
+// listHosts returns the registered hosts in the order of their IDs.
+func listHosts(ctx context.Context, kv platform.KV) ([]config.HostRecord, error) {
+	result, err := kv.Range(ctx, platform.RangeRequest{Prefix: config.HostsPrefix})
+	if err != nil {
+		return nil, err
+	}
+	hosts := make([]config.HostRecord, len(result.Pairs))
+	for i, pair := range result.Pairs {
+		if err := json.Unmarshal(pair.Value, &hosts[i]); err != nil {
+			return nil, fmt.Errorf("registration %s is damaged: %w", pair.Key, err)
+		}
+	}
+	slices.SortFunc(hosts, func(a, b config.HostRecord) int { return cmp.Compare(a.ID, b.ID) })
+	return hosts, nil
+}
+
+// waitForRevision asks all registered hosts until each has the revision or a later one in force.
+// Hosts that register or leave meanwhile are taken into account. After the wait it returns the
+// last answers and errNotConfirmed.
+func waitForRevision(ctx context.Context, kv platform.KV, revision int64, wait time.Duration) ([]hostStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	var last []hostStatus
+	problem := errNotConfirmed
+	for {
+		hosts, err := listHosts(ctx, kv)
+		switch {
+		case err == nil:
+			last = askAgain(ctx, hosts, revision, last)
+			problem = errNotConfirmed
+		case ctx.Err() == nil:
+			problem = fmt.Errorf("%w: hosts cannot be listed: %v", errNotConfirmed, err)
+		}
+		if err == nil && !slices.ContainsFunc(last, func(h hostStatus) bool { return !h.Confirmed }) {
+			return last, nil
+		}
+		select {
+		case <-ctx.Done():
+			return last, problem
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+// askAgain asks the hosts that have not confirmed the revision in an earlier round. Answers
+// stay valid for an incarnation because a configuration never reverts.
+func askAgain(ctx context.Context, hosts []config.HostRecord, revision int64, earlier []hostStatus) []hostStatus {
+	var confirmed []hostStatus
+	var open []config.HostRecord
+	for _, h := range hosts {
+		i := slices.IndexFunc(earlier, func(s hostStatus) bool {
+			return s.Confirmed && s.Host == h.ID && s.Incarnation == h.Incarnation
+		})
+		if i >= 0 {
+			confirmed = append(confirmed, earlier[i])
+			continue
+		}
+		open = append(open, h)
+	}
+	all := append(confirmed, askAll(ctx, open, revision)...)
+	slices.SortFunc(all, func(a, b hostStatus) int { return cmp.Compare(a.Host, b.Host) })
+	return all
+}
+
+// askAll asks every host once and returns the answers in the order of the hosts.
+func askAll(ctx context.Context, hosts []config.HostRecord, revision int64) []hostStatus {
+	out := make([]hostStatus, len(hosts))
+	slots := make(chan struct{}, parallelAsks)
+	var wg sync.WaitGroup
+	for i, h := range hosts {
+		slots <- struct{}{}
+		wg.Go(func() {
+			out[i] = ask(ctx, h, revision)
+			<-slots
+		})
+	}
+	wg.Wait()
+	return out
+}
+
+func ask(ctx context.Context, h config.HostRecord, revision int64) hostStatus {
+	status := hostStatus{Host: h.ID, Incarnation: h.Incarnation, Address: h.OperatorAddr}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var err error
+	if status.Revision, err = fetchRevision(ctx, h.OperatorAddr); err != nil {
+		status.Error = err.Error()
+		return status
+	}
+	status.Confirmed = status.Revision >= revision
+	return status
+}
+
+func fetchRevision(ctx context.Context, addr string) (int64, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/status", nil)
+	if err != nil {
+		return 0, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return 0, fmt.Errorf("status %d", resp.StatusCode)
+	}
+	var body struct {
+		Revision *int64 `json:"config_revision"`
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(&body); err != nil {
+		return 0, err
+	}
+	if body.Revision == nil {
+		return 0, errors.New("the answer has no config_revision")
+	}
+	return *body.Revision, nil
+}
--- /dev/null
+++ b/cmd/foxtailctl/main.go
@@ -0,0 +1,263 @@
+// Command foxtailctl is the operators' program: it validates, compares and applies
+// configurations, issues and withdraws keys, and shows the state of a site.
+//
+// Exit codes: 0 success; 1 failure; 2 wrong usage or settings; 3 the configuration is not valid;
+// 4 another change came first; 5 the key-value service is unavailable or the outcome of the
+// change is unknown; 6 the change is accepted but not every host confirmed it in time.
+package main
+
+import (
+	"context"
+	"errors"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/urfave/cli/v3"
+
+	"github.com/foxtailpass/foxtailpass/internal/config"
+	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/settings"
+)
+
+// version is set by the linker for releases.
+var version = "dev"
+
+// The exit codes.
+const (
+	exitOK = iota
+	exitFailure
+	exitUsage
+	exitInvalid
+	exitConflict
+	exitUnavailable
+	exitNotConfirmed
+)
+
+// Settings are the JSON settings of foxtailctl. Flags override them.
+type Settings struct {
+	// Endpoints lists the addresses of the key-value service.
+	Endpoints []string `json:"endpoints" validate:"min=1,dive,ip_port"`
+	// Prefix is put before every key.
+	Prefix string `json:"prefix" default:"\"foxtailpass/\"" validate:"required,endswith=/"`
+	// Timeout bounds one call of the key-value service.
+	Timeout settings.Duration `json:"timeout" default:"\"2s\"" validate:"gt=0"`
+}
+
+// openKV opens the key-value service.
+var openKV = func(Settings) (platform.KV, error) {
+	return nil, errors.New("this build has no client of the key-value service")
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	// The first signal cancels the running call; the second one ends the process.
+	context.AfterFunc(ctx, stop)
+	os.Exit(run(ctx, os.Args, os.Stdout, os.Stderr))
+}
+
+// run executes one command line and returns the exit code.
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	a := &app{
+		out: stdout,
+		log: log.NewWithOptions(stderr, log.Options{Prefix: "foxtailctl"}),
+	}
+	root := a.command()
+	root.Writer = stdout
+	root.ErrWriter = stderr
+	err := root.Run(ctx, args)
+	if err == nil {
+		return exitOK
+	}
+	code := exitCode(err)
+	a.reportError(err, code)
+	return code
+}
+
+// actionError marks errors of actions; all other errors come from parsing the command line.
+type actionError struct{ error }
+
+func (e actionError) Unwrap() error { return e.error }
+
+// usageError is a fault of arguments or settings.
+type usageError struct{ error }
+
+func (e usageError) Unwrap() error { return e.error }
+
+// errNotConfirmed says that a revision was not confirmed by every host in time.
+var errNotConfirmed = errors.New("not every host confirmed the revision in time")
+
+func exitCode(err error) int {
+	var (
+		action   actionError
+		usage    usageError
+		wrong    *settings.Error
+		invalid  *config.ValidationError
+		conflict *config.ConflictError
+	)
+	switch {
+	case !errors.As(err, &action), errors.As(err, &usage), errors.As(err, &wrong):
+		return exitUsage
+	case errors.As(err, &invalid):
+		return exitInvalid
+	case errors.As(err, &conflict):
+		return exitConflict
+	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrUnknown):
+		return exitUnavailable
+	case errors.Is(err, errNotConfirmed):
+		return exitNotConfirmed
+	}
+	return exitFailure
+}
+
+// app holds what the commands share.
+type app struct {
+	out  io.Writer
+	log  *log.Logger
+	json bool
+}
+
+func (a *app) command() *cli.Command {
+	base := &cli.StringFlag{Name: "base", Usage: "file with the base document"}
+	overlay := &cli.StringSliceFlag{Name: "overlay", Usage: "`site=file` with the overlay of a site; may be repeated"}
+	limit := &cli.IntFlag{Name: "limit", Usage: "number of entries, newest first", Value: 20}
+	from := &cli.Int64Flag{Name: "from-revision", Usage: "revision that the change starts from; 0 means none"}
+	return &cli.Command{
+		Name:                      "foxtailctl",
+		Usage:                     "control a foxtailpass installation",
+		Version:                   version,
+		DisableSliceFlagSeparator: true,
+		ExitErrHandler:            func(context.Context, *cli.Command, error) {},
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "JSON `file` with endpoints, prefix and timeout", Sources: cli.EnvVars("FOXTAILCTL_SETTINGS")},
+			&cli.StringSliceFlag{Name: "endpoint", Usage: "`IP:port` of the key-value service; may be repeated"},
+			&cli.StringFlag{Name: "prefix", Usage: "key prefix of the installation", DefaultText: "from the settings"},
+			&cli.DurationFlag{Name: "timeout", Usage: "bound of one call of the key-value service", DefaultText: "from the settings"},
+			&cli.BoolFlag{Name: "json", Usage: "print JSON"},
+			&cli.StringFlag{Name: "who", Usage: "operator `name` for the audit trail", Sources: cli.EnvVars("FOXTAILCTL_WHO", "USER")},
+		},
+		Action: a.noCommand,
+		Commands: []*cli.Command{
+			{Name: "validate", Usage: "check documents without the key-value service", Flags: []cli.Flag{base, overlay}, Action: a.action(0, a.validate)},
+			{
+				Name: "diff", Usage: "compare a stored revision with documents or with another revision",
+				Flags: []cli.Flag{
+					base, overlay,
+					&cli.Int64Flag{Name: "from-revision", Usage: "stored revision to compare from", DefaultText: "the one in force"},
+					&cli.Int64Flag{Name: "to-revision", Usage: "stored revision to compare with instead of documents"},
+				},
+				Action: a.action(0, a.diff),
+			},
+			{
+				Name: "apply", Usage: "put documents in force; documents that are not given stay as they are",
+				Flags: []cli.Flag{
+					base, overlay, from,
+					&cli.StringFlag{Name: "message", Usage: "`text` for the audit trail"},
+					&cli.StringFlag{Name: "attempt", Usage: "`ID` of an earlier attempt whose outcome is unknown"},
+					&cli.DurationFlag{Name: "wait", Usage: "how long to wait until every host confirms the revision; 0 means not at all"},
+				},
+				Action: a.action(0, a.apply),
+			},
+			{Name: "history", Usage: "list configuration revisions", Flags: []cli.Flag{limit}, Action: a.action(0, a.history)},
+			{Name: "audit", Usage: "list accepted changes", Flags: []cli.Flag{limit}, Action: a.action(0, a.audit)},
+			{Name: "status", Usage: "show the revision in force and what each host reports", Action: a.action(0, a.status)},
+			a.keysCommand(),
+			a.hostsCommand(),
+		},
+	}
+}
+
+func (a *app) keysCommand() *cli.Command {
+	undeclared := &cli.BoolFlag{Name: "undeclared", Usage: "allow a workspace that no site declares yet"}
+	return &cli.Command{
+		Name: "keys", Usage: "manage caller keys", Action: a.noCommand,
+		Commands: []*cli.Command{
+			{Name: "issue", Usage: "create a key; it is shown once", ArgsUsage: "<workspace>", Flags: []cli.Flag{undeclared}, Action: a.action(1, a.issueKey)},
+			{Name: "withdraw", Usage: "end a key for good", ArgsUsage: "<key ID>", Action: a.action(1, a.withdrawKey)},
+			{Name: "list", Usage: "list all keys", Action: a.action(0, a.listKeys)},
+		},
+	}
+}
+
+func (a *app) hostsCommand() *cli.Command {
+	incarnation := &cli.StringFlag{Name: "incarnation", Usage: "`incarnation` of the process", DefaultText: "the registered one"}
+	return &cli.Command{
+		Name: "hosts", Usage: "manage hosts", Action: a.noCommand,
+		Commands: []*cli.Command{
+			{Name: "list", Usage: "list registered hosts", Action: a.action(0, a.listHosts)},
+			{
+				Name: "gone", Usage: "confirm that the process of a host no longer exists", ArgsUsage: "<host ID>",
+				Description: "Only confirm what you have checked: other hosts then free the memory that the process had reserved.",
+				Flags:       []cli.Flag{incarnation}, Action: a.action(1, a.hostGone),
+			},
+		},
+	}
+}
+
+func (a *app) noCommand(_ context.Context, cmd *cli.Command) error {
+	if cmd.Args().Present() {
+		return actionError{usageError{errors.New("unknown command " + cmd.Args().First())}}
+	}
+	if err := cli.ShowSubcommandHelp(cmd); err != nil {
+		return actionError{err}
+	}
+	return actionError{usageError{errors.New("a command is required")}}
+}
+
+// action wraps a command that takes a fixed number of arguments.
+func (a *app) action(arguments int, run cli.ActionFunc) cli.ActionFunc {
+	return func(ctx context.Context, cmd *cli.Command) error {
+		a.json = cmd.Bool("json")
+		if cmd.Args().Len() != arguments {
+			return actionError{usageError{errors.New(cmd.FullName() + " takes " + argumentText(cmd))}}
+		}
+		if err := run(ctx, cmd); err != nil {
+			return actionError{err}
+		}
+		return nil
+	}
+}
+
+func argumentText(cmd *cli.Command) string {
+	if cmd.ArgsUsage == "" {
+		return "no arguments"
+	}
+	return "one argument: " + cmd.ArgsUsage
+}
+
+// open reads the settings, applies the flags and opens the key-value service.
+func (a *app) open(cmd *cli.Command) (platform.KV, *config.Store, error) {
+	s, err := loadSettings(cmd)
+	if err != nil {
+		return nil, nil, err
+	}
+	kv, err := openKV(s)
+	if err != nil {
+		return nil, nil, usageError{err}
+	}
+	return kv, config.NewStore(kv), nil
+}
+
+func loadSettings(cmd *cli.Command) (Settings, error) {
+	s := Settings{Prefix: "foxtailpass/", Timeout: settings.Duration(2 * time.Second)}
+	if path := cmd.String("settings"); path != "" {
+		loaded, err := settings.Load[Settings](path)
+		if err != nil {
+			return s, err
+		}
+		s = loaded
+	}
+	if cmd.IsSet("endpoint") {
+		s.Endpoints = cmd.StringSlice("endpoint")
+	}
+	if cmd.IsSet("prefix") {
+		s.Prefix = cmd.String("prefix")
+	}
+	if cmd.IsSet("timeout") {
+		s.Timeout = settings.Duration(cmd.Duration("timeout"))
+	}
+	return s, settings.Check("settings and flags", s)
+}
--- /dev/null
+++ b/cmd/foxtailctl/main_test.go
@@ -0,0 +1,224 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/config"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/settings"
+)
+
+// memKV keeps pairs in memory and fails every call with err if it is set.
+type memKV struct {
+	platform.KV
+	mu    sync.Mutex
+	rev   int64
+	pairs map[string]platform.Pair
+	err   error
+}
+
+func (m *memKV) find(key string) (*platform.Pair, int64) {
+	if p, ok := m.pairs[key]; ok {
+		return &p, p.ModRevision
+	}
+	return nil, 0
+}
+
+func (m *memKV) Get(_ context.Context, key string) (*platform.Pair, int64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p, _ := m.find(key)
+	return p, m.rev, m.err
+}
+
+func (m *memKV) Range(_ context.Context, r platform.RangeRequest) (platform.RangeResult, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out platform.RangeResult
+	for key, p := range m.pairs {
+		if strings.HasPrefix(key, r.Prefix) {
+			out.Pairs = append(out.Pairs, p)
+		}
+	}
+	return out, m.err
+}
+
+func (m *memKV) Txn(_ context.Context, t platform.Txn) (platform.TxnResult, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.err != nil {
+		return platform.TxnResult{}, m.err
+	}
+	m.rev++
+	res := platform.TxnResult{Succeeded: true, Revision: m.rev}
+	for _, c := range t.Compares {
+		_, rev := m.find(c.Key)
+		res.Succeeded = res.Succeeded && rev == c.Value
+	}
+	ops := t.Success
+	if !res.Succeeded {
+		ops = t.Failure
+	}
+	for _, op := range ops {
+		if op.Kind == platform.OpPut {
+			m.pairs[op.Key] = platform.Pair{Key: op.Key, Value: op.Value, ModRevision: m.rev}
+			continue
+		}
+		p, _ := m.find(op.Key)
+		res.Gets = append(res.Gets, p)
+	}
+	return res, nil
+}
+
+// useMemory makes the commands use a store in memory until the test ends.
+func useMemory(t *testing.T) *memKV {
+	kv := &memKV{pairs: map[string]platform.Pair{}}
+	old := openKV
+	openKV = func(Settings) (platform.KV, error) { return kv, nil }
+	t.Cleanup(func() { openKV = old })
+	return kv
+}
+
+// ctl runs one command line and checks its exit code.
+func ctl(t *testing.T, want int, args ...string) string {
+	t.Helper()
+	var out bytes.Buffer
+	line := append([]string{"foxtailctl", "--endpoint", "127.0.0.1:1", "--who", "op", "--json"}, args...)
+	if code := run(t.Context(), line, &out, io.Discard); code != want {
+		t.Fatalf("%v: exit code %d, want %d\n%s", args, code, want, out.String())
+	}
+	return out.String()
+}
+
+// register adds a host whose operator port reports the given revision.
+func (m *memKV) register(t *testing.T, id string, revision *atomic.Int64) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprintf(w, `{"config_revision":%d}`, revision.Load())
+	}))
+	t.Cleanup(server.Close)
+	record := config.HostRecord{ID: entity.HostID(id), Incarnation: "i1", OperatorAddr: strings.TrimPrefix(server.URL, "http://")}
+	value, err := json.Marshal(record)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.pairs[config.HostsPrefix+id] = platform.Pair{Key: config.HostsPrefix + id, Value: value, ModRevision: 1}
+}
+
+const examples = "../../examples/"
+
+var localFiles = []string{"--base", examples + "local/base.json", "--overlay", "local=" + examples + "local/overlay-local.json"}
+
+// Guards against committed examples that no longer validate.
+func TestExamples(t *testing.T) {
+	ctl(t, exitOK, append([]string{"validate"}, localFiles...)...)
+	out := ctl(t, exitOK, "validate", "--base", examples+"base.json",
+		"--overlay", "reykjavik="+examples+"overlay-reykjavik.json", "--overlay", "thessaly="+examples+"overlay-thessaly.json")
+	var got []siteCounts
+	want := []siteCounts{{"reykjavik", 100, 120, 5, 2}, {"thessaly", 65, 80, 5, 2}}
+	if err := json.Unmarshal([]byte(out), &got); err != nil || !slices.Equal(got, want) {
+		t.Errorf("%+v, %v", got, err)
+	}
+	for _, file := range []string{"foxtailctl.json", "local/foxtailctl.json"} {
+		if _, err := settings.Load[Settings](examples + file); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// Guards against exit codes that differ from the documented ones and against conflicts that
+// scripts take for success.
+func TestExitCodes(t *testing.T) {
+	kv := useMemory(t)
+	bad := filepath.Join(t.TempDir(), "bad.json")
+	if err := os.WriteFile(bad, []byte(`{"models":{"m":{"byte":1}}}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	apply := append([]string{"apply"}, localFiles...)
+	ctl(t, exitOK, apply...)
+	ctl(t, exitUsage, "apply")
+	ctl(t, exitUsage, "apply", "--overlay", "x")
+	ctl(t, exitUsage, "history", "extra")
+	ctl(t, exitUsage, "history", "--settings", bad)
+	ctl(t, exitUsage, "history", "--prefix", "no-slash")
+	ctl(t, exitUsage, "nonsense")
+	ctl(t, exitUsage, "keys", "issue", "clerk")
+	ctl(t, exitFailure, "keys", "withdraw", "k-0000000000000000")
+	if out := ctl(t, exitInvalid, "apply", "--from-revision", "1", "--base", bad); !strings.Contains(out, `"path": "models[m].byte"`) {
+		t.Errorf("the fault is not listed: %s", out)
+	}
+	if out := ctl(t, exitConflict, apply...); !strings.Contains(out, `"who": "op"`) {
+		t.Errorf("the winner is not named: %s", out)
+	}
+	for _, kv.err = range []error{platform.ErrUnavailable, platform.ErrUnknown} {
+		ctl(t, exitUnavailable, "apply", "--from-revision", "1", "--base", examples+"local/base.json")
+		ctl(t, exitUnavailable, "status")
+	}
+}
+
+// Guards against an apply that reports success while a host still runs the old revision.
+func TestApplyWaitsForHosts(t *testing.T) {
+	kv := useMemory(t)
+	var fast, slow atomic.Int64
+	fast.Store(1)
+	kv.register(t, "fast", &fast)
+	kv.register(t, "slow", &slow)
+	out := ctl(t, exitNotConfirmed, append([]string{"apply", "--wait", "300ms"}, localFiles...)...)
+	var result applyResult
+	if err := json.Unmarshal([]byte(out), &result); err != nil {
+		t.Fatal(err)
+	}
+	if len(result.Hosts) != 2 || !result.Hosts[0].Confirmed || result.Hosts[1].Confirmed {
+		t.Errorf("%+v", result.Hosts)
+	}
+	time.AfterFunc(100*time.Millisecond, func() { fast.Store(2); slow.Store(2) })
+	ctl(t, exitOK, "apply", "--wait", "10s", "--from-revision", "1", "--base", examples+"local/base.json")
+}
+
+// Guards against operator actions that leave no audit entry.
+func TestKeysAndHostsAreAudited(t *testing.T) {
+	kv := useMemory(t)
+	var revision atomic.Int64
+	kv.register(t, "h1", &revision)
+	ctl(t, exitOK, append([]string{"apply"}, localFiles...)...)
+	var issued struct{ Record config.KeyRecord }
+	if err := json.Unmarshal([]byte(ctl(t, exitOK, "keys", "issue", "clerks")), &issued); err != nil {
+		t.Fatal(err)
+	}
+	ctl(t, exitOK, "keys", "withdraw", string(issued.Record.ID))
+	ctl(t, exitOK, "keys", "withdraw", string(issued.Record.ID))
+	ctl(t, exitOK, "hosts", "gone", "h1")
+	ctl(t, exitUsage, "hosts", "gone", "h2")
+	ctl(t, exitOK, "hosts", "gone", "h2", "--incarnation", "i2")
+	var entries []config.AuditEntry
+	if err := json.Unmarshal([]byte(ctl(t, exitOK, "audit")), &entries); err != nil {
+		t.Fatal(err)
+	}
+	var kinds []string
+	for _, e := range entries {
+		kinds = append(kinds, string(e.Kind))
+	}
+	if got := strings.Join(kinds, " "); got != "host_gone host_gone withdraw_key issue_key apply" {
+		t.Errorf("audit: %s", got)
+	}
+	if kv.pairs[config.GonePrefix+"h1/i1"].Key == "" || kv.pairs[config.GonePrefix+"h2/i2"].Key == "" {
+		t.Error("the confirmation is not stored")
+	}
+	if out := ctl(t, exitOK, "diff", "--overlay", "local="+examples+"overlay-thessaly.json"); !strings.Contains(out, `"models[assist-000]"`) {
+		t.Errorf("diff: %s", out)
+	}
+}
--- a/internal/config/compile.go
+++ b/internal/config/compile.go
@@ -26,7 +26,7 @@
 // Error lists all faults, one per line.
 func (e *ValidationError) Error() string {
 	lines := make([]string, 0, len(e.Fields)+1)
-	lines = append(lines, fmt.Sprintf("config: %d invalid fields", len(e.Fields)))
+	lines = append(lines, "config: the configuration is not valid:")
 	for _, f := range e.Fields {
 		lines = append(lines, "  "+f.String())
 	}
@@ -70,11 +70,19 @@
 	site := &Site{Revision: revision, Name: name}
 	faults = decodeMerged(merged, &site.Document)
 	if len(faults) > 0 {
-		return nil, &ValidationError{Fields: label("site "+name, faults)}
+		return nil, &ValidationError{Fields: label(mergedName(name), faults)}
 	}
 	return site, nil
 }
 
+// mergedName names the merged configuration in faults.
+func mergedName(site string) string {
+	if site == "" {
+		return "base"
+	}
+	return "site " + site
+}
+
 func checkDocument(name string, data []byte, patch bool) []FieldError {
 	tree, faults := strictjson.Parse(data)
 	if tree != nil {
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -541,7 +541,7 @@
 
 // newest reads numbered records from last downwards, many in one call.
 func newest[T any](ctx context.Context, kv platform.KV, last int64, limit int, key func(int64) string) ([]T, error) {
-	var out []T
+	out := []T{}
 	first := max(1, last-int64(limit)+1)
 	for last >= first {
 		var ops []platform.Op
--- a/internal/config/strictjson/validate.go
+++ b/internal/config/strictjson/validate.go
@@ -75,6 +75,8 @@
 		return strings.ReplaceAll(e.Param(), " ", ", ")
 	case "required":
 		return "a value"
+	case "endswith":
+		return "text that ends with " + e.Param()
 	case "ip_port":
 		return "IP:port, for example 127.0.0.1:2379"
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -27,7 +27,7 @@
 
 // Error lists all faults, one per line.
 func (e *Error) Error() string {
-	lines := []string{fmt.Sprintf("settings: %d faults in %s", len(e.Fields), e.File)}
+	lines := []string{fmt.Sprintf("settings: %s is not valid:", e.File)}
 	for _, f := range e.Fields {
 		lines = append(lines, "  "+f.String())
 	}
@@ -115,3 +115,16 @@
 
 // Std returns the duration as a time.Duration.
 func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// Check validates settings that did not come from one file, for example after flags have
+// changed them. The error is an *Error, or nil.
+func Check(source string, s any) error {
+	faults := strictjson.Validate(s)
+	if len(faults) == 0 {
+		return nil
+	}
+	for i := range faults {
+		faults[i].Document = source
+	}
+	return &Error{File: source, Fields: faults}
+}
