--- /dev/null
+++ b/internal/placement/demand.go
@@ -0,0 +1,264 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/wire"
+)
+
+const (
+	// minPressure is the price of holding memory when almost none is in use, as a share of the
+	// time held. It bounds the idle time of models that are called once.
+	minPressure = 0.05
+	// idleRecheck bounds the time between two evaluations of an idle model, because the memory pressure changes.
+	idleRecheck = 10 * time.Second
+)
+
+// sums is demand added up over hosts.
+type sums struct {
+	interactive int
+	patient     int
+	running     int
+	deadline    time.Time
+}
+
+func (s sums) total() int   { return s.interactive + s.patient + s.running }
+func (s sums) waiting() int { return s.interactive + s.patient }
+
+func (s *sums) add(r *demandRow, sign int) {
+	s.interactive += sign * r.interactive
+	s.patient += sign * r.patient
+	s.running += sign * r.running
+}
+
+type demandRow struct {
+	sums
+	adapter entity.AdapterID
+}
+
+// HandleDemand replaces the host's sums for the listed models. A list without models only says
+// that the host is alive and its former sums still hold.
+func (p *Placer) HandleDemand(from entity.HostID, d []wire.ModelDemand, now time.Time) {
+	p.heard[from] = now
+	p.now = now
+	byModel := make(map[entity.ModelID][]demandRow, len(d))
+	for i := range d {
+		r := demandRow{adapter: d[i].Adapter}
+		r.interactive = max(0, d[i].WaitingInteractive)
+		r.patient = max(0, d[i].WaitingPatient)
+		r.running = max(0, d[i].Running)
+		if r.waiting() > 0 {
+			r.deadline = now.Add(d[i].OldestDeadline)
+		}
+		byModel[d[i].Model] = append(byModel[d[i].Model], r)
+	}
+	for id, rows := range byModel {
+		p.replaceDemand(p.model(id), from, rows)
+	}
+}
+
+func (p *Placer) replaceDemand(m *model, from entity.HostID, rows []demandRow) {
+	before := m.sum
+	p.addRows(m, m.demand[from], -1)
+	kept := rows[:0]
+	for i := range rows {
+		if rows[i].total() > 0 {
+			kept = append(kept, rows[i])
+		}
+	}
+	p.addRows(m, kept, 1)
+	if len(kept) == 0 {
+		delete(m.demand, from)
+	} else {
+		m.demand[from] = kept
+	}
+	if before.total() == 0 && m.sum.total() > 0 {
+		p.noteArrival(m)
+	}
+	if before.waiting() == 0 && m.sum.waiting() > 0 {
+		m.waitSince = p.now
+	}
+	if before.total() > 0 || m.sum.total() > 0 {
+		m.lastBusy = p.now
+	}
+	p.touchModel(m.id)
+}
+
+func (p *Placer) addRows(m *model, rows []demandRow, sign int) {
+	for i := range rows {
+		r := &rows[i]
+		m.sum.add(r, sign)
+		if r.adapter == "" {
+			continue
+		}
+		a := m.adapters[r.adapter]
+		if a == nil {
+			a = &adapter{}
+			m.adapters[r.adapter] = a
+		}
+		a.sum.add(r, sign)
+		a.lastUsed = p.now
+		if a.sum.total() > 0 {
+			m.activeAdapters[r.adapter] = struct{}{}
+		} else {
+			delete(m.activeAdapters, r.adapter)
+		}
+	}
+}
+
+// dropSilent forgets the sums of hosts that were not heard for demandTTL. A host that is still
+// registered but silent sends its sums again when it is back.
+func (p *Placer) dropSilent() {
+	for host, at := range p.heard {
+		if p.now.Sub(at) < demandTTL {
+			continue
+		}
+		delete(p.heard, host)
+		for _, m := range p.models {
+			if _, ok := m.demand[host]; ok {
+				p.replaceDemand(m, host, nil)
+			}
+		}
+	}
+}
+
+// returnWindow is the time constant of the arrival rate.
+func (p *Placer) returnWindow() time.Duration {
+	return max(time.Duration(p.site.Placement.IdleMillis)*time.Millisecond, time.Second)
+}
+
+// noteArrival counts one return of demand to an idle model.
+func (p *Placer) noteArrival(m *model) {
+	if p.site == nil {
+		return
+	}
+	m.arrivals = p.decayedArrivals(m) + 1
+	m.arrivalsAt = p.now
+}
+
+func (p *Placer) decayedArrivals(m *model) float64 {
+	age := p.now.Sub(m.arrivalsAt)
+	return m.arrivals * math.Exp(-float64(age)/float64(p.returnWindow()))
+}
+
+func (p *Placer) coldStart(m *model) time.Duration {
+	if m.loadTime > 0 {
+		return m.loadTime
+	}
+	if m.cfg == nil {
+		return 0
+	}
+	return time.Duration(m.cfg.ColdStartMillis) * time.Millisecond
+}
+
+// keepValue is the cold-start time that keeping the model loaded is expected to avoid, in seconds
+// for each second that it is kept.
+func (p *Placer) keepValue(m *model) float64 {
+	rate := p.decayedArrivals(m) / p.returnWindow().Seconds()
+	return rate * p.coldStart(m).Seconds()
+}
+
+func (p *Placer) pressure() float64 {
+	if p.totalBytes <= 0 {
+		return 1
+	}
+	return min(1, max(minPressure, float64(p.usedBytes)/float64(p.totalBytes)))
+}
+
+func (p *Placer) hold() time.Duration {
+	return time.Duration(p.site.Placement.HoldMillis) * time.Millisecond
+}
+
+// refreshDeadline finds the earliest deadline of waiting work.
+func (m *model) refreshDeadline() {
+	m.sum.deadline = time.Time{}
+	for _, rows := range m.demand {
+		for i := range rows {
+			d := rows[i].deadline
+			if !d.IsZero() && (m.sum.deadline.IsZero() || d.Before(m.sum.deadline)) {
+				m.sum.deadline = d
+			}
+		}
+	}
+}
+
+// updateWant sets the wanted replicas from demand. A first replica for waiting work is wanted at
+// once when it is interactive; otherwise two decisions in opposite directions are at least the hold time apart.
+func (p *Placer) updateWant(m *model) {
+	if m.cfg == nil {
+		m.want = 0
+		return
+	}
+	slots := max(1, m.cfg.Slots)
+	need := (m.sum.total() + slots - 1) / slots
+	need = min(max(need, m.cfg.MinReplicas), m.cfg.MaxReplicas)
+	if need >= m.want {
+		m.lastHigh = p.now
+	}
+	switch {
+	case need > m.want:
+		p.raiseWant(m, need)
+	case need < m.want:
+		p.lowerWant(m, need)
+	}
+}
+
+func (p *Placer) raiseWant(m *model, need int) {
+	settled := m.lastDown.Add(p.hold())
+	if (m.want > 0 || m.sum.interactive == 0) && p.now.Before(settled) {
+		p.wakeModel(settled, m.id)
+		return
+	}
+	m.want = need
+	m.lastUp = p.now
+}
+
+func (p *Placer) lowerWant(m *model, need int) {
+	if p.opt.Policy.NeverUnload {
+		return
+	}
+	since := m.lastHigh
+	if m.lastUp.After(since) {
+		since = m.lastUp
+	}
+	due := since.Add(p.hold())
+	if p.now.Before(due) {
+		p.wakeModel(due, m.id)
+		return
+	}
+	if need > 0 {
+		m.want = need
+		m.lastDown = p.now
+		return
+	}
+	if m.want > 1 {
+		m.want = 1
+		m.lastDown = p.now
+	}
+	if p.idleOver(m) {
+		m.want = 0
+		m.lastDown = p.now
+	}
+}
+
+// idleOver says whether the last replica of an idle model costs more than it is expected to save.
+func (p *Placer) idleOver(m *model) bool {
+	latest := m.lastBusy.Add(p.returnWindow())
+	if !p.now.Before(latest) {
+		return true
+	}
+	value, price := p.keepValue(m), p.pressure()
+	if value < price {
+		return true
+	}
+	// The value decays exponentially, so the time at which it falls below the price is known.
+	after := time.Duration(math.Log(value/price) * float64(p.returnWindow()))
+	next := p.now.Add(min(after+timerStep, idleRecheck))
+	if next.After(latest) {
+		next = latest
+	}
+	p.wakeModel(next, m.id)
+	return false
+}
