--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -28,6 +28,7 @@
 	KindFenceGrant
 	KindDemand
 	KindReports
+	KindLoanReturn
 )
 
 // Message is one of the message types of this package, always used as a pointer.
@@ -233,3 +234,15 @@
 
 // Kind implements Message.
 func (*Reports) Kind() Kind { return KindReports }
+
+// LoanReturn ends a loan before its term: the borrower has dropped the unspent tokens and
+// will not spend them. The lender takes them back only while the loan is outstanding.
+type LoanReturn struct {
+	// ID is the ID of the LoanAsk that the loan answered.
+	ID        uint64             `msgpack:"i"`
+	Workspace entity.WorkspaceID `msgpack:"w"`
+	Tokens    float64            `msgpack:"t"`
+}
+
+// Kind implements Message.
+func (*LoanReturn) Kind() Kind { return KindLoanReturn }
