--- /dev/null
+++ b/internal/limits/cluster_test.go
@@ -0,0 +1,551 @@
+package limits
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/command"
+	"github.com/foxtailpass/foxtailpass/internal/config"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/platform"
+)
+
+const (
+	testWorkspace = entity.WorkspaceID("w")
+	tickInterval  = 10 * time.Millisecond
+	heartbeatTime = 500 * time.Millisecond
+	leaseTTL      = 10 * time.Second
+)
+
+// event is a function that runs at a time of the simulation.
+type event struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+// process is one Throttler with its simulated surroundings. Its clock has its own origin.
+type process struct {
+	host    entity.HostID
+	inc     entity.Incarnation
+	addr    string
+	th      *Throttler
+	origin  time.Time
+	dead    bool
+	paused  time.Duration // until
+	stopped bool
+	// seen is the newest store revision whose changes it has received.
+	seen int64
+}
+
+// cluster runs several Throttlers against an in-memory record store in one loop.
+type cluster struct {
+	now   time.Duration
+	queue events
+	seq   int
+	rng   *rand.Rand
+	// procs holds the newest process of each host.
+	procs  map[entity.HostID]*process
+	all    []*process
+	policy Policy
+	site   *config.Site
+
+	rev     int64
+	store   map[string]platform.Pair
+	log     []platform.Pair // versions by revision; a nil value is a deletion
+	lease   map[entity.HostID]time.Duration
+	down    bool
+	loseAck float64 // probability that the answer of an applied write is lost
+	loss    float64 // probability that a message is lost
+	maxLag  time.Duration
+	// cut holds partitioned hosts: they reach neither peers nor the store.
+	cut map[entity.HostID]bool
+
+	requests map[entity.RequestID]*simRequest
+	nextReq  int
+	// charges is the history for the bound check; refunds are negative.
+	charges  []chargeEvent
+	rates    []rateEvent
+	messages int
+	writes   int
+	// usedPart is the part of its charge that a request uses.
+	usedPart float64
+	runTime  time.Duration
+	// longestPause is the longest pause of a process that the test injects.
+	longestPause time.Duration
+	done         func(r *simRequest)
+	trace        func(format string, args ...any)
+}
+
+type simRequest struct {
+	id       entity.RequestID
+	tokens   float64
+	at       time.Duration
+	admitted bool
+	answered bool
+	took     time.Duration
+	refusal  entity.Refusal
+}
+
+type chargeEvent struct {
+	at     time.Duration
+	tokens float64
+}
+
+type rateEvent struct {
+	at          time.Duration
+	rate, burst float64
+}
+
+func newCluster(rng *rand.Rand, policy Policy, hosts int, rate, burst float64) *cluster {
+	c := &cluster{
+		rng: rng, policy: policy, procs: map[entity.HostID]*process{}, store: map[string]platform.Pair{},
+		lease: map[entity.HostID]time.Duration{}, cut: map[entity.HostID]bool{}, maxLag: 1500 * time.Microsecond,
+		requests: map[entity.RequestID]*simRequest{}, usedPart: 1, runTime: time.Second, trace: func(string, ...any) {},
+	}
+	c.setRate(rate, burst)
+	for i := range hosts {
+		c.start(entity.HostID(fmt.Sprintf("h%d", i)))
+	}
+	c.every(tickInterval, c.expireLeases)
+	return c
+}
+
+func (c *cluster) after(d time.Duration, run func()) {
+	c.seq++
+	heap.Push(&c.queue, event{at: c.now + d, seq: c.seq, run: run})
+}
+
+func (c *cluster) every(d time.Duration, run func()) {
+	c.after(d, func() { run(); c.every(d, run) })
+}
+
+func (c *cluster) runUntil(t time.Duration) {
+	for len(c.queue) > 0 && c.queue[0].at <= t {
+		e := heap.Pop(&c.queue).(event)
+		c.now = e.at
+		e.run()
+	}
+	c.now = t
+}
+
+// clock is the process's own time.
+func (c *cluster) clock(p *process) time.Time { return p.origin.Add(c.now) }
+
+func (c *cluster) lag() time.Duration {
+	return c.maxLag/3 + time.Duration(c.rng.Int64N(int64(c.maxLag)*2/3+1))
+}
+
+func (c *cluster) setRate(rate, burst float64) {
+	c.rates = append(c.rates, rateEvent{c.now, rate, burst})
+	c.site = &config.Site{Document: config.Document{Workspaces: map[entity.WorkspaceID]config.Workspace{
+		testWorkspace: {RateTokensPerSecond: rate, BurstTokens: burst},
+	}}}
+	site := c.site
+	for _, p := range c.all {
+		c.deliver(p, c.lag(), func() { p.th.HandleSite(site, c.clock(p)) })
+	}
+}
+
+// start starts a process at a host; its predecessor there must be dead.
+func (c *cluster) start(host entity.HostID) *process {
+	p := &process{
+		host: host, inc: entity.Incarnation(fmt.Sprintf("%s-%d", host, len(c.all))), addr: string(host) + ":1",
+		origin: time.Unix(int64(c.rng.IntN(1_000_000)), 0),
+	}
+	p.th = New(Options{Self: host, Incarnation: p.inc, Addr: p.addr, Policy: c.policy, Rand: rand.New(rand.NewPCG(c.rng.Uint64(), 1))})
+	p.th.HandleSite(c.site, c.clock(p))
+	c.procs[host] = p
+	c.all = append(c.all, p)
+	c.after(0, func() { c.register(p, true) })
+	c.loop(p, tickInterval, func() { c.do(p, p.th.Tick(c.clock(p))) })
+	c.loop(p, heartbeatTime, func() { c.heartbeat(p) })
+	c.loop(p, 2*time.Second, func() { c.register(p, false) })
+	c.loop(p, time.Second, func() { c.poll(p) })
+	return p
+}
+
+// loop repeats run while the process lives; a pause delays it.
+func (c *cluster) loop(p *process, d time.Duration, run func()) {
+	c.after(d, func() {
+		if p.dead {
+			return
+		}
+		if c.now < p.paused {
+			c.after(p.paused-c.now, func() { c.loop(p, 0, run) })
+			return
+		}
+		run()
+		c.loop(p, d, run)
+	})
+}
+
+// deliver runs a function at a process after a delay, later if it is paused, never if it is dead.
+func (c *cluster) deliver(p *process, d time.Duration, run func()) {
+	c.after(d, func() {
+		switch {
+		case p.dead:
+		case c.now < p.paused:
+			c.deliver(p, p.paused-c.now+1, run)
+		default:
+			run()
+		}
+	})
+}
+
+func (c *cluster) reachable(p *process) bool { return !c.down && !c.cut[p.host] }
+
+// register renews the lease of a process, or registers it anew under the rule of the package.
+func (c *cluster) register(p *process, first bool) {
+	if p.dead || p.stopped {
+		return
+	}
+	asked := c.clock(p)
+	c.after(c.lag(), func() {
+		if !c.reachable(p) {
+			if first {
+				c.deliver(p, time.Second, func() { c.register(p, true) })
+			}
+			return
+		}
+		key := config.HostsPrefix + string(p.host)
+		old, ok := c.store[key]
+		if ok && string(old.Value) != string(p.inc) && c.procs[p.host] != p {
+			return
+		}
+		c.lease[p.host] = c.now + leaseTTL
+		if !ok || string(old.Value) != string(p.inc) {
+			c.put(key, []byte(p.inc))
+		}
+		c.deliver(p, c.lag(), func() {
+			if c.rng.Float64() >= c.loss {
+				p.th.HandleLease(asked.Add(leaseTTL), c.clock(p))
+			}
+		})
+	})
+}
+
+func (c *cluster) expireLeases() {
+	if c.down {
+		return
+	}
+	for _, host := range c.hosts() {
+		if end, ok := c.lease[host]; ok && c.now >= end {
+			c.unregister(host)
+		}
+	}
+}
+
+func (c *cluster) unregister(host entity.HostID) {
+	delete(c.lease, host)
+	key := config.HostsPrefix + string(host)
+	if _, ok := c.store[key]; ok {
+		c.rev++
+		delete(c.store, key)
+		c.log = append(c.log, platform.Pair{Key: key, ModRevision: c.rev})
+		c.notify()
+	}
+}
+
+func (c *cluster) hosts() []entity.HostID {
+	var list []entity.HostID
+	for h := range c.procs {
+		list = append(list, h)
+	}
+	slices.Sort(list)
+	return list
+}
+
+func (c *cluster) put(key string, value []byte) {
+	c.rev++
+	p := c.store[key]
+	p.Key, p.Value, p.ModRevision, p.Version = key, value, c.rev, p.Version+1
+	if p.CreateRevision == 0 {
+		p.CreateRevision = c.rev
+	}
+	c.store[key] = p
+	c.log = append(c.log, p)
+	c.notify()
+}
+
+// notify starts the watch delivery to all processes; some of it is lost and found by poll.
+func (c *cluster) notify() {
+	for _, p := range c.all {
+		if c.rng.Float64() >= c.loss {
+			c.deliver(p, c.lag(), func() { c.poll(p) })
+		}
+	}
+}
+
+// poll delivers everything that changed since the newest seen revision, registrations first.
+func (c *cluster) poll(p *process) {
+	if !c.reachable(p) || p.seen == c.rev && c.rev > 0 {
+		return
+	}
+	p.seen = c.rev
+	now := c.clock(p)
+	var hosts []config.HostRecord
+	for _, h := range c.hosts() {
+		if pair, ok := c.store[config.HostsPrefix+string(h)]; ok {
+			hosts = append(hosts, config.HostRecord{ID: h, Incarnation: entity.Incarnation(pair.Value), PeerAddr: string(h) + ":1", State: "live"})
+		}
+	}
+	p.th.HandleHosts(hosts, now)
+	if pair, ok := c.store[Key(testWorkspace)]; ok {
+		c.do(p, p.th.HandleRecord(testWorkspace, &pair, now))
+	} else {
+		c.do(p, p.th.HandleRecord(testWorkspace, nil, now))
+	}
+}
+
+func (c *cluster) heartbeat(p *process) {
+	levels := p.th.Levels(c.clock(p))
+	sent := c.clock(p)
+	for _, h := range c.hosts() {
+		if h == p.host {
+			continue
+		}
+		c.send(p, h, func(q *process) {
+			q.th.HandlePeerLevels(p.host, levels, c.clock(q))
+			if !q.th.AnswerHeartbeat(p.inc, c.clock(q)) {
+				return
+			}
+			c.send(q, p.host, func(back *process) {
+				if back == p {
+					p.th.HandleWitness(q.host, q.inc, sent)
+				}
+			})
+		})
+	}
+}
+
+// send delivers a message from a process to the current process of a host.
+func (c *cluster) send(from *process, to entity.HostID, run func(q *process)) {
+	c.messages++
+	if c.cut[from.host] || c.cut[to] || c.rng.Float64() < c.loss {
+		return
+	}
+	q := c.procs[to]
+	if q == nil {
+		return
+	}
+	c.deliver(q, c.lag(), func() {
+		if !c.cut[to] {
+			run(q)
+		}
+	})
+}
+
+func (c *cluster) do(p *process, commands []command.Command) {
+	for _, cmd := range commands {
+		switch x := cmd.(type) {
+		case command.Admit:
+			c.answer(p, x.Request, nil)
+		case command.Refuse:
+			c.answer(p, x.Request, &x.Refusal)
+		case command.SendPeer:
+			c.send(p, x.To, func(q *process) {
+				c.do(q, q.th.HandleMessage(p.host, p.inc, x.Message, c.clock(q)))
+			})
+		case command.WriteRecords:
+			c.write(p, x)
+		}
+	}
+}
+
+// write runs a transaction; its answer may be lost or it may never arrive at the store.
+func (c *cluster) write(p *process, w command.WriteRecords) {
+	c.writes++
+	fail := func(err error) {
+		c.deliver(p, c.lag(), func() { c.do(p, p.th.HandleWriteResult(w.ID, platform.TxnResult{}, err, c.clock(p))) })
+	}
+	c.after(c.lag(), func() {
+		if !c.reachable(p) {
+			if c.rng.IntN(2) == 0 {
+				fail(platform.ErrUnavailable)
+			} else {
+				fail(platform.ErrUnknown)
+			}
+			return
+		}
+		if c.loseAck > 0 && c.rng.Float64() < c.loseAck/2 {
+			// The answer is lost first and the write takes effect later.
+			fail(platform.ErrUnknown)
+			c.after(time.Duration(c.rng.Int64N(int64(2*time.Second))), func() { c.apply(w.Txn) })
+			return
+		}
+		result := c.apply(w.Txn)
+		if c.rng.Float64() < c.loseAck {
+			fail(platform.ErrUnknown)
+			return
+		}
+		c.deliver(p, c.lag(), func() { c.do(p, p.th.HandleWriteResult(w.ID, result, nil, c.clock(p))) })
+	})
+}
+
+func (c *cluster) apply(txn platform.Txn) platform.TxnResult {
+	for _, cmp := range txn.Compares {
+		pair := c.store[cmp.Key]
+		value := pair.ModRevision
+		if cmp.Target == platform.CompareCreateRevision {
+			value = pair.CreateRevision
+		}
+		if value != cmp.Value {
+			r := platform.TxnResult{Revision: c.rev}
+			for _, op := range txn.Failure {
+				if got, ok := c.store[op.Key]; ok {
+					r.Gets = append(r.Gets, &got)
+				} else {
+					r.Gets = append(r.Gets, nil)
+				}
+			}
+			return r
+		}
+	}
+	for _, op := range txn.Success {
+		c.put(op.Key, op.Value)
+	}
+	return platform.TxnResult{Succeeded: true, Revision: c.rev}
+}
+
+// request sends a request to a host, as the load balancer does; dead and paused hosts get none.
+func (c *cluster) request(host entity.HostID, tokens float64) *simRequest {
+	c.nextReq++
+	r := &simRequest{id: entity.RequestID(fmt.Sprint(c.nextReq)), tokens: tokens, at: c.now}
+	p := c.procs[host]
+	if p.dead || p.stopped || c.now < p.paused {
+		return nil
+	}
+	c.requests[r.id] = r
+	c.do(p, p.th.Request(Admission{ID: r.id, Workspace: testWorkspace, Tokens: tokens}, c.clock(p)))
+	return r
+}
+
+func (c *cluster) answer(p *process, id entity.RequestID, refusal *entity.Refusal) {
+	r := c.requests[id]
+	if r == nil || r.answered {
+		panic("request answered twice: " + string(id))
+	}
+	r.answered, r.took = true, c.now-r.at
+	delete(c.requests, id)
+	if refusal != nil {
+		r.refusal = *refusal
+	} else {
+		r.admitted = true
+		c.charges = append(c.charges, chargeEvent{c.now, r.tokens})
+		if c.usedPart < 1 {
+			c.deliver(p, c.runTime, func() { c.settle(p, r) })
+		}
+	}
+	if c.done != nil {
+		c.done(r)
+	}
+}
+
+// settle records the refund that the ledger actually gave.
+func (c *cluster) settle(p *process, r *simRequest) {
+	a := p.th.accounts[testWorkspace]
+	a.advance(c.clock(p))
+	before := a.level
+	p.th.Settle(r.id, r.tokens*c.usedPart, c.clock(p))
+	c.charges = append(c.charges, chargeEvent{c.now, before - a.level})
+}
+
+func (c *cluster) kill(host entity.HostID) {
+	p := c.procs[host]
+	p.dead = true
+	for id, r := range c.requests {
+		if !r.answered {
+			delete(c.requests, id)
+		}
+	}
+}
+
+// checkBound checks tokens(s,t) <= burst + rate*(t-s) over all intervals at once: a bucket that
+// starts full and is charged the same history must never go below zero. With changing limits it
+// uses the largest rate and burst in force within slack around each moment.
+func (c *cluster) checkBound() error {
+	// A host learns of a change after its pause, and loans given before it are still spent.
+	slack := 400*time.Millisecond + c.longestPause
+	limitsAt := func(t time.Duration) (rate, burst float64) {
+		for i, r := range c.rates {
+			end := time.Duration(math.MaxInt64)
+			if i+1 < len(c.rates) {
+				end = c.rates[i+1].at + slack
+			}
+			if r.at <= t && t < end {
+				rate, burst = max(rate, r.rate), max(burst, r.burst)
+			}
+		}
+		return rate, burst
+	}
+	rate, burst := limitsAt(0)
+	level, at := burst, time.Duration(0)
+	steps := make([]chargeEvent, 0, len(c.charges)+2*len(c.rates))
+	steps = append(steps, c.charges...)
+	for _, r := range c.rates {
+		steps = append(steps, chargeEvent{r.at, 0}, chargeEvent{r.at + slack, 0})
+	}
+	slices.SortStableFunc(steps, func(x, y chargeEvent) int { return int(x.at - y.at) })
+	for _, s := range steps {
+		level = min(burst, level+rate*(s.at-at).Seconds())
+		at = s.at
+		newRate, newBurst := limitsAt(at)
+		// A larger burst may come with tokens of units that were never issued.
+		level += max(0, newBurst-burst)
+		rate, burst = newRate, newBurst
+		level = min(level, burst) - s.tokens
+		if level < -1e-6*burst {
+			return fmt.Errorf("bound exceeded by %.6f tokens at %v", -level, at)
+		}
+	}
+	return nil
+}
+
+func (c *cluster) describe() string {
+	var b strings.Builder
+	for _, h := range c.hosts() {
+		p := c.procs[h]
+		for _, s := range p.th.Status(c.clock(p)) {
+			fmt.Fprintf(&b, "%s dead=%v units=%d level=%.1f lent=%.1f usable=%v free=%d unissued=%d\n", p.inc, p.dead, s.Units, s.Level, s.Lent, s.Usable, s.Free, s.UnissuedUnits)
+		}
+	}
+	return b.String()
+}
+
+// TestSharesSettle guards against units that stay unallocated, and against writes that never end.
+func TestSharesSettle(t *testing.T) {
+	c := newCluster(rand.New(rand.NewPCG(1, 2)), PolicyLoans, 8, 1000, 10000)
+	c.runUntil(20 * time.Second)
+	writes := c.writes
+	c.runUntil(60 * time.Second)
+	t.Logf("writes to settle %d, in the following 40 s %d\n%s", writes, c.writes-writes, c.describe())
+	var held int64
+	for _, p := range c.all {
+		held += p.th.accounts[testWorkspace].units
+	}
+	if held != TotalUnits || c.writes != writes {
+		t.Errorf("held %d units of %d, %d writes while idle", held, TotalUnits, c.writes-writes)
+	}
+}
