--- /dev/null
+++ b/cmd/foxtailload/main.go
@@ -0,0 +1,191 @@
+// Command foxtailload sends requests to foxtailpass at times that are set in advance and
+// reports latencies, refusals and the completeness of answers.
+//
+// Exit codes: 0 after a run, 1 on a failure, 2 on an invalid scenario or flag.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/load"
+	"github.com/urfave/cli/v3"
+)
+
+const (
+	exitFailure  = 1
+	exitSettings = 2
+)
+
+// errUsage marks invalid scenarios, flags and arguments.
+var errUsage = errors.New("invalid usage")
+
+func main() {
+	logger := log.NewWithOptions(os.Stderr, log.Options{Prefix: "foxtailload", ReportTimestamp: true})
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	// After the first signal the default handling is back, so that a second one ends the process.
+	context.AfterFunc(ctx, stop)
+	err := newCommand(logger).Run(ctx, os.Args)
+	if err == nil {
+		return
+	}
+	logger.Error("Command failed.", "err", err)
+	if errors.Is(err, errUsage) {
+		os.Exit(exitSettings)
+	}
+	os.Exit(exitFailure)
+}
+
+func version() string {
+	if info, ok := debug.ReadBuildInfo(); ok {
+		return info.Main.Version
+	}
+	return "unknown"
+}
+
+func newCommand(logger *log.Logger) *cli.Command {
+	return &cli.Command{
+		Name:     "foxtailload",
+		Usage:    "generate open-loop load and compare reports",
+		Version:  version(),
+		Commands: []*cli.Command{runCommand(logger), benchCommand(logger), compareCommand()},
+	}
+}
+
+func reportFlag() cli.Flag {
+	return &cli.StringFlag{Name: "report", Usage: "write the report as JSON to `file`"}
+}
+
+func runCommand(logger *log.Logger) *cli.Command {
+	return &cli.Command{
+		Name:      "run",
+		Usage:     "run a scenario file",
+		ArgsUsage: "scenario.json",
+		Flags: []cli.Flag{
+			reportFlag(),
+			&cli.StringSliceFlag{Name: "target", Usage: "replace the targets of the scenario; may be repeated"},
+			&cli.Uint64Flag{Name: "seed", Usage: "replace the seed of the scenario"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.Args().Len() != 1 {
+				return fmt.Errorf("%w: expected one scenario file", errUsage)
+			}
+			s, err := load.ReadScenario(c.Args().First(), c.StringSlice("target")...)
+			if err != nil {
+				return fmt.Errorf("%w: %w", errUsage, err)
+			}
+			if c.IsSet("seed") {
+				s.Seed = c.Uint64("seed")
+			}
+			return execute(ctx, logger, s, c.String("report"))
+		},
+	}
+}
+
+func benchCommand(logger *log.Logger) *cli.Command {
+	return &cli.Command{
+		Name:  "bench",
+		Usage: "send requests of one sort at a constant mean rate",
+		Flags: []cli.Flag{
+			reportFlag(),
+			&cli.StringSliceFlag{Name: "target", Required: true, Usage: "caller address, host:port; may be repeated"},
+			&cli.StringFlag{Name: "key", Usage: "caller key"},
+			&cli.StringFlag{Name: "model", Required: true, Usage: "model name"},
+			&cli.Float64Flag{Name: "rate", Value: 100, Usage: "requests per second"},
+			&cli.DurationFlag{Name: "duration", Value: 10 * time.Second, Usage: "how long requests are sent"},
+			&cli.StringFlag{Name: "arrivals", Value: load.ArrivalsPoisson, Usage: "poisson or constant"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the schedule"},
+			&cli.BoolFlag{Name: "stream", Usage: "ask for event streams"},
+			&cli.IntFlag{Name: "prompt-tokens", Value: 16, Usage: "tokens of each prompt"},
+			&cli.IntFlag{Name: "output-tokens", Value: 16, Usage: "tokens of each answer"},
+			&cli.StringFlag{Name: "class", Usage: "interactive or patient"},
+			&cli.Int64Flag{Name: "deadline-ms", Usage: "deadline of each request"},
+			&cli.BoolFlag{Name: "check", Usage: "compare each answer with that of the engine stand-in"},
+			&cli.BoolFlag{Name: "precise", Usage: "wait actively for send times; takes one core"},
+			&cli.Float64Flag{Name: "limit-rate", Usage: "tokens per second of the workspace, to judge refusals"},
+			&cli.Float64Flag{Name: "limit-burst", Usage: "burst tokens of the workspace, to judge refusals"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return execute(ctx, logger, benchScenario(c), c.String("report"))
+		},
+	}
+}
+
+func benchScenario(c *cli.Command) load.Scenario {
+	const workspace entity.WorkspaceID = "bench"
+	s := load.Scenario{
+		Name:            "bench",
+		Seed:            c.Uint64("seed"),
+		DurationSeconds: c.Duration("duration").Seconds(),
+		Targets:         c.StringSlice("target"),
+		CheckAnswers:    c.Bool("check"),
+		Precise:         c.Bool("precise"),
+		Classes: []load.RequestClass{{
+			Name:           "bench",
+			Workspace:      workspace,
+			Key:            c.String("key"),
+			Arrivals:       load.Arrivals{Kind: c.String("arrivals"), RatePerSecond: c.Float64("rate")},
+			Models:         []string{c.String("model")},
+			PromptTokens:   load.Range{Min: c.Int("prompt-tokens")},
+			OutputTokens:   load.Range{Min: c.Int("output-tokens")},
+			Stream:         c.Bool("stream"),
+			Class:          c.String("class"),
+			DeadlineMillis: c.Int64("deadline-ms"),
+		}},
+	}
+	if c.IsSet("limit-rate") || c.IsSet("limit-burst") {
+		s.Workspaces = map[entity.WorkspaceID]load.Rate{
+			workspace: {TokensPerSecond: c.Float64("limit-rate"), BurstTokens: c.Float64("limit-burst")},
+		}
+	}
+	return s
+}
+
+func execute(ctx context.Context, logger *log.Logger, s load.Scenario, file string) error {
+	if err := s.Check(); err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	logger.Info("Sending requests.", "scenario", s.Name, "targets", len(s.Targets), "duration_s", s.DurationSeconds)
+	report, err := load.Run(ctx, s)
+	if err != nil {
+		return err
+	}
+	if err := report.Print(os.Stdout); err != nil {
+		return err
+	}
+	if file == "" {
+		return nil
+	}
+	return report.Write(file)
+}
+
+func compareCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "compare",
+		Usage:     "print two reports side by side",
+		ArgsUsage: "a.json b.json",
+		Action: func(_ context.Context, c *cli.Command) error {
+			if c.Args().Len() != 2 {
+				return fmt.Errorf("%w: expected two report files", errUsage)
+			}
+			a, err := load.ReadReport(c.Args().Get(0))
+			if err != nil {
+				return err
+			}
+			b, err := load.ReadReport(c.Args().Get(1))
+			if err != nil {
+				return err
+			}
+			return load.Compare(os.Stdout, a, b)
+		},
+	}
+}
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,206 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/standin/engine"
+	"github.com/foxtailpass/foxtailpass/internal/standin/service"
+)
+
+func startEngine(t *testing.T, o engine.Options) *engine.Engine {
+	t.Helper()
+	e := engine.New(o)
+	if err := e.Start("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Stop)
+	if err := e.Preload("m", 1); err != nil {
+		t.Fatal(err)
+	}
+	return e
+}
+
+func scenario(target string, c RequestClass) Scenario {
+	c.Name, c.Workspace = "g", "w"
+	if c.Kind != KindPlain {
+		c.Models = []string{"m"}
+	}
+	return Scenario{
+		Name: "test", Seed: 7, DurationSeconds: 1, Targets: []string{target},
+		CheckAnswers: true, TimeoutMillis: 5000, Classes: []RequestClass{c},
+	}
+}
+
+func run(t *testing.T, s Scenario) *Report {
+	t.Helper()
+	r, err := Run(t.Context(), s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// Guards against a generator that passes cut, crossed or refused answers as complete.
+func TestVerdicts(t *testing.T) {
+	cases := []struct {
+		name   string
+		fault  string
+		stream bool
+		count  func(*GroupReport) uint64
+	}{
+		{"complete", "", false, func(g *GroupReport) uint64 { return g.Complete }},
+		{"complete stream", "", true, func(g *GroupReport) uint64 { return g.Complete }},
+		{"refused", engine.FaultRefuse, false, func(g *GroupReport) uint64 { return g.Results["503/refused/"] }},
+		{"refused stream", engine.FaultRefuse, true, func(g *GroupReport) uint64 { return g.Refused }},
+		{"truncated", engine.FaultTruncate, false, func(g *GroupReport) uint64 { return g.Failed }},
+		{"truncated stream", engine.FaultTruncate, true, func(g *GroupReport) uint64 { return g.Incomplete }},
+		{"broken stream", engine.FaultBreak, true, func(g *GroupReport) uint64 { return g.Incomplete }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			e := startEngine(t, engine.Options{})
+			if c.fault != "" {
+				if err := e.SetFault(engine.Fault{Kind: c.fault, Tokens: 3}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			s := scenario(e.Addr(), RequestClass{Stream: c.stream, Arrivals: Arrivals{Kind: ArrivalsConstant, RatePerSecond: 100}})
+			s.DurationSeconds = 0.2
+			g := run(t, s).Groups["g"]
+			if g.Sent != 20 || c.count(g) != 20 {
+				t.Fatalf("sent %d: %+v", g.Sent, g)
+			}
+		})
+	}
+}
+
+// Guards against accepting the answer to another request: only its own request ID gives the
+// expected text.
+func TestRightText(t *testing.T) {
+	r := &request{model: "m", output: 8}
+	text := engine.ExpectedText("a", "m", 8)
+	if !rightText(r, "a", "a", text) || rightText(r, "b", "a", text) || rightText(r, "a", "a", text[4:]) {
+		t.Fatal("the check accepts a wrong text or rejects the right one")
+	}
+	r.repeated = true
+	if !rightText(r, "b", "a", text) {
+		t.Fatal("the stored answer to a repeated key is rejected")
+	}
+}
+
+// Guards against coordinated omission: a target that stalls must show in the latencies of all
+// requests whose send time falls into the stall.
+func TestLatencyFromIntendedTime(t *testing.T) {
+	e := startEngine(t, engine.Options{Slots: 1, TokenInterval: 5 * time.Millisecond})
+	s := scenario(e.Addr(), RequestClass{
+		OutputTokens: Range{Min: 10},
+		Arrivals:     Arrivals{Kind: ArrivalsBurst, BurstSize: 10, BurstEveryMillis: 5000},
+	})
+	s.DurationSeconds = 0.1
+	g := run(t, s).Groups["g"]
+	if g.Complete != 10 || g.Whole.Max < 490_000 || g.Whole.P50 < 200_000 {
+		t.Fatalf("10 requests of 50 ms in a row: %+v", g.Whole)
+	}
+}
+
+// Guards against refusals that are judged by something else than the exact bucket.
+func TestRefusalsWithinRate(t *testing.T) {
+	e := startEngine(t, engine.Options{})
+	if err := e.SetFault(engine.Fault{Kind: engine.FaultRefuse}); err != nil {
+		t.Fatal(err)
+	}
+	s := scenario(e.Addr(), RequestClass{Arrivals: Arrivals{Kind: ArrivalsConstant, RatePerSecond: 100}})
+	// Each request costs 32 tokens, so that the burst covers 10 and the rate 10 more in a second.
+	s.Workspaces = map[entity.WorkspaceID]Rate{"w": {TokensPerSecond: 320, BurstTokens: 320}}
+	w := run(t, s).Workspaces["w"]
+	if w.Sent != 100 || w.Admissible < 19 || w.Admissible > 20 || w.OtherRefusedWithinRate != w.Admissible {
+		t.Fatalf("%+v", w)
+	}
+	q := &request{at: 0, cost: 32, limited: true, withinRate: true, class: &RequestClass{}}
+	w.ended(q, result{verdict: refused, code: codeRateLimited}, false)
+	if w.RefusedWithinRate != 1 {
+		t.Fatalf("%+v", w)
+	}
+	charges := []charge{{time.Second, 320}, {time.Second, 100}, {0, 320}}
+	if got := excess(Rate{320, 320}, charges); got != 100 {
+		t.Fatalf("excess %f", got)
+	}
+}
+
+// Guards against plain calls that repeat an order without repeating its key.
+func TestPlainCalls(t *testing.T) {
+	sv := service.New(service.Options{})
+	if err := sv.Start("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(sv.Stop)
+	s := scenario(sv.Addr(), RequestClass{
+		Kind: KindPlain, Path: "/cut", Idempotency: IdempotencyRepeat, RepeatShare: 0.5,
+		Arrivals: Arrivals{RatePerSecond: 200},
+	})
+	g := run(t, s).Groups["g"]
+	rec := sv.Record()
+	if g.Complete != g.Sent || rec.Runs != g.Sent || uint64(len(rec.Orders)) >= g.Sent {
+		t.Fatalf("%+v, runs %d of %d orders", g.Counts, rec.Runs, len(rec.Orders))
+	}
+	keys := map[string]string{}
+	for _, got := range sv.Received() {
+		key := got.Headers["Idempotency-Key"]
+		if body, ok := keys[key]; key == "" || ok && body != got.Body {
+			t.Fatalf("key %q with body %s", key, got.Body)
+		}
+		keys[key] = got.Body
+	}
+}
+
+// Guards against schedules that differ between runs with the same seed.
+func TestScheduleIsReproducible(t *testing.T) {
+	s := scenario("x", RequestClass{ModelChoice: ChooseZipf, PromptTokens: Range{1, 99}, Arrivals: Arrivals{RatePerSecond: 500}}).withDefaults()
+	s.Classes[0].Models = []string{"a", "b", "c"}
+	one, two := newSchedule(&s, "run"), newSchedule(&s, "run")
+	n := 0
+	for {
+		a, b := one.take(), two.take()
+		if a == nil || b == nil {
+			break
+		}
+		n++
+		if a.at != b.at || !bytes.Equal(a.body, b.body) {
+			t.Fatalf("request %d differs", n)
+		}
+	}
+	if n < 400 || n > 600 {
+		t.Fatalf("%d arrivals in 1 s at 500/s", n)
+	}
+}
+
+// Guards against a run that cannot be stopped and reports that cannot be read back.
+func TestStopAndCompare(t *testing.T) {
+	e := startEngine(t, engine.Options{})
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	s := scenario(e.Addr(), RequestClass{Arrivals: Arrivals{RatePerSecond: 50}})
+	s.DurationSeconds = 60
+	r, err := Run(ctx, s)
+	if err != nil || r.DurationSeconds > 5 {
+		t.Fatal(err, r.DurationSeconds)
+	}
+	file := filepath.Join(t.TempDir(), "a.json")
+	if err := r.Write(file); err != nil {
+		t.Fatal(err)
+	}
+	back, err := ReadReport(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	if err := Compare(&out, r, back); err != nil || !strings.Contains(out.String(), "group g complete") {
+		t.Fatalf("%v: %s", err, out.String())
+	}
+}
