--- a/internal/config/compile.go
+++ b/internal/config/compile.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"maps"
 	"reflect"
 	"regexp"
 	"slices"
@@ -201,6 +200,3 @@
 		}
 	}
 }
-
-// Sites returns the site names of a head in order.
-func (h Head) Sites() []string { return slices.Sorted(maps.Keys(h.Overlays)) }
--- a/internal/config/diff.go
+++ b/internal/config/diff.go
@@ -54,10 +54,18 @@
 		diffStruct(out, path, a, b)
 	case reflect.Map:
 		diffMap(out, path, a, b)
-	default:
-		if !reflect.DeepEqual(a.Interface(), b.Interface()) {
-			*out = append(*out, Change{Path: path, Old: summary(a), New: summary(b)})
+	case reflect.Slice:
+		if a.Len() != 0 || b.Len() != 0 {
+			diffLeaf(out, path, a, b)
 		}
+	default:
+		diffLeaf(out, path, a, b)
+	}
+}
+
+func diffLeaf(out *[]Change, path string, a, b reflect.Value) {
+	if !reflect.DeepEqual(a.Interface(), b.Interface()) {
+		*out = append(*out, Change{Path: path, Old: summary(a), New: summary(b)})
 	}
 }
 
--- a/internal/config/head.go
+++ b/internal/config/head.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/foxtailpass/foxtailpass/internal/entity"
@@ -37,6 +39,9 @@
 	ModRevision int64 `json:"-"`
 }
 
+// Sites returns the site names of a head in order.
+func (h Head) Sites() []string { return slices.Sorted(maps.Keys(h.Overlays)) }
+
 // AuditKind is the kind of an accepted change.
 type AuditKind string
 
--- a/internal/config/site.go
+++ b/internal/config/site.go
@@ -10,6 +10,7 @@
 )
 
 // Document is the JSON form of a base configuration, or of an overlay that changes some of its fields.
+// A missing field takes its default; an explicit zero is kept and has to be allowed.
 type Document struct {
 	// Models maps model names to their declaration.
 	Models map[entity.ModelID]Model `json:"models,omitempty" validate:"dive"`
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -21,8 +21,10 @@
 	MaxDocumentBytes = 1_000_000
 	// maxAttempts bounds the tries of one change that loses the audit number or the answer.
 	maxAttempts = 60
-	// retryPause is the mean pause between two tries.
-	retryPause = 5 * time.Millisecond
+	// retryPause bounds the random pause after the first try. It grows with every try up to
+	// maxRetryPause, so that many writers of one audit counter spread out.
+	retryPause    = 10 * time.Millisecond
+	maxRetryPause = 100 * time.Millisecond
 	// batchGets is the number of reads in one transaction; etcd allows 128 operations by default.
 	batchGets = 100
 	// auditChanges bounds the summarized changes of one site in an audit entry.
@@ -222,11 +224,18 @@
 	}
 	sites := map[string]*Site{}
 	var all ValidationError
+	seen := map[FieldError]bool{}
 	for _, name := range names {
 		site, err := Compile(name, h.Revision, documents[h.Base], documents[h.Overlays[name]])
 		var invalid *ValidationError
 		if errors.As(err, &invalid) {
-			all.add(invalid.Fields)
+			// Faults of the base show up at every site and are listed once.
+			for _, f := range invalid.Fields {
+				if !seen[f] {
+					all.Fields = append(all.Fields, f)
+				}
+				seen[f] = true
+			}
 			continue
 		}
 		sites[name] = site
@@ -237,15 +246,6 @@
 	return sites, nil
 }
 
-// add appends the faults that are not listed yet; faults of the base show up at every site.
-func (e *ValidationError) add(faults []FieldError) {
-	for _, f := range faults {
-		if !slices.Contains(e.Fields, f) {
-			e.Fields = append(e.Fields, f)
-		}
-	}
-}
-
 func summarize(current Head, documents map[string][]byte, sites map[string]*Site) map[string][]string {
 	out := map[string][]string{}
 	old := map[string]*Site{}
@@ -304,7 +304,7 @@
 func (s *Store) commit(ctx context.Context, c change) (int64, error) {
 	var tried []int64
 	var last error
-	for range maxAttempts {
+	for n := range maxAttempts {
 		revision, err := s.attempt(ctx, &c, &tried)
 		if err == nil || errors.Is(err, errGuard) {
 			return revision, err
@@ -313,7 +313,7 @@
 			return 0, err
 		}
 		last = err
-		if pause(ctx) != nil {
+		if pause(ctx, n) != nil {
 			break
 		}
 	}
@@ -402,8 +402,9 @@
 	return p.ModRevision
 }
 
-func pause(ctx context.Context) error {
-	timer := time.NewTimer(rand.N(2 * retryPause))
+// pause waits a random time after try n, counted from zero.
+func pause(ctx context.Context, n int) error {
+	timer := time.NewTimer(rand.N(min(maxRetryPause, time.Duration(n+1)*retryPause)))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/internal/config/store_test.go
+++ b/internal/config/store_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 
 	"github.com/foxtailpass/foxtailpass/internal/platform"
 )
@@ -210,12 +211,14 @@
 
 // Guards against an outcome that is called certain while every answer is lost.
 func TestApplyStaysUnknown(t *testing.T) {
-	kv := newMemKV()
-	kv.before = func() error { return platform.ErrUnknown }
-	_, err := NewStore(kv).Apply(t.Context(), ApplyRequest{Base: []byte(goodBase), Who: "a"})
-	if !errors.Is(err, platform.ErrUnknown) || errors.Is(err, platform.ErrUnavailable) {
-		t.Errorf("got %v", err)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		kv := newMemKV()
+		kv.before = func() error { return platform.ErrUnknown }
+		_, err := NewStore(kv).Apply(t.Context(), ApplyRequest{Base: []byte(goodBase), Who: "a"})
+		if !errors.Is(err, platform.ErrUnknown) || errors.Is(err, platform.ErrUnavailable) {
+			t.Errorf("got %v", err)
+		}
+	})
 }
 
 // Guards against half-applied changes: a fault at one site or a stale base must write nothing.
--- a/internal/config/strictjson/strictjson.go
+++ b/internal/config/strictjson/strictjson.go
@@ -17,6 +17,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 )
 
 // maxDepth bounds nesting so that a hostile document cannot exhaust the stack.
@@ -165,8 +166,8 @@
 }
 
 func (c *checker) check(path string, v any, t reflect.Type) {
-	if unmarshaler, ok := reflect.New(t).Interface().(encoding.TextUnmarshaler); ok {
-		c.checkText(path, v, unmarshaler)
+	if isText(t) {
+		c.checkText(path, v, reflect.New(t).Interface().(encoding.TextUnmarshaler))
 		return
 	}
 	switch t.Kind() {
@@ -286,10 +287,11 @@
 	FillDefaults(object[name], field.Type)
 }
 
-func isObject(t reflect.Type) bool {
-	_, text := reflect.New(t).Interface().(encoding.TextUnmarshaler)
-	return t.Kind() == reflect.Struct && !text
-}
+var textUnmarshaler = reflect.TypeFor[encoding.TextUnmarshaler]()
+
+func isText(t reflect.Type) bool { return reflect.PointerTo(t).Implements(textUnmarshaler) }
+
+func isObject(t reflect.Type) bool { return t.Kind() == reflect.Struct && !isText(t) }
 
 // Decode stores a checked value into target, a pointer.
 func Decode(v any, target any) error {
@@ -300,7 +302,14 @@
 	return json.Unmarshal(data, target)
 }
 
+// fieldCache maps struct types to their fields by JSON name; documents repeat a few types
+// thousands of times.
+var fieldCache sync.Map
+
 func fieldsOf(t reflect.Type) map[string]reflect.StructField {
+	if cached, ok := fieldCache.Load(t); ok {
+		return cached.(map[string]reflect.StructField)
+	}
 	fields := map[string]reflect.StructField{}
 	for i := range t.NumField() {
 		field := t.Field(i)
@@ -309,6 +318,7 @@
 			fields[name] = field
 		}
 	}
+	fieldCache.Store(t, fields)
 	return fields
 }
 
