--- a/cmd/foxtailctl/main.go
+++ b/cmd/foxtailctl/main.go
@@ -48,8 +48,8 @@
 }
 
 // openKV opens the key-value service.
-var openKV = func(Settings) (platform.KV, error) {
-	return nil, errors.New("this build has no client of the key-value service")
+var openKV = func(s Settings) (platform.KV, error) {
+	return platform.NewClient(platform.Options{Endpoints: s.Endpoints, Prefix: s.Prefix, Timeout: s.Timeout.Std()})
 }
 
 func main() {
--- /dev/null
+++ b/cmd/foxtailstandin/demo.go
@@ -0,0 +1,192 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/urfave/cli/v3"
+
+	"github.com/foxtailpass/foxtailpass/internal/standin/site"
+)
+
+func demoCommand(logger *log.Logger) *cli.Command {
+	return &cli.Command{
+		Name:  "demo",
+		Usage: "run a whole local site in one process: two hosts, engines, plain services and the platform",
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: "once", Usage: "send a few requests, print what happened and exit"},
+			&cli.BoolFlag{Name: "verbose", Usage: "log what the hosts do"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return runDemo(ctx, logger, c.Bool("once"), c.Bool("verbose"))
+		},
+	}
+}
+
+func runDemo(ctx context.Context, logger *log.Logger, once, verbose bool) error {
+	o := site.Demo()
+	o.Log = logger
+	if !verbose {
+		o.Log = log.New(io.Discard)
+	}
+	s, err := site.Start(ctx, o)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = s.Stop() }()
+	key, _, err := s.IssueKey(ctx, "clerks")
+	if err != nil {
+		return err
+	}
+	d := &demo{site: s, key: key, addrs: s.CallerAddrs()}
+	if err := d.waitForKey(ctx); err != nil {
+		return err
+	}
+	if once {
+		return d.once(ctx)
+	}
+	d.printHelp()
+	<-ctx.Done()
+	return nil
+}
+
+// demo is a running demo site with one caller key.
+type demo struct {
+	site  *site.Site
+	key   string
+	addrs []string
+}
+
+// keyTimeout bounds the time until a new key works at all hosts.
+const keyTimeout = 5 * time.Second
+
+func (d *demo) waitForKey(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, keyTimeout)
+	defer cancel()
+	for _, addr := range d.addrs {
+		for {
+			resp, err := d.do(ctx, http.MethodGet, addr, "/v1/models", "", nil)
+			if err != nil {
+				return err
+			}
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+func (d *demo) do(ctx context.Context, method, addr, path, idempotencyKey string, body []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("demo: %w", err)
+	}
+	req.Header.Set("Authorization", "Bearer "+d.key)
+	req.Header.Set("Content-Type", "application/json")
+	if idempotencyKey != "" {
+		req.Header.Set("Idempotency-Key", idempotencyKey)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("demo: %w", err)
+	}
+	return resp, nil
+}
+
+const (
+	demoChat  = `{"model":"tab-labels","stream":true,"max_tokens":12,"messages":[{"role":"user","content":"Labels for a court binder of 12 tabs."}]}`
+	demoOrder = `{"order":"binder-17","tabs":12}`
+)
+
+func (d *demo) printHelp() {
+	fmt.Printf("A local site is running: %d hosts, %d engines, %d plain services and the platform.\n\n",
+		len(d.addrs), len(d.site.Engines), len(d.site.Services))
+	fmt.Printf("callers:   http://%s\n", strings.Join(d.addrs, "  http://"))
+	for i := range d.addrs {
+		fmt.Printf("operators: http://%s/status  http://%s/metrics\n", d.site.Host(i).OperatorAddr(), d.site.Host(i).OperatorAddr())
+	}
+	fmt.Printf("key:       %s\n\nTry:\n\n", d.key)
+	auth := fmt.Sprintf("-H 'Authorization: Bearer %s' -H 'Content-Type: application/json'", d.key)
+	fmt.Printf("curl -s http://%s/v1/models %s\n", d.addrs[0], auth)
+	fmt.Printf("curl -sN http://%s/v1/chat/completions %s -d '%s'\n", d.addrs[0], auth, demoChat)
+	fmt.Printf("curl -s http://%s/orders/new %s -H 'Idempotency-Key: order-1' -d '%s'\n", d.addrs[1%len(d.addrs)], auth, demoOrder)
+	fmt.Printf("curl -s http://%s/status/now\n\nStop with Ctrl-C.\n", d.addrs[0])
+}
+
+// once sends a cold and a warm streamed request and one order twice, and checks what came back.
+func (d *demo) once(ctx context.Context) error {
+	for i, what := range []string{"cold", "warm"} {
+		if err := d.stream(ctx, d.addrs[i%len(d.addrs)], what); err != nil {
+			return err
+		}
+	}
+	loads := 0
+	for _, e := range d.site.Engines {
+		loads += len(e.Record().LoadsOf("tab-labels"))
+	}
+	fmt.Printf("The model was loaded %d time(s).\n", loads)
+	for i := range 2 {
+		if err := d.order(ctx, d.addrs[i%len(d.addrs)]); err != nil {
+			return err
+		}
+	}
+	runs := d.site.Services[0].Runs("binder-17")
+	fmt.Printf("The order ran %d time(s).\n", runs)
+	if loads != 1 || runs != 1 {
+		return fmt.Errorf("demo: %d loads and %d runs, want one of each", loads, runs)
+	}
+	return nil
+}
+
+func (d *demo) stream(ctx context.Context, addr, what string) error {
+	began := time.Now()
+	resp, err := d.do(ctx, http.MethodPost, addr, "/v1/chat/completions", "", []byte(demoChat))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	first := make([]byte, 1)
+	if _, err := io.ReadFull(resp.Body, first); err != nil {
+		return fmt.Errorf("demo: %s request: %w", what, err)
+	}
+	firstAfter := time.Since(began)
+	rest, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return fmt.Errorf("demo: %s request: %w", what, err)
+	}
+	if resp.StatusCode != http.StatusOK || !strings.HasSuffix(string(rest), "data: [DONE]\n\n") {
+		return fmt.Errorf("demo: %s request: status %d, answer %s", what, resp.StatusCode, rest)
+	}
+	events := strings.Count(string(rest), "\n\n")
+	fmt.Printf("A %s streamed request through %s: first part after %s, %d events, whole answer after %s.\n",
+		what, addr, firstAfter.Round(time.Millisecond), events, time.Since(began).Round(time.Millisecond))
+	return nil
+}
+
+func (d *demo) order(ctx context.Context, addr string) error {
+	resp, err := d.do(ctx, http.MethodPost, addr, "/orders/new", "demo-order", []byte(demoOrder))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return fmt.Errorf("demo: order: %w", err)
+	}
+	if resp.StatusCode != http.StatusOK || !json.Valid(body) {
+		return fmt.Errorf("demo: order: status %d, answer %s", resp.StatusCode, body)
+	}
+	replayed := resp.Header.Get("X-Foxtailpass-Replayed") == "true"
+	fmt.Printf("An order through %s: status %d, replayed %t, answer %s\n", addr, resp.StatusCode, replayed, bytes.TrimSpace(body))
+	return nil
+}
--- a/cmd/foxtailstandin/main.go
+++ b/cmd/foxtailstandin/main.go
@@ -1,4 +1,4 @@
-// Command foxtailstandin runs stand-ins for the systems that foxtailpass depends on: model
+// Command foxtailstandin runs stand-ins for the systems that foxtailpass depends on: the platform, model
 // engines and plain services. It is for tests and trials only.
 //
 // Exit codes: 0 after a graceful stop, 1 on a failure while running, 2 on invalid settings.
@@ -60,9 +60,9 @@
 func newCommand(logger *log.Logger) *cli.Command {
 	return &cli.Command{
 		Name:     "foxtailstandin",
-		Usage:    "run stand-ins for model engines and plain services",
+		Usage:    "run stand-ins for the platform, model engines and plain services",
 		Version:  version(),
-		Commands: []*cli.Command{engineCommand(logger), serviceCommand(logger)},
+		Commands: []*cli.Command{platformCommand(logger), engineCommand(logger), serviceCommand(logger), demoCommand(logger)},
 	}
 }
 
--- /dev/null
+++ b/cmd/foxtailstandin/platform.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/urfave/cli/v3"
+
+	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/standin/kv"
+	"github.com/foxtailpass/foxtailpass/internal/standin/site"
+)
+
+func platformCommand(logger *log.Logger) *cli.Command {
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "run the key-value service and the platform's list of upstreams",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "addr", Value: "127.0.0.1:2379", Usage: "listen address"},
+			&cli.StringFlag{Name: "prefix", Value: "foxtailpass/", Usage: "key prefix of the installation"},
+			&cli.StringFlag{Name: "upstreams", Usage: "JSON `file` with the list of upstreams; changes are followed"},
+			&cli.DurationFlag{Name: "upstreams-lag", Usage: "time until a change of the list is visible"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return runPlatform(ctx, logger, c)
+		},
+	}
+}
+
+func runPlatform(ctx context.Context, logger *log.Logger, c *cli.Command) error {
+	ln, err := net.Listen("tcp", c.String("addr"))
+	if err != nil {
+		return fmt.Errorf("%w: %w", errSettings, err)
+	}
+	store := kv.NewStore(kv.Options{})
+	server := kv.NewServer(store)
+	go store.Run(ctx)
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(ln) }()
+	if err := followUpstreams(ctx, logger, c, ln.Addr().String()); err != nil {
+		return err
+	}
+	fmt.Printf("platform ready at %s\n", ln.Addr())
+	select {
+	case err := <-failed:
+		return fmt.Errorf("platform: %w", err)
+	case <-ctx.Done():
+	}
+	logger.Info("Stopping.")
+	return server.Close()
+}
+
+// followUpstreams writes the list through the service's own port, like any other client.
+func followUpstreams(ctx context.Context, logger *log.Logger, c *cli.Command, addr string) error {
+	file := c.String("upstreams")
+	if file == "" {
+		return nil
+	}
+	client, err := platform.NewClient(platform.Options{Endpoints: []string{addr}, Prefix: c.String("prefix"), Timeout: time.Second})
+	if err != nil {
+		return fmt.Errorf("%w: %w", errSettings, err)
+	}
+	registry := site.NewRegistry(client, c.Duration("upstreams-lag"))
+	go registry.Follow(ctx, file, func(err error) { logger.Warn("List of upstreams not followed.", "err", err) })
+	return nil
+}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -99,3 +99,16 @@
 func (SendPeer) isCommand()      {}
 func (WriteRecords) isCommand()  {}
 func (SendOrder) isCommand()     {}
+
+// String returns the log value of the outcome.
+func (o OrderOutcome) String() string {
+	switch o {
+	case OrderAccepted:
+		return "accepted"
+	case OrderRefused:
+		return "refused"
+	case OrderNotSent:
+		return "not sent"
+	}
+	return "unknown"
+}
--- a/internal/config/records.go
+++ b/internal/config/records.go
@@ -46,6 +46,12 @@
 	UpstreamLeaving = "leaving"
 )
 
+// States of a host in its registration.
+const (
+	HostLive     = "live"
+	HostStopping = "stopping"
+)
+
 // HostRecord is the registration of one host under its lease.
 type HostRecord struct {
 	ID            entity.HostID      `json:"id"`
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -22,6 +22,9 @@
 	demandInterval = time.Second
 	// demandBatch delays changed demand a little, so that a burst of requests is one message.
 	demandBatch = 2 * time.Millisecond
+	// withdrawnMemory is how long withdrawn keys are remembered here. A request that was
+	// authenticated just before the withdrawal arrives within that time.
+	withdrawnMemory = time.Minute
 )
 
 // Options configures a Core.
@@ -84,7 +87,11 @@
 	placerVersion uint64
 	demandDue     time.Time
 	demandAll     time.Time
-	out           []command.Command
+	// shared holds the workspaces that have a share record.
+	shared map[entity.WorkspaceID]bool
+	// withdrawn holds recently withdrawn keys with the time until which they are remembered.
+	withdrawn map[entity.KeyID]time.Time
+	out       []command.Command
 }
 
 // NewCore returns a Core without configuration.
@@ -99,6 +106,8 @@
 		linked:    make(map[entity.HostID]entity.Incarnation),
 		writers:   make(map[uint64]writer),
 		pools:     make(map[schedule.PoolID]uint64),
+		shared:    make(map[entity.WorkspaceID]bool),
+		withdrawn: make(map[entity.KeyID]time.Time),
 	}
 	c.scheduler = o.Scheduler(c.readyIn)
 	return c
@@ -134,7 +143,7 @@
 	case PeerLink:
 		c.peerLink(e, now)
 	case HeartbeatReceived:
-		c.throttler.HandlePeerLevels(e.From, e.Heartbeat.Levels, now)
+		c.heartbeat(e, now)
 	case Report:
 		c.report(e.Report, e.ReceivedAt, now)
 	case WriteResult:
@@ -164,6 +173,10 @@
 func (c *Core) arrived(e Arrived, now time.Time) {
 	r := &request{row: e.Request, caller: e.Caller, charge: e.Charge, claim: e.Claim}
 	c.requests[e.Request.ID] = r
+	if _, gone := c.withdrawn[e.Request.Key]; gone && e.Request.Key != "" {
+		c.refuse(e.Request.ID, withdrawnRefusal(), now)
+		return
+	}
 	if e.Charge == 0 {
 		c.admitted(r, now)
 		return
@@ -287,6 +300,11 @@
 func (c *Core) siteChanged(site *config.Site, now time.Time) {
 	c.site = site
 	c.throttler.HandleSite(site, now)
+	for ws := range site.Workspaces {
+		if !c.shared[ws] {
+			c.run(systemLimits, c.throttler.HandleRecord(ws, nil, now), now)
+		}
+	}
 	c.placer.HandleSite(site, now)
 	c.run(systemPlacement, c.scheduler.SetSite(site, now), now)
 	for kind := range c.plainKinds() {
@@ -319,8 +337,20 @@
 	c.run(systemPlacement, c.scheduler.SetTargets(schedule.PoolID{Kind: kind}, targets, now), now)
 }
 
+func withdrawnRefusal() entity.Refusal {
+	return entity.Refusal{Status: 401, Code: "key_withdrawn", Message: "The key has been withdrawn."}
+}
+
 // keysWithdrawn ends every request that came with one of the keys.
 func (c *Core) keysWithdrawn(keys map[entity.KeyID]bool, now time.Time) {
+	for key, until := range c.withdrawn {
+		if now.After(until) {
+			delete(c.withdrawn, key)
+		}
+	}
+	for key := range keys {
+		c.withdrawn[key] = now.Add(withdrawnMemory)
+	}
 	for id, r := range c.requests {
 		if r.phase == phaseScheduled || !keys[r.row.Key] {
 			continue
@@ -329,7 +359,7 @@
 		if r.phase == phaseAdmitting {
 			commands = c.throttler.Cancel(id, now)
 		}
-		c.refuse(id, entity.Refusal{Status: 401, Code: "key_withdrawn", Message: "The key has been withdrawn."}, now)
+		c.refuse(id, withdrawnRefusal(), now)
 		c.run(systemLimits, commands, now)
 	}
 	c.run(systemPlacement, c.scheduler.RefuseKeys(keys), now)
@@ -342,6 +372,7 @@
 		switch {
 		case strings.HasPrefix(ch.Key, config.LimitsPrefix):
 			ws := entity.WorkspaceID(ch.Key[len(config.LimitsPrefix):])
+			c.shared[ws] = ch.Pair != nil
 			c.run(systemLimits, c.throttler.HandleRecord(ws, ch.Pair, now), now)
 		case strings.HasPrefix(ch.Key, config.PlaceModels), strings.HasPrefix(ch.Key, config.PlaceUpstreams):
 			c.placer.HandleRecord(ch.Key, ch.Pair, now)
@@ -443,6 +474,14 @@
 	c.hostsChanged(now)
 }
 
+// heartbeat lets a host count this one as its witness, unless it has been fenced.
+func (c *Core) heartbeat(e HeartbeatReceived, now time.Time) {
+	c.throttler.HandlePeerLevels(e.From, e.Heartbeat.Levels, now)
+	if c.throttler.AnswerHeartbeat(e.Incarnation, now) {
+		e.Acknowledge()
+	}
+}
+
 func (c *Core) peerMessage(e PeerMessage, now time.Time) {
 	switch m := e.Message.(type) {
 	case *wire.LoanAsk, *wire.LoanGrant, *wire.FenceRequest, *wire.FenceGrant:
@@ -533,14 +572,20 @@
 // Levels returns the token state for heartbeats.
 func (c *Core) Levels(now time.Time) []wire.WorkspaceLevel { return c.throttler.Levels(now) }
 
-// AnswersHeartbeat says whether the incarnation may count this host as its witness.
-func (c *Core) AnswersHeartbeat(inc entity.Incarnation, now time.Time) bool {
-	return c.throttler.AnswerHeartbeat(inc, now)
-}
-
 // Released says that all shares have been given back after Stopping.
 func (c *Core) Released() bool { return c.throttler.Released() }
 
+// HasShares says whether this host holds a usable share of every workspace, so that it can admit
+// requests without asking other hosts.
+func (c *Core) HasShares(now time.Time) bool {
+	for _, a := range c.throttler.Status(now) {
+		if a.Rate > 0 && (a.Units == 0 || !a.Usable) {
+			return false
+		}
+	}
+	return true
+}
+
 // Requests returns the number of requests without a final answer.
 func (c *Core) Requests() int { return len(c.requests) }
 
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -112,8 +112,12 @@
 
 // HeartbeatReceived carries what a heartbeat says about the sender's tokens.
 type HeartbeatReceived struct {
-	From      entity.HostID
-	Heartbeat *wire.Heartbeat
+	From        entity.HostID
+	Incarnation entity.Incarnation
+	Heartbeat   *wire.Heartbeat
+	// Acknowledge lets the heartbeat be answered. It is not called for a fenced incarnation and
+	// does not block.
+	Acknowledge func()
 }
 
 // WitnessAnswered says that a peer has answered the heartbeat that was sent at SentAt.
--- /dev/null
+++ b/internal/host/operator.go
@@ -0,0 +1,74 @@
+package host
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+	"github.com/valyala/fasthttp/pprofhandler"
+
+	"github.com/foxtailpass/foxtailpass/internal/control"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+)
+
+// Status is the answer of GET /status on the operator port.
+type Status struct {
+	Host        entity.HostID      `json:"host"`
+	Incarnation entity.Incarnation `json:"incarnation"`
+	Version     string             `json:"version"`
+	Started     time.Time          `json:"started"`
+	// State is "starting", "ready" or "stopping".
+	State string `json:"state"`
+	// ConfigRevision is the configuration revision in force at this host.
+	ConfigRevision int64 `json:"config_revision"`
+	// FailedRevision is a revision that this host could not put in force, zero if none.
+	FailedRevision int64 `json:"failed_revision,omitempty"`
+	// ViewRevision is the store revision up to which this host has seen changes, and
+	// ViewAgeMillis how long ago it was confirmed to be the newest; -1 means never.
+	ViewRevision     int64          `json:"view_revision"`
+	ViewAgeMillis    int64          `json:"view_age_ms"`
+	Fresh            bool           `json:"fresh"`
+	ServiceReachable bool           `json:"service_reachable"`
+	ActiveRequests   int64          `json:"active_requests"`
+	Control          control.Status `json:"control"`
+}
+
+// operatorTimeout bounds reading a request on the operator port.
+const operatorTimeout = 10 * time.Second
+
+// newOperatorServer serves metrics, health, status and profiles to operators.
+func newOperatorServer(h *Host) *fasthttp.Server {
+	r := router.New()
+	r.GET("/metrics", fasthttpadaptor.NewFastHTTPHandler(h.metrics.Handler()))
+	r.GET("/healthz", func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("ok\n") })
+	r.GET("/readyz", h.serveReady)
+	r.GET("/status", h.serveStatus)
+	r.GET("/debug/pprof/{name:*}", pprofhandler.PprofHandler)
+	return &fasthttp.Server{
+		Handler:               r.Handler,
+		Name:                  "foxtailpass operator",
+		NoDefaultServerHeader: true,
+		ReadTimeout:           operatorTimeout,
+	}
+}
+
+// serveReady tells the balancer whether to send callers here.
+func (h *Host) serveReady(ctx *fasthttp.RequestCtx) {
+	ok, reason := h.ready()
+	if !ok {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+	ctx.SetBodyString(reason + "\n")
+}
+
+func (h *Host) serveStatus(ctx *fasthttp.RequestCtx) {
+	body, err := json.MarshalIndent(h.Status(), "", "  ")
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(append(body, '\n'))
+}
--- a/internal/host/settings.go
+++ b/internal/host/settings.go
@@ -7,7 +7,7 @@
 	"github.com/foxtailpass/foxtailpass/internal/settings"
 )
 
-// Settings is the JSON settings file of a host.
+// Settings is the JSON settings file of a host. The bounds of durations are in nanoseconds.
 type Settings struct {
 	// Host names this host; it is unique in the installation and survives restarts.
 	Host entity.HostID `json:"host" validate:"required"`
@@ -25,14 +25,14 @@
 	// Platform tells how to reach the key-value service.
 	Platform PlatformSettings `json:"platform"`
 	// LeaseTTL is how long the registration of a dead host lasts. Default 5s.
-	LeaseTTL settings.Duration `json:"lease_ttl" default:"\"5s\"" validate:"gte=1s,lte=60s"`
+	LeaseTTL settings.Duration `json:"lease_ttl" default:"\"5s\"" validate:"gte=1000000000,lte=60000000000"`
 	// StopLag is how long a stopping host goes on accepting requests after its readiness fails:
 	// the time that the balancer takes to notice. Default 5s.
-	StopLag settings.Duration `json:"stop_lag" default:"\"5s\"" validate:"gte=0s,lte=300s"`
+	StopLag settings.Duration `json:"stop_lag" default:"\"5s\"" validate:"gte=0,lte=300000000000"`
 	// StopLimit bounds the whole graceful shutdown. Default 1h.
-	StopLimit settings.Duration `json:"stop_limit" default:"\"1h\"" validate:"gte=1s,lte=24h"`
+	StopLimit settings.Duration `json:"stop_limit" default:"\"1h\"" validate:"gte=1000000000,lte=86400000000000"`
 	// ReportInterval is the time between two reads of an engine's load. Default 100ms.
-	ReportInterval settings.Duration `json:"report_interval" default:"\"100ms\"" validate:"gte=10ms,lte=10s"`
+	ReportInterval settings.Duration `json:"report_interval" default:"\"100ms\"" validate:"gte=10000000,lte=10000000000"`
 	// MaxConnections bounds the connections of callers. Default 20000.
 	MaxConnections int `json:"max_connections" default:"20000" validate:"gte=1"`
 	// Policies selects baselines for measurements; production uses the defaults.
@@ -48,7 +48,7 @@
 	// Prefix is the part of the key space that belongs to this installation. Default "foxtailpass/".
 	Prefix string `json:"prefix" default:"\"foxtailpass/\"" validate:"required,endswith=/"`
 	// Timeout bounds one call. Default 1s.
-	Timeout settings.Duration `json:"timeout" default:"\"1s\"" validate:"gte=10ms,lte=60s"`
+	Timeout settings.Duration `json:"timeout" default:"\"1s\"" validate:"gte=10000000,lte=60000000000"`
 }
 
 // PolicySettings selects decision policies.
--- /dev/null
+++ b/internal/host/wiring.go
@@ -0,0 +1,180 @@
+package host
+
+import (
+	"fmt"
+	"go.uber.org/dig"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/foxtailpass/foxtailpass/internal/claims"
+	"github.com/foxtailpass/foxtailpass/internal/control"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/gateway"
+	"github.com/foxtailpass/foxtailpass/internal/limits"
+	"github.com/foxtailpass/foxtailpass/internal/metrics"
+	"github.com/foxtailpass/foxtailpass/internal/peer"
+	"github.com/foxtailpass/foxtailpass/internal/placement"
+	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/schedule"
+	"github.com/foxtailpass/foxtailpass/internal/upstream"
+	"github.com/foxtailpass/foxtailpass/internal/view"
+	"github.com/foxtailpass/foxtailpass/internal/wire"
+)
+
+// providers returns the constructors of all parts. Logs of each part have its prefix.
+func (h *Host) providers(s Settings, l *log.Logger, version string) []any {
+	return []any{
+		func() identity { return identity{host: s.Host, incarnation: entity.NewIncarnation()} },
+		func() *bus { return &bus{} },
+		metrics.New,
+		upstream.NewClient,
+		newHostTable,
+		func() (*platform.Client, error) {
+			return platform.NewClient(platform.Options{
+				Endpoints: s.Platform.Endpoints,
+				Prefix:    s.Platform.Prefix,
+				Timeout:   s.Platform.Timeout.Std(),
+			})
+		},
+		func(id identity, kv *platform.Client) *view.Manager {
+			return view.NewManager(view.Options{
+				KV:       kv,
+				Self:     id.incarnation,
+				OnChange: h.viewChanged,
+				Logger:   l.WithPrefix("view"),
+			})
+		},
+		func(id identity, b *bus, v *view.Manager) *heartbeats {
+			return newHeartbeats(id.incarnation, v, b.Send)
+		},
+		func(id identity, b *bus, beats *heartbeats) (*peer.Manager, error) {
+			return peer.NewManager(peer.Options{
+				Self:      wire.Hello{Host: id.host, Incarnation: id.incarnation, Prefix: s.Platform.Prefix, Build: version},
+				Listen:    s.PeerAddr,
+				Handler:   h.handlePeer,
+				Heartbeat: beats.compose,
+				OnUp: func(host entity.HostID, inc entity.Incarnation) {
+					b.Send(control.PeerLink{Host: host, Incarnation: inc, Up: true})
+				},
+				OnDown: func(host entity.HostID, inc entity.Incarnation) {
+					b.Send(control.PeerLink{Host: host, Incarnation: inc})
+				},
+				Logger: l.WithPrefix("peer"),
+			})
+		},
+		func(id identity, b *bus, kv *platform.Client) *claims.Store {
+			return claims.NewStore(claims.Options{KV: kv, Alive: h.alive})
+		},
+		func(id identity, b *bus, c *upstream.Client, st *claims.Store, m *metrics.Metrics, v *view.Manager) *gateway.Gateway {
+			return gateway.New(gateway.Options{
+				Control:        b,
+				Upstreams:      c,
+				Claims:         st,
+				Fresh:          func() bool { return v.Fresh(time.Now()) },
+				Metrics:        m,
+				Log:            l.WithPrefix("gateway"),
+				Host:           id.host,
+				Incarnation:    id.incarnation,
+				MaxConnections: s.MaxConnections,
+			})
+		},
+		func(b *bus, kv *platform.Client, p *peer.Manager, g *gateway.Gateway) (*siteWatcher, error) {
+			return newSiteWatcher(s.Site, kv, p, g, l.WithPrefix("config"), b.Send)
+		},
+		func(id identity, b *bus, c *upstream.Client, p *peer.Manager) *reporter {
+			return newReporter(id.host, s.ReportInterval.Std(), c, p, b.Send)
+		},
+		func(id identity) *control.Core { return newCore(s, id, l.WithPrefix("control")) },
+	}
+}
+
+// newCore builds the control state with the chosen policies.
+func newCore(s Settings, id identity, l *log.Logger) *control.Core {
+	return control.NewCore(control.Options{
+		Self: id.host,
+		Throttler: limits.New(limits.Options{
+			Self:        id.host,
+			Incarnation: id.incarnation,
+			Addr:        s.PeerAddr,
+			Rand:        seeded(),
+			Policy:      limits.Policy(s.Policies.Limits),
+		}),
+		Scheduler: func(readyIn func(schedule.PoolID, time.Time) (time.Duration, bool)) *schedule.Scheduler {
+			return schedule.New(schedule.Options{
+				Queue:    schedule.QueuePolicy(s.Policies.Queue),
+				Selector: selector(s.Policies.Replica),
+				Rand:     seeded(),
+				ReadyIn:  readyIn,
+			})
+		},
+		Placer: placement.New(placement.Options{
+			Self:        id.host,
+			Incarnation: id.incarnation,
+			Domain:      s.FailureDomain,
+			Rand:        seeded(),
+			Policy: placement.Policy{
+				RandomUpstream: s.Policies.Placement == "random",
+				FIFOLoads:      s.Policies.Placement == "fifo",
+				NeverUnload:    s.Policies.Placement == "keep",
+			},
+		}),
+		OnInvalidRecord: func(key string, err error) { l.Error("Record cannot be read.", "key", key, "err", err) },
+	})
+}
+
+func selector(name string) schedule.Selector {
+	if name == "random" {
+		return schedule.Random{}
+	}
+	return schedule.PowerOfTwo{}
+}
+
+// parts is everything that the host keeps.
+type parts struct {
+	dig.In
+
+	Identity  identity
+	Bus       *bus
+	KV        *platform.Client
+	Metrics   *metrics.Metrics
+	Upstreams *upstream.Client
+	Peers     *peer.Manager
+	View      *view.Manager
+	Core      *control.Core
+	Gateway   *gateway.Gateway
+	Sites     *siteWatcher
+	Reporter  *reporter
+	Beats     *heartbeats
+	Hosts     *hostTable
+}
+
+// assemble keeps the parts and closes the circle between the control loop and the parts that
+// send events to it.
+func (h *Host) assemble(p parts) error {
+	h.identity = p.Identity
+	h.kv = p.KV
+	h.metrics = p.Metrics
+	h.upstreams = p.Upstreams
+	h.peers = p.Peers
+	h.view = p.View
+	h.gateway = p.Gateway
+	h.sites = p.Sites
+	h.reporter = p.Reporter
+	h.beats = p.Beats
+	h.hosts = p.Hosts
+	h.loop = control.NewLoop(p.Core, &effects{
+		kv:        p.KV,
+		peers:     p.Peers,
+		upstreams: p.Upstreams,
+		log:       h.log.WithPrefix("control"),
+		send:      p.Bus.Send,
+	})
+	p.Bus.loop.Store(h.loop)
+	h.registrar = newRegistrar(p.KV, h.hostRecord(), h.settings.LeaseTTL.Std(), h.log.WithPrefix("lease"), p.Bus.Send)
+	h.operator = newOperatorServer(h)
+	if err := h.registerMetrics(); err != nil {
+		return fmt.Errorf("metrics: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/schedule/schedule_test.go
@@ -0,0 +1,360 @@
+package schedule
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/foxtailpass/foxtailpass/internal/command"
+	"github.com/foxtailpass/foxtailpass/internal/config"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/wire"
+)
+
+var (
+	start    = time.Unix(1000, 0)
+	testPool = PoolID{Model: "m"}
+)
+
+func site() *config.Site {
+	return &config.Site{Document: config.Document{
+		Models:     map[entity.ModelID]config.Model{"m": {Slots: 2}},
+		Workspaces: map[entity.WorkspaceID]config.Workspace{"a": {Weight: 1}, "b": {Weight: 1}},
+		Limits:     config.Limits{QueueRequests: 100, QueueBytes: 1 << 20, RetryRatio: 0.2, MaxAttempts: 3},
+	}}
+}
+
+func newScheduler(t testing.TB, o Options) *Scheduler {
+	t.Helper()
+	o.Rand = rand.New(rand.NewPCG(1, 2))
+	s := New(o)
+	s.SetSite(site(), start)
+	return s
+}
+
+func request(id string, ws entity.WorkspaceID, class entity.Class, deadline time.Duration) *Request {
+	return &Request{
+		ID: entity.RequestID(id), Workspace: ws, Key: entity.KeyID("key-" + ws), Pool: testPool, Class: class,
+		Arrived: start, Deadline: start.Add(deadline), Tokens: 10, Bytes: 100, Idempotent: true,
+	}
+}
+
+func dispatched(cmds []command.Command) []entity.RequestID {
+	var out []entity.RequestID
+	for _, c := range cmds {
+		if d, ok := c.(command.Dispatch); ok {
+			out = append(out, d.Request)
+		}
+	}
+	return out
+}
+
+func refusals(cmds []command.Command) map[entity.RequestID]entity.Refusal {
+	out := make(map[entity.RequestID]entity.Refusal)
+	for _, c := range cmds {
+		switch c := c.(type) {
+		case command.Refuse:
+			out[c.Request] = c.Refusal
+		case command.CancelAttempt:
+			out[c.Request] = c.Refusal
+		}
+	}
+	return out
+}
+
+// A refusal must say not-run only when that is proven, and work that must not repeat must not
+// be dispatched again after an attempt that may have run.
+func TestRetryDecision(t *testing.T) {
+	cases := []struct {
+		name       string
+		idempotent bool
+		result     AttemptResult
+		retried    bool
+		code       string
+		ran        entity.Ran
+	}{
+		{"not run is repeated", false, AttemptResult{Outcome: entity.AttemptNotRun, Unreachable: true}, true, "", 0},
+		{"unknown is repeated if idempotent", true, AttemptResult{Outcome: entity.AttemptUnknown}, true, "", 0},
+		{"failed is repeated if idempotent", true, AttemptResult{Outcome: entity.AttemptFailed}, true, "", 0},
+		{"unknown is final if not idempotent", false, AttemptResult{Outcome: entity.AttemptUnknown}, false, "outcome_unknown", entity.RanUnknown},
+		{"failed is final if not idempotent", false, AttemptResult{Outcome: entity.AttemptFailed}, false, "outcome_unknown", entity.RanUnknown},
+		{"started stream is not repeated", true, AttemptResult{Outcome: entity.AttemptUnknown, Started: true}, false, "stream_broken", entity.RanUnknown},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newScheduler(t, Options{})
+			s.SetTargets(testPool, []Target{{"u1", 2}, {"u2", 2}}, start)
+			r := request("r", "a", entity.Interactive, time.Minute)
+			r.Idempotent = tc.idempotent
+			if got := dispatched(s.Enqueue(r, start)); len(got) != 1 {
+				t.Fatalf("dispatched %v, want one request", got)
+			}
+			tc.result.Request = "r"
+			cmds := s.AttemptEnded(tc.result, start)
+			if got := len(dispatched(cmds)) == 1; got != tc.retried {
+				t.Fatalf("retried = %v, want %v (%v)", got, tc.retried, cmds)
+			}
+			if ref, ok := refusals(cmds)["r"]; ok == tc.retried || ref.Code != tc.code || ref.Ran != tc.ran {
+				t.Fatalf("refusal = %+v, %v", ref, ok)
+			}
+		})
+	}
+}
+
+// A request must keep "may have run" through a later attempt that was not run.
+func TestRefusalRemembersEarlierAttempt(t *testing.T) {
+	s := newScheduler(t, Options{})
+	s.SetTargets(testPool, []Target{{"u1", 1}}, start)
+	s.Enqueue(request("r", "a", entity.Interactive, time.Second), start)
+	s.SetTargets(testPool, nil, start)
+	s.AttemptEnded(AttemptResult{Request: "r", Outcome: entity.AttemptUnknown}, start)
+	ref := refusals(s.Tick(start.Add(2 * time.Second)))["r"]
+	if ref.Code != "deadline_exceeded" || ref.Ran != entity.RanUnknown {
+		t.Fatalf("refusal = %+v, want deadline_exceeded with unknown", ref)
+	}
+}
+
+// Requests that cannot be served in time must be refused at once, not at their deadline.
+func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
+	ready := 5 * time.Second
+	s := newScheduler(t, Options{ReadyIn: func(PoolID, time.Time) (time.Duration, bool) { return ready, true }})
+	ref := refusals(s.Enqueue(request("late", "a", entity.Interactive, time.Second), start))["late"]
+	if ref.Code != "not_ready_in_time" || ref.Ran != entity.NotRun || ref.RetryAfter != ready {
+		t.Fatalf("refusal = %+v", ref)
+	}
+	if cmds := s.Enqueue(request("ok", "a", entity.Interactive, 10*time.Second), start); len(cmds) != 0 {
+		t.Fatalf("commands = %v, want the request queued", cmds)
+	}
+	ready = time.Minute
+	if ref := refusals(s.Tick(start.Add(time.Second)))["ok"]; ref.Code != "not_ready_in_time" {
+		t.Fatalf("refusal = %+v, want not_ready_in_time once the estimate has grown", ref)
+	}
+}
+
+// One workspace with a long queue must not delay another that sends a little.
+func TestFairQueueing(t *testing.T) {
+	for _, policy := range []QueuePolicy{FairQueue, FIFOQueue} {
+		s := newScheduler(t, Options{Queue: policy})
+		for i := range 50 {
+			r := request(fmt.Sprintf("a%02d", i), "a", entity.Interactive, time.Minute)
+			r.Arrived = start.Add(time.Duration(i))
+			s.Enqueue(r, start)
+		}
+		r := request("b", "b", entity.Interactive, time.Minute)
+		r.Arrived = start.Add(time.Second)
+		s.Enqueue(r, start)
+		order := dispatched(s.SetTargets(testPool, []Target{{"u", 1}}, start))
+		for len(order) < 51 {
+			order = append(order, dispatched(s.AttemptEnded(AttemptResult{Request: order[len(order)-1], Outcome: entity.Completed}, start))...)
+			if len(order) > 1 && len(order) < 51 {
+				order = append(order, dispatched(s.AttemptEnded(AttemptResult{Request: order[len(order)-2], Outcome: entity.Completed}, start))...)
+			}
+		}
+		at := 0
+		for i, id := range order {
+			if id == "b" {
+				at = i
+			}
+		}
+		if fair := at <= 3; fair != (policy == FairQueue) {
+			t.Errorf("%s: the other workspace's request ran as number %d", policy, at)
+		}
+	}
+}
+
+// Patient work must neither delay interactive work nor starve behind it.
+func TestPatientWork(t *testing.T) {
+	s := newScheduler(t, Options{})
+	s.Enqueue(request("patient", "a", entity.Patient, time.Minute), start)
+	s.Enqueue(request("i1", "a", entity.Interactive, 2*time.Minute), start)
+	s.Enqueue(request("i2", "b", entity.Interactive, 2*time.Minute), start)
+	s.Enqueue(request("i3", "b", entity.Interactive, 2*time.Minute), start)
+	got := dispatched(s.SetTargets(testPool, []Target{{"u", 2}}, start))
+	for _, id := range got {
+		if id == "patient" {
+			t.Fatalf("dispatched %v: patient work ran before interactive work", got)
+		}
+	}
+	s.Enqueue(request("i4", "b", entity.Interactive, 2*time.Minute), start)
+	s.Enqueue(request("i5", "b", entity.Interactive, 2*time.Minute), start)
+	late := start.Add(40 * time.Second)
+	var next []entity.RequestID
+	for _, id := range got {
+		next = append(next, dispatched(s.AttemptEnded(AttemptResult{Request: id, Outcome: entity.Completed}, late))...)
+	}
+	for _, id := range next {
+		if id == "patient" {
+			return
+		}
+	}
+	t.Fatalf("dispatched %v: patient work that waited long did not run", next)
+}
+
+// A withdrawn key must end queued and running requests, and no others.
+func TestRefuseKeys(t *testing.T) {
+	s := newScheduler(t, Options{})
+	s.SetTargets(testPool, []Target{{"u", 1}}, start)
+	for _, ws := range []entity.WorkspaceID{"a", "b"} {
+		for i := range 3 {
+			s.Enqueue(request(fmt.Sprintf("%s%d", ws, i), ws, entity.Interactive, time.Minute), start)
+		}
+	}
+	got := refusals(s.RefuseKeys(map[entity.KeyID]bool{"key-a": true}))
+	if len(got) != 3 {
+		t.Fatalf("refused %v, want the three requests of the key", got)
+	}
+	for id, ref := range got {
+		running := id == "a0" || id == "a1"
+		if ref.Status != 401 || (ref.Ran == entity.RanUnknown) != running {
+			t.Errorf("%s: refusal %+v", id, ref)
+		}
+	}
+}
+
+// Many hosts with the same lagging report must not all count the same foreign load for ever.
+func TestReportDecays(t *testing.T) {
+	s := newScheduler(t, Options{})
+	s.SetTargets(testPool, []Target{{"u", 2}}, start)
+	s.HandleReport(&wire.UpstreamReport{Upstream: "u", Running: 8}, start)
+	if got := dispatched(s.Enqueue(request("r", "a", entity.Interactive, time.Minute), start)); len(got) != 0 {
+		t.Fatalf("dispatched %v to a full upstream", got)
+	}
+	if got := dispatched(s.Tick(start.Add(2 * time.Second))); len(got) != 1 {
+		t.Fatal("not dispatched although the report is old")
+	}
+}
+
+// Every request must get exactly one end whatever happens, slots must not leak, and work that
+// must not repeat must not be dispatched after an attempt that may have run.
+func TestEveryRequestEndsOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := newMachine(rt)
+		steps := rapid.IntRange(1, 150).Draw(rt, "steps")
+		for range steps {
+			m.step()
+		}
+		m.finish()
+	})
+}
+
+type machine struct {
+	t       *rapid.T
+	s       *Scheduler
+	now     time.Time
+	next    int
+	open    map[entity.RequestID]*Request
+	running map[entity.RequestID]bool
+	unsafe  map[entity.RequestID]bool
+}
+
+func newMachine(t *rapid.T) *machine {
+	s := New(Options{Rand: rand.New(rand.NewPCG(3, 4))})
+	s.SetSite(site(), start)
+	return &machine{t: t, s: s, now: start, open: map[entity.RequestID]*Request{}, running: map[entity.RequestID]bool{}, unsafe: map[entity.RequestID]bool{}}
+}
+
+func (m *machine) step() {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 500).Draw(m.t, "ms")) * time.Millisecond)
+	switch rapid.IntRange(0, 6).Draw(m.t, "action") {
+	case 0, 1:
+		m.arrive()
+	case 2, 3:
+		m.end()
+	case 4:
+		var targets []Target
+		for i := range rapid.IntRange(0, 3).Draw(m.t, "targets") {
+			targets = append(targets, Target{entity.UpstreamID(fmt.Sprint("u", i)), 2})
+		}
+		m.take(m.s.SetTargets(testPool, targets, m.now))
+	case 5:
+		m.take(m.s.RefuseKeys(map[entity.KeyID]bool{"key-a": true}))
+	case 6:
+		m.take(m.s.Tick(m.now))
+	}
+}
+
+func (m *machine) arrive() {
+	m.next++
+	ws := entity.WorkspaceID(rapid.SampledFrom([]string{"a", "b"}).Draw(m.t, "ws"))
+	r := request(fmt.Sprint("r", m.next), ws, entity.Class(rapid.IntRange(0, 1).Draw(m.t, "class")), 0)
+	r.Arrived = m.now
+	r.Deadline = m.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(m.t, "deadline")) * time.Millisecond)
+	r.Idempotent = rapid.Bool().Draw(m.t, "idempotent")
+	m.open[r.ID] = r
+	m.take(m.s.Enqueue(r, m.now))
+}
+
+func (m *machine) end() {
+	for id := range m.running {
+		res := AttemptResult{Request: id, Outcome: entity.Outcome(rapid.IntRange(0, 4).Draw(m.t, "outcome"))}
+		m.endAs(res)
+		return
+	}
+}
+
+func (m *machine) endAs(res AttemptResult) {
+	r := m.open[res.Request]
+	delete(m.running, res.Request)
+	switch res.Outcome {
+	case entity.Completed, entity.Canceled:
+		delete(m.open, res.Request)
+	case entity.AttemptFailed, entity.AttemptUnknown:
+		m.unsafe[res.Request] = r != nil && !r.Idempotent
+	}
+	m.take(m.s.AttemptEnded(res, m.now))
+}
+
+func (m *machine) take(cmds []command.Command) {
+	for _, c := range cmds {
+		switch c := c.(type) {
+		case command.Dispatch:
+			if m.unsafe[c.Request] {
+				m.t.Fatalf("%s was dispatched again after it may have run", c.Request)
+			}
+			if m.open[c.Request] == nil || m.running[c.Request] {
+				m.t.Fatalf("%s was dispatched after its end or twice", c.Request)
+			}
+			m.running[c.Request] = true
+		case command.Refuse:
+			if m.open[c.Request] == nil || m.running[c.Request] {
+				m.t.Fatalf("%s was refused after its end or while running", c.Request)
+			}
+			delete(m.open, c.Request)
+		case command.CancelAttempt:
+			if !m.running[c.Request] {
+				m.t.Fatalf("%s was canceled but does not run", c.Request)
+			}
+			delete(m.running, c.Request)
+			delete(m.open, c.Request)
+			defer m.take(m.s.AttemptEnded(AttemptResult{Request: c.Request, Outcome: entity.Canceled}, m.now))
+		}
+	}
+}
+
+func (m *machine) finish() {
+	for len(m.running) > 0 {
+		for id := range m.running {
+			m.endAs(AttemptResult{Request: id, Outcome: entity.Completed})
+			break
+		}
+	}
+	m.now = m.now.Add(time.Hour)
+	m.take(m.s.Tick(m.now))
+	for len(m.running) > 0 {
+		for id := range m.running {
+			m.endAs(AttemptResult{Request: id, Outcome: entity.Completed})
+			break
+		}
+	}
+	if len(m.open) != 0 || m.s.Requests() != 0 || m.s.queuedCount != 0 || m.s.queuedBytes != 0 {
+		m.t.Fatalf("open %d, table %d, queued %d, bytes %d at the end", len(m.open), m.s.Requests(), m.s.queuedCount, m.s.queuedBytes)
+	}
+	for _, u := range m.s.upstreams {
+		if u.inflight != 0 {
+			m.t.Fatalf("upstream %s has %d requests in flight at the end", u.id, u.inflight)
+		}
+	}
+}
