--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -80,6 +80,9 @@
 // ViewRequest asks for all changes after a revision.
 type ViewRequest struct {
 	Since int64 `msgpack:"s"`
+	// ID is repeated in the ViewDelta that answers the request, so that the requester can bound
+	// the age of the answer by the time at which it sent the request.
+	ID uint64 `msgpack:"i"`
 }
 
 // ViewDelta carries changes of the watched prefix.
@@ -90,6 +93,10 @@
 	ClusterID uint64        `msgpack:"c"`
 	Changes   []ViewChange  `msgpack:"e"`
 	Age       time.Duration `msgpack:"a"`
+	// Puts is at least Revision: deletions are included up to Revision and puts up to Puts.
+	Puts int64 `msgpack:"p"`
+	// Request is the ID of the request that this delta answers.
+	Request uint64 `msgpack:"q"`
 }
 
 // ViewChange is one key of a ViewDelta.
