--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -97,10 +97,14 @@
 // adoptActive keeps the replicas that a former decider left until all hosts have had time to send
 // their demand to this one.
 func (p *Placer) adoptActive(m *model, c *replicaCount) {
-	if m.cfg == nil || len(c.active) <= m.want || p.now.After(p.decidesSince.Add(demandTTL)) {
+	if m.cfg == nil || p.now.After(p.decidesSince.Add(demandTTL)) {
 		return
 	}
-	m.want = len(c.active)
+	keep := min(len(c.active), m.cfg.MaxReplicas)
+	if keep <= m.want {
+		return
+	}
+	m.want = keep
 	m.lastHigh = p.now
 	m.lastBusy = p.now
 	p.wakeModel(p.now.Add(p.hold()), m.id)
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -576,6 +576,10 @@
 	if !u.isNewer(&r, stateTime) {
 		return
 	}
+	if u.report != nil && u.report.Boot == r.Boot {
+		// A delayed report of the same sequence number must not revoke the leaving state.
+		r.Leaving = r.Leaving || u.report.Leaving
+	}
 	if u.report != nil && u.report.Boot != r.Boot {
 		u.boots = append(u.boots, u.report.Boot)
 		u.boots = u.boots[max(0, len(u.boots)-keptBoots):]
--- /dev/null
+++ b/internal/placement/property_test.go
@@ -0,0 +1,162 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/wire"
+)
+
+// fault applies one fault to the simulation; arg picks the host, engine or duration.
+type fault struct {
+	name  string
+	apply func(s *sim, arg int)
+}
+
+func (s *sim) host(arg int) *simHost { return s.hosts[arg%len(s.hosts)] }
+
+var faults = []fault{
+	{"none", func(s *sim, arg int) {}},
+	{"demand", (*sim).changeDemand},
+	{"demand", (*sim).changeDemand},
+	{"demand", (*sim).changeDemand},
+	{"running", func(s *sim, arg int) { s.engines[arg%len(s.engines)].running[modelName(arg%5)] = arg % 3 }},
+	{"kill", func(s *sim, arg int) {
+		if h := s.host(arg); h.up {
+			h.kill()
+		}
+	}},
+	{"restart", func(s *sim, arg int) {
+		if h := s.host(arg); !h.up {
+			h.start(Policy{})
+		}
+	}},
+	{"gone", func(s *sim, arg int) {
+		h := s.host(arg)
+		if h.up {
+			return
+		}
+		inc := h.rec.Incarnation
+		s.log = append(s.log, func(to *simHost) { to.p.HandleGone(h.rec.ID, inc, s.now) })
+	}},
+	{"pause", func(s *sim, arg int) {
+		h := s.host(arg)
+		h.paused = true
+		s.after(time.Duration(arg)*20*time.Millisecond, func() { h.paused = false })
+	}},
+	{"freeze view", func(s *sim, arg int) { s.host(arg).frozen = true }},
+	{"partition", func(s *sim, arg int) {
+		s.host(arg).cut = true
+		s.publishHosts()
+	}},
+	{"heal", func(s *sim, arg int) {
+		s.host(arg).frozen, s.host(arg).cut = false, false
+		s.publishHosts()
+	}},
+	{"store down", func(s *sim, arg int) {
+		s.down = true
+		s.after(time.Duration(arg)*20*time.Millisecond, func() { s.down = false })
+	}},
+	{"engine restart", func(s *sim, arg int) { s.engines[arg%len(s.engines)].restart() }},
+	{"leave", func(s *sim, arg int) {
+		left := 0
+		for _, e := range s.engines {
+			if e.leaving {
+				left++
+			}
+		}
+		if e := s.engines[arg%len(s.engines)]; !e.leaving && left < 2 {
+			e.leave(time.Duration(5+arg/50) * time.Second)
+		}
+	}},
+}
+
+func (s *sim) changeDemand(arg int) {
+	h := s.host(arg)
+	h.demand = nil
+	for i := range 5 {
+		d := wire.ModelDemand{Model: modelName(i), OldestDeadline: 20 * time.Second}
+		switch s.rng.IntN(5) {
+		case 0:
+			d.WaitingInteractive = s.rng.IntN(6)
+		case 1:
+			d.WaitingPatient = s.rng.IntN(12)
+		case 2:
+			d.Running = s.rng.IntN(4)
+			d.Adapter = entity.AdapterID([]string{"", "a0", "a1", "a2"}[s.rng.IntN(4)])
+		}
+		h.demand = append(h.demand, d)
+	}
+}
+
+// heal ends all faults and gives every host a fixed demand.
+func (s *sim) heal() {
+	s.faulty = false
+	s.down = false
+	for i, h := range s.hosts {
+		if !h.up {
+			h.start(Policy{})
+		}
+		h.frozen, h.cut, h.paused = false, false, false
+		h.demand = nil
+		for m := range 5 {
+			d := wire.ModelDemand{Model: modelName(m)}
+			if m < 2 {
+				d.WaitingInteractive = 2
+				d.OldestDeadline = time.Minute
+			}
+			h.demand = append(h.demand, d)
+		}
+		if i == 0 {
+			h.demand = append(h.demand, wire.ModelDemand{Model: "m0", Adapter: "a0", WaitingInteractive: 1, OldestDeadline: time.Minute})
+		}
+	}
+	s.publishHosts()
+}
+
+// TestSafetyUnderFaults guards against more replicas than decided, overcommitted memory, and
+// demand without replicas after the faults ended.
+func TestSafetyUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		site := testSite(5, 1500)
+		site.Placement.IdleMillis = 8000
+		site.Placement.HoldMillis = 2000
+		s := newSim(rapid.Uint64().Draw(t, "seed"), site)
+		for range rapid.IntRange(2, 4).Draw(t, "hosts") {
+			s.addHost(Policy{})
+		}
+		for i := range 6 {
+			s.addEngine(engineRecord(i, 40, rapid.Bool().Draw(t, "checks fence")))
+		}
+		s.faulty = true
+		for range rapid.IntRange(5, 30).Draw(t, "actions") {
+			f := rapid.SampledFrom(faults).Draw(t, "fault")
+			arg := rapid.IntRange(0, 500).Draw(t, "arg")
+			f.apply(s, arg)
+			s.run(t, rapid.IntRange(1, 150).Draw(t, "steps"))
+		}
+		s.heal()
+		s.run(t, 3000)
+		for m := range 2 {
+			want := min(3, (2*len(s.hosts)+3)/4)
+			if got := s.ready(modelName(m), ""); got < want {
+				t.Fatalf("%s has %d ready replicas at the end, want %d\n%s", modelName(m), got, want, s.dump())
+			}
+		}
+		if s.ready("m0", "a0") == 0 {
+			t.Fatalf("adapter a0 of m0 is not ready at the end\n%s", s.dump())
+		}
+	})
+}
+
+func (s *sim) run(t *rapid.T, steps int) {
+	for range steps {
+		s.step()
+		if err := s.check(); err != nil {
+			t.Fatalf("%v\n%s", err, s.dump())
+		}
+	}
+}
--- a/internal/placement/sim_test.go
+++ b/internal/placement/sim_test.go
@@ -27,6 +27,7 @@
 	hosts   []*simHost
 	engines []*simEngine
 	events  []event
+	decoded map[string]decoded
 	faulty  bool
 	// maxLoads is the largest number of loads that ran at the weight store at the same time.
 	maxLoads int
@@ -34,6 +35,11 @@
 	loads map[entity.ModelID]int
 }
 
+type decoded struct {
+	rev   int64
+	value any
+}
+
 type event struct {
 	at time.Time
 	fn func()
@@ -82,6 +88,8 @@
 		site:  site,
 		store: map[string]platform.Pair{},
 		loads: map[entity.ModelID]int{},
+
+		decoded: map[string]decoded{},
 	}
 }
 
@@ -453,10 +461,7 @@
 		if used > e.rec.MemoryBytes {
 			return fmt.Errorf("%s uses %d of %d bytes", e.rec.ID, used, e.rec.MemoryBytes)
 		}
-		var place UpstreamPlacement
-		if pair, ok := s.store[config.PlaceUpstreams+string(e.rec.ID)]; ok {
-			_ = json.Unmarshal(pair.Value, &place)
-		}
+		place := read[UpstreamPlacement](s, config.PlaceUpstreams+string(e.rec.ID))
 		if place.UsedBytes() > e.rec.MemoryBytes {
 			return fmt.Errorf("the record of %s reserves %d of %d bytes", e.rec.ID, place.UsedBytes(), e.rec.MemoryBytes)
 		}
@@ -468,10 +473,7 @@
 		}
 	}
 	for id := range s.site.Models {
-		var rec ModelRecord
-		if pair, ok := s.store[config.PlaceModels+string(id)]; ok {
-			_ = json.Unmarshal(pair.Value, &rec)
-		}
+		rec := read[ModelRecord](s, config.PlaceModels+string(id))
 		if replicas[id] > rec.Decided || len(rec.Replicas) > rec.Decided {
 			return fmt.Errorf("%s has %d replicas on engines and %d in the record, decided are %d", id, replicas[id], len(rec.Replicas), rec.Decided)
 		}
@@ -482,6 +484,22 @@
 	return nil
 }
 
+// read decodes a record and keeps the result until the record changes.
+func read[T any](s *sim, key string) *T {
+	pair := s.store[key]
+	if d, ok := s.decoded[key]; ok && d.rev == pair.ModRevision {
+		return d.value.(*T)
+	}
+	value := new(T)
+	if pair.ModRevision > 0 {
+		if err := json.Unmarshal(pair.Value, value); err != nil {
+			panic(err)
+		}
+	}
+	s.decoded[key] = decoded{pair.ModRevision, value}
+	return value
+}
+
 // ready counts the engines on which the model is ready.
 func (s *sim) ready(m entity.ModelID, a entity.AdapterID) int {
 	n := 0
