--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -58,17 +58,17 @@
 }
 
 const (
-	maxConns       = 100000
 	connectTimeout = 3 * time.Second
 	// maxLine bounds one line of an event stream.
 	maxLine = 64 << 10
 )
 
-func newClient(addr string) *client {
+func newClient(addr string, conns int, timeout time.Duration) *client {
 	host := func(stream bool) *fasthttp.HostClient {
 		return &fasthttp.HostClient{
 			Addr:                addr,
-			MaxConns:            maxConns,
+			MaxConns:            conns,
+			MaxConnWaitTimeout:  timeout,
 			MaxIdleConnDuration: time.Minute,
 			StreamResponseBody:  stream,
 			// A retry by the client would hide a failure and could run a request twice.
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -136,7 +136,7 @@
 		ejectFor: time.Duration(s.Balancer.EjectMillis) * time.Millisecond,
 	}
 	for _, addr := range s.Targets {
-		b.clients = append(b.clients, newClient(addr))
+		b.clients = append(b.clients, newClient(addr, s.ConnectionsPerTarget, time.Duration(s.TimeoutMillis)*time.Millisecond))
 	}
 	sum := 0.0
 	for _, w := range s.Balancer.Weights {
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -51,6 +51,10 @@
 	TimeoutMillis int64 `json:"timeout_ms"`
 	// MaxInFlight bounds the open requests; further ones are counted as not sent. Default 50000.
 	MaxInFlight int `json:"max_in_flight"`
+	// ConnectionsPerTarget bounds the connections; further requests wait for one, which counts
+	// into their latency. Without a bound, a short stall makes thousands of connections and uses
+	// up the file descriptors. Default 2048.
+	ConnectionsPerTarget int `json:"connections_per_target"`
 	// CheckAnswers compares every answer with what the engine or service stand-in must give.
 	CheckAnswers bool `json:"check_answers"`
 	// Precise waits actively for the next send time. It takes one core and avoids the delay of
@@ -138,6 +142,7 @@
 const (
 	defaultTimeout     = 60 * time.Second
 	defaultMaxInFlight = 50000
+	defaultConnections = 2048
 	defaultPrompt      = 16
 	defaultOutput      = 16
 )
@@ -167,6 +172,7 @@
 	setDefault(&s.Balancer.Policy, BalanceRoundRobin)
 	setDefault(&s.TimeoutMillis, defaultTimeout.Milliseconds())
 	setDefault(&s.MaxInFlight, defaultMaxInFlight)
+	setDefault(&s.ConnectionsPerTarget, defaultConnections)
 	s.Classes = append([]RequestClass(nil), s.Classes...)
 	for i := range s.Classes {
 		c := &s.Classes[i]
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/standin/listener"
 	"github.com/foxtailpass/foxtailpass/internal/wire"
 	"github.com/valyala/fasthttp"
 )
@@ -41,7 +42,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	server *fasthttp.Server
-	ln     *trackingListener
+	ln     *listener.Tracking
 	done   chan struct{}
 }
 
@@ -111,7 +112,7 @@
 		return fmt.Errorf("engine %s: listen: %w", e.opts.ID, err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &process{ctx: ctx, cancel: cancel, ln: newTrackingListener(ln), done: make(chan struct{})}
+	p := &process{ctx: ctx, cancel: cancel, ln: listener.New(ln), done: make(chan struct{})}
 	p.server = &fasthttp.Server{
 		Handler:               e.handle,
 		Name:                  "foxtailstandin",
@@ -168,7 +169,7 @@
 	}
 	e.run = nil
 	p.cancel()
-	p.ln.kill()
+	p.ln.Kill()
 	e.mu.Lock()
 	e.dropMemory()
 	e.mu.Unlock()
@@ -304,60 +305,6 @@
 	}
 }
 
-// trackingListener remembers its connections so that a kill can close them.
-type trackingListener struct {
-	net.Listener
-	mu    sync.Mutex
-	conns map[*trackedConn]struct{}
-	dead  bool
-}
-
-type trackedConn struct {
-	net.Conn
-	ln *trackingListener
-}
-
-func newTrackingListener(ln net.Listener) *trackingListener {
-	return &trackingListener{Listener: ln, conns: map[*trackedConn]struct{}{}}
-}
-
-// Accept implements net.Listener.
-func (l *trackingListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	tc := &trackedConn{c, l}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.dead {
-		_ = c.Close()
-		return nil, net.ErrClosed
-	}
-	l.conns[tc] = struct{}{}
-	return tc, nil
-}
-
-// Close implements net.Conn.
-func (c *trackedConn) Close() error {
-	c.ln.mu.Lock()
-	delete(c.ln.conns, c)
-	c.ln.mu.Unlock()
-	return c.Conn.Close()
-}
-
-func (l *trackingListener) kill() {
-	_ = l.Listener.Close()
-	l.mu.Lock()
-	l.dead = true
-	conns := l.conns
-	l.conns = map[*trackedConn]struct{}{}
-	l.mu.Unlock()
-	for c := range conns {
-		_ = c.Conn.Close()
-	}
-}
-
 // discard drops the server's messages about connections that faults break on purpose.
 type discard struct{}
 
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/standin/listener"
 	"github.com/valyala/fasthttp"
 )
 
@@ -108,12 +109,10 @@
 	lifecycle sync.Mutex
 	addr      string
 	server    *fasthttp.Server
-	ln        net.Listener
+	ln        *listener.Tracking
 	done      chan struct{}
 
 	mu       sync.Mutex
-	conns    map[net.Conn]struct{}
-	stopping bool
 	faults   map[string]*Fault
 	sum      Record
 	received []Received
@@ -133,7 +132,6 @@
 	}
 	return &Service{
 		opts:   o,
-		conns:  map[net.Conn]struct{}{},
 		faults: map[string]*Fault{},
 		sum:    Record{ID: o.ID, Kind: o.Kind, Orders: map[string]int{}},
 	}
@@ -146,16 +144,13 @@
 	if s.server != nil {
 		return fmt.Errorf("service %s: already started", s.opts.ID)
 	}
-	ln, err := net.Listen("tcp", addr)
+	tcp, err := net.Listen("tcp", addr)
 	if err != nil {
 		return fmt.Errorf("service %s: listen: %w", s.opts.ID, err)
 	}
-	s.mu.Lock()
-	s.stopping = false
-	s.mu.Unlock()
+	ln := listener.New(tcp)
 	server := &fasthttp.Server{
 		Handler:               s.handle,
-		ConnState:             s.connState,
 		MaxRequestBodySize:    maxBodyBytes,
 		ReadBufferSize:        16 << 10,
 		NoDefaultServerHeader: true,
@@ -194,13 +189,7 @@
 		return
 	}
 	s.server = nil
-	_ = s.ln.Close()
-	s.mu.Lock()
-	s.stopping = true
-	for c := range s.conns {
-		_ = c.Close()
-	}
-	s.mu.Unlock()
+	s.ln.Kill()
 	<-s.done
 }
 
@@ -216,20 +205,6 @@
 	return err
 }
 
-func (s *Service) connState(c net.Conn, state fasthttp.ConnState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	switch state {
-	case fasthttp.StateNew:
-		s.conns[c] = struct{}{}
-		if s.stopping {
-			_ = c.Close()
-		}
-	case fasthttp.StateClosed:
-		delete(s.conns, c)
-	}
-}
-
 // SetFault sets a fault, or stops the service.
 func (s *Service) SetFault(f Fault) error {
 	known := false
