--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"os"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -180,6 +181,29 @@
 	}
 }
 
+// Guards against scenario files that are accepted with mistakes or report only the first one.
+func TestReadScenario(t *testing.T) {
+	cases := []struct{ name, text, want string }{
+		{"valid", `{"duration_s":1,"targets":["a:1"],"classes":[{"name":"x","models":["m"],"arrivals":{"rate_per_s":5}}]}`, ""},
+		{"unknown field", `{"durations":1}`, "durations"},
+		{"first of two errors", `{"duration_s":1,"classes":[{"name":"x","models":["m"],"arrivals":{"kind":"burst"}}]}`, "targets: at least one"},
+		{"second of two errors", `{"duration_s":1,"classes":[{"name":"x","models":["m"],"arrivals":{"kind":"burst"}}]}`, "burst_size"},
+		{"weights", `{"duration_s":1,"targets":["a:1"],"balancer":{"policy":"skewed"},"classes":[{"name":"x","kind":"plain","path":"/p","arrivals":{"rate_per_s":5}}]}`, "balancer.weights"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			file := filepath.Join(t.TempDir(), "s.json")
+			if err := os.WriteFile(file, []byte(c.text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			_, err := ReadScenario(file)
+			if (err == nil) != (c.want == "") || err != nil && !strings.Contains(err.Error(), c.want) {
+				t.Fatalf("got %v", err)
+			}
+		})
+	}
+}
+
 // Guards against a run that cannot be stopped and reports that cannot be read back.
 func TestStopAndCompare(t *testing.T) {
 	e := startEngine(t, engine.Options{})
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -306,3 +306,83 @@
 		t.Fatalf("events %s", raw)
 	}
 }
+
+// Guards against orders over HTTP that differ from the protocol: a lost answer after the order
+// took effect, a refusal without its proof, a delayed order that survives a restart.
+func TestOrdersOverHTTP(t *testing.T) {
+	e := start(t, Options{Store: fastStore(), ChecksFence: true})
+	load := func(model string, fence int) (int, http.Header, error) {
+		status, h, _, err := post(e, "/engine/v1/orders", "", fmt.Sprintf(
+			`{"order_id":"%s-%d","fence":%d,"action":"load","model":%q,"bytes":1}`, model, fence, fence, model))
+		return status, h, err
+	}
+	faults := func(body string) {
+		if status, _, got, _ := post(e, "/standin/faults", "", body); status != 200 {
+			t.Fatalf("faults: %d %s", status, got)
+		}
+	}
+	if status, _, _ := load("m", 5); status != 202 {
+		t.Fatalf("load: %d", status)
+	}
+	if status, h, _ := load("m", 4); status != 409 || h.Get(HeaderRan) != "no" {
+		t.Fatalf("stale fence: %d", status)
+	}
+	faults(`{"set":[{"kind":"order_lost","count":1}]}`)
+	if _, _, err := load("lost", 1); err == nil || stateOf(e, "lost") == "" {
+		t.Fatalf("lost answer: %v, state %q", err, stateOf(e, "lost"))
+	}
+	faults(`{"set":[{"kind":"order_delay","count":1,"delay_ms":100}]}`)
+	boot := e.Boot()
+	time.AfterFunc(20*time.Millisecond, func() {
+		// The restart may close this connection before the answer.
+		_, _, _, _ = post(e, "/standin/faults", "", `{"set":[{"kind":"restart"}]}`)
+	})
+	if _, _, err := load("late", 1); err == nil {
+		t.Fatal("the order outlived the process that received it")
+	}
+	waitFor(t, func() bool { return e.Boot() != boot })
+	time.Sleep(100 * time.Millisecond)
+	if got := e.Report().Entries; len(got) != 0 {
+		t.Fatalf("entries after the restart: %+v", got)
+	}
+}
+
+// Guards against an unload that interrupts running requests or leaves memory behind, and
+// against a cancellation that claims the wrong thing about a request that never ran.
+func TestUnloadDrainsAndCancel(t *testing.T) {
+	e := start(t, Options{Store: fastStore(), Slots: 1, TokenInterval: 5 * time.Millisecond})
+	load(t, e, "m")
+	adapter := command.Order{OrderID: "a", Action: command.LoadAdapter, Model: "m", Adapter: "x", Bytes: 7}
+	if status, _ := e.Order(adapter); status != 202 {
+		t.Fatalf("adapter: %d", status)
+	}
+	waitFor(t, func() bool { return strings.Contains(fmt.Sprint(e.Report().AppliedOrders), " a") })
+	var wg sync.WaitGroup
+	send := func(id string, status int, ran string) {
+		wg.Go(func() {
+			got, h, _, err := post(e, "/v1/chat/completions", id, chatBody("m:x", 20, ""))
+			if err != nil || got != status || h.Get(HeaderRan) != ran {
+				t.Errorf("%s: %d %v", id, got, err)
+			}
+		})
+	}
+	send("running", 200, "")
+	waitFor(t, func() bool { return e.Report().Running == 1 })
+	send("waiting", statusCanceled, "no")
+	waitFor(t, func() bool { return e.Report().Waiting == 1 })
+	if got := e.Cancel("waiting"); !got.Canceled || got.Ran || e.Report().Waiting != 0 {
+		t.Fatalf("cancel: %+v", got)
+	}
+	send("refused", 409, "no")
+	waitFor(t, func() bool { return e.Report().Waiting == 1 })
+	_, _ = e.Order(command.Order{OrderID: "u", Fence: 2, Action: command.UnloadModel, Model: "m"})
+	if stateOf(e, "m") != stateUnloading {
+		t.Fatalf("state %q", stateOf(e, "m"))
+	}
+	wg.Wait()
+	waitFor(t, func() bool { return e.Report().UsedBytes == 0 && len(e.Report().Entries) == 0 })
+	rec := e.Record()
+	if rec.HeldSeconds <= rec.IdleSeconds || rec.GeneratedTokens != 20 || rec.Runs != 1 {
+		t.Fatalf("record: %+v", rec)
+	}
+}
--- a/internal/standin/engine/serve.go
+++ b/internal/standin/engine/serve.go
@@ -244,8 +244,6 @@
 	for r.running < e.opts.Slots && len(r.waiting) > 0 {
 		st := heap.Pop(&r.waiting).(*stream)
 		if !st.set(phaseRunning, "") {
-			// It was canceled while it waited.
-			e.keep(st, now)
 			continue
 		}
 		e.settle(r, now)
@@ -583,24 +581,33 @@
 // Cancel ends a waiting or running request.
 func (e *Engine) Cancel(id entity.RequestID) CancelResult {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	st := e.mem.streams[id]
-	e.mu.Unlock()
 	if st == nil {
 		return CancelResult{}
 	}
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	switch st.phase {
-	case phaseWaiting:
-		st.phase = phaseRefused
-	case phaseRunning:
-		st.phase = phaseCanceled
-	default:
-		return CancelResult{Ran: st.phase != phaseRefused}
+	if st.set(phaseCanceledFrom(st), "canceled") {
+		e.leaveWaiting(st)
+		return CancelResult{Canceled: true, Ran: st.ran()}
+	}
+	return CancelResult{Ran: st.ran()}
+}
+
+// leaveWaiting takes a canceled request off the waiting list of its replica.
+func (e *Engine) leaveWaiting(st *stream) {
+	model, _ := splitModel(st.model)
+	r := e.mem.replicas[model]
+	if r == nil {
+		return
+	}
+	for i, w := range r.waiting {
+		if w == st {
+			heap.Remove(&r.waiting, i)
+			e.keep(st, time.Now())
+			e.mem.seq++
+			return
+		}
 	}
-	st.reason = "canceled"
-	st.cond.Broadcast()
-	return CancelResult{Canceled: true, Ran: st.phase == phaseCanceled}
 }
 
 func (e *Engine) handleCancel(ctx *fasthttp.RequestCtx) {
@@ -634,7 +641,7 @@
 	}
 	for _, f := range body.Set {
 		if f.Kind == FaultStop || f.Kind == FaultRestart {
-			// The engine stops its own server, which waits for nothing but must not run here.
+			// The answer to these may be lost, because they close this connection as well.
 			go func() { _ = e.SetFault(f) }()
 			continue
 		}
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -88,7 +88,25 @@
 	return true
 }
 
-// produce adds a token and reports whether the stream is still running.
+// phaseCanceledFrom returns the phase to which a cancellation moves the stream. The engine's
+// lock must be held, so that the stream does not start in between.
+func phaseCanceledFrom(s *stream) phase {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.phase == phaseWaiting {
+		return phaseRefused
+	}
+	return phaseCanceled
+}
+
+// ran says whether the request has started.
+func (s *stream) ran() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.phase != phaseWaiting && s.phase != phaseRefused
+}
+
+// produce adds n tokens and reports whether the stream is still running.
 func (s *stream) produce(n int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
