--- /dev/null
+++ b/internal/peer/frame.go
@@ -0,0 +1,107 @@
+package peer
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/foxtailpass/foxtailpass/internal/wire"
+)
+
+const (
+	// MaxFrameBytes bounds version, kind and body of a frame.
+	MaxFrameBytes = 4 << 20
+	// maxHelloBytes bounds a frame before the sender is known.
+	maxHelloBytes = 4 << 10
+	// frameVersion changes only when old builds cannot read the frame at all.
+	frameVersion = 1
+	lengthBytes  = 4
+	headBytes    = 2
+	// keepBufferBytes bounds the read buffer that a link keeps between frames.
+	keepBufferBytes = 256 << 10
+)
+
+var (
+	errMalformed   = errors.New("peer: malformed frame")
+	errUnknownKind = errors.New("peer: unknown message kind")
+	errTooLarge    = errors.New("peer: message too large")
+)
+
+var constructors = map[wire.Kind]func() wire.Message{
+	wire.KindHello:           func() wire.Message { return new(wire.Hello) },
+	wire.KindHeartbeat:       func() wire.Message { return new(wire.Heartbeat) },
+	wire.KindViewRequest:     func() wire.Message { return new(wire.ViewRequest) },
+	wire.KindViewDelta:       func() wire.Message { return new(wire.ViewDelta) },
+	wire.KindDocumentRequest: func() wire.Message { return new(wire.DocumentRequest) },
+	wire.KindDocument:        func() wire.Message { return new(wire.Document) },
+	wire.KindLoanAsk:         func() wire.Message { return new(wire.LoanAsk) },
+	wire.KindLoanGrant:       func() wire.Message { return new(wire.LoanGrant) },
+	wire.KindFenceRequest:    func() wire.Message { return new(wire.FenceRequest) },
+	wire.KindFenceGrant:      func() wire.Message { return new(wire.FenceGrant) },
+	wire.KindDemand:          func() wire.Message { return new(wire.Demand) },
+	wire.KindReports:         func() wire.Message { return new(wire.Reports) },
+}
+
+// encodeFrame returns a whole frame: 4 bytes of big-endian length, 1 byte of version, 1 byte of
+// kind, and the msgpack body.
+func encodeFrame(m wire.Message) ([]byte, error) {
+	var buf bytes.Buffer
+	buf.Write(make([]byte, lengthBytes))
+	buf.WriteByte(frameVersion)
+	buf.WriteByte(byte(m.Kind()))
+	if err := msgpack.NewEncoder(&buf).Encode(m); err != nil {
+		return nil, fmt.Errorf("peer: encode %v: %w", m.Kind(), err)
+	}
+	frame := buf.Bytes()
+	n := len(frame) - lengthBytes
+	if n > MaxFrameBytes {
+		return nil, fmt.Errorf("%w: %v of %d bytes", errTooLarge, m.Kind(), n)
+	}
+	binary.BigEndian.PutUint32(frame, uint32(n))
+	return frame, nil
+}
+
+// readFrame reads one frame without its length into buf and returns the bytes, which are valid
+// until the next call. Memory grows only with the bytes that arrive, whatever the length says.
+func readFrame(r io.Reader, buf *bytes.Buffer, limit int) ([]byte, error) {
+	var head [lengthBytes]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return nil, err
+	}
+	n := int64(binary.BigEndian.Uint32(head[:]))
+	if n < headBytes || n > int64(limit) {
+		return nil, fmt.Errorf("%w: length %d", errMalformed, n)
+	}
+	if buf.Cap() > keepBufferBytes {
+		*buf = bytes.Buffer{}
+	}
+	buf.Reset()
+	if _, err := io.CopyN(buf, r, n); err != nil {
+		return nil, err
+	}
+	return buf.Bytes(), nil
+}
+
+// decodeFrame decodes what readFrame returned. It returns errUnknownKind for a kind of a newer
+// build, which is no fault, and errMalformed for everything else that it cannot read.
+func decodeFrame(b []byte) (wire.Message, error) {
+	if len(b) < headBytes || b[0] != frameVersion {
+		return nil, fmt.Errorf("%w: version", errMalformed)
+	}
+	newMessage, ok := constructors[wire.Kind(b[1])]
+	if !ok {
+		return nil, fmt.Errorf("%w: %d", errUnknownKind, b[1])
+	}
+	if err := validate(b[headBytes:]); err != nil {
+		return nil, err
+	}
+	m := newMessage()
+	if err := msgpack.Unmarshal(b[headBytes:], m); err != nil {
+		return nil, fmt.Errorf("%w: %v: %w", errMalformed, m.Kind(), err)
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/peer/frame_test.go
@@ -0,0 +1,68 @@
+package peer
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/foxtailpass/foxtailpass/internal/wire"
+)
+
+// Guards against panics, large allocations and messages that change when they are sent again.
+func FuzzDecodeFrame(f *testing.F) {
+	for _, m := range []wire.Message{
+		&wire.Hello{Host: "h1", Incarnation: "i", Prefix: "p/"},
+		&wire.Heartbeat{Seq: 7, ConfirmedAge: -1, Levels: []wire.WorkspaceLevel{{Workspace: "w", Level: 1.5}}},
+		&wire.ViewDelta{Since: 3, Revision: 9, Changes: []wire.ViewChange{{Key: "k", Value: []byte("v"), ModRevision: 8}}},
+		&wire.Reports{Reports: []wire.UpstreamReport{{Upstream: "u", AppliedOrders: []string{"o"}}}},
+	} {
+		frame, err := encodeFrame(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(frame)
+		f.Add(frame[:len(frame)-1])
+	}
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 1, 2})
+	f.Add([]byte{0, 0, 0, 2, 1, 99})
+	// An array that claims 2^32-1 elements.
+	f.Add([]byte{0, 0, 0, 10, 1, byte(wire.KindReports), 0x81, 0xa1, 'r', 0xdd, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var buf bytes.Buffer
+		b, err := readFrame(bytes.NewReader(data), &buf, MaxFrameBytes)
+		if err != nil {
+			return
+		}
+		m, err := decodeFrame(b)
+		if err != nil {
+			if !errors.Is(err, errMalformed) && !errors.Is(err, errUnknownKind) {
+				t.Fatalf("untyped error %v", err)
+			}
+			return
+		}
+		frame, err := encodeFrame(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := decodeFrame(frame[lengthBytes:]); err != nil {
+			t.Fatalf("own frame is unreadable: %v", err)
+		}
+	})
+}
+
+// Guards against a newer build's fields or kinds breaking links during a rolling replacement.
+func TestNewerBuild(t *testing.T) {
+	body, err := msgpack.Marshal(map[string]any{"s": 5, "new": []string{"x"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err := decodeFrame(append([]byte{frameVersion, byte(wire.KindViewRequest)}, body...))
+	if r, ok := m.(*wire.ViewRequest); err != nil || !ok || r.Since != 5 {
+		t.Errorf("got %+v, %v", m, err)
+	}
+	if _, err := decodeFrame([]byte{frameVersion, 200, 0x80}); !errors.Is(err, errUnknownKind) {
+		t.Errorf("new kind: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/peer/manager_test.go
@@ -0,0 +1,237 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/wire"
+)
+
+const testInterval = 100 * time.Millisecond
+
+type host struct {
+	*Manager
+	peer      Peer
+	ups       atomic.Int64
+	downs     atomic.Int64
+	documents atomic.Int64
+	stop      func()
+}
+
+// newHost starts a manager that stops at the end of the test and must leave no goroutine.
+func newHost(t *testing.T, id entity.HostID, inc entity.Incarnation, change func(*Options)) *host {
+	t.Helper()
+	h := &host{}
+	opt := Options{
+		Self:     wire.Hello{Host: id, Incarnation: inc, Prefix: "p/"},
+		Listen:   "127.0.0.1:0",
+		Interval: testInterval,
+		Handler: func(_ entity.HostID, _ entity.Incarnation, m wire.Message) {
+			if m.Kind() == wire.KindDocument {
+				h.documents.Add(1)
+			}
+		},
+		OnUp:   func(entity.HostID, entity.Incarnation) { h.ups.Add(1) },
+		OnDown: func(entity.HostID, entity.Incarnation) { h.downs.Add(1) },
+	}
+	if change != nil {
+		change(&opt)
+	}
+	m, err := NewManager(opt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.Manager = m
+	h.peer = Peer{Host: id, Incarnation: inc, Addr: m.Addr().String()}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { m.Run(ctx); close(done) }()
+	h.stop = func() { cancel(); <-done }
+	t.Cleanup(h.stop)
+	return h
+}
+
+func eventually(t *testing.T, what string, within time.Duration, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(within); !f(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within %v: %s", within, what)
+		}
+	}
+}
+
+func linked(h *host, inc entity.Incarnation) func() bool {
+	return func() bool {
+		l := h.Links()
+		return len(l) == 1 && (inc == "" || l[0].Incarnation == inc)
+	}
+}
+
+// rawPeer connects as host z and completes the handshake.
+func rawPeer(t *testing.T, to *host) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", to.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	frame, err := encodeFrame(&wire.Hello{Host: "z", Incarnation: "1", Prefix: "p/"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := conn.Write(frame); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "raw peer linked", 2*time.Second, linked(to, "1"))
+	return conn
+}
+
+// Guards against two links, no link, or up and down reports when both hosts dial at once.
+func TestOneLinkPerPair(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	for range 5 {
+		// The interval is long, so that no dialer notices the other's connection in time.
+		a, b := newHost(t, "a", "1", nil), newHost(t, "b", "1", nil)
+		go b.dialLoop(b.ctx, Peer{Host: "a", Addr: a.peer.Addr})
+		a.SetPeers([]Peer{b.peer})
+		b.SetPeers([]Peer{a.peer})
+		eventually(t, "both linked", 5*time.Second, func() bool { return linked(a, "1")() && linked(b, "1")() })
+		time.Sleep(3 * testInterval)
+		if !linked(a, "1")() || !linked(b, "1")() || a.Links()[0].Dialed == b.Links()[0].Dialed {
+			t.Fatalf("links %+v and %+v", a.Links(), b.Links())
+		}
+		if a.ups.Load() != 1 || b.ups.Load() != 1 || a.downs.Load()+b.downs.Load() != 0 {
+			t.Errorf("ups %d %d, downs %d %d", a.ups.Load(), b.ups.Load(), a.downs.Load(), b.downs.Load())
+		}
+		for range 10 {
+			if !a.Send("b", &wire.Document{Digest: "d"}) || !b.Send("a", &wire.Document{Digest: "d"}) {
+				t.Fatal("send failed")
+			}
+		}
+		eventually(t, "all documents", time.Second, func() bool { return a.documents.Load() == 10 && b.documents.Load() == 10 })
+		a.stop()
+		b.stop()
+	}
+}
+
+// Guards against a peer that reads nothing blocking a sender or holding memory.
+func TestSlowPeerIsDropped(t *testing.T) {
+	a := newHost(t, "a", "1", nil)
+	conn := rawPeer(t, a)
+	go func() {
+		// The peer stays audible, so that only its slowness can end the link.
+		frame, _ := encodeFrame(&wire.Heartbeat{})
+		for {
+			if _, err := conn.Write(frame); err != nil {
+				return
+			}
+			time.Sleep(testInterval)
+		}
+	}()
+	big := &wire.Document{Data: make([]byte, 1<<20)}
+	start := time.Now()
+	for a.Send("z", big) {
+		if time.Since(start) > 5*time.Second {
+			t.Fatal("slow peer is still accepted")
+		}
+	}
+	eventually(t, "link down", 2*time.Second, func() bool { return len(a.Links()) == 0 })
+	if a.Counters().SlowPeers.Load() != 1 || a.downs.Load() != 1 {
+		t.Errorf("slow peers %d, downs %d", a.Counters().SlowPeers.Load(), a.downs.Load())
+	}
+	if a.Send("z", big) {
+		t.Error("send to a host without link succeeded")
+	}
+}
+
+// Guards against a peer that is silent but keeps its connection open, for example behind a partition.
+func TestSilentPeerGoesDown(t *testing.T) {
+	a := newHost(t, "a", "1", nil)
+	rawPeer(t, a)
+	start := time.Now()
+	eventually(t, "link down", 10*testInterval, func() bool { return len(a.Links()) == 0 })
+	if took := time.Since(start); took < testInterval || a.Counters().Silent.Load() != 1 {
+		t.Errorf("down after %v, silent %d", took, a.Counters().Silent.Load())
+	}
+}
+
+// Guards against reading on after a frame that cannot be trusted.
+func TestMalformedFrameClosesLink(t *testing.T) {
+	for name, bytes := range map[string][]byte{
+		"length":  {0x7f, 0, 0, 0},
+		"version": {0, 0, 0, 3, 9, 2, 0x80},
+		"body":    {0, 0, 0, 3, 1, 2, 0xc1},
+		"rest":    {0, 0, 0, 4, 1, 2, 0x80, 0x80},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := newHost(t, "a", "1", nil)
+			conn := rawPeer(t, a)
+			if _, err := conn.Write(bytes); err != nil {
+				t.Fatal(err)
+			}
+			eventually(t, "link down", time.Second, func() bool { return len(a.Links()) == 0 })
+			if a.Counters().Malformed.Load() != 1 {
+				t.Errorf("malformed %d", a.Counters().Malformed.Load())
+			}
+		})
+	}
+}
+
+// Guards against links between installations and with hosts that are not who was dialed.
+func TestHandshakeRefusals(t *testing.T) {
+	a := newHost(t, "a", "1", nil)
+	other := newHost(t, "b", "1", func(o *Options) { o.Self.Prefix = "q/" })
+	wrong := newHost(t, "d", "1", nil)
+	a.SetPeers([]Peer{other.peer, {Host: "c", Incarnation: "1", Addr: wrong.peer.Addr}})
+	eventually(t, "refusals", 5*time.Second, func() bool { return a.Counters().Refused.Load() >= 2 })
+	if len(a.Links()) != 0 || len(other.Links()) != 0 {
+		t.Errorf("links %+v and %+v", a.Links(), other.Links())
+	}
+}
+
+// Guards against a restarted host staying unreachable behind the link of its former process, and
+// against links that do not come back.
+func TestRestartedHostIsLinkedAgain(t *testing.T) {
+	a, b := newHost(t, "a", "1", nil), newHost(t, "b", "1", nil)
+	a.SetPeers([]Peer{b.peer})
+	eventually(t, "linked", 5*time.Second, linked(a, "1"))
+	b2 := newHost(t, "b", "2", nil)
+	a.SetPeers([]Peer{b2.peer})
+	eventually(t, "linked to the new process", 5*time.Second, linked(a, "2"))
+	eventually(t, "reports", time.Second, func() bool { return a.ups.Load() == 2 && a.downs.Load() == 1 })
+	a.mu.Lock()
+	l := a.links["b"]
+	a.mu.Unlock()
+	l.close()
+	eventually(t, "linked after a break", 5*time.Second, func() bool { return a.ups.Load() == 3 && linked(a, "2")() })
+}
+
+// Guards against counters that miss traffic: bytes per second per peer are derived from them.
+func TestCounters(t *testing.T) {
+	a, b := newHost(t, "a", "1", nil), newHost(t, "b", "1", nil)
+	a.SetPeers([]Peer{b.peer})
+	eventually(t, "linked", 5*time.Second, func() bool { return linked(a, "")() && linked(b, "")() })
+	if !a.Send("b", &wire.Document{Data: make([]byte, 1000)}) {
+		t.Fatal("send failed")
+	}
+	var got KindCount
+	eventually(t, "document counted", time.Second, func() bool {
+		for _, k := range b.Counters().Kinds() {
+			if k.Kind == wire.KindDocument {
+				got = k
+			}
+		}
+		return got.ReceivedFrames == 1
+	})
+	for _, k := range a.Counters().Kinds() {
+		if k.Kind == wire.KindDocument && (k.SentFrames != 1 || k.SentBytes != got.ReceivedBytes || k.SentBytes < 1000) {
+			t.Errorf("sent %+v, received %+v", k, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/validate.go
@@ -0,0 +1,109 @@
+package peer
+
+import (
+	"encoding/binary"
+	"fmt"
+)
+
+const (
+	// maxElements bounds the elements of all arrays of a frame. The msgpack library allocates arrays by
+	// their claimed length, and a one-byte element can decode to a struct of over 100 bytes.
+	maxElements = 1 << 17
+	// maxDepth bounds nesting, because the library skips unknown fields recursively.
+	maxDepth = 32
+)
+
+// validate checks, before the body is decoded, that it is exactly one well-formed msgpack value
+// whose claimed lengths fit into the bytes that are there.
+func validate(b []byte) error {
+	// open holds the number of values that each open array or map still lacks.
+	open := []int{1}
+	total := 0
+	for len(open) > 0 {
+		top := len(open) - 1
+		if open[top] == 0 {
+			open = open[:top]
+			continue
+		}
+		open[top]--
+		skip, children, err := header(b)
+		if err != nil {
+			return err
+		}
+		if isArray(b[0]) {
+			total += children
+		}
+		b = b[skip:]
+		if children > len(b) || total > maxElements || len(open) > maxDepth {
+			return fmt.Errorf("%w: %d elements, depth %d", errMalformed, total, len(open))
+		}
+		if children > 0 {
+			open = append(open, children)
+		}
+	}
+	if len(b) > 0 {
+		return fmt.Errorf("%w: %d bytes left", errMalformed, len(b))
+	}
+	return nil
+}
+
+func isArray(c byte) bool { return c >= 0x90 && c <= 0x9f || c == 0xdc || c == 0xdd }
+
+// header returns the size of the value at the start of b without its children, and their number.
+func header(b []byte) (skip, children int, err error) {
+	if len(b) == 0 {
+		return 0, 0, fmt.Errorf("%w: body ends early", errMalformed)
+	}
+	// width is the size of the length field, extra that of the ext type, perItem the values per element.
+	width, extra, perItem := 0, 0, 0
+	c := b[0]
+	switch {
+	case c <= 0x7f || c >= 0xe0 || c == 0xc0 || c == 0xc2 || c == 0xc3:
+		return 1, 0, nil
+	case c <= 0x8f:
+		return 1, 2 * int(c&0x0f), nil
+	case c <= 0x9f:
+		return 1, int(c & 0x0f), nil
+	case c <= 0xbf:
+		return sized(b, 1+int(c&0x1f))
+	case c >= 0xc4 && c <= 0xc6: // bin
+		width = 1 << (c - 0xc4)
+	case c >= 0xc7 && c <= 0xc9: // ext
+		width, extra = 1<<(c-0xc7), 1
+	case c == 0xca || c == 0xce || c == 0xd2: // 32-bit numbers
+		return sized(b, 5)
+	case c == 0xcb || c == 0xcf || c == 0xd3: // 64-bit numbers
+		return sized(b, 9)
+	case c == 0xcc || c == 0xd0: // 8-bit numbers
+		return sized(b, 2)
+	case c == 0xcd || c == 0xd1: // 16-bit numbers
+		return sized(b, 3)
+	case c >= 0xd4 && c <= 0xd8: // fixed ext
+		return sized(b, 2+1<<(c-0xd4))
+	case c >= 0xd9 && c <= 0xdb: // str
+		width = 1 << (c - 0xd9)
+	case c == 0xdc || c == 0xdd: // array
+		width, perItem = 2<<(c-0xdc), 1
+	case c == 0xde || c == 0xdf: // map
+		width, perItem = 2<<(c-0xde), 2
+	default:
+		return 0, 0, fmt.Errorf("%w: type byte %#x", errMalformed, c)
+	}
+	if len(b) < 1+width {
+		return 0, 0, fmt.Errorf("%w: body ends early", errMalformed)
+	}
+	var field [8]byte
+	copy(field[8-width:], b[1:1+width])
+	n := int(binary.BigEndian.Uint64(field[:]))
+	if perItem > 0 {
+		return 1 + width, perItem * n, nil
+	}
+	return sized(b, 1+width+extra+n)
+}
+
+func sized(b []byte, n int) (skip, children int, err error) {
+	if n > len(b) {
+		return 0, 0, fmt.Errorf("%w: body ends early", errMalformed)
+	}
+	return n, 0, nil
+}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -30,6 +30,29 @@
 	KindReports
 )
 
+var kindNames = map[Kind]string{
+	KindHello:           "hello",
+	KindHeartbeat:       "heartbeat",
+	KindViewRequest:     "view_request",
+	KindViewDelta:       "view_delta",
+	KindDocumentRequest: "document_request",
+	KindDocument:        "document",
+	KindLoanAsk:         "loan_ask",
+	KindLoanGrant:       "loan_grant",
+	KindFenceRequest:    "fence_request",
+	KindFenceGrant:      "fence_grant",
+	KindDemand:          "demand",
+	KindReports:         "reports",
+}
+
+// String returns the metric label of the kind.
+func (k Kind) String() string {
+	if name, ok := kindNames[k]; ok {
+		return name
+	}
+	return "unknown"
+}
+
 // Message is one of the message types of this package, always used as a pointer.
 type Message interface {
 	// Kind returns the frame kind of the message.
