--- a/internal/placement/property_test.go
+++ b/internal/placement/property_test.go
@@ -45,7 +45,7 @@
 	{"pause", func(s *sim, arg int) {
 		h := s.host(arg)
 		h.paused = true
-		s.after(time.Duration(arg)*20*time.Millisecond, func() { h.paused = false })
+		s.after(time.Duration(arg)*40*time.Millisecond, func() { h.paused = false })
 	}},
 	{"freeze view", func(s *sim, arg int) { s.host(arg).frozen = true }},
 	{"partition", func(s *sim, arg int) {
--- a/internal/placement/sim_test.go
+++ b/internal/placement/sim_test.go
@@ -51,12 +51,15 @@
 	p      *Placer
 	up     bool
 	paused bool
-	frozen bool // the view gets no changes
-	cut    bool // heartbeats of other hosts do not arrive
-	seen   int
-	held   []command.Command
-	demand []wire.ModelDemand
-	nextHB time.Time
+	// pausedFor is how long the process has been paused; expired says that its lease ran out.
+	pausedFor time.Duration
+	expired   bool
+	frozen    bool // the view gets no changes
+	cut       bool // heartbeats of other hosts do not arrive
+	seen      int
+	held      []command.Command
+	demand    []wire.ModelDemand
+	nextHB    time.Time
 }
 
 type simEntry struct {
@@ -113,7 +116,7 @@
 	h.rec.Incarnation = entity.Incarnation(fmt.Sprintf("inc-%d", s.rev))
 	h.p = New(Options{Self: h.rec.ID, Incarnation: h.rec.Incarnation, Rand: rand.New(rand.NewPCG(s.rng.Uint64(), 2)), Policy: policy})
 	h.p.HandleSite(s.site, s.now)
-	h.up, h.paused, h.frozen, h.cut = true, false, false, false
+	h.up, h.paused, h.frozen, h.cut, h.expired = true, false, false, false, false
 	h.seen, h.held = 0, nil
 	s.publishHosts()
 }
@@ -121,7 +124,7 @@
 func (s *sim) publishHosts() {
 	var live []config.HostRecord
 	for _, h := range s.hosts {
-		if h.up {
+		if h.up && !h.expired {
 			live = append(live, h.rec)
 		}
 	}
@@ -164,7 +167,11 @@
 }
 
 func (h *simHost) step() {
-	if !h.up || h.paused {
+	if !h.up {
+		return
+	}
+	h.stepLease()
+	if h.paused {
 		return
 	}
 	if len(h.held) > 0 {
@@ -184,6 +191,19 @@
 	h.run(h.p.Tick(h.s.now))
 }
 
+// stepLease ends the registration of a paused process after 3 s and renews it when it runs again.
+func (h *simHost) stepLease() {
+	if !h.paused {
+		h.pausedFor = 0
+	} else {
+		h.pausedFor += simStep
+	}
+	if expired := h.pausedFor > 3*time.Second; expired != h.expired {
+		h.expired = expired
+		h.s.publishHosts()
+	}
+}
+
 func (h *simHost) sendDemand() {
 	for _, to := range h.s.hosts {
 		if to.rec.ID != h.p.Decider() || !to.up || to.paused || (to != h && (to.cut || h.cut)) {
