--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -168,8 +168,9 @@
 		return
 	}
 	e.run = nil
-	p.cancel()
+	// The connections go first, so that no answer to the end of the context gets out.
 	p.ln.Kill()
+	p.cancel()
 	e.mu.Lock()
 	e.dropMemory()
 	e.mu.Unlock()
--- a/internal/standin/engine/serve.go
+++ b/internal/standin/engine/serve.go
@@ -125,8 +125,9 @@
 		writeError(ctx, fasthttp.StatusBadRequest, "bad_request", true)
 		return
 	}
-	if f, ok := e.faults.take(FaultDelay, body.Model); ok {
-		_ = sleep(m.ctx, f.delay())
+	if f, ok := e.faults.take(FaultDelay, body.Model); ok && sleep(m.ctx, f.delay()) != nil {
+		_ = ctx.Conn().Close()
+		return
 	}
 	if _, ok := e.faults.take(FaultRefuse, body.Model); ok {
 		writeError(ctx, fasthttp.StatusServiceUnavailable, "refused", true)
@@ -550,8 +551,9 @@
 		writeError(ctx, fasthttp.StatusBadRequest, "bad_order", true)
 		return
 	}
-	if f, ok := e.faults.take(FaultOrderDelay, string(o.Model)); ok {
-		_ = sleep(m.ctx, f.delay())
+	if f, ok := e.faults.take(FaultOrderDelay, string(o.Model)); ok && sleep(m.ctx, f.delay()) != nil {
+		_ = ctx.Conn().Close()
+		return
 	}
 	if !e.lockIf(m) {
 		_ = ctx.Conn().Close()
