--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -102,12 +102,14 @@
 			return nil, fmt.Errorf("host: wiring: %w", err)
 		}
 	}
-	if err := c.Invoke(h.assemble); err != nil {
-		return nil, fmt.Errorf("host: %w", dig.RootCause(err))
-	}
 	if err := h.listen(); err != nil {
 		return nil, err
 	}
+	if err := c.Invoke(h.assemble); err != nil {
+		_ = h.callerListener.Close()
+		_ = h.operatorListener.Close()
+		return nil, fmt.Errorf("host: %w", dig.RootCause(err))
+	}
 	return h, nil
 }
 
@@ -129,9 +131,9 @@
 	return config.HostRecord{
 		ID:            h.identity.host,
 		Incarnation:   h.identity.incarnation,
-		PeerAddr:      h.settings.PeerAddr,
-		OperatorAddr:  h.settings.OperatorAddr,
-		CallerAddr:    h.settings.CallerAddr,
+		PeerAddr:      advertised(h.settings, h.peers),
+		OperatorAddr:  h.OperatorAddr(),
+		CallerAddr:    h.CallerAddr(),
 		FailureDomain: h.settings.FailureDomain,
 		Region:        h.settings.Region,
 		State:         config.HostLive,
@@ -149,7 +151,7 @@
 	fatal := make(chan error, 4)
 	h.runBackground(background, &wg, fatal)
 	h.log.Info("Host started.", "host", h.identity.host, "incarnation", h.identity.incarnation,
-		"callers", h.settings.CallerAddr, "operators", h.settings.OperatorAddr, "peers", h.settings.PeerAddr, "version", h.version)
+		"callers", h.CallerAddr(), "operators", h.OperatorAddr(), "peers", h.peers.Addr(), "version", h.version)
 	select {
 	case err := <-fatal:
 		return err
@@ -174,7 +176,7 @@
 	}
 	start(func(ctx context.Context) error { h.loop.Run(ctx); return nil })
 	start(func(ctx context.Context) error { h.view.Run(ctx); return nil })
-	start(h.peers.Run)
+	start(func(ctx context.Context) error { h.peers.Run(ctx); return nil })
 	start(h.registrar.run)
 	start(func(ctx context.Context) error { h.sites.run(ctx); return nil })
 	start(func(ctx context.Context) error { h.reporter.run(ctx); return nil })
--- a/internal/host/observe.go
+++ b/internal/host/observe.go
@@ -32,7 +32,10 @@
 			return err
 		}
 	}
-	return h.metrics.Counter("foxtailpass_platform_calls", "Calls of the key-value service by kind.", h.platformCalls)
+	if err := h.metrics.Counter("foxtailpass_platform_calls", "Calls of the key-value service by kind.", h.platformCalls); err != nil {
+		return err
+	}
+	return h.metrics.Counter("foxtailpass_peer_bytes", "Bytes exchanged with other hosts by direction and kind.", h.peerBytes)
 }
 
 func (h *Host) viewAge() float64 {
@@ -50,3 +53,14 @@
 	}
 	return out
 }
+
+func (h *Host) peerBytes() []metrics.Observation {
+	var out []metrics.Observation
+	for _, k := range h.peers.Counters().Kinds() {
+		kind := attribute.String("kind", k.Kind.String())
+		out = append(out,
+			metrics.Observation{Value: float64(k.SentBytes), Attributes: []attribute.KeyValue{attribute.String("direction", "sent"), kind}},
+			metrics.Observation{Value: float64(k.ReceivedBytes), Attributes: []attribute.KeyValue{attribute.String("direction", "received"), kind}})
+	}
+	return out
+}
--- a/internal/host/settings.go
+++ b/internal/host/settings.go
@@ -22,6 +22,10 @@
 	OperatorAddr string `json:"operator_addr" validate:"ip_port"`
 	// PeerAddr is where other hosts connect.
 	PeerAddr string `json:"peer_addr" validate:"ip_port"`
+	// PeerAdvertise is the address under which other hosts reach PeerAddr, if it differs.
+	PeerAdvertise string `json:"peer_advertise,omitempty" validate:"omitempty,ip_port"`
+	// PeerSource is the local IP from which other hosts are dialed, for machines with several.
+	PeerSource string `json:"peer_source,omitempty" validate:"omitempty,ip"`
 	// Platform tells how to reach the key-value service.
 	Platform PlatformSettings `json:"platform"`
 	// LeaseTTL is how long the registration of a dead host lasts. Default 5s.
--- a/internal/host/wiring.go
+++ b/internal/host/wiring.go
@@ -52,6 +52,7 @@
 			return peer.NewManager(peer.Options{
 				Self:      wire.Hello{Host: id.host, Incarnation: id.incarnation, Prefix: s.Platform.Prefix, Build: version},
 				Listen:    s.PeerAddr,
+				Source:    s.PeerSource,
 				Handler:   h.handlePeer,
 				Heartbeat: beats.compose,
 				OnUp: func(host entity.HostID, inc entity.Incarnation) {
@@ -85,18 +86,26 @@
 		func(id identity, b *bus, c *upstream.Client, p *peer.Manager) *reporter {
 			return newReporter(id.host, s.ReportInterval.Std(), c, p, b.Send)
 		},
-		func(id identity) *control.Core { return newCore(s, id, l.WithPrefix("control")) },
+		func(id identity, p *peer.Manager) *control.Core { return newCore(s, id, advertised(s, p), l.WithPrefix("control")) },
 	}
 }
 
+// advertised returns the address under which other hosts reach this one.
+func advertised(s Settings, p *peer.Manager) string {
+	if s.PeerAdvertise != "" {
+		return s.PeerAdvertise
+	}
+	return p.Addr().String()
+}
+
 // newCore builds the control state with the chosen policies.
-func newCore(s Settings, id identity, l *log.Logger) *control.Core {
+func newCore(s Settings, id identity, addr string, l *log.Logger) *control.Core {
 	return control.NewCore(control.Options{
 		Self: id.host,
 		Throttler: limits.New(limits.Options{
 			Self:        id.host,
 			Incarnation: id.incarnation,
-			Addr:        s.PeerAddr,
+			Addr:        addr,
 			Rand:        seeded(),
 			Policy:      limits.Policy(s.Policies.Limits),
 		}),
--- a/internal/peer/manager.go
+++ b/internal/peer/manager.go
@@ -43,6 +43,8 @@
 
 // Options configures a Manager. Zero values of the last four fields mean the defaults.
 type Options struct {
+	// Source is the local IP from which other hosts are dialed; empty leaves the choice to the system.
+	Source string
 	// Self is sent as the first message of each connection.
 	Self wire.Hello
 	// Listen is the address for connections of other hosts.
@@ -293,6 +295,15 @@
 
 // dialLoop keeps a link to the peer. The host with the higher ID waits first, so that usually only
 // one of the two dials.
+// source returns the local address for dialing, nil if the system chooses it.
+func (o Options) source() net.Addr {
+	ip := net.ParseIP(o.Source)
+	if ip == nil {
+		return nil
+	}
+	return &net.TCPAddr{IP: ip}
+}
+
 func (m *Manager) dialLoop(ctx context.Context, p Peer) {
 	if m.opt.Self.Host > p.Host && !sleep(ctx, m.opt.Interval) {
 		return
@@ -307,7 +318,7 @@
 			continue
 		}
 		m.counters.Dials.Add(1)
-		d := net.Dialer{Timeout: m.silence()}
+		d := net.Dialer{Timeout: m.silence(), LocalAddr: m.opt.source()}
 		conn, err := d.DialContext(ctx, "tcp", p.Addr)
 		if err != nil {
 			m.counters.DialErrors.Add(1)
--- /dev/null
+++ b/test/harness/harness.go
@@ -0,0 +1,391 @@
+// Package harness runs a site for integration tests: hosts as real processes that can be killed
+// and paused, stand-ins in the test process, and a fault-injecting proxy on every connection
+// between them.
+package harness
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/config"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/host"
+	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/standin/engine"
+	"github.com/foxtailpass/foxtailpass/internal/standin/kv"
+	"github.com/foxtailpass/foxtailpass/internal/standin/service"
+	"github.com/foxtailpass/foxtailpass/internal/standin/site"
+)
+
+const (
+	prefix       = "foxtailpass/"
+	siteName     = "local"
+	readyTimeout = 30 * time.Second
+)
+
+// Options describes a site.
+type Options struct {
+	Hosts    int
+	Engines  []engine.Options
+	Services []service.Options
+	// Base is the configuration that is applied before the hosts start.
+	Base string
+	// RegistryLag is the lag of the platform's list of upstreams.
+	RegistryLag time.Duration
+	LeaseTTL    time.Duration
+	StopLag     time.Duration
+	Policies    host.PolicySettings
+}
+
+// Site is a running site. Store, Engines and Services take faults directly.
+type Site struct {
+	T        testing.TB
+	Store    *kv.Store
+	Config   *config.Store
+	Engines  []*engine.Engine
+	Services []*service.Service
+	Hosts    []*Host
+	Net      *Network
+	// Client reaches the key-value service without a proxy.
+	Client   *platform.Client
+	opts     Options
+	kvServer *kv.Server
+	registry *site.Registry
+	dir      string
+	binary   string
+}
+
+// Host is one host process.
+type Host struct {
+	Index    int
+	Settings host.Settings
+	site     *Site
+	cmd      *exec.Cmd
+	exited   chan struct{}
+	file     string
+	log      *os.File
+}
+
+// Start starts a site and waits until all hosts are ready. Everything is stopped when the test ends.
+func Start(t testing.TB, o Options) *Site {
+	t.Helper()
+	if o.LeaseTTL == 0 {
+		o.LeaseTTL = 3 * time.Second
+	}
+	if o.Policies == (host.PolicySettings{}) {
+		o.Policies = host.PolicySettings{Limits: "loans", Queue: "fair", Replica: "power_of_two", Placement: "demand"}
+	}
+	s := &Site{T: t, opts: o, Store: kv.NewStore(kv.Options{}), dir: t.TempDir(), binary: buildOnce(t)}
+	s.startPlatform()
+	s.startUpstreams()
+	s.Apply(o.Base)
+	for i := range o.Hosts {
+		s.Hosts = append(s.Hosts, s.newHost(i))
+	}
+	for _, h := range s.Hosts {
+		h.Start()
+	}
+	for _, h := range s.Hosts {
+		h.WaitReady()
+	}
+	return s
+}
+
+var build struct {
+	once sync.Once
+	path string
+	err  error
+}
+
+// buildOnce builds the host program once per test process.
+func buildOnce(t testing.TB) string {
+	t.Helper()
+	build.once.Do(func() {
+		dir, err := os.MkdirTemp("", "foxtailpass")
+		if err != nil {
+			build.err = err
+			return
+		}
+		build.path = filepath.Join(dir, "foxtailpass")
+		out, err := exec.Command("go", "build", "-o", build.path, "github.com/foxtailpass/foxtailpass/cmd/foxtailpass").CombinedOutput()
+		if err != nil {
+			build.err = fmt.Errorf("%w: %s", err, out)
+		}
+	})
+	if build.err != nil {
+		t.Fatalf("build: %v", build.err)
+	}
+	return build.path
+}
+
+// RemoveBinary removes the program that was built; TestMain calls it after all tests.
+func RemoveBinary() {
+	if build.path != "" {
+		_ = os.RemoveAll(filepath.Dir(build.path))
+	}
+}
+
+func (s *Site) check(err error) {
+	s.T.Helper()
+	if err != nil {
+		s.T.Fatal(err)
+	}
+}
+
+func (s *Site) startPlatform() {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	s.check(err)
+	s.kvServer = kv.NewServer(s.Store)
+	ctx, cancel := context.WithCancel(context.Background())
+	go s.Store.Run(ctx)
+	go func() { _ = s.kvServer.Serve(ln) }()
+	s.Client, err = platform.NewClient(platform.Options{Endpoints: []string{ln.Addr().String()}, Prefix: prefix})
+	s.check(err)
+	s.Config = config.NewStore(s.Client)
+	s.registry = site.NewRegistry(s.Client, s.opts.RegistryLag)
+	s.Net = newNetwork(s.T, ln.Addr().String())
+	s.T.Cleanup(func() {
+		cancel()
+		s.Net.close()
+		s.Client.Close()
+		_ = s.kvServer.Close()
+	})
+}
+
+func (s *Site) startUpstreams() {
+	for _, o := range s.opts.Engines {
+		e := engine.New(o)
+		s.check(e.Start("127.0.0.1:0"))
+		s.Engines = append(s.Engines, e)
+		s.T.Cleanup(e.Stop)
+	}
+	for _, o := range s.opts.Services {
+		v := service.New(o)
+		s.check(v.Start("127.0.0.1:0"))
+		s.Services = append(s.Services, v)
+		s.T.Cleanup(v.Stop)
+	}
+	s.check(s.registry.Set(context.Background(), s.Upstreams()))
+}
+
+// Upstreams returns the platform's list with all upstreams live, each behind its proxy.
+func (s *Site) Upstreams() []config.UpstreamRecord {
+	var list []config.UpstreamRecord
+	for i, e := range s.Engines {
+		list = append(list, config.UpstreamRecord{
+			ID: e.ID(), Kind: "engine", Addr: s.Net.upstream(string(e.ID()), e.Addr()),
+			FailureDomain: fmt.Sprintf("fd%d", i%3+1), Accelerators: 8,
+			MemoryBytes: s.opts.Engines[i].MemoryBytes, State: config.UpstreamLive,
+			ChecksFence: s.opts.Engines[i].ChecksFence, Checkpoints: s.opts.Engines[i].Checkpoints,
+		})
+	}
+	for i, v := range s.Services {
+		list = append(list, config.UpstreamRecord{
+			ID: v.ID(), Kind: s.opts.Services[i].Kind, Addr: s.Net.upstream(string(v.ID()), v.Addr()),
+			FailureDomain: fmt.Sprintf("fd%d", i%3+1), State: config.UpstreamLive,
+		})
+	}
+	return list
+}
+
+// SetUpstreams changes the platform's list.
+func (s *Site) SetUpstreams(list []config.UpstreamRecord) {
+	s.T.Helper()
+	s.check(s.registry.Set(context.Background(), list))
+}
+
+// Apply puts a base document in force and returns its revision.
+func (s *Site) Apply(base string) int64 {
+	s.T.Helper()
+	ctx := context.Background()
+	head, err := s.Config.Head(ctx)
+	s.check(err)
+	head, err = s.Config.Apply(ctx, config.ApplyRequest{
+		BaseRevision: head.Revision, Base: []byte(base), Overlays: map[string][]byte{siteName: []byte("{}")}, Who: "test",
+	})
+	s.check(err)
+	return head.Revision
+}
+
+// Key issues a key and waits until all running hosts know it.
+func (s *Site) Key(ws entity.WorkspaceID) (string, entity.KeyID) {
+	s.T.Helper()
+	key, rec, err := s.Config.IssueKey(context.Background(), ws, "test")
+	s.check(err)
+	for _, h := range s.Hosts {
+		if !h.Running() {
+			continue
+		}
+		s.Eventually(5*time.Second, fmt.Sprintf("host %d knows the key", h.Index+1), func() bool {
+			return h.Do(Request{Path: "/v1/models", Key: key}).Status == http.StatusOK
+		})
+	}
+	return key, rec.ID
+}
+
+// Withdraw withdraws a key.
+func (s *Site) Withdraw(id entity.KeyID) {
+	s.T.Helper()
+	_, err := s.Config.WithdrawKey(context.Background(), id, "test")
+	s.check(err)
+}
+
+// Eventually waits until cond holds.
+func (s *Site) Eventually(limit time.Duration, what string, cond func() bool) {
+	s.T.Helper()
+	end := time.Now().Add(limit)
+	for !cond() {
+		if time.Now().After(end) {
+			s.T.Fatalf("not within %v: %s", limit, what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func freeAddr(t testing.TB, ip string) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String()
+}
+
+func (s *Site) newHost(i int) *Host {
+	// Every host has a loopback address of its own, so that the network can tell hosts apart.
+	ip := fmt.Sprintf("127.0.1.%d", i+1)
+	peer := freeAddr(s.T, ip)
+	set := host.Settings{
+		Host: entity.HostID(fmt.Sprintf("host-%d", i+1)), Site: siteName, Region: "local",
+		FailureDomain: fmt.Sprintf("fd%d", i%3+1),
+		CallerAddr:    freeAddr(s.T, ip), OperatorAddr: freeAddr(s.T, ip), PeerAddr: peer,
+		PeerAdvertise: s.Net.peer(i, peer), PeerSource: ip,
+		Platform:  host.PlatformSettings{Endpoints: []string{s.Net.platform(i)}, Prefix: prefix, Timeout: duration(time.Second)},
+		LeaseTTL:  duration(s.opts.LeaseTTL),
+		StopLag:   duration(s.opts.StopLag),
+		StopLimit: duration(time.Minute), ReportInterval: duration(50 * time.Millisecond),
+		MaxConnections: 10000, Policies: s.opts.Policies,
+		Log: host.LogSettings{Level: "info", Format: "text"},
+	}
+	h := &Host{Index: i, Settings: set, site: s, file: filepath.Join(s.dir, fmt.Sprintf("host-%d.json", i+1))}
+	data, err := json.Marshal(set)
+	s.check(err)
+	s.check(os.WriteFile(h.file, data, 0o600))
+	s.T.Cleanup(h.cleanup)
+	return h
+}
+
+func (h *Host) cleanup() {
+	if h.Running() {
+		h.Kill()
+	}
+	if h.site.T.Failed() && h.log != nil {
+		data, _ := os.ReadFile(h.log.Name())
+		h.site.T.Logf("log of host %d:\n%s", h.Index+1, tail(data, 6000))
+	}
+}
+
+func tail(b []byte, n int) []byte {
+	if len(b) > n {
+		return b[len(b)-n:]
+	}
+	return b
+}
+
+// Start starts the process, or a new one after the former has ended.
+func (h *Host) Start() {
+	t := h.site.T
+	t.Helper()
+	var err error
+	h.log, err = os.OpenFile(h.file+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	h.site.check(err)
+	h.cmd = exec.Command(h.site.binary, "--settings", h.file)
+	h.cmd.Stderr = h.log
+	h.site.check(h.cmd.Start())
+	h.exited = make(chan struct{})
+	go func(cmd *exec.Cmd, done chan struct{}, log io.Closer) {
+		_ = cmd.Wait()
+		_ = log.Close()
+		close(done)
+	}(h.cmd, h.exited, h.log)
+}
+
+// Running says whether the process has not ended; a paused process counts as running.
+func (h *Host) Running() bool {
+	if h.exited == nil {
+		return false
+	}
+	select {
+	case <-h.exited:
+		return false
+	default:
+		return true
+	}
+}
+
+// WaitReady waits until the host wants callers.
+func (h *Host) WaitReady() {
+	h.site.T.Helper()
+	h.site.Eventually(readyTimeout, fmt.Sprintf("host %d is ready", h.Index+1), func() bool {
+		resp, err := http.Get("http://" + h.Settings.OperatorAddr + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+}
+
+// Status returns the operator view.
+func (h *Host) Status() host.Status {
+	h.site.T.Helper()
+	var st host.Status
+	resp, err := http.Get("http://" + h.Settings.OperatorAddr + "/status")
+	h.site.check(err)
+	defer func() { _ = resp.Body.Close() }()
+	h.site.check(json.NewDecoder(resp.Body).Decode(&st))
+	return st
+}
+
+func (h *Host) signal(sig syscall.Signal) {
+	h.site.T.Helper()
+	h.site.check(h.cmd.Process.Signal(sig))
+}
+
+// Kill ends the process at once.
+func (h *Host) Kill() {
+	h.signal(syscall.SIGKILL)
+	<-h.exited
+}
+
+// Pause stops the process from running until Resume.
+func (h *Host) Pause() { h.signal(syscall.SIGSTOP) }
+
+// Resume lets a paused process run on.
+func (h *Host) Resume() { h.signal(syscall.SIGCONT) }
+
+// Terminate begins the graceful shutdown.
+func (h *Host) Terminate() { h.signal(syscall.SIGTERM) }
+
+// WaitExit waits for the end of the process and returns its exit code.
+func (h *Host) WaitExit(limit time.Duration) int {
+	h.site.T.Helper()
+	select {
+	case <-h.exited:
+	case <-time.After(limit):
+		h.site.T.Fatalf("host %d has not ended within %v", h.Index+1, limit)
+	}
+	return h.cmd.ProcessState.ExitCode()
+}
