--- a/internal/limits/cluster_test.go
+++ b/internal/limits/cluster_test.go
@@ -188,17 +188,18 @@
 
 // loop repeats run while the process lives; a pause delays it.
 func (c *cluster) loop(p *process, d time.Duration, run func()) {
-	c.after(d, func() {
-		if p.dead {
-			return
-		}
-		if c.now < p.paused {
-			c.after(p.paused-c.now, func() { c.loop(p, 0, run) })
-			return
+	var step func()
+	step = func() {
+		switch {
+		case p.dead:
+		case c.now < p.paused:
+			c.after(p.paused-c.now, step)
+		default:
+			run()
+			c.after(d, step)
 		}
-		run()
-		c.loop(p, d, run)
-	})
+	}
+	c.after(d, step)
 }
 
 // deliver runs a function at a process after a delay, later if it is paused, never if it is dead.
