--- a/internal/host/wiring.go
+++ b/internal/host/wiring.go
@@ -86,7 +86,9 @@
 		func(id identity, b *bus, c *upstream.Client, p *peer.Manager) *reporter {
 			return newReporter(id.host, s.ReportInterval.Std(), c, p, b.Send)
 		},
-		func(id identity, p *peer.Manager) *control.Core { return newCore(s, id, advertised(s, p), l.WithPrefix("control")) },
+		func(id identity, p *peer.Manager) *control.Core {
+			return newCore(s, id, advertised(s, p), l.WithPrefix("control"))
+		},
 	}
 }
 
