--- a/internal/limits/cluster_test.go
+++ b/internal/limits/cluster_test.go
@@ -100,6 +100,7 @@
 
 type simRequest struct {
 	id       entity.RequestID
+	proc     *process
 	tokens   float64
 	at       time.Duration
 	admitted bool
@@ -433,8 +434,8 @@
 // request sends a request to a host, as the load balancer does; dead and paused hosts get none.
 func (c *cluster) request(host entity.HostID, tokens float64) *simRequest {
 	c.nextReq++
-	r := &simRequest{id: entity.RequestID(fmt.Sprint(c.nextReq)), tokens: tokens, at: c.now}
 	p := c.procs[host]
+	r := &simRequest{id: entity.RequestID(fmt.Sprint(c.nextReq)), proc: p, tokens: tokens, at: c.now}
 	if p.dead || p.stopped || c.now < p.paused {
 		return nil
 	}
@@ -477,7 +478,7 @@
 	p := c.procs[host]
 	p.dead = true
 	for id, r := range c.requests {
-		if !r.answered {
+		if r.proc == p {
 			delete(c.requests, id)
 		}
 	}
--- a/internal/limits/loans.go
+++ b/internal/limits/loans.go
@@ -39,8 +39,9 @@
 	// spareFactor asks peers for more than is missing, because their levels are known with a
 	// delay; the surplus serves later requests or is returned.
 	spareFactor = 1.25
-	// leastAsk is the smallest part of a loan, in tokens, so that a loan is not spread too thin.
-	leastAsk = 1
+	// leastPart is the smallest part of the missing tokens for which a peer is asked, so that a
+	// loan is not spread over many peers that have almost nothing.
+	leastPart = 1.0 / 50
 )
 
 // average is an exponentially weighted sum of tokens.
@@ -149,7 +150,8 @@
 	if t.opt.Policy == PolicyStatic {
 		return nil
 	}
-	missing := a.queuedTokens() - t.available(a, now) - a.askedTokens()
+	have := t.available(a, now) + a.askedTokens()
+	missing := a.queuedTokens() - have
 	if missing <= 0 {
 		return nil
 	}
@@ -160,7 +162,7 @@
 	var offers []offer
 	for _, h := range a.share.rec.Holders {
 		e := t.estimate(a, h.Host, now)
-		if e >= leastAsk || e >= missing {
+		if e > 0 && e >= missing*leastPart {
 			offers = append(offers, offer{h.Host, e})
 		}
 	}
@@ -180,9 +182,13 @@
 		sum += offers[n].estimate
 		n++
 	}
+	if have+sum < a.waiting[0].tokens {
+		// The first request cannot be served by loans yet; asking would only move tokens around.
+		return nil
+	}
 	var out []command.Command
 	for _, o := range offers[:n] {
-		tokens := min(o.estimate, max(leastAsk, o.estimate/sum*missing*spareFactor))
+		tokens := min(o.estimate, o.estimate/sum*missing*spareFactor)
 		out = append(out, t.sendAsk(a, o.host, tokens, now))
 	}
 	return out
