--- /dev/null
+++ b/internal/claims/store_test.go
@@ -0,0 +1,307 @@
+package claims
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/platform"
+)
+
+// memoryKV is a key-value service in memory that loses answers and can be down.
+type memoryKV struct {
+	platform.KV
+	mu     sync.Mutex
+	rev    int64
+	pairs  map[string]platform.Pair
+	txns   int
+	grants int
+	down   bool
+	// lose, late and refuse are probabilities of a Txn: the answer is lost after the effect, the
+	// effect comes after the lost answer, and the call fails without effect.
+	lose, late, refuse float64
+}
+
+func newKV() *memoryKV { return &memoryKV{pairs: map[string]platform.Pair{}} }
+
+func (m *memoryKV) Grant(context.Context, time.Duration) (platform.LeaseID, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.grants++
+	return platform.LeaseID(m.grants), nil
+}
+
+func (m *memoryKV) Get(_ context.Context, key string) (*platform.Pair, int64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return nil, 0, platform.ErrUnavailable
+	}
+	return m.get(key), m.rev, nil
+}
+
+func (m *memoryKV) get(key string) *platform.Pair {
+	if p, ok := m.pairs[key]; ok {
+		return &p
+	}
+	return nil
+}
+
+func (m *memoryKV) Txn(_ context.Context, t platform.Txn) (platform.TxnResult, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.txns++
+	switch x := rand.Float64(); {
+	case m.down || x < m.refuse:
+		return platform.TxnResult{}, platform.ErrUnavailable
+	case x < m.refuse+m.late:
+		time.AfterFunc(rand.N(40*time.Millisecond), func() {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.apply(t)
+		})
+		return platform.TxnResult{}, platform.ErrUnknown
+	case x < m.refuse+m.late+m.lose:
+		m.apply(t)
+		return platform.TxnResult{}, platform.ErrUnknown
+	}
+	return m.apply(t), nil
+}
+
+func (m *memoryKV) apply(t platform.Txn) platform.TxnResult {
+	r := platform.TxnResult{Succeeded: true}
+	for _, c := range t.Compares {
+		r.Succeeded = r.Succeeded && m.pairs[c.Key].ModRevision == c.Value
+	}
+	ops := t.Failure
+	if r.Succeeded {
+		ops = t.Success
+		m.rev++
+	}
+	seen := map[string]bool{}
+	for _, op := range ops {
+		if seen[op.Key] && op.Kind == platform.OpPut {
+			panic("duplicate key in one transaction: " + op.Key)
+		}
+		seen[op.Key] = true
+		switch op.Kind {
+		case platform.OpPut:
+			m.pairs[op.Key] = platform.Pair{Key: op.Key, Value: op.Value, ModRevision: m.rev, Lease: op.Lease}
+		case platform.OpDelete:
+			delete(m.pairs, op.Key)
+		case platform.OpGet:
+			r.Gets = append(r.Gets, m.get(op.Key))
+		}
+	}
+	r.Revision = m.rev
+	return r
+}
+
+func (m *memoryKV) set(f func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	f()
+}
+
+func testStore(t *testing.T, kv platform.KV, inc string, alive Liveness) *Store {
+	s := New(Options{KV: kv, Host: entity.HostID(inc), Incarnation: entity.Incarnation(inc), Alive: func(entity.HostID, entity.Incarnation) Liveness { return alive }})
+	t.Cleanup(s.Close)
+	return s
+}
+
+func request(key, body string) ClaimRequest {
+	return ClaimRequest{Workspace: "w", Key: key, Digest: DigestOf("POST", "/cut", []byte(body)), Request: "r"}
+}
+
+// TestOutcomes guards against a wrong answer to a second caller with the same key.
+func TestOutcomes(t *testing.T) {
+	cases := []struct {
+		name     string
+		body     string
+		alive    Liveness
+		complete bool
+		want     Outcome
+	}{
+		{"claimant alive", "x", Alive, false, InProgress},
+		{"claimant not known", "x", LivenessUnknown, false, InProgress},
+		{"claimant gone", "x", Gone, false, OutcomeUnknown},
+		{"completed", "x", Gone, true, Replay},
+		{"other body", "y", Alive, false, Mismatch},
+		{"other body after completion", "y", Alive, true, Mismatch},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			kv := newKV()
+			ctx := context.Background()
+			first := testStore(t, kv, "a", Alive).Claim(ctx, request("k", "x"))
+			if first.Outcome != Granted {
+				t.Fatalf("first claim: %v", first.Outcome)
+			}
+			if tc.complete {
+				if err := testStore(t, kv, "a", Alive).Complete(ctx, first.Claim, StoredAnswer{Status: 201, Body: []byte("ok")}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			got := testStore(t, kv, "b", tc.alive).Claim(ctx, request("k", tc.body))
+			if got.Outcome != tc.want {
+				t.Errorf("outcome %v, want %v", got.Outcome, tc.want)
+			}
+			if tc.want == Replay && string(got.Answer.Body) != "ok" {
+				t.Errorf("answer %+v", got.Answer)
+			}
+		})
+	}
+}
+
+// TestLargeAnswer guards against records above the value limit of the service.
+func TestLargeAnswer(t *testing.T) {
+	s := testStore(t, newKV(), "a", Alive)
+	ctx := context.Background()
+	c := s.Claim(ctx, request("k", "x")).Claim
+	if err := s.Complete(ctx, c, StoredAnswer{Status: 200, Body: make([]byte, MaxBody+1)}); err != nil {
+		t.Fatal(err)
+	}
+	got := s.Claim(ctx, request("k", "x"))
+	if got.Outcome != Replay || !got.Answer.BodyOmitted || got.Answer.Body != nil {
+		t.Errorf("got %v %+v", got.Outcome, got.Answer)
+	}
+}
+
+// TestServiceDown guards against claims that are granted or leaked while the service is down.
+func TestServiceDown(t *testing.T) {
+	kv := newKV()
+	kv.down = true
+	s := testStore(t, kv, "a", Alive)
+	ctx := context.Background()
+	if got := s.Claim(ctx, request("k", "x")); got.Outcome != Unavailable {
+		t.Errorf("service down: %v", got.Outcome)
+	}
+	kv.set(func() { kv.down = false })
+	if got := s.Claim(ctx, request("k", "x")); got.Outcome != Granted {
+		t.Errorf("service back: %v", got.Outcome)
+	}
+}
+
+// TestLostAnswerNotMistaken guards against a claim whose answer was lost, and that was reported
+// as unavailable, being taken for another caller's.
+func TestLostAnswerNotMistaken(t *testing.T) {
+	kv := newKV()
+	kv.lose = 1
+	s := testStore(t, kv, "a", Alive)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	defer cancel()
+	if got := s.Claim(ctx, request("k", "x")); got.Outcome != Unavailable {
+		t.Fatalf("lost answer: %v", got.Outcome)
+	}
+	kv.set(func() { kv.lose = 0 })
+	deadline := time.Now().Add(5 * time.Second)
+	for {
+		got := s.Claim(context.Background(), request("k", "changed body"))
+		if got.Outcome == Granted {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("never granted after a lost answer: %v", got.Outcome)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// TestBatching guards against one call per claim, more than one lease per hour, and a batch that
+// fails as a whole because of one taken key.
+func TestBatching(t *testing.T) {
+	kv := newKV()
+	s := testStore(t, kv, "a", Alive)
+	s.Claim(context.Background(), request("k7", "x"))
+	kv.set(func() { kv.txns = 0 })
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	count := map[Outcome]int{}
+	for i := range 64 {
+		group.Go(func() {
+			r := s.Claim(context.Background(), request(fmt.Sprintf("k%d", i), "x"))
+			mu.Lock()
+			defer mu.Unlock()
+			count[r.Outcome]++
+		})
+	}
+	group.Wait()
+	if count[Granted] != 63 || count[InProgress] != 1 {
+		t.Errorf("outcomes %v", count)
+	}
+	if kv.txns > 16 || kv.grants != 1 {
+		t.Errorf("%d transactions, %d leases", kv.txns, kv.grants)
+	}
+}
+
+type claimOp struct{ release bool }
+
+// claimModel is one key: a claim is granted only while nobody holds it.
+var claimModel = porcupine.Model{
+	Init: func() any { return false },
+	Step: func(state, input, output any) (bool, any) {
+		held := state.(bool)
+		if input.(claimOp).release {
+			return held, false
+		}
+		if output.(Outcome) == Granted {
+			return !held, true
+		}
+		// Other outcomes say only that the request must not run, which is always allowed.
+		return true, state
+	},
+}
+
+// TestAtMostOnce guards against two holders of one key under lost, late and failed writes.
+func TestAtMostOnce(t *testing.T) {
+	for round := range 20 {
+		kv := newKV()
+		kv.lose, kv.late, kv.refuse = 0.15, 0.15, 0.1
+		var mu sync.Mutex
+		var history []porcupine.Operation
+		granted := 0
+		record := func(client int, op claimOp, out Outcome, call int64) {
+			mu.Lock()
+			defer mu.Unlock()
+			history = append(history, porcupine.Operation{ClientId: client, Input: op, Output: out, Call: call, Return: time.Now().UnixNano()})
+			if out == Granted && !op.release {
+				granted++
+			}
+		}
+		var group sync.WaitGroup
+		for client := range 4 {
+			s := testStore(t, kv, fmt.Sprintf("p%d", client%2), Alive)
+			group.Go(func() {
+				for range 12 {
+					ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+					call := time.Now().UnixNano()
+					r := s.Claim(ctx, request("k", "x"))
+					record(client, claimOp{}, r.Outcome, call)
+					cancel()
+					if r.Outcome != Granted {
+						time.Sleep(time.Millisecond)
+						continue
+					}
+					call = time.Now().UnixNano()
+					ctx, cancel = context.WithTimeout(context.Background(), time.Second)
+					_ = s.Release(ctx, r.Claim)
+					record(client, claimOp{release: true}, Unavailable, call)
+					cancel()
+				}
+			})
+		}
+		group.Wait()
+		if !porcupine.CheckOperations(claimModel, history) {
+			t.Fatalf("round %d: two holders at once", round)
+		}
+		if granted == 0 {
+			t.Errorf("round %d: nothing granted", round)
+		}
+	}
+}
