--- a/internal/peer/frame_test.go
+++ b/internal/peer/frame_test.go
@@ -29,6 +29,9 @@
 	f.Add([]byte{0, 0, 0, 2, 1, 99})
 	// An array that claims 2^32-1 elements.
 	f.Add([]byte{0, 0, 0, 10, 1, byte(wire.KindReports), 0x81, 0xa1, 'r', 0xdd, 0xff, 0xff, 0xff, 0xff})
+	// An unknown field with deeply nested arrays.
+	deep := append([]byte{0, 0, 1, 4, 1, byte(wire.KindReports), 0x81, 0xa1, 'x'}, bytes.Repeat([]byte{0x91}, 254)...)
+	f.Add(append(deep, 0xc0))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var buf bytes.Buffer
 		b, err := readFrame(bytes.NewReader(data), &buf, MaxFrameBytes)
--- a/internal/peer/manager.go
+++ b/internal/peer/manager.go
@@ -47,8 +47,8 @@
 	Self wire.Hello
 	// Listen is the address for connections of other hosts.
 	Listen string
-	// Handler takes all messages of a link except hello, one call at a time per link. It must not
-	// block; the message belongs to it.
+	// Handler takes all messages except hello, one call at a time per connection; while one connection
+	// replaces another, both deliver for up to an Interval. It must not block; the message belongs to it.
 	Handler func(from entity.HostID, inc entity.Incarnation, m wire.Message)
 	// OnUp and OnDown report when a host becomes linked and when it no longer is, one call at a time.
 	// They must be fast. Replacing a connection of the same incarnation reports nothing.
@@ -363,8 +363,12 @@
 		return false
 	}
 	l := m.newLink(conn, hello, expect != "")
-	if !m.register(l) {
-		m.counters.Duplicates.Add(1)
+	switch m.register(l) {
+	case refused:
+		return false
+	case spare:
+		time.AfterFunc(m.opt.Interval, l.close)
+		l.run(r)
 		return false
 	}
 	l.run(r)
@@ -372,6 +376,19 @@
 	return true
 }
 
+// verdict is what becomes of a connection after its handshake.
+type verdict uint8
+
+const (
+	// chosen makes the connection the link to its host.
+	chosen verdict = iota
+	// spare means that another connection to the same process is the link. A spare connection is
+	// read for one more interval: the other end may have chosen it until it completes the handshake of
+	// the other one, and would report the host as down if it broke before.
+	spare
+	refused
+)
+
 func (m *Manager) handshake(conn net.Conn, r io.Reader) (*wire.Hello, error) {
 	frame, err := encodeFrame(&m.opt.Self)
 	if err != nil {
@@ -411,29 +428,40 @@
 	return nil
 }
 
-// register makes l the link to its host, or returns false when the present link stays.
-func (m *Manager) register(l *link) bool {
+// register makes l the link to its host unless the present link stays.
+func (m *Manager) register(l *link) verdict {
 	m.callbacks.Lock()
 	defer m.callbacks.Unlock()
 	m.mu.Lock()
 	old := m.links[l.host]
-	if m.closed || old != nil && !m.replaces(l, old) {
+	if m.closed {
 		m.mu.Unlock()
-		return false
+		return refused
+	}
+	if old != nil {
+		m.counters.Duplicates.Add(1)
+	}
+	same := old != nil && old.inc == l.inc
+	if old != nil && !m.replaces(l, old) {
+		m.mu.Unlock()
+		if same {
+			return spare
+		}
+		return refused
 	}
 	m.links[l.host] = l
 	m.mu.Unlock()
+	if same {
+		time.AfterFunc(m.opt.Interval, old.close)
+		return chosen
+	}
 	if old != nil {
-		m.counters.Duplicates.Add(1)
 		old.close()
-		if old.inc == l.inc {
-			return true
-		}
 		m.opt.OnDown(old.host, old.inc)
 	}
 	m.opt.Logger.Info("linked", "host", l.host, "incarnation", l.inc)
 	m.opt.OnUp(l.host, l.inc)
-	return true
+	return chosen
 }
 
 // replaces decides between two connections to one host so that both ends decide alike: the
--- a/internal/peer/manager_test.go
+++ b/internal/peer/manager_test.go
@@ -96,9 +96,13 @@
 func TestOneLinkPerPair(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	for range 5 {
-		// The interval is long, so that no dialer notices the other's connection in time.
+		// The extra dialer does not wait first, so that both hosts dial at the same time.
 		a, b := newHost(t, "a", "1", nil), newHost(t, "b", "1", nil)
-		go b.dialLoop(b.ctx, Peer{Host: "a", Addr: a.peer.Addr})
+		b.start(func() {
+			if conn, err := net.Dial("tcp", a.peer.Addr); err == nil {
+				b.serve(conn, "a")
+			}
+		})
 		a.SetPeers([]Peer{b.peer})
 		b.SetPeers([]Peer{a.peer})
 		eventually(t, "both linked", 5*time.Second, func() bool { return linked(a, "1")() && linked(b, "1")() })
