--- a/internal/gateway/claim.go
+++ b/internal/gateway/claim.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -13,6 +11,9 @@
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 )
 
+// replayedHeader marks a stored answer.
+const replayedHeader = "X-Foxtailpass-Replayed"
+
 const (
 	// claimTimeout bounds the wait for a claim; the request has not run until then.
 	claimTimeout = 2 * time.Second
@@ -20,53 +21,45 @@
 	storeTimeout = time.Second
 )
 
-func (g *Gateway) claimRequest(s *session) claims.Request {
-	digest := sha256.New()
-	digest.Write([]byte(s.call.method))
-	digest.Write([]byte(s.call.uri))
-	digest.Write(s.call.body)
-	return claims.Request{
-		Workspace:   s.request.Workspace,
-		Key:         s.call.claimKey,
-		Digest:      hex.EncodeToString(digest.Sum(nil)),
-		Request:     s.request.ID,
-		Host:        g.opts.Host,
-		Incarnation: g.opts.Incarnation,
-	}
-}
-
 // claim makes the idempotency claim. It returns false when the request already has its answer.
 func (g *Gateway) claim(e *exchange, s *session) bool {
 	ctx, cancel := context.WithTimeout(s.ctx, claimTimeout)
 	defer cancel()
-	res := g.opts.Claims.Claim(ctx, g.claimRequest(s))
-	if res.Kind == claims.Granted {
-		s.claimed = true
+	res := g.opts.Claims.Claim(ctx, claims.ClaimRequest{
+		Workspace: s.request.Workspace,
+		Key:       s.call.claimKey,
+		Digest:    claims.DigestOf(s.call.method, s.call.uri, s.call.body),
+		Request:   s.request.ID,
+	})
+	if res.Outcome == claims.Granted {
+		s.claim = res.Claim
 		g.opts.Control.Send(control.Claimed{Request: s.request.ID})
 		return true
 	}
 	g.opts.Control.Send(control.CallerGone{Request: s.request.ID})
-	if res.Kind == claims.Replay {
+	if res.Outcome == claims.Replay && !res.Answer.BodyOmitted {
 		replay(e, res.Answer)
 		return false
 	}
-	e.refuse(claimRefusal(res.Kind))
+	e.refuse(claimRefusal(res.Outcome))
 	return false
 }
 
-func replay(e *exchange, a claims.StoredAnswer) {
+func replay(e *exchange, a *claims.StoredAnswer) {
 	e.code = "replayed"
 	e.ctx.SetStatusCode(a.Status)
 	e.ctx.SetContentType(a.ContentType)
-	e.ctx.Response.Header.Set("X-Foxtailpass-Replayed", "true")
-	if a.Status >= 500 {
+	e.ctx.Response.Header.Set(replayedHeader, "true")
+	if a.Status >= 400 {
 		e.ctx.Response.Header.Set(RanHeader, entity.RanUnknown.String())
 	}
 	e.ctx.SetBody(a.Body)
 }
 
-func claimRefusal(kind claims.Kind) entity.Refusal {
-	switch kind {
+func claimRefusal(o claims.Outcome) entity.Refusal {
+	switch o {
+	case claims.Replay:
+		return entity.Refusal{Status: 409, Code: "answer_not_kept", Message: "The request has completed, but its answer was too large to be kept.", Ran: entity.RanUnknown}
 	case claims.InProgress:
 		return entity.Refusal{Status: 409, Code: "in_progress", Message: "A request with this idempotency key is running.", Ran: entity.RanUnknown, RetryAfter: time.Second}
 	case claims.OutcomeUnknown:
@@ -79,12 +72,12 @@
 
 // releaseClaim gives up the claim of a request that was not run.
 func (g *Gateway) releaseClaim(s *session) {
-	if !s.claimed {
+	if s.claim == nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	if err := g.opts.Claims.Release(ctx, g.claimRequest(s)); err != nil {
+	if err := g.opts.Claims.Release(ctx, s.claim); err != nil {
 		g.opts.Log.Warn("Claim not released.", "request", s.request.ID, "err", err)
 	}
 }
@@ -92,7 +85,7 @@
 // settleClaim releases the claim of a request that was proven not run. Otherwise the refusal is
 // stored, so that a repetition is told that the outcome is unknown.
 func (g *Gateway) settleClaim(s *session, r entity.Refusal) {
-	if !s.claimed {
+	if s.claim == nil {
 		return
 	}
 	if r.Ran == entity.NotRun {
@@ -104,13 +97,13 @@
 
 // completeClaim stores the result of a request.
 func (g *Gateway) completeClaim(s *session, status int, contentType string, body []byte) {
-	if !s.claimed {
+	if s.claim == nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	answer := claims.StoredAnswer{Status: status, ContentType: contentType, Body: append([]byte(nil), body...)}
-	if err := g.opts.Claims.Complete(ctx, g.claimRequest(s), answer); err != nil {
+	if err := g.opts.Claims.Complete(ctx, s.claim, answer); err != nil {
 		g.opts.Log.Warn("Result not stored.", "request", s.request.ID, "err", err)
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,9 +37,9 @@
 
 // Claims makes requests with an idempotency key run at most once.
 type Claims interface {
-	Claim(ctx context.Context, r claims.Request) claims.Result
-	Complete(ctx context.Context, r claims.Request, a claims.StoredAnswer) error
-	Release(ctx context.Context, r claims.Request) error
+	Claim(ctx context.Context, r claims.ClaimRequest) claims.Result
+	Complete(ctx context.Context, c *claims.Claim, a claims.StoredAnswer) error
+	Release(ctx context.Context, c *claims.Claim) error
 }
 
 // Options configures a Gateway.
@@ -56,9 +56,6 @@
 	Metrics *metrics.Metrics
 	// Log is the logger of this part; required.
 	Log *log.Logger
-	// Host and Incarnation identify this process in claims.
-	Host        entity.HostID
-	Incarnation entity.Incarnation
 	// MaxConnections bounds the open connections of callers. Default 20000.
 	MaxConnections int
 	// MaxHeaderBytes bounds a request header. Default 16 KiB.
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/foxtailpass/foxtailpass/internal/claims"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/schedule"
 )
@@ -48,7 +49,8 @@
 	arrived    time.Time
 	dispatched bool
 	usedTokens float64
-	claimed    bool
+	// claim is the idempotency claim that this request holds, nil if none.
+	claim      *claims.Claim
 	routeLabel string
 	key        string
 	// sent says that a part of the answer has been handed to the caller's connection.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -62,6 +62,7 @@
 	view      *view.Manager
 	loop      *control.Loop
 	gateway   *gateway.Gateway
+	claims    *claims.Store
 	registrar *registrar
 	reporter  *reporter
 	sites     *siteWatcher
@@ -150,6 +151,7 @@
 	defer stopBackground()
 	fatal := make(chan error, 4)
 	h.runBackground(background, &wg, fatal)
+	defer h.claims.Close()
 	h.log.Info("Host started.", "host", h.identity.host, "incarnation", h.identity.incarnation,
 		"callers", h.CallerAddr(), "operators", h.OperatorAddr(), "peers", h.peers.Addr(), "version", h.version)
 	select {
--- a/internal/host/hosts.go
+++ b/internal/host/hosts.go
@@ -77,7 +77,7 @@
 	r, ok := t.rows[id]
 	switch {
 	case !ok:
-		return claims.Unknown
+		return claims.LivenessUnknown
 	case r.Incarnation == inc:
 		return claims.Alive
 	}
--- a/internal/host/wiring.go
+++ b/internal/host/wiring.go
@@ -64,10 +64,10 @@
 				Logger: l.WithPrefix("peer"),
 			})
 		},
-		func(id identity, b *bus, kv *platform.Client) *claims.Store {
-			return claims.NewStore(claims.Options{KV: kv, Alive: h.alive})
+		func(id identity, kv *platform.Client) *claims.Store {
+			return claims.New(claims.Options{KV: kv, Host: id.host, Incarnation: id.incarnation, Alive: h.alive})
 		},
-		func(id identity, b *bus, c *upstream.Client, st *claims.Store, m *metrics.Metrics, v *view.Manager) *gateway.Gateway {
+		func(b *bus, c *upstream.Client, st *claims.Store, m *metrics.Metrics, v *view.Manager) *gateway.Gateway {
 			return gateway.New(gateway.Options{
 				Control:        b,
 				Upstreams:      c,
@@ -75,8 +75,6 @@
 				Fresh:          func() bool { return v.Fresh(time.Now()) },
 				Metrics:        m,
 				Log:            l.WithPrefix("gateway"),
-				Host:           id.host,
-				Incarnation:    id.incarnation,
 				MaxConnections: s.MaxConnections,
 			})
 		},
@@ -154,6 +152,7 @@
 	View      *view.Manager
 	Core      *control.Core
 	Gateway   *gateway.Gateway
+	Claims    *claims.Store
 	Sites     *siteWatcher
 	Reporter  *reporter
 	Beats     *heartbeats
@@ -170,6 +169,7 @@
 	h.peers = p.Peers
 	h.view = p.View
 	h.gateway = p.Gateway
+	h.claims = p.Claims
 	h.sites = p.Sites
 	h.reporter = p.Reporter
 	h.beats = p.Beats
