--- a/internal/schedule/pool.go
+++ b/internal/schedule/pool.go
@@ -64,6 +64,19 @@
 	p.targets = next
 }
 
+// target returns the target at an upstream, or nil.
+func (p *pool) target(id entity.UpstreamID) *target {
+	if id == "" {
+		return nil
+	}
+	for _, t := range p.targets {
+		if t.upstream.id == id {
+			return t
+		}
+	}
+	return nil
+}
+
 // dropTarget removes a target until the placement lists it again.
 func (p *pool) dropTarget(id entity.UpstreamID) {
 	for i, t := range p.targets {
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -35,6 +35,10 @@
 	// hopelessMargin is how far an estimate must exceed the time left before a request is given
 	// up; estimates of queueing time are rough.
 	hopelessMargin = 1.5
+	// sampledTargets is how many targets of a large pool are looked at, and sampleStride spreads
+	// them; a prime stride reaches different targets in pools of any usual size.
+	sampledTargets = 4
+	sampleStride   = 7919
 	// serviceSamples is the number of answers after which the service time is trusted.
 	serviceSamples = 8
 )
@@ -455,25 +459,29 @@
 	}
 }
 
-// choose returns a target that accepts the request now, or nil.
+// choose returns a target that accepts the request now, or nil. In a large pool a few random
+// targets are looked at first: looking at all of them for every request costs more than the
+// better choice is worth, and most of them accept requests.
 func (s *Scheduler) choose(p *pool, r *Request, tier entity.Class, now time.Time) *target {
-	s.candidates = s.candidates[:0]
-	s.eligible = s.eligible[:0]
 	var cached entity.UpstreamID
 	if r.Prefix != 0 {
 		cached = s.affinity.get(r.Prefix)
 	}
-	for _, t := range p.targets {
-		if !t.upstream.accepts(tier, t.slots, now) {
-			continue
+	s.candidates = s.candidates[:0]
+	s.eligible = s.eligible[:0]
+	if len(p.targets) > sampledTargets {
+		first := s.opts.Rand.IntN(len(p.targets))
+		for i := range sampledTargets {
+			s.consider(p.targets[(first+i*sampleStride)%len(p.targets)], r, tier, cached, now)
+		}
+		if t := p.target(cached); t != nil {
+			s.consider(t, r, tier, cached, now)
+		}
+	}
+	if len(s.eligible) == 0 {
+		for _, t := range p.targets {
+			s.consider(t, r, tier, cached, now)
 		}
-		s.eligible = append(s.eligible, t)
-		s.candidates = append(s.candidates, Candidate{
-			Upstream: t.upstream.id,
-			Load:     t.upstream.load(now) / float64(max(t.slots, 1)),
-			Prefix:   cached != "" && cached == t.upstream.id,
-			Avoid:    r.avoid == t.upstream.id,
-		})
 	}
 	if len(s.eligible) == 0 {
 		return nil
@@ -481,6 +489,21 @@
 	return s.eligible[s.opts.Selector.Select(s.candidates, s.opts.Rand)]
 }
 
+// consider adds a target to the candidates when it accepts the request now.
+func (s *Scheduler) consider(t *target, r *Request, tier entity.Class, cached entity.UpstreamID, now time.Time) {
+	load := t.upstream.load(now)
+	if !t.upstream.accepts(tier, t.slots, load, now) {
+		return
+	}
+	s.eligible = append(s.eligible, t)
+	s.candidates = append(s.candidates, Candidate{
+		Upstream: t.upstream.id,
+		Load:     load / float64(max(t.slots, 1)),
+		Prefix:   cached != "" && cached == t.upstream.id,
+		Avoid:    r.avoid == t.upstream.id,
+	})
+}
+
 func (s *Scheduler) dispatch(p *pool, r *Request, t *target, now time.Time) command.Command {
 	s.unqueue(r)
 	r.running = true
--- a/internal/schedule/upstream.go
+++ b/internal/schedule/upstream.go
@@ -73,12 +73,15 @@
 
 // load estimates all requests at the upstream.
 func (u *upstream) load(now time.Time) float64 {
+	if u.others == 0 {
+		return float64(u.inflight)
+	}
 	age := now.Sub(u.othersAt)
 	return float64(u.inflight) + u.others*math.Exp(-age.Seconds()/reportDecay.Seconds())
 }
 
-// accepts says whether another request of a tier may be sent now.
-func (u *upstream) accepts(tier entity.Class, slots int, now time.Time) bool {
+// accepts says whether another request of a tier may be sent now under the estimated load.
+func (u *upstream) accepts(tier entity.Class, slots int, load float64, now time.Time) bool {
 	if now.Before(u.ejected) {
 		return false
 	}
@@ -86,7 +89,7 @@
 	if tier == entity.Interactive {
 		limit = math.Ceil(limit * interactiveHeadroom)
 	}
-	return u.load(now) < limit
+	return load < limit
 }
 
 // handleOutcome ejects an upstream that does not accept connections, for a growing time.
