--- /dev/null
+++ b/internal/limits/throttler_test.go
@@ -0,0 +1,148 @@
+package limits
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/command"
+	"github.com/foxtailpass/foxtailpass/internal/config"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/wire"
+)
+
+// pairOfHosts returns a host "a" that holds half of the units, next to a host "b", with full levels.
+func pairOfHosts(t *testing.T, now time.Time) *Throttler {
+	th := New(Options{Self: "a", Incarnation: "a1", Addr: "a:1", Rand: rand.New(rand.NewPCG(1, 1))})
+	th.HandleSite(&config.Site{Document: config.Document{Workspaces: map[entity.WorkspaceID]config.Workspace{
+		"w": {RateTokensPerSecond: 10, BurstTokens: 1000},
+	}}}, now)
+	th.HandleHosts([]config.HostRecord{{ID: "a", Incarnation: "a1", PeerAddr: "a:1"}, {ID: "b", Incarnation: "b1", PeerAddr: "b:1"}}, now)
+	th.HandleLease(now.Add(leaseTTL), now)
+	rec := Record{Holders: []Holder{
+		{Host: "a", Incarnation: "a1", Addr: "a:1", Units: TotalUnits / 2, Received: 500, Epoch: 1, Witnesses: []Witness{{"b", "b1", "b:1"}}},
+		{Host: "b", Incarnation: "b1", Addr: "b:1", Units: TotalUnits / 2, Received: 500, Epoch: 1},
+	}}
+	value, err := json.Marshal(rec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	th.HandleRecord("w", &platform.Pair{Value: value, ModRevision: 5}, now)
+	return th
+}
+
+func admits(th *Throttler, id string, tokens float64, now time.Time) bool {
+	for _, c := range th.Request(Admission{ID: entity.RequestID(id), Workspace: "w", Tokens: tokens}, now) {
+		if _, ok := c.(command.Admit); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// TestLapsedLeaseNeedsConfirmation guards against a resumed host that uses units which others
+// have reclaimed, because its lease was renewed before it saw the record.
+func TestLapsedLeaseNeedsConfirmation(t *testing.T) {
+	now := time.Unix(1000, 0)
+	th := pairOfHosts(t, now)
+	if !admits(th, "1", 100, now) {
+		t.Fatal("not admitted within the lease")
+	}
+	now = now.Add(leaseTTL)
+	if admits(th, "2", 1, now) {
+		t.Error("admitted after the lease ended")
+	}
+	th.HandleLease(now.Add(leaseTTL), now)
+	if admits(th, "3", 1, now) {
+		t.Error("admitted before the units were confirmed")
+	}
+	now = now.Add(time.Second)
+	for _, c := range th.Tick(now) {
+		if w, ok := c.(command.WriteRecords); ok {
+			th.HandleWriteResult(w.ID, platform.TxnResult{Succeeded: true, Revision: 6}, nil, now)
+		}
+	}
+	if !admits(th, "4", 1, now) {
+		t.Error("not admitted after the units were confirmed")
+	}
+}
+
+// TestWitnessTerm guards against a host that outlives its witnesses' answers, or that ends its
+// term during an outage although they answer.
+func TestWitnessTerm(t *testing.T) {
+	now := time.Unix(1000, 0)
+	th := pairOfHosts(t, now)
+	now = now.Add(2 * leaseTTL)
+	th.HandleWitness("b", "b2", now)
+	if admits(th, "1", 1, now) {
+		t.Error("admitted by the answer of a process that is not a witness")
+	}
+	th.HandleWitness("b", "b1", now)
+	if !admits(th, "2", 1, now.Add(WitnessTerm-1)) {
+		t.Error("not admitted within the witness term")
+	}
+	if admits(th, "3", 1, now.Add(WitnessTerm)) {
+		t.Error("admitted after the witness term")
+	}
+	now = now.Add(LongTerm)
+	th.HandleWitness("b", "b1", now)
+	if admits(th, "4", 1, now) {
+		t.Error("admitted after the long term")
+	}
+}
+
+// TestLoanTerm guards against a loan whose term counts from the grant instead of from the ask.
+func TestLoanTerm(t *testing.T) {
+	for _, delay := range []time.Duration{20 * time.Millisecond, LoanTerm - loanMargin} {
+		now := time.Unix(1000, 0)
+		th := pairOfHosts(t, now)
+		th.HandlePeerLevels("b", nil, now)
+		out := th.Request(Admission{ID: "1", Workspace: "w", Tokens: 800}, now)
+		ask := out[0].(command.SendPeer).Message.(*wire.LoanAsk)
+		now = now.Add(delay)
+		th.HandleMessage("b", "b1", &wire.LoanGrant{ID: ask.ID, Workspace: "w", Tokens: ask.Tokens}, now)
+		want := delay < loanWait
+		if got := len(th.charges) == 1; got != want {
+			t.Errorf("grant after %v: admitted %v, want %v", delay, got, want)
+		}
+		if borrowed := th.accounts["w"].borrowedTokens(); !want && borrowed > 0 {
+			t.Errorf("grant after %v: kept %v expired tokens", delay, borrowed)
+		}
+	}
+}
+
+// TestRefusals guards against a wrong reason or a missing retry time.
+func TestRefusals(t *testing.T) {
+	now := time.Unix(1000, 0)
+	th := pairOfHosts(t, now)
+	refusal := func(a Admission) entity.Refusal {
+		return th.Request(a, now)[0].(command.Refuse).Refusal
+	}
+	if r := refusal(Admission{ID: "1", Workspace: "w", Tokens: 1001}); r.Status != 413 || r.Code != "exceeds_burst" {
+		t.Errorf("above burst: %+v", r)
+	}
+	if r := refusal(Admission{ID: "2", Workspace: "other", Tokens: 1}); r.Status != 403 {
+		t.Errorf("unknown workspace: %+v", r)
+	}
+	// The peer was never heard from, so 500 tokens are known: 100 are missing at 10 per second.
+	r := refusal(Admission{ID: "3", Workspace: "w", Tokens: 600})
+	if r.Status != 429 || r.RetryAfter < 9*time.Second || r.RetryAfter > 10*time.Second {
+		t.Errorf("rate limited: %+v", r)
+	}
+}
+
+// TestRefundNeverAboveCapacity guards against refunds that raise a level above the cap or that
+// return borrowed tokens.
+func TestRefundNeverAboveCapacity(t *testing.T) {
+	now := time.Unix(1000, 0)
+	th := pairOfHosts(t, now)
+	admits(th, "1", 100, now)
+	now = now.Add(5 * time.Second)
+	th.Settle("1", 0, now)
+	th.Settle("1", 0, now)
+	if level := th.accounts["w"].level; level != 500 {
+		t.Errorf("level %v after refunds, want 500", level)
+	}
+}
