--- a/internal/limits/cluster_test.go
+++ b/internal/limits/cluster_test.go
@@ -160,7 +160,7 @@
 
 func (c *cluster) setRate(rate, burst float64) {
 	c.rates = append(c.rates, rateEvent{c.now, rate, burst})
-	c.site = &config.Site{Document: config.Document{Workspaces: map[entity.WorkspaceID]config.Workspace{
+	c.site = &config.Site{Revision: int64(len(c.rates)), Document: config.Document{Workspaces: map[entity.WorkspaceID]config.Workspace{
 		testWorkspace: {RateTokensPerSecond: rate, BurstTokens: burst},
 	}}}
 	site := c.site
--- a/internal/limits/loans.go
+++ b/internal/limits/loans.go
@@ -45,6 +45,12 @@
 	// smallBurst is the burst, in seconds of the rate, below which spent loans are ended at once.
 	// Otherwise the capacity that lenders hold back during LoanTerm is a large part of the burst.
 	smallBurst = 4
+	// A host whose level is below aheadBelow of its capacity borrows for aheadTime of its demand
+	// from peers that are at least aheadPeer full and fuller than itself by aheadGap.
+	aheadBelow = 0.9
+	aheadPeer  = 0.5
+	aheadGap   = 0.05
+	aheadTime  = 50 * time.Millisecond
 )
 
 // average is an exponentially weighted sum of tokens.
@@ -220,6 +226,31 @@
 	p.level, p.at = level, now
 }
 
+// borrowAhead borrows from peers that are much fuller than this host, for the demand of the next
+// moments. Full peers lose their accrual, which the fleet misses when the next burst arrives.
+func (t *Throttler) borrowAhead(a *account, now time.Time) []command.Command {
+	capacity := a.capacity()
+	expected := (a.used.perSecond(now) + a.short.perSecond(now)) * aheadTime.Seconds()
+	a.pressed = t.opt.Policy != PolicyStatic && t.usable(a, now) && a.level < capacity*aheadBelow && expected > a.rate*aheadTime.Seconds()/100
+	if !a.pressed || now.Before(a.nextAhead) {
+		return nil
+	}
+	a.nextAhead = now.Add(aheadTime / 2)
+	missing := expected - a.borrowedTokens() - a.askedTokens()
+	var out []command.Command
+	for _, h := range a.share.rec.Holders {
+		e := t.estimate(a, h.Host, now)
+		full := part(a.burst, h.Units)
+		if missing <= 0 || e < full*max(aheadPeer, a.level/capacity+aheadGap) {
+			continue
+		}
+		tokens := min(missing, e/2)
+		missing -= tokens
+		out = append(out, t.sendAsk(a, h.Host, tokens, now))
+	}
+	return out
+}
+
 // handleAsk lends what this host can spare. Its own waiting requests come first.
 func (t *Throttler) handleAsk(from entity.HostID, inc entity.Incarnation, m *wire.LoanAsk, now time.Time) []command.Command {
 	grant := &wire.LoanGrant{ID: m.ID, Workspace: m.Workspace}
--- a/internal/limits/scenario_test.go
+++ b/internal/limits/scenario_test.go
@@ -126,10 +126,15 @@
 	}
 }
 
-// TestWrongRefusalsTinyBurst guards against accrual that full hosts lose while the busiest host
+// TestWrongRefusalsSmallBurst guards against accrual that full hosts lose while the busiest host
 // is empty, which matters when the burst is small relative to the rate.
-func TestWrongRefusalsTinyBurst(t *testing.T) {
-	scenario{"uneven 80%, burst 0.25 s", 0.8, 0.95, 0.25, nil, 0.001}.check(t)
+func TestWrongRefusalsSmallBurst(t *testing.T) {
+	for _, s := range []scenario{
+		{"uneven 80%, burst 0.25 s", 0.8, 0.95, 0.25, nil, 0.001},
+		{"uneven 95%, burst 1 s", 0.95, 0.95, 1, nil, 0.001},
+	} {
+		t.Run(s.name, s.check)
+	}
 }
 
 // TestOverload guards against losing tokens of a workspace that sends five times its rate.
--- a/internal/limits/share.go
+++ b/internal/limits/share.go
@@ -26,9 +26,9 @@
 	leftoverAfter = 2 * time.Second
 	// demandAge is the age above which a peer's demand stops releases.
 	demandAge = 3 * time.Second
-	// equalParts is the inverse of the part of the shares that is spread evenly (20 %): it keeps a
-	// host able to admit its first requests without loans.
-	equalParts = 5
+	// equalParts is the inverse of the part of the shares that is spread evenly (50 %). It bounds
+	// what is lost with the busiest host: with 20 % its kill at 80 % load caused 1.08 % wrong refusals.
+	equalParts = 2
 	// conflictSpread is the time per live host over which concurrent writers are spread.
 	conflictSpread = 3 * time.Millisecond
 	// writeBackoff delays the next write after a failed one.
--- a/internal/limits/throttler.go
+++ b/internal/limits/throttler.go
@@ -91,6 +91,8 @@
 	nextID  uint64
 	heard   map[entity.HostID]time.Time
 	term    term
+	// siteRevision is the newest configuration revision taken.
+	siteRevision int64
 	// nextSweep is when all accounts are next checked for share changes.
 	nextSweep time.Time
 	stopping  bool
@@ -114,8 +116,11 @@
 	// spent holds loans that are used up and whose end the lender does not know yet.
 	spent []borrowed
 	peers map[entity.HostID]*peerLevel
-	used  average
-	short average
+	// pressed is set while this host borrows ahead of its demand.
+	pressed   bool
+	nextAhead time.Time
+	used      average
+	short     average
 }
 
 // waiter is a request that waits for tokens.
@@ -156,8 +161,13 @@
 }
 
 // HandleSite takes the rates and bursts of a configuration from now on. Levels are never
-// raised. Workspaces that are not listed admit nothing.
+// raised. Workspaces that are not listed admit nothing. An older revision is ignored, because it
+// could restore a larger rate.
 func (t *Throttler) HandleSite(site *config.Site, now time.Time) {
+	if site.Revision < t.siteRevision {
+		return
+	}
+	t.siteRevision = site.Revision
 	for id, a := range t.accounts {
 		if _, listed := site.Workspaces[id]; !listed && a.configured {
 			a.configured = false
@@ -254,6 +264,7 @@
 	c.local = max(0, min(tokens-c.borrowed, a.level))
 	a.level -= c.local
 	t.charges[id] = c
+	t.active[a] = struct{}{}
 }
 
 // serve answers waiting requests in order and asks for loans for the rest.
@@ -331,6 +342,7 @@
 		t.expireAsks(a, now)
 		out = append(out, t.serve(a, now)...)
 		out = append(out, t.returnIdle(a, now)...)
+		out = append(out, t.borrowAhead(a, now)...)
 		if a.share.wanted {
 			out = append(out, t.plan(a, now)...)
 		}
@@ -347,7 +359,7 @@
 }
 
 func (a *account) idle() bool {
-	return len(a.waiting) == 0 && len(a.asks) == 0 && len(a.borrowed)+len(a.spent) == 0 && len(a.loans) == 0 && !a.share.wanted
+	return len(a.waiting) == 0 && len(a.asks) == 0 && len(a.borrowed)+len(a.spent) == 0 && len(a.loans) == 0 && !a.share.wanted && !a.pressed
 }
 
 // activeAccounts returns the active accounts in a fixed order, so that runs are repeatable.
