--- a/internal/limits/loans.go
+++ b/internal/limits/loans.go
@@ -42,6 +42,15 @@
 	// leastPart is the smallest part of the missing tokens for which a peer is asked, so that a
 	// loan is not spread over many peers that have almost nothing.
 	leastPart = 1.0 / 50
+	// smallBurst is the burst, in seconds of the rate, below which spent loans are ended at once.
+	// Otherwise the capacity that lenders hold back during LoanTerm is a large part of the burst.
+	smallBurst = 4
+	// A host whose level is below aheadBelow of its capacity borrows for aheadTime of its demand
+	// from peers that are at least aheadPeer full and fuller than itself by aheadGap.
+	aheadBelow = 0.9
+	aheadPeer  = 0.5
+	aheadGap   = 0.05
+	aheadTime  = 50 * time.Millisecond
 )
 
 // average is an exponentially weighted sum of tokens.
@@ -86,7 +95,12 @@
 		a.borrowed[i].tokens -= take
 		spent += take
 	}
-	a.borrowed = slices.DeleteFunc(a.borrowed, func(b borrowed) bool { return b.tokens <= 0 })
+	a.borrowed = slices.DeleteFunc(a.borrowed, func(b borrowed) bool {
+		if b.tokens <= 0 && a.burst < smallBurst*a.rate {
+			a.spent = append(a.spent, b)
+		}
+		return b.tokens <= 0
+	})
 	return spent
 }
 
@@ -212,6 +226,31 @@
 	p.level, p.at = level, now
 }
 
+// borrowAhead borrows from peers that are much fuller than this host, for the demand of the next
+// moments. Full peers lose their accrual, which the fleet misses when the next burst arrives.
+func (t *Throttler) borrowAhead(a *account, now time.Time) []command.Command {
+	capacity := a.capacity()
+	expected := (a.used.perSecond(now) + a.short.perSecond(now)) * aheadTime.Seconds()
+	a.pressed = t.opt.Policy != PolicyStatic && t.usable(a, now) && a.level < capacity*aheadBelow && expected > a.rate*aheadTime.Seconds()/100
+	if !a.pressed || now.Before(a.nextAhead) {
+		return nil
+	}
+	a.nextAhead = now.Add(aheadTime / 2)
+	missing := expected - a.borrowedTokens() - a.askedTokens()
+	var out []command.Command
+	for _, h := range a.share.rec.Holders {
+		e := t.estimate(a, h.Host, now)
+		full := part(a.burst, h.Units)
+		if missing <= 0 || e < full*max(aheadPeer, a.level/capacity+aheadGap) {
+			continue
+		}
+		tokens := min(missing, e/2)
+		missing -= tokens
+		out = append(out, t.sendAsk(a, h.Host, tokens, now))
+	}
+	return out
+}
+
 // handleAsk lends what this host can spare. Its own waiting requests come first.
 func (t *Throttler) handleAsk(from entity.HostID, inc entity.Incarnation, m *wire.LoanAsk, now time.Time) []command.Command {
 	grant := &wire.LoanGrant{ID: m.ID, Workspace: m.Workspace}
@@ -272,22 +311,30 @@
 	}
 }
 
-// returnIdle gives back loans that no request needs, before they expire.
+// returnIdle gives back loans that no request needs, before they expire, and ends spent ones.
 func (t *Throttler) returnIdle(a *account, now time.Time) []command.Command {
+	var out []command.Command
+	for _, b := range a.spent {
+		out = append(out, returnLoan(a, b))
+	}
+	a.spent = nil
 	if len(a.waiting) > 0 {
-		return nil
+		return out
 	}
-	var out []command.Command
 	a.borrowed = slices.DeleteFunc(a.borrowed, func(b borrowed) bool {
 		if now.Sub(b.sent) < keepBorrowed {
 			return false
 		}
-		out = append(out, command.SendPeer{To: b.lender, Message: &wire.LoanReturn{ID: b.id, Workspace: a.id, Tokens: b.tokens}})
+		out = append(out, returnLoan(a, b))
 		return true
 	})
 	return out
 }
 
+func returnLoan(a *account, b borrowed) command.Command {
+	return command.SendPeer{To: b.lender, Message: &wire.LoanReturn{ID: b.id, Workspace: a.id, Tokens: max(0, b.tokens)}}
+}
+
 // HandlePeerLevels takes the levels of a peer's heartbeat. It must be called for every
 // heartbeat, also when it lists no workspace.
 func (t *Throttler) HandlePeerLevels(from entity.HostID, levels []wire.WorkspaceLevel, now time.Time) {
