Send whole models as demand, choose deciders that reach the service

Cause: the placer replaces all rows of a listed model, but the scheduler listed only the changed queue, so demand for an adapter hid the demand for its model. A host that the key-value service does not answer could be the usual decider while others reach it; no load would start then. Hosts now tell in their heartbeats whether they reach it.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 
 .PHONY: test build fmt lint
 test:
-	go test -timeout 20m ./...
+	go test -timeout 20m -count=1 ./...
 	go test -timeout 20m -race $(RACE_PKGS)
 
 build:
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -80,6 +80,10 @@
 	upstreams map[entity.UpstreamID]config.UpstreamRecord
 	hosts     map[entity.HostID]config.HostRecord
 	linked    map[entity.HostID]entity.Incarnation
+	// unserved holds the hosts that do not reach the key-value service.
+	unserved map[entity.HostID]bool
+	// decider is the host that got the last demand.
+	decider   entity.HostID
 	writers   map[uint64]writer
 	nextWrite uint64
 	// pools holds the model pools that had requests, with the placement version of their targets.
@@ -104,6 +108,7 @@
 		upstreams: make(map[entity.UpstreamID]config.UpstreamRecord),
 		hosts:     make(map[entity.HostID]config.HostRecord),
 		linked:    make(map[entity.HostID]entity.Incarnation),
+		unserved:  make(map[entity.HostID]bool),
 		writers:   make(map[uint64]writer),
 		pools:     make(map[schedule.PoolID]uint64),
 		shared:    make(map[entity.WorkspaceID]bool),
@@ -152,6 +157,8 @@
 		c.run(systemPlacement, c.placer.HandleOrderResult(e.OrderID, e.Outcome, now), now)
 	case LeaseRenewed:
 		c.throttler.HandleLease(e.ValidUntil, now)
+	case ServiceState:
+		c.setServed(c.opts.Self, e.Reachable, now)
 	case WitnessAnswered:
 		c.throttler.HandleWitness(e.Host, e.Incarnation, e.SentAt)
 	case Stopping:
@@ -365,19 +372,12 @@
 	c.run(systemPlacement, c.scheduler.RefuseKeys(keys), now)
 }
 
-// viewChanged hands changed records to the systems that they belong to.
+// viewChanged hands changed records to the systems that they belong to. Hosts come first: the
+// records may name hosts that are new in the same change.
 func (c *Core) viewChanged(changes []KeyChange, now time.Time) {
 	hosts := false
 	for _, ch := range changes {
 		switch {
-		case strings.HasPrefix(ch.Key, config.LimitsPrefix):
-			ws := entity.WorkspaceID(ch.Key[len(config.LimitsPrefix):])
-			c.shared[ws] = ch.Pair != nil
-			c.run(systemLimits, c.throttler.HandleRecord(ws, ch.Pair, now), now)
-		case strings.HasPrefix(ch.Key, config.PlaceModels), strings.HasPrefix(ch.Key, config.PlaceUpstreams):
-			c.placer.HandleRecord(ch.Key, ch.Pair, now)
-		case strings.HasPrefix(ch.Key, config.UpstreamsPrefix):
-			c.upstreamChanged(ch, now)
 		case strings.HasPrefix(ch.Key, config.HostsPrefix):
 			hosts = c.hostChanged(ch) || hosts
 		case strings.HasPrefix(ch.Key, config.GonePrefix):
@@ -387,6 +387,22 @@
 	if hosts {
 		c.hostsChanged(now)
 	}
+	for _, ch := range changes {
+		c.recordChanged(ch, now)
+	}
+}
+
+func (c *Core) recordChanged(ch KeyChange, now time.Time) {
+	switch {
+	case strings.HasPrefix(ch.Key, config.LimitsPrefix):
+		ws := entity.WorkspaceID(ch.Key[len(config.LimitsPrefix):])
+		c.shared[ws] = ch.Pair != nil
+		c.run(systemLimits, c.throttler.HandleRecord(ws, ch.Pair, now), now)
+	case strings.HasPrefix(ch.Key, config.PlaceModels), strings.HasPrefix(ch.Key, config.PlaceUpstreams):
+		c.placer.HandleRecord(ch.Key, ch.Pair, now)
+	case strings.HasPrefix(ch.Key, config.UpstreamsPrefix):
+		c.upstreamChanged(ch, now)
+	}
 }
 
 func (c *Core) invalid(key string, err error) {
@@ -446,7 +462,37 @@
 		live = append(live, h)
 	}
 	c.throttler.HandleHosts(live, now)
-	c.placer.HandleHosts(live, c.reachable, now)
+	c.placer.HandleHosts(live, c.canDecide, now)
+}
+
+// setServed notes whether a host reaches the key-value service.
+func (c *Core) setServed(id entity.HostID, served bool, now time.Time) {
+	if c.unserved[id] != served {
+		return
+	}
+	if served {
+		delete(c.unserved, id)
+	} else {
+		c.unserved[id] = true
+	}
+	c.hostsChanged(now)
+}
+
+// canDecide says whether a host can be expected to decide about placement: this host has a link
+// to it and it reaches the key-value service. When the service is down for all, it does not count.
+func (c *Core) canDecide(id entity.HostID) bool {
+	if !c.reachable(id) {
+		return false
+	}
+	if !c.unserved[id] {
+		return true
+	}
+	for other := range c.hosts {
+		if c.reachable(other) && !c.unserved[other] {
+			return false
+		}
+	}
+	return true
 }
 
 // reachable says whether this host has a link to the registered incarnation of a host.
@@ -477,6 +523,7 @@
 // heartbeat lets a host count this one as its witness, unless it has been fenced.
 func (c *Core) heartbeat(e HeartbeatReceived, now time.Time) {
 	c.throttler.HandlePeerLevels(e.From, e.Heartbeat.Levels, now)
+	c.setServed(e.From, e.Heartbeat.ServiceReachable, now)
 	if c.throttler.AnswerHeartbeat(e.Incarnation, now) {
 		e.Acknowledge()
 	}
@@ -549,23 +596,26 @@
 	return wait, wait != placement.NoLoad
 }
 
-// sendDemand tells the decider about changed sums soon, and about all sums from time to time.
+// sendDemand tells the decider about changed sums soon, and about all sums from time to time and
+// when another host has become the decider. An empty list says that this host still lives.
 func (c *Core) sendDemand(now time.Time) {
 	if now.Before(c.demandDue) || c.site == nil {
 		return
 	}
-	all := !now.Before(c.demandAll)
+	decider := c.placer.Decider()
+	all := !now.Before(c.demandAll) || decider != c.decider
+	c.decider = decider
 	c.demandDue = now.Add(demandBatch)
 	if all {
 		c.demandAll = now.Add(demandInterval)
 	}
 	d := c.scheduler.Demand(all, now)
-	if len(d) == 0 {
+	if len(d) == 0 && !all {
 		return
 	}
 	// Every host knows its own sums, so that any of them can take over as the decider.
 	c.placer.HandleDemand(c.opts.Self, d, now)
-	if decider := c.placer.Decider(); decider != "" && decider != c.opts.Self {
+	if decider != "" && decider != c.opts.Self {
 		c.out = append(c.out, command.SendPeer{To: decider, Message: &wire.Demand{Models: d}})
 	}
 }
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -127,6 +127,9 @@
 	SentAt      time.Time
 }
 
+// ServiceState says whether this host reaches the key-value service.
+type ServiceState struct{ Reachable bool }
+
 // Stopping begins the graceful shutdown of the control state.
 type Stopping struct{}
 
@@ -151,6 +154,7 @@
 func (LeaseRenewed) isEvent()      {}
 func (WitnessAnswered) isEvent()   {}
 func (HeartbeatReceived) isEvent() {}
+func (ServiceState) isEvent()      {}
 func (Stopping) isEvent()          {}
 func (Query) isEvent()             {}
 func (Tick) isEvent()              {}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -188,7 +188,8 @@
 	context.AfterFunc(ctx, func() { _ = h.operator.Shutdown() })
 }
 
-// refreshLevels copies the token levels for the heartbeats.
+// refreshLevels copies the token levels for the heartbeats and tells the control state whether
+// the key-value service answers.
 func (h *Host) refreshLevels(ctx context.Context) error {
 	t := time.NewTicker(levelsInterval)
 	defer t.Stop()
@@ -197,6 +198,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
+			h.loop.Send(control.ServiceState{Reachable: h.view.ServiceReachable()})
 			h.loop.Query(func(c *control.Core, now time.Time) {
 				levels := c.Levels(now)
 				h.beats.levels.Store(&levels)
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -356,7 +356,7 @@
 		if h.State == "stopping" {
 			continue
 		}
-		if h.ID != self && reachable != nil && !reachable(h.ID) {
+		if reachable != nil && !reachable(h.ID) {
 			continue
 		}
 		score := xxhash.Sum64String("placement/" + string(h.ID))
--- a/internal/schedule/demand.go
+++ b/internal/schedule/demand.go
@@ -7,28 +7,41 @@
 	"github.com/foxtailpass/foxtailpass/internal/wire"
 )
 
-// Demand returns the sums of the model pools that changed since the last call, or with all set
-// those of every model pool with work. A pool that has become idle is reported once with zeros.
+// Demand returns the sums of the models whose demand changed since the last call, or with all
+// set those of every model with work. All pools of a model are listed together, because a list
+// replaces what the receiver knows of the model. A model that has become idle is reported once.
 func (s *Scheduler) Demand(all bool, now time.Time) []wire.ModelDemand {
-	var out []wire.ModelDemand
+	models := make(map[entity.ModelID]bool)
 	for id := range s.changed {
 		delete(s.changed, id)
 		if id.Kind == "" {
-			out = append(out, s.demandOf(id, now))
+			models[id.Model] = true
 		}
 	}
-	if !all {
-		return out
+	if all {
+		for id, p := range s.pools {
+			if id.Kind == "" && p.active() {
+				models[id.Model] = true
+			}
+		}
 	}
-	listed := make(map[PoolID]bool, len(out))
-	for _, d := range out {
-		listed[PoolID{Model: d.Model, Adapter: d.Adapter}] = true
+	var out []wire.ModelDemand
+	for m := range models {
+		out = s.appendModel(out, m, now)
 	}
-	for id, p := range s.pools {
-		if id.Kind == "" && p.active() && !listed[id] {
+	return out
+}
+
+func (s *Scheduler) appendModel(out []wire.ModelDemand, m entity.ModelID, now time.Time) []wire.ModelDemand {
+	before := len(out)
+	for id, p := range s.byModel[m] {
+		if p.active() {
 			out = append(out, s.demandOf(id, now))
 		}
 	}
+	if len(out) == before {
+		out = append(out, wire.ModelDemand{Model: m})
+	}
 	return out
 }
 
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -58,10 +58,12 @@
 
 // Scheduler holds the request, pool and upstream tables of one host.
 type Scheduler struct {
-	opts      Options
-	site      *config.Site
-	requests  map[entity.RequestID]*Request
-	pools     map[PoolID]*pool
+	opts     Options
+	site     *config.Site
+	requests map[entity.RequestID]*Request
+	pools    map[PoolID]*pool
+	// byModel holds the model pools by model.
+	byModel   map[entity.ModelID]map[PoolID]*pool
 	upstreams map[entity.UpstreamID]*upstream
 	expiry    expiryHeap
 	budgets   map[entity.WorkspaceID]*retryBudget
@@ -89,6 +91,7 @@
 		opts:      opts,
 		requests:  make(map[entity.RequestID]*Request),
 		pools:     make(map[PoolID]*pool),
+		byModel:   make(map[entity.ModelID]map[PoolID]*pool),
 		upstreams: make(map[entity.UpstreamID]*upstream),
 		budgets:   make(map[entity.WorkspaceID]*retryBudget),
 		wanting:   make(map[PoolID]*pool),
@@ -110,7 +113,7 @@
 		out = append(out, s.refusePool(p)...)
 		if !p.active() {
 			p.setTargets(nil, s.upstream)
-			delete(s.pools, id)
+			s.deletePool(id)
 		}
 	}
 	return append(out, s.fill(now)...)
@@ -580,10 +583,30 @@
 	if !ok {
 		p = &pool{id: id, flows: make(map[entity.WorkspaceID]*flow)}
 		s.pools[id] = p
+		if id.Kind == "" {
+			s.indexPool(p)
+		}
 	}
 	return p
 }
 
+func (s *Scheduler) indexPool(p *pool) {
+	m := s.byModel[p.id.Model]
+	if m == nil {
+		m = make(map[PoolID]*pool)
+		s.byModel[p.id.Model] = m
+	}
+	m[p.id] = p
+}
+
+func (s *Scheduler) deletePool(id PoolID) {
+	delete(s.pools, id)
+	delete(s.byModel[id.Model], id)
+	if len(s.byModel[id.Model]) == 0 {
+		delete(s.byModel, id.Model)
+	}
+}
+
 func (s *Scheduler) upstream(id entity.UpstreamID) *upstream {
 	u, ok := s.upstreams[id]
 	if !ok {
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -214,6 +214,26 @@
 	}
 }
 
+// The receiver replaces all rows of a listed model, so a change of one adapter's queue must not
+// hide the queues of the others.
+func TestDemandListsWholeModels(t *testing.T) {
+	s := newScheduler(t, Options{})
+	s.site.Models["m"] = config.Model{Slots: 2, Adapters: map[entity.AdapterID]config.Adapter{"x": {}}}
+	s.Enqueue(request("plain", "a", entity.Interactive, time.Minute), start)
+	s.Demand(false, start)
+	r := request("adapted", "a", entity.Interactive, time.Minute)
+	r.Pool.Adapter = "x"
+	s.Enqueue(r, start)
+	if d := s.Demand(false, start); len(d) != 2 {
+		t.Fatalf("demand %+v, want both queues of the model", d)
+	}
+	s.Cancel("plain")
+	s.Cancel("adapted")
+	if d := s.Demand(false, start); len(d) != 1 || d[0].WaitingInteractive != 0 {
+		t.Fatalf("demand %+v, want one row without work", d)
+	}
+}
+
 // Many hosts with the same lagging report must not all count the same foreign load for ever.
 func TestReportDecays(t *testing.T) {
 	s := newScheduler(t, Options{})
