--- a/internal/limits/bound_test.go
+++ b/internal/limits/bound_test.go
@@ -96,13 +96,22 @@
 	})
 }
 
-// stop is a graceful shutdown: the lease ends only when the units are released.
+// stop is a graceful shutdown: the registration ends when the units are released.
 func (c *cluster) stop(p *process) {
 	if p.dead || p.stopped || c.now < p.paused {
 		return
 	}
 	p.stopped = true
 	c.do(p, p.th.Stop(c.clock(p)))
+	var wait func()
+	wait = func() {
+		if !p.th.Released() {
+			c.after(tickInterval, wait)
+		} else if c.reachable(p) && c.procs[p.host] == p {
+			c.unregister(p.host)
+		}
+	}
+	wait()
 }
 
 // saturate sends requests far above the rate, so that every token that exists is used.
--- a/internal/limits/cluster_test.go
+++ b/internal/limits/cluster_test.go
@@ -551,3 +551,21 @@
 		t.Errorf("held %d units of %d, %d writes while idle", held, TotalUnits, c.writes-writes)
 	}
 }
+
+// TestStopHandsOver guards against a graceful shutdown that loses units or their level.
+func TestStopHandsOver(t *testing.T) {
+	c := newCluster(rand.New(rand.NewPCG(1, 2)), PolicyLoans, 4, 1, 10000)
+	c.runUntil(20 * time.Second)
+	c.stop(c.procs["h0"])
+	c.runUntil(30 * time.Second)
+	if !c.procs["h0"].th.Released() {
+		t.Error("units not released")
+	}
+	var level float64
+	for _, p := range c.all {
+		level += p.th.accounts[testWorkspace].level
+	}
+	if level < 9999 {
+		t.Errorf("level %v of 10000 after the shutdown\n%s", level, c.describe())
+	}
+}
--- a/internal/limits/share.go
+++ b/internal/limits/share.go
@@ -377,7 +377,9 @@
 	if s.unknown || now.Before(s.nextRelease) || surplus < leastMove+target/8 || !t.demandFresh(now) {
 		return false
 	}
-	if a.burst <= 0 {
+	// Units that nobody claims, for example of a stopping host that is still registered, would
+	// otherwise be claimed and released in turn.
+	if a.burst <= 0 || next.Unissued+next.Free >= leastMove {
 		return false
 	}
 	// The capacity that remains must cover the outstanding loans.
@@ -430,7 +432,8 @@
 }
 
 // Stop releases all units for a graceful shutdown and refuses waiting requests. Units that cover
-// outstanding loans are released by Tick when the loans have expired.
+// outstanding loans are released by Tick when the loans have expired. The host should be
+// registered as stopping first, because registered live hosts keep a part of the shares.
 func (t *Throttler) Stop(now time.Time) []command.Command {
 	t.stopping = true
 	var out []command.Command
