--- a/internal/claims/store.go
+++ b/internal/claims/store.go
@@ -366,7 +366,7 @@
 }
 
 // cleanup remembers an attempt as not run and removes it from the store; the caller holds s.mu.
-// It reads several times, because the write may arrive late.
+// It reads several times, because a write may arrive late, also after a repetition of it was removed.
 func (s *Store) cleanup(c Claim) {
 	s.unrun[c.record.Attempt] = true
 	if s.closed {
@@ -377,7 +377,8 @@
 		defer s.work.Done()
 		delay := retryDelay
 		for range cleanupRounds {
-			if s.remove(s.ctx, c.path, c.record.Attempt) || !sleep(s.ctx, delay) {
+			removed := s.remove(s.ctx, c.path, c.record.Attempt)
+			if removed && !c.doubtful || !sleep(s.ctx, delay) {
 				return
 			}
 			delay = min(2*delay, maxRetryDelay)
--- a/internal/limits/throttler_test.go
+++ b/internal/limits/throttler_test.go
@@ -195,3 +195,18 @@
 	}
 	t.Error("nothing reclaimed after the long term")
 }
+
+// TestReclaimWaitsForLoans guards against reclaiming units while loans that their dead holder gave
+// at the end of its term can still be spent.
+func TestReclaimWaitsForLoans(t *testing.T) {
+	now := time.Unix(1000, 0)
+	th := pairOfHosts(t, now)
+	dead := th.accounts["w"].share.rec.Holders[1]
+	th.HandleHosts([]config.HostRecord{{ID: "a", Incarnation: "a1", PeerAddr: "a:1"}, {ID: "b", Incarnation: "b2", PeerAddr: "b:1"}}, now)
+	if th.term.termOver(dead, now.Add(LoanTerm)) {
+		t.Error("reclaimed within the loan term")
+	}
+	if !th.term.termOver(dead, now.Add(loanHold)) {
+		t.Error("not reclaimed after the loan term")
+	}
+}
