--- /dev/null
+++ b/test/capacity/site_test.go
@@ -0,0 +1,179 @@
+package capacity
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/config"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/standin/engine"
+	"github.com/foxtailpass/foxtailpass/test/harness"
+)
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	harness.RemoveBinary()
+	os.Exit(code)
+}
+
+const (
+	// settle is the wait before a site counts as idle.
+	settle = 6 * time.Second
+	// window is how long an idle site is watched.
+	window = 10 * time.Second
+	// clockTicks is the unit of processor times in /proc, fixed by the kernel's interface.
+	clockTicks = 100
+)
+
+// usage is what one host has used up to now.
+type usage struct {
+	cpu       time.Duration
+	rss       float64
+	peerBytes float64
+	calls     map[string]float64
+}
+
+func measure(b *testing.B, h *harness.Host) usage {
+	b.Helper()
+	u := usage{calls: make(map[string]float64)}
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", h.PID()))
+	if err != nil {
+		b.Fatal(err)
+	}
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+2:]))
+	user, _ := strconv.Atoi(fields[11])
+	system, _ := strconv.Atoi(fields[12])
+	u.cpu = time.Duration(user+system) * time.Second / clockTicks
+	pages, _ := strconv.ParseFloat(fields[21], 64)
+	u.rss = pages * float64(os.Getpagesize())
+	resp, err := http.Get("http://" + h.Settings.OperatorAddr + "/metrics")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	sc := bufio.NewScanner(resp.Body)
+	for sc.Scan() {
+		name, value, _ := strings.Cut(sc.Text(), "} ")
+		v, _ := strconv.ParseFloat(value, 64)
+		switch {
+		case strings.HasPrefix(name, "foxtailpass_peer_bytes_total"):
+			u.peerBytes += v
+		case strings.HasPrefix(name, "foxtailpass_platform_calls_total"):
+			_, kind, _ := strings.Cut(name, `kind="`)
+			u.calls[strings.TrimSuffix(kind, `"`)] += v
+		}
+	}
+	return u
+}
+
+// site starts hosts and engines with a configuration of the given size.
+func site(b *testing.B, hosts, engines, models, adapters, workspaces, keys int) *harness.Site {
+	b.Helper()
+	store := engine.NewWeightStore(engine.WeightStoreOptions{})
+	o := harness.Options{Hosts: hosts, Base: string(document(models, adapters, workspaces))}
+	for i := range engines {
+		o.Engines = append(o.Engines, engine.Options{ID: entity.UpstreamID(fmt.Sprintf("engine-%03d", i)), MemoryBytes: 80e9, ChecksFence: true, Store: store, ReportLag: 50 * time.Millisecond})
+	}
+	s := harness.Start(b, o)
+	for i := range keys {
+		value := fmt.Sprintf(`{"id":"k-%016d","workspace":"workspace-001","issued":"2026-01-01T00:00:00Z","attempt":"x"}`, i)
+		key := fmt.Sprintf("%s%064x", config.KeysPrefix, rand.Uint64())
+		if _, err := s.Client.Txn(context.Background(), platform.Txn{Success: []platform.Op{platform.Put(key, []byte(value))}}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	return s
+}
+
+// BenchmarkIdleSite reports what an idle host costs by the size of the site. The slopes over
+// hosts, engines, adapters and keys give the lines of docs/CAPACITY.md. The bytes count both
+// directions.
+func BenchmarkIdleSite(b *testing.B) {
+	for _, c := range []struct{ hosts, engines, adapters, workspaces, keys int }{
+		{2, 4, 100, 5, 0}, {4, 4, 100, 5, 0}, {8, 4, 100, 5, 0}, {8, 24, 100, 5, 0}, {8, 4, 6000, 5, 0}, {8, 4, 100, 50, 0}, {8, 4, 100, 5, 5000},
+	} {
+		b.Run(fmt.Sprintf("hosts=%d,engines=%d,adapters=%d,workspaces=%d,keys=%d", c.hosts, c.engines, c.adapters, c.workspaces, c.keys), func(b *testing.B) {
+			s := site(b, c.hosts, c.engines, 57, c.adapters, c.workspaces, c.keys)
+			time.Sleep(settle)
+			var before, after []usage
+			for _, h := range s.Hosts {
+				before = append(before, measure(b, h))
+			}
+			time.Sleep(window)
+			for _, h := range s.Hosts {
+				after = append(after, measure(b, h))
+			}
+			report(b, before, after)
+		})
+	}
+}
+
+func report(b *testing.B, before, after []usage) {
+	b.Helper()
+	n := float64(len(after))
+	var cpu, rss, bytes, reads, writes float64
+	for i := range after {
+		cpu += (after[i].cpu - before[i].cpu).Seconds() / window.Seconds()
+		rss += after[i].rss
+		bytes += (after[i].peerBytes - before[i].peerBytes) / window.Seconds()
+		for kind, v := range after[i].calls {
+			d := (v - before[i].calls[kind]) / window.Seconds()
+			if kind == "range" || kind == "watch" {
+				reads += d
+			} else {
+				writes += d
+			}
+		}
+	}
+	b.ReportMetric(100*cpu/n, "%core/host")
+	b.ReportMetric(rss/n/1e6, "MB/host")
+	b.ReportMetric(bytes/n, "peerB/s/host")
+	b.ReportMetric(reads/n, "reads/s/host")
+	b.ReportMetric(writes/n, "writes/s/host")
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkInForce reports how long an accepted configuration takes until it is in force at all
+// hosts, over the watches and, with the service cut off for all hosts but one, over the relay.
+func BenchmarkInForce(b *testing.B) {
+	for _, relay := range []bool{false, true} {
+		b.Run(fmt.Sprintf("relay=%t", relay), func(b *testing.B) {
+			s := site(b, 8, 2, 57, 6000, 50, 0)
+			time.Sleep(settle)
+			if relay {
+				for i := 1; i < len(s.Hosts); i++ {
+					s.Net.Cut(harness.PlatformLink(i))
+				}
+				time.Sleep(3 * time.Second)
+			}
+			var worst time.Duration
+			for i := range 5 {
+				worst = max(worst, applyAndWait(b, s, i))
+			}
+			b.ReportMetric(worst.Seconds()*1000, "worst-ms")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+func applyAndWait(b *testing.B, s *harness.Site, i int) time.Duration {
+	b.Helper()
+	base := strings.Replace(string(document(57, 6000, 50)), `"cold_start_ms":8000`, fmt.Sprintf(`"cold_start_ms":%d`, 8001+i), 1)
+	began := time.Now()
+	revision := s.Apply(base)
+	for _, h := range s.Hosts {
+		s.Eventually(10*time.Second, fmt.Sprintf("revision %d in force at host %d", revision, h.Index+1), func() bool {
+			return h.Status().ConfigRevision >= revision
+		})
+	}
+	return time.Since(began)
+}
--- a/test/harness/harness.go
+++ b/test/harness/harness.go
@@ -389,3 +389,6 @@
 	}
 	return h.cmd.ProcessState.ExitCode()
 }
+
+// PID returns the process ID of the host.
+func (h *Host) PID() int { return h.cmd.Process.Pid }
