Make the cost of a placement tick follow the changes

Replica counts are kept per model until a replica changes, loads that cannot start are skipped before sorting, and adapters are not searched while their load limit is reached.

--- a/internal/placement/adapters.go
+++ b/internal/placement/adapters.go
@@ -23,7 +23,7 @@
 
 // startAdapters loads adapters with demand on ready replicas, at most the allowed number in flight.
 func (p *Placer) startAdapters() {
-	if len(p.pendingAdapter) == 0 {
+	if len(p.pendingAdapter) == 0 || !p.adapterLoadFree() {
 		return
 	}
 	var loads []adapterLoad
@@ -44,13 +44,17 @@
 		)
 	})
 	for _, l := range loads {
-		if p.adapterLoading+p.adapterStarts >= p.site.WeightStore.AdapterParallel {
+		if !p.adapterLoadFree() {
 			return
 		}
 		p.startAdapter(l)
 	}
 }
 
+func (p *Placer) adapterLoadFree() bool {
+	return p.adapterLoading+p.adapterStarts < p.site.WeightStore.AdapterParallel
+}
+
 // missingAdapters lists the adapters that have fewer entries than their demand asks for.
 func (p *Placer) missingAdapters(m *model) []adapterLoad {
 	var missing []adapterLoad
--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -128,3 +128,20 @@
 	}
 	b.ReportMetric(float64(writes)/float64(b.N), "writes/op")
 }
+
+// TestTickCostFollowsChanges guards against a tick that walks the tables: with the same changes, 15 times
+// as many replicas may at most double the allocations, which stand for the work and do not depend on the machine.
+func TestTickCostFollowsChanges(t *testing.T) {
+	allocs := func(adapters, replicas int) float64 {
+		x := newBench(adapters, replicas)
+		i := 0
+		return testing.AllocsPerRun(300, func() {
+			x.change(i, 10)
+			x.tick()
+			i++
+		})
+	}
+	if small, large := allocs(100, 20), allocs(1000, 300); large > 2*small {
+		t.Errorf("a tick allocates %.0f times with 20 replicas and %.0f times with 300", small, large)
+	}
+}
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -31,9 +31,24 @@
 	ready    int         // ready on upstreams that stay
 	leaving  []*upstream // loading or ready on leaving upstreams
 	reserved int         // entries in any state on leaving upstreams
+	// unloading says that an entry is draining or being unloaded.
+	unloading bool
 }
 
+// count returns the summary, which is kept until a replica of the model changes.
 func (p *Placer) count(m *model) replicaCount {
+	if m.editedAt == p.ticks {
+		return p.countEntries(m)
+	}
+	if at := [2]uint64{m.version, p.leaveVersion}; !m.counted || m.countedAt != at {
+		m.replicas = p.countEntries(m)
+		m.counted = true
+		m.countedAt = at
+	}
+	return m.replicas
+}
+
+func (p *Placer) countEntries(m *model) replicaCount {
 	var c replicaCount
 	for _, id := range m.rec.Replicas {
 		u := p.upstreams[id]
@@ -44,6 +59,9 @@
 			c.reserved++
 		}
 		e := p.placeOf(u).find(m.id, "")
+		if e != nil && e.State == StateUnloading {
+			c.unloading = true
+		}
 		if e == nil || e.State == StateUnloading {
 			continue
 		}
@@ -82,7 +100,7 @@
 	delete(p.pending, m.id)
 	switch {
 	case len(c.active) < m.want:
-		if !p.cancelDrain(m) {
+		if !c.unloading || !p.cancelDrain(m) {
 			p.pending[m.id] = struct{}{}
 		}
 	case len(c.active) > m.want:
@@ -216,9 +234,12 @@
 		return
 	}
 	p.scans = 0
-	waiting := make([]*model, 0, len(p.pending))
+	free := p.storeFree()
+	var waiting []*model
 	for id := range p.pending {
-		waiting = append(waiting, p.models[id])
+		if m := p.models[id]; p.mayStart(m, free) {
+			waiting = append(waiting, m)
+		}
 	}
 	slices.SortFunc(waiting, p.compareLoads)
 	for _, m := range waiting {
@@ -226,6 +247,25 @@
 	}
 }
 
+// mayStart rules out, in constant time, the models for which startLoad could do nothing.
+func (p *Placer) mayStart(m *model, storeFree bool) bool {
+	if m.cfg == nil {
+		return true
+	}
+	if m.writing != nil || m.editing != nil {
+		return false
+	}
+	if !storeFree {
+		return len(m.local) > 0
+	}
+	return !p.searchedInVain(m)
+}
+
+// searchedInVain says whether a search for an upstream failed lately and no room was freed since.
+func (p *Placer) searchedInVain(m *model) bool {
+	return m.triedAt == p.freed && p.now.Before(m.nextTry)
+}
+
 // compareLoads orders loads by class, then by the waiting requests that one replica releases,
 // weighted by how long they have waited so that small queues are not starved, then by deadline.
 func (p *Placer) compareLoads(a, b *model) int {
@@ -294,7 +334,7 @@
 		}
 		return
 	}
-	if m.triedAt == p.freed && p.now.Before(m.nextTry) || p.scans >= maxScans {
+	if p.searchedInVain(m) || p.scans >= maxScans {
 		return
 	}
 	p.scans++
@@ -423,6 +463,7 @@
 }
 
 func (p *Placer) addEntry(ed *edit, e Entry, minFence int64) *Entry {
+	p.model(e.Model).editedAt = p.ticks
 	e.ID = fmt.Sprintf("%016x", p.opt.Rand.Uint64())
 	e.State = StateLoading
 	ed.place.Entries = append(ed.place.Entries, e)
--- a/internal/placement/maintain.go
+++ b/internal/placement/maintain.go
@@ -141,6 +141,9 @@
 	}
 	ed := &edit{up: u, place: u.place.clone(), models: map[entity.ModelID]*ModelRecord{}}
 	p.edits[u.id] = ed
+	for i := range ed.place.Entries {
+		p.model(ed.place.Entries[i].Model).editedAt = p.ticks
+	}
 	return ed
 }
 
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -112,9 +112,15 @@
 	freed    uint64
 	scans    int
 	version  uint64
-	now      time.Time
-	out      []command.Command
-	stats    Stats
+	// leaveVersion rises when an upstream is added, begins or ends leaving, or is removed. The
+	// record of a model can name an upstream whose own record does not name the model yet, so
+	// these changes do not show in the versions of all models concerned.
+	leaveVersion uint64
+	// ticks counts the calls of Tick.
+	ticks uint64
+	now   time.Time
+	out   []command.Command
+	stats Stats
 }
 
 // Stats counts what the Placer did since it was created.
@@ -150,6 +156,8 @@
 	// unsteady says that an entry is not ready or has listed orders.
 	unsteady bool
 	digest   uint64
+	// stayed is the result of stays at the last change of leaveVersion.
+	stayed bool
 }
 
 type entryKey struct {
@@ -174,6 +182,11 @@
 	local  map[entity.UpstreamID]*upstream
 	fits   bool
 	fitsAt uint64
+	// replicas is valid while countedAt holds version and leaveVersion and no edit of this tick touches the model.
+	replicas  replicaCount
+	counted   bool
+	countedAt [2]uint64
+	editedAt  uint64
 
 	want       int
 	lastUp     time.Time
@@ -277,6 +290,7 @@
 			refused:   map[entity.ModelID]time.Time{},
 		}
 		p.upstreams[id] = u
+		p.leaveVersion++
 	}
 	return u
 }
@@ -419,6 +433,10 @@
 }
 
 func (p *Placer) upstreamChanged(u *upstream) {
+	if stays := u.stays(); stays != u.stayed {
+		u.stayed = stays
+		p.leaveVersion++
+	}
 	p.capacity++
 	p.freed++
 	p.touchUpstream(u.id)
@@ -705,6 +723,9 @@
 	return u.rec.State == config.UpstreamLeaving || (u.report != nil && u.report.Leaving)
 }
 
+// stays says whether the upstream is listed and not leaving.
+func (u *upstream) stays() bool { return u.listed && !u.leaving() }
+
 func (u *upstream) totalBytes() int64 {
 	if u.report != nil && u.report.MemoryBytes > 0 {
 		return min(u.rec.MemoryBytes, u.report.MemoryBytes)
@@ -838,6 +859,7 @@
 // one and to the models that wait for a load.
 func (p *Placer) Tick(now time.Time) []command.Command {
 	p.now = now
+	p.ticks++
 	p.dropSilent()
 	p.popTimers()
 	for _, id := range drain(p.dirtyUpstreams) {
--- a/internal/placement/sim_test.go
+++ b/internal/placement/sim_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"reflect"
 	"slices"
 	"strings"
 	"time"
@@ -473,7 +474,7 @@
 	h.s.after(3*time.Second, h.s.publishHosts)
 }
 
-// check verifies the two safety properties on the engines themselves.
+// check verifies the two safety properties on the engines themselves, and that kept counts are current.
 func (s *sim) check() error {
 	replicas := map[entity.ModelID]int{}
 	for _, e := range s.engines {
@@ -492,6 +493,16 @@
 			return fmt.Errorf("the record of %s reserves %d of %d bytes", e.rec.ID, place.UsedBytes(), e.rec.MemoryBytes)
 		}
 	}
+	for _, h := range s.hosts {
+		if s.now.UnixMilli()%100 != 0 {
+			break // comparing at every step doubles the time of the test
+		}
+		for _, m := range h.p.models {
+			if got, want := h.p.count(m), h.p.countEntries(m); !reflect.DeepEqual(got, want) {
+				return fmt.Errorf("%s counts %+v of %s, kept is %+v", h.rec.ID, want, m.id, got)
+			}
+		}
+	}
 	leaving := 0
 	for _, e := range s.engines {
 		if e.leaving {
