--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -111,10 +111,18 @@
 	capacity uint64
 	freed    uint64
 	scans    int
-	version  uint64
-	now      time.Time
-	out      []command.Command
-	stats    Stats
+	// loadRatios relates the measured load times to the hints, by sourceOrder.
+	loadRatios [3]float64
+	version    uint64
+	// leaveVersion rises when an upstream is added, begins or ends leaving, or is removed. The
+	// record of a model can name an upstream whose own record does not name the model yet, so
+	// these changes do not show in the versions of all models concerned.
+	leaveVersion uint64
+	// ticks counts the calls of Tick.
+	ticks uint64
+	now   time.Time
+	out   []command.Command
+	stats Stats
 }
 
 // Stats counts what the Placer did since it was created.
@@ -150,6 +158,8 @@
 	// unsteady says that an entry is not ready or has listed orders.
 	unsteady bool
 	digest   uint64
+	// stayed is the result of stays at the last change of leaveVersion.
+	stayed bool
 }
 
 type entryKey struct {
@@ -174,6 +184,11 @@
 	local  map[entity.UpstreamID]*upstream
 	fits   bool
 	fitsAt uint64
+	// replicas is valid while countedAt holds version and leaveVersion and no edit of this tick touches the model.
+	replicas  replicaCount
+	counted   bool
+	countedAt [2]uint64
+	editedAt  uint64
 
 	want       int
 	lastUp     time.Time
@@ -186,7 +201,8 @@
 	evictUntil time.Time
 	arrivals   float64
 	arrivalsAt time.Time
-	loadTime   time.Duration
+	// loadTimes holds the measured load times by sourceOrder.
+	loadTimes [3]time.Duration
 }
 
 type adapter struct {
@@ -277,6 +293,7 @@
 			refused:   map[entity.ModelID]time.Time{},
 		}
 		p.upstreams[id] = u
+		p.leaveVersion++
 	}
 	return u
 }
@@ -419,6 +436,10 @@
 }
 
 func (p *Placer) upstreamChanged(u *upstream) {
+	if stays := u.stays(); stays != u.stayed {
+		u.stayed = stays
+		p.leaveVersion++
+	}
 	p.capacity++
 	p.freed++
 	p.touchUpstream(u.id)
@@ -502,6 +523,9 @@
 		if countsAtStore(e) {
 			known[e.ID] = true
 		}
+		if next := place.find(e.Model, e.Adapter); e.Adapter == "" && e.State == StateLoading && next != nil && next.ID == e.ID && next.State == StateReady {
+			p.noteLoadTime(e, now.Sub(u.since[e.ID+StateLoading]))
+		}
 		p.account(e, -1)
 		p.touchModel(e.Model)
 		p.bump(p.model(e.Model))
@@ -705,6 +729,9 @@
 	return u.rec.State == config.UpstreamLeaving || (u.report != nil && u.report.Leaving)
 }
 
+// stays says whether the upstream is listed and not leaving.
+func (u *upstream) stays() bool { return u.listed && !u.leaving() }
+
 func (u *upstream) totalBytes() int64 {
 	if u.report != nil && u.report.MemoryBytes > 0 {
 		return min(u.rec.MemoryBytes, u.report.MemoryBytes)
@@ -838,6 +865,7 @@
 // one and to the models that wait for a load.
 func (p *Placer) Tick(now time.Time) []command.Command {
 	p.now = now
+	p.ticks++
 	p.dropSilent()
 	p.popTimers()
 	for _, id := range drain(p.dirtyUpstreams) {
--- a/internal/placement/sim_test.go
+++ b/internal/placement/sim_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"reflect"
 	"slices"
 	"strings"
 	"time"
@@ -29,10 +30,15 @@
 	events  []event
 	decoded map[string]decoded
 	faulty  bool
+	// late is the probability that an order is delivered late while faults are on.
+	late float64
 	// maxLoads is the largest number of loads that ran at the weight store at the same time.
 	maxLoads int
 	// loads counts the load orders that made an engine begin to load, by model.
 	loads map[entity.ModelID]int
+	// remoteStarts holds the times at which loads from the weight store began.
+	remoteStarts []time.Time
+	adapterLoad  time.Duration
 }
 
 type decoded struct {
@@ -91,6 +97,9 @@
 		site:  site,
 		store: map[string]platform.Pair{},
 		loads: map[entity.ModelID]int{},
+		late:  0.15,
+
+		adapterLoad: 8 * time.Millisecond,
 
 		decoded: map[string]decoded{},
 	}
@@ -309,7 +318,7 @@
 		answer(command.OrderNotSent)
 	case s.chance(0.05):
 		answer(command.OrderUnknown) // lost
-	case s.chance(0.15):
+	case s.chance(s.late):
 		// Delivered late, unless the sending process ends first.
 		answer(command.OrderUnknown)
 		s.after(time.Duration(s.rng.IntN(20000))*time.Millisecond, func() {
@@ -359,7 +368,7 @@
 
 func (e *simEngine) load(o command.Order) {
 	x := &simEntry{ReportedEntry: wire.ReportedEntry{Model: o.Model, Adapter: o.Adapter, State: StateLoading, OrderID: o.OrderID, Fence: o.Fence, Bytes: o.Bytes}}
-	x.remaining = 8 * time.Millisecond
+	x.remaining = e.s.adapterLoad
 	if o.Adapter == "" {
 		cold := time.Duration(e.s.site.Models[o.Model].ColdStartMillis) * time.Millisecond
 		switch e.rec.Checkpoints[o.Model] {
@@ -369,6 +378,7 @@
 			x.remaining = cold / 4
 		default:
 			x.remaining, x.remote = cold, true
+			e.s.remoteStarts = append(e.s.remoteStarts, e.s.now)
 		}
 		e.s.loads[o.Model]++
 	}
@@ -438,7 +448,10 @@
 	}
 }
 
-func (e *simEngine) restart() {
+func (e *simEngine) restart(forgetFences bool) {
+	if forgetFences {
+		clear(e.fences)
+	}
 	e.boot = fmt.Sprintf("boot-%d", e.s.rng.Uint64())
 	e.seq = 0
 	e.entries = nil
@@ -467,7 +480,7 @@
 	h.s.after(3*time.Second, h.s.publishHosts)
 }
 
-// check verifies the two safety properties on the engines themselves.
+// check verifies the two safety properties on the engines themselves, and that kept counts are current.
 func (s *sim) check() error {
 	replicas := map[entity.ModelID]int{}
 	for _, e := range s.engines {
@@ -486,6 +499,16 @@
 			return fmt.Errorf("the record of %s reserves %d of %d bytes", e.rec.ID, place.UsedBytes(), e.rec.MemoryBytes)
 		}
 	}
+	for _, h := range s.hosts {
+		if s.now.UnixMilli()%100 != 0 {
+			break // comparing at every step doubles the time of the test
+		}
+		for _, m := range h.p.models {
+			if got, want := h.p.count(m), h.p.countEntries(m); !reflect.DeepEqual(got, want) {
+				return fmt.Errorf("%s counts %+v of %s, kept is %+v", h.rec.ID, want, m.id, got)
+			}
+		}
+	}
 	leaving := 0
 	for _, e := range s.engines {
 		if e.leaving {
