peer, control: deliver returned loans

A loan_return was sent but its kind had no constructor, so the receiver skipped the frame as one of a newer build, and the control loop did not route the message either. The bound was never affected.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -484,7 +484,7 @@
 
 func (c *Core) peerMessage(e PeerMessage, now time.Time) {
 	switch m := e.Message.(type) {
-	case *wire.LoanAsk, *wire.LoanGrant, *wire.FenceRequest, *wire.FenceGrant:
+	case *wire.LoanAsk, *wire.LoanGrant, *wire.LoanReturn, *wire.FenceRequest, *wire.FenceGrant:
 		c.run(systemLimits, c.throttler.HandleMessage(e.From, e.Incarnation, m, now), now)
 	case *wire.Demand:
 		c.placer.HandleDemand(e.From, m.Models, now)
--- /dev/null
+++ b/internal/control/core_test.go
@@ -0,0 +1,63 @@
+package control
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/config"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/limits"
+	"github.com/foxtailpass/foxtailpass/internal/placement"
+	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/schedule"
+	"github.com/foxtailpass/foxtailpass/internal/wire"
+)
+
+func newTestCore(rng *rand.Rand) *Core {
+	return NewCore(Options{
+		Self:      "h1",
+		Throttler: limits.New(limits.Options{Self: "h1", Incarnation: "i1", Addr: "a1", Rand: rng}),
+		Scheduler: func(readyIn func(schedule.PoolID, time.Time) (time.Duration, bool)) *schedule.Scheduler {
+			return schedule.New(schedule.Options{Rand: rng, ReadyIn: readyIn})
+		},
+		Placer: placement.New(placement.Options{Self: "h1", Incarnation: "i1", Rand: rng}),
+	})
+}
+
+func change(t *testing.T, key string, value any, rev int64) KeyChange {
+	t.Helper()
+	data, err := json.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return KeyChange{Key: key, Pair: &platform.Pair{Key: key, Value: data, ModRevision: rev}}
+}
+
+// A returned loan must reach the lender's ledger; otherwise the tokens are lost until the loan expires.
+func TestLoanReturnReachesLedger(t *testing.T) {
+	now := time.Unix(100, 0)
+	c := newTestCore(rand.New(rand.NewPCG(1, 2)))
+	c.Handle(SiteChanged{Site: &config.Site{Document: config.Document{Workspaces: map[entity.WorkspaceID]config.Workspace{
+		"w": {RateTokensPerSecond: 1, BurstTokens: 100},
+	}}}}, now)
+	rec := limits.Record{Holders: []limits.Holder{{
+		Host: "h1", Incarnation: "i1", Addr: "a1", Units: limits.TotalUnits, Received: 100, Epoch: 1,
+	}}}
+	c.Handle(LeaseRenewed{ValidUntil: now.Add(time.Minute)}, now)
+	c.Handle(ViewChanged{Changes: []KeyChange{
+		change(t, config.HostsPrefix+"h1", config.HostRecord{Incarnation: "i1", PeerAddr: "a1", State: config.HostLive}, 1),
+		change(t, config.HostsPrefix+"h2", config.HostRecord{Incarnation: "i2", PeerAddr: "a2", State: config.HostLive}, 2),
+		change(t, limits.Key("w"), rec, 3),
+	}}, now)
+	from := func(m wire.Message) PeerMessage { return PeerMessage{From: "h2", Incarnation: "i2", Message: m} }
+	c.Handle(from(&wire.LoanAsk{ID: 1, Workspace: "w", Tokens: 40}), now)
+	if lent := c.Status(now).Limits[0].Lent; lent != 40 {
+		t.Fatalf("%v tokens are lent, want 40", lent)
+	}
+	c.Handle(from(&wire.LoanReturn{ID: 1, Workspace: "w", Tokens: 30}), now)
+	if s := c.Status(now).Limits[0]; s.Lent != 0 || s.Level != 90 {
+		t.Errorf("after the return: lent %v, level %v, want 0 and 90", s.Lent, s.Level)
+	}
+}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -44,6 +44,7 @@
 	wire.KindFenceGrant:      func() wire.Message { return new(wire.FenceGrant) },
 	wire.KindDemand:          func() wire.Message { return new(wire.Demand) },
 	wire.KindReports:         func() wire.Message { return new(wire.Reports) },
+	wire.KindLoanReturn:      func() wire.Message { return new(wire.LoanReturn) },
 }
 
 // encodeFrame returns a whole frame: 4 bytes of big-endian length, 1 byte of version, 1 byte of
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -44,6 +44,7 @@
 	KindFenceGrant:      "fence_grant",
 	KindDemand:          "demand",
 	KindReports:         "reports",
+	KindLoanReturn:      "loan_return",
 }
 
 // String returns the metric label of the kind.
