limits: give a host without units its share at once; wait for first shares

The first host of a site claimed all units and released at most 10 % every 2 to 4 s, so a host that started later reported "waiting for shares" for up to 10 s. While a live host holds no units, holders now release down to their target in one write, without waiting for fresh demand of all peers.

Requests of a workspace that is new in the configuration were refused until the share record existed. They now wait for the first share for at most 1 s, up to the burst of the workspace.

Failed first: TestLateHostGetsSharesAtOnce (100000 of 1000000 units after 1.5 s), TestFirstRequestsWaitForShare (four requests refused at once).

--- a/internal/limits/share.go
+++ b/internal/limits/share.go
@@ -374,7 +374,14 @@
 func (t *Throttler) planRelease(a *account, next *Record, own *Holder, target int64, now time.Time) bool {
 	s := &a.share
 	surplus := own.Units - target
-	if s.unknown || now.Before(s.nextRelease) || surplus < leastMove+target/8 || !t.demandFresh(now) {
+	if s.unknown || surplus < leastMove+target/8 {
+		return false
+	}
+	largest := int64(largestMove)
+	if t.starved(next) {
+		// A host without units waits for its first readiness, so the surplus is not kept back.
+		largest = TotalUnits
+	} else if now.Before(s.nextRelease) || !t.demandFresh(now) {
 		return false
 	}
 	if a.burst <= 0 {
@@ -382,7 +389,7 @@
 	}
 	// The capacity that remains must cover the outstanding loans.
 	least := int64(a.outstanding/a.burst*TotalUnits) + 1
-	units := min(surplus, largestMove, own.Units-least)
+	units := min(surplus, largest, own.Units-least)
 	if units < leastMove {
 		return false
 	}
@@ -396,6 +403,19 @@
 	return true
 }
 
+// starved says whether a live host holds no units at all.
+func (t *Throttler) starved(rec *Record) bool {
+	for id, h := range t.term.hosts {
+		if id == t.opt.Self || h.State == config.HostStopping {
+			continue
+		}
+		if own := rec.holder(h.Incarnation); own == nil || own.Units == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // demandFresh says whether all live peers have reported recently.
 func (t *Throttler) demandFresh(now time.Time) bool {
 	for id := range t.term.hosts {
--- a/internal/limits/throttler.go
+++ b/internal/limits/throttler.go
@@ -43,6 +43,9 @@
 	loanWait = 60 * time.Millisecond
 	// askTimeout ends the wait for one peer's answer, so that a second round fits in loanWait.
 	askTimeout = 25 * time.Millisecond
+	// firstShareWait bounds how long requests of a workspace that is new in the configuration wait
+	// for this host's first share: two writes to the key-value service and their conflicts.
+	firstShareWait = time.Second
 	// keepBorrowed is how long unspent loans are kept for later requests before they are returned.
 	keepBorrowed = 120 * time.Millisecond
 	// peerSilence is the age of the last heartbeat after which a peer is not asked.
@@ -107,13 +110,15 @@
 	id entity.WorkspaceID
 	ledger
 	configured bool
-	share      share
-	waiting    []*waiter
-	asks       map[uint64]*ask
-	borrowed   []borrowed
-	peers      map[entity.HostID]*peerLevel
-	used       average
-	short      average
+	// newUntil ends the time in which requests wait for the first share.
+	newUntil time.Time
+	share    share
+	waiting  []*waiter
+	asks     map[uint64]*ask
+	borrowed []borrowed
+	peers    map[entity.HostID]*peerLevel
+	used     average
+	short    average
 }
 
 // waiter is a request that waits for tokens.
@@ -121,6 +126,8 @@
 	id     entity.RequestID
 	tokens float64
 	until  time.Time
+	// first marks a request that waits for the first share of its workspace.
+	first bool
 }
 
 // New returns a Throttler without units and outside its term.
@@ -164,6 +171,9 @@
 	}
 	for id, w := range site.Workspaces {
 		a := t.account(id)
+		if !a.configured {
+			a.newUntil = now.Add(firstShareWait)
+		}
 		a.configured = true
 		a.setLimits(w.RateTokensPerSecond, w.BurstTokens, now)
 	}
@@ -189,19 +199,45 @@
 		return []command.Command{command.Admit{Request: r.ID}}
 	}
 	queued := a.queuedTokens()
-	if t.fleetTokens(a, now) < queued+r.Tokens {
+	first := t.awaitsFirstShare(a, now) && queued+r.Tokens <= a.burst
+	if !first && t.fleetTokens(a, now) < queued+r.Tokens {
 		a.short.add(r.Tokens, now)
 		return []command.Command{t.rateLimited(a, r.ID, queued+r.Tokens, now)}
 	}
 	until := now.Add(loanWait)
+	if first {
+		until = a.newUntil
+	}
 	if !r.Deadline.IsZero() && r.Deadline.Before(until) {
 		until = r.Deadline
 	}
-	a.waiting = append(a.waiting, &waiter{id: r.ID, tokens: r.Tokens, until: until})
+	a.waiting = append(a.waiting, &waiter{id: r.ID, tokens: r.Tokens, until: until, first: first})
 	t.active[a] = struct{}{}
 	return t.serve(a, now)
 }
 
+// awaitsFirstShare says whether the workspace is new and this host has not got its share yet.
+func (t *Throttler) awaitsFirstShare(a *account, now time.Time) bool {
+	return a.units == 0 && now.Before(a.newUntil)
+}
+
+// endFirstWait gives requests that waited for the first share the usual time to borrow the rest.
+func (a *account) endFirstWait(now time.Time) {
+	for _, w := range a.waiting {
+		if w.first {
+			w.first = false
+			w.until = earlier(w.until, now.Add(loanWait))
+		}
+	}
+}
+
+func earlier(x, y time.Time) time.Time {
+	if x.Before(y) {
+		return x
+	}
+	return y
+}
+
 // Cancel removes a waiting request or refunds an admitted one that was not run.
 func (t *Throttler) Cancel(id entity.RequestID, now time.Time) []command.Command {
 	if _, admitted := t.charges[id]; admitted {
@@ -258,6 +294,9 @@
 func (t *Throttler) serve(a *account, now time.Time) []command.Command {
 	a.advance(now)
 	a.dropExpired(now)
+	if a.units > 0 {
+		a.endFirstWait(now)
+	}
 	var out []command.Command
 	for len(a.waiting) > 0 {
 		w := a.waiting[0]
