--- /dev/null
+++ b/test/faults/control_helpers_test.go
@@ -0,0 +1,232 @@
+package faults
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/config"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/placement"
+	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/standin/engine"
+	"github.com/foxtailpass/foxtailpass/internal/standin/kv"
+	"github.com/foxtailpass/foxtailpass/internal/standin/service"
+	"github.com/foxtailpass/foxtailpass/test/harness"
+)
+
+// siteSlots bounds the sites that run at once, because the machine is shared.
+var siteSlots = make(chan struct{}, 4)
+
+// parallelSite starts a site for a test that runs beside others.
+func parallelSite(t *testing.T, o harness.Options) *harness.Site {
+	t.Helper()
+	t.Parallel()
+	siteSlots <- struct{}{}
+	t.Cleanup(func() { <-siteSlots })
+	return harness.Start(t, o)
+}
+
+// engines returns n engines of the given memory with one weight store. checksFence applies to all.
+func engines(n int, bytes int64, checksFence bool) ([]engine.Options, *engine.WeightStore) {
+	store := engine.NewWeightStore(engine.WeightStoreOptions{LoadsPerSecond: 50, Parallel: 8})
+	var list []engine.Options
+	for i := range n {
+		list = append(list, engine.Options{
+			ID: entity.UpstreamID(fmt.Sprintf("engine-%d", i+1)), MemoryBytes: bytes, ChecksFence: checksFence, Store: store,
+			LoadTimes:     engine.LoadTimes{Memory: 50 * time.Millisecond, Disk: 100 * time.Millisecond, Remote: 300 * time.Millisecond},
+			TokenInterval: time.Millisecond, ReportLag: 20 * time.Millisecond,
+		})
+	}
+	return list, store
+}
+
+// models returns a base document with n models of the given size that may have one replica each.
+func models(n int, bytes int64) string {
+	var b strings.Builder
+	for i := range n {
+		fmt.Fprintf(&b, `"m%d": {"bytes": %d, "cold_start_ms": 300, "max_replicas": 1},`, i, bytes)
+	}
+	return `{"models": {` + strings.TrimSuffix(b.String(), ",") + `},
+	  "placement": {"idle_ms": 200, "hold_ms": 200},
+	  "workspaces": {"clerks": {"rate_tokens_per_s": 100000, "burst_tokens": 100000, "models": ["*"], "routes": ["*"]}},
+	  "routes": {"/orders/": {"upstream_kind": "orders", "timeout_ms": 3000}}}`
+}
+
+func orderService() []service.Options {
+	return []service.Options{{ID: "orders-1", Kind: "orders", WorkTime: 20 * time.Millisecond}}
+}
+
+// decisions follows the placement records and keeps the highest decided count of each model.
+type decisions struct {
+	mu   sync.Mutex
+	most map[entity.ModelID]int
+}
+
+func followDecisions(s *harness.Site) *decisions {
+	d := &decisions{most: make(map[entity.ModelID]int)}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.T.Cleanup(cancel)
+	go func() {
+		_ = s.Store.Watch(ctx, "foxtailpass/"+config.PlaceModels, 1, func(b platform.WatchBatch) error {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			for _, e := range b.Events {
+				var rec placement.ModelRecord
+				if json.Unmarshal(e.Pair.Value, &rec) == nil {
+					id := entity.ModelID(strings.TrimPrefix(e.Pair.Key, "foxtailpass/"+config.PlaceModels))
+					d.most[id] = max(d.most[id], rec.Decided)
+				}
+			}
+			return nil
+		})
+	}()
+	return d
+}
+
+// checkPlacement compares the engines' own records with what was decided, with at most limit
+// replicas of each model.
+func checkPlacement(s *harness.Site, d *decisions, store *engine.WeightStore, limit int) {
+	s.T.Helper()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for m, n := range store.MaxReplicas() {
+		if n > d.most[m] || n > limit {
+			s.T.Errorf("model %s had %d replicas at once, decided were %d, at most %d are allowed", m, n, d.most[m], limit)
+		}
+	}
+	for _, e := range s.Engines {
+		if r := e.Record(); len(r.MemoryViolations) > 0 {
+			s.T.Errorf("engine %s was given orders beyond its memory: %+v", r.ID, r.MemoryViolations)
+		}
+	}
+}
+
+func loads(s *harness.Site, m entity.ModelID) int {
+	n := 0
+	for _, e := range s.Engines {
+		n += len(e.Record().LoadsOf(m))
+	}
+	return n
+}
+
+// decider returns the host that the first running host takes as the decider.
+func decider(s *harness.Site) *harness.Host {
+	s.T.Helper()
+	var found *harness.Host
+	s.Eventually(5*time.Second, "a decider is known", func() bool {
+		for _, h := range s.Hosts {
+			if h.Running() && h.Status().Control.Placement.IsDecider {
+				found = h
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
+// others returns the hosts without the given one.
+func others(s *harness.Site, not *harness.Host) []*harness.Host {
+	var list []*harness.Host
+	for _, h := range s.Hosts {
+		if h != not {
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
+// cutOff cuts a host from the platform and from all hosts; the result heals it.
+func cutOff(s *harness.Site, host int) (heal func()) {
+	s.Net.Cut(harness.PlatformLink(host))
+	s.Net.CutPeers(host, len(s.Hosts))
+	return func() {
+		s.Net.HealPeers(host, len(s.Hosts))
+		s.Net.Heal(harness.PlatformLink(host))
+	}
+}
+
+// cutBetween cuts the hosts of one group from all others; the result heals them.
+func cutBetween(s *harness.Site, group ...int) (heal func()) {
+	in := make(map[int]bool)
+	for _, i := range group {
+		in[i] = true
+	}
+	var links []string
+	for i := range s.Hosts {
+		for j := range s.Hosts {
+			if in[i] != in[j] {
+				links = append(links, harness.PeerLink(i, j))
+			}
+		}
+	}
+	for _, l := range links {
+		s.Net.Cut(l)
+	}
+	return func() {
+		for _, l := range links {
+			s.Net.Heal(l)
+		}
+	}
+}
+
+// outage makes the key-value service refuse every call; the result ends it.
+func outage(s *harness.Site) (end func()) {
+	s.Store.SetFaults(kv.Faults{Refuse: true})
+	return func() { s.Store.SetFaults(kv.Faults{}) }
+}
+
+// answers collects the answers of concurrent requests.
+type answers struct {
+	mu   sync.Mutex
+	wg   sync.WaitGroup
+	list []Timed
+}
+
+// Timed is an answer with its request's host, arrival and end.
+type Timed struct {
+	harness.Answer
+	Host       int
+	Sent, Done time.Time
+}
+
+func (a *answers) send(h *harness.Host, r harness.Request) {
+	a.wg.Add(1)
+	go func() {
+		defer a.wg.Done()
+		x := Timed{Host: h.Index, Sent: time.Now()}
+		x.Answer = h.Do(r)
+		x.Done = time.Now()
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.list = append(a.list, x)
+	}()
+}
+
+func (a *answers) wait() []Timed {
+	a.wg.Wait()
+	return a.list
+}
+
+// summary counts the answers by status and code.
+func summary(list []Timed) map[string]int {
+	out := make(map[string]int)
+	for _, x := range list {
+		k := fmt.Sprintf("%d %s", x.Status, x.Code)
+		if x.Err != nil {
+			k = "no answer"
+		}
+		out[k]++
+	}
+	return out
+}
+
+func deadline(r harness.Request, d time.Duration) harness.Request {
+	r.Headers = map[string]string{"X-Foxtailpass-Deadline-Ms": fmt.Sprint(d.Milliseconds())}
+	return r
+}
--- /dev/null
+++ b/test/faults/control_placement_test.go
@@ -0,0 +1,199 @@
+package faults
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/standin/engine"
+	"github.com/foxtailpass/foxtailpass/internal/standin/kv"
+	"github.com/foxtailpass/foxtailpass/test/harness"
+)
+
+// Hosts that are cut from each other each have a decider. Cold bursts on both sides must still
+// load every model once.
+func TestTwoDecidersLoadOnce(t *testing.T) {
+	list, store := engines(3, 4000, true)
+	s := parallelSite(t, harness.Options{Hosts: 4, Engines: list, Base: models(6, 1000)})
+	d := followDecisions(s)
+	key, _ := s.Key("clerks")
+	heal := cutBetween(s, 0, 1)
+	s.Eventually(10*time.Second, "two deciders", func() bool {
+		n := 0
+		for _, h := range s.Hosts {
+			if h.Status().Control.Placement.IsDecider {
+				n++
+			}
+		}
+		return n == 2
+	})
+	var a answers
+	for m := range 6 {
+		for _, h := range s.Hosts {
+			a.send(h, harness.Chat(key, fmt.Sprintf("m%d", m), 5, false))
+		}
+	}
+	got := a.wait()
+	heal()
+	if n := summary(got)["200 "]; n != len(got) {
+		t.Errorf("answers: %v", summary(got))
+	}
+	checkPlacement(s, d, store, 1)
+	for m := range 6 {
+		if n := loads(s, entity.ModelID(fmt.Sprintf("m%d", m))); n != 1 {
+			t.Errorf("model m%d was loaded %d times, want once", m, n)
+		}
+	}
+}
+
+// A decider that is killed in the middle of a load leaves a record from which the next one goes
+// on: the request at another host is served and there is no second load.
+func TestDeciderKilledInLoad(t *testing.T) {
+	for _, fence := range []bool{true, false} {
+		t.Run(fmt.Sprintf("fence=%t", fence), func(t *testing.T) {
+			list, store := engines(2, 3000, fence)
+			s := parallelSite(t, harness.Options{Hosts: 3, Engines: list, Base: models(1, 1000), LeaseTTL: 2 * time.Second})
+			d := followDecisions(s)
+			key, _ := s.Key("clerks")
+			store.SetSlowdown(4)
+			killed := decider(s)
+			rest := others(s, killed)
+			var a answers
+			a.send(rest[0], harness.Chat(key, "m0", 5, false))
+			a.send(rest[1], harness.Chat(key, "m0", 5, false))
+			s.Eventually(5*time.Second, "the load has begun", func() bool { return loads(s, "m0") > 0 })
+			killed.Kill()
+			if got := summary(a.wait()); got["200 "] != 2 {
+				t.Errorf("answers: %v", got)
+			}
+			checkPlacement(s, d, store, 1)
+			if n := loads(s, "m0"); n != 1 {
+				t.Errorf("the model was loaded %d times, want once", n)
+			}
+		})
+	}
+}
+
+// The order of a paused decider arrives late, when another host has decided something else for
+// the same memory. It must be refused by its fence, or its memory must still be reserved.
+func TestOldOrderOfPausedDecider(t *testing.T) {
+	for _, fence := range []bool{true, false} {
+		t.Run(fmt.Sprintf("fence=%t", fence), func(t *testing.T) {
+			list, store := engines(1, 3000, fence)
+			// Two models of 2000 bytes do not fit into 3000.
+			s := parallelSite(t, harness.Options{Hosts: 3, Engines: list, Base: models(2, 2000), LeaseTTL: time.Second})
+			d := followDecisions(s)
+			key, _ := s.Key("clerks")
+			if err := s.Engines[0].SetFault(engine.Fault{Kind: engine.FaultOrderDelay, Count: 1, DelayMS: 4000}); err != nil {
+				t.Fatal(err)
+			}
+			paused := decider(s)
+			rest := others(s, paused)
+			var a answers
+			a.send(rest[0], deadline(harness.Chat(key, "m0", 5, false), 1500*time.Millisecond))
+			s.Eventually(5*time.Second, "the order is under way", func() bool { return len(s.Engines[0].Received()) > 0 && recorded(s, "m0") })
+			paused.Pause()
+			time.Sleep(1500 * time.Millisecond)
+			for range 4 {
+				a.send(rest[1], deadline(harness.Chat(key, "m1", 5, false), 8*time.Second))
+				time.Sleep(300 * time.Millisecond)
+			}
+			time.Sleep(1500 * time.Millisecond)
+			paused.Resume()
+			got := summary(a.wait())
+			t.Logf("answers: %v", got)
+			if got["200 "] < 4 {
+				t.Errorf("the other model was not served: %v", got)
+			}
+			checkPlacement(s, d, store, 1)
+		})
+	}
+}
+
+// recorded says whether the placement records hold an entry for the model.
+func recorded(s *harness.Site, m entity.ModelID) bool {
+	for _, h := range s.Hosts {
+		for _, x := range h.Status().Control.Placement.Models {
+			if x.Model == m && len(x.Replicas) > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// placementFault is one fault during placement under memory pressure.
+type placementFault struct {
+	name  string
+	begin func(s *harness.Site, rng *rand.Rand) (end func())
+}
+
+func placementFaults() []placementFault {
+	return []placementFault{
+		{"none", func(*harness.Site, *rand.Rand) func() { return func() {} }},
+		{"lost answers of the key-value service", func(s *harness.Site, _ *rand.Rand) func() {
+			s.Store.SetFaults(kv.Faults{LoseEvery: 3})
+			return func() { s.Store.SetFaults(kv.Faults{}) }
+		}},
+		{"lost and delayed orders", func(s *harness.Site, _ *rand.Rand) func() {
+			for _, e := range s.Engines {
+				_ = e.SetFault(engine.Fault{Kind: engine.FaultOrderLost, Count: 2})
+				_ = e.SetFault(engine.Fault{Kind: engine.FaultOrderDelay, Count: 2, DelayMS: 1500})
+			}
+			return func() {
+				for _, e := range s.Engines {
+					e.ClearFaults()
+				}
+			}
+		}},
+		{"engine restart", func(s *harness.Site, rng *rand.Rand) func() {
+			e := s.Engines[rng.IntN(len(s.Engines))]
+			if err := e.Restart(); err != nil {
+				s.T.Error(err)
+			}
+			return func() {}
+		}},
+		{"two deciders", func(s *harness.Site, rng *rand.Rand) func() { return cutBetween(s, rng.IntN(len(s.Hosts))) }},
+	}
+}
+
+// Several models share less memory than they need, so that loads and unloads cross. Whatever
+// fails meanwhile, no engine may be given more than its memory, no model may have two replicas,
+// and every request must get an answer.
+func TestMemoryPressure(t *testing.T) {
+	for _, f := range placementFaults() {
+		t.Run(f.name, func(t *testing.T) {
+			list, store := engines(2, 2500, f.name != "two deciders")
+			s := parallelSite(t, harness.Options{Hosts: 3, Engines: list, Base: models(7, 1000), LeaseTTL: 2 * time.Second})
+			d := followDecisions(s)
+			key, _ := s.Key("clerks")
+			rng := rand.New(rand.NewPCG(7, 7))
+			var a answers
+			send := func(n int) {
+				for range n {
+					m := fmt.Sprintf("m%d", rng.IntN(7))
+					a.send(s.Hosts[rng.IntN(3)], deadline(harness.Chat(key, m, 20, false), 8*time.Second))
+					time.Sleep(25 * time.Millisecond)
+				}
+			}
+			send(40)
+			end := f.begin(s, rng)
+			send(60)
+			end()
+			send(20)
+			got := a.wait()
+			t.Logf("answers: %v", summary(got))
+			checkPlacement(s, d, store, 1)
+			for _, x := range got {
+				if x.Err != nil || x.Status == 0 {
+					t.Errorf("a request got no answer: %v", x.Err)
+				}
+			}
+			if n := summary(got)["200 "]; n < len(got)/2 {
+				t.Errorf("only %d of %d requests were served", n, len(got))
+			}
+		})
+	}
+}
