placement: keep memory reserved while a dead process's order may still be applied

An order that an engine had received but not yet applied when its sender was killed was taken as gone as soon as a new process registered at the sender's address. An engine that does not check fences then applied it after its memory had been given to another model. Ruled out: the transaction (all writes were compared), the fence (the engine ignores it), a second send (the order ID arrived once). For such engines the entry now stays reserved for 5 s after the proof; an operator's confirmation still frees it at once.

TestOldOrderOfPausedDecider/fence=false fails when engines without fence checks are treated as if they had them.

--- a/internal/placement/maintain.go
+++ b/internal/placement/maintain.go
@@ -329,7 +329,7 @@
 
 // settled says whether the order can no longer arrive.
 func (p *Placer) settled(u *upstream, e *Entry, o *SentOrder) bool {
-	if o.Done || p.void(o) || u.seen[o.ID] || u.listedIDs[o.ID] || p.senderGone(u, o) {
+	if o.Done || p.void(o) || u.seen[o.ID] || u.listedIDs[o.ID] || p.flightOver(u, o) {
 		return true
 	}
 	if r, ok := p.results[o.ID]; ok && r.outcome == command.OrderAccepted {
@@ -341,6 +341,30 @@
 	return slices.ContainsFunc(e.Orders, func(x SentOrder) bool { return x.Fence > o.Fence && u.listedIDs[x.ID] })
 }
 
+// flightOver says whether the process that listed the order is gone and its last bytes can be
+// taken as processed. An engine may still apply an order that it received before the process died.
+// Engines that check fences refuse it then; for the others the entry stays reserved for orderFlight
+// after the proof.
+func (p *Placer) flightOver(u *upstream, o *SentOrder) bool {
+	if !p.senderGone(u, o) {
+		return false
+	}
+	if u.rec.ChecksFence || p.gone[goneKey(o.Host, o.Incarnation)] {
+		return true
+	}
+	since, known := p.replacedSince[o.Incarnation]
+	if !known {
+		since = p.now
+		p.replacedSince[o.Incarnation] = since
+	}
+	over := since.Add(orderFlight)
+	if p.now.Before(over) {
+		p.wakeUpstream(over, u.id)
+		return false
+	}
+	return true
+}
+
 // senderGone says whether the process that listed the order no longer exists: an operator
 // confirmed it, or another incarnation is registered under its host ID or address. The sender was
 // registered when it wrote the record, so a view that includes the record and shows another
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -31,6 +31,9 @@
 	readBackAfter = 500 * time.Millisecond
 	// storeRetry is the pause after the key-value service did not respond.
 	storeRetry = 250 * time.Millisecond
+	// orderFlight is how long an order of a replaced process may stay unprocessed at an engine; it
+	// is longer than the 3 s after which a living sender gives up on the answer.
+	orderFlight = 5 * time.Second
 	// refusedBackoff keeps a model off an upstream that refused its load.
 	refusedBackoff = 2 * time.Second
 	// choiceRetry bounds how often a model without a possible upstream searches again.
@@ -76,6 +79,8 @@
 	live         map[entity.HostID]config.HostRecord
 	liveAddr     map[string]entity.Incarnation
 	gone         map[string]bool
+	// replacedSince is when the proof that a process is gone was first seen here.
+	replacedSince map[entity.Incarnation]time.Time
 
 	models    map[entity.ModelID]*model
 	upstreams map[entity.UpstreamID]*upstream
@@ -226,6 +231,7 @@
 		live:           map[entity.HostID]config.HostRecord{},
 		liveAddr:       map[string]entity.Incarnation{},
 		gone:           map[string]bool{},
+		replacedSince:  map[entity.Incarnation]time.Time{},
 		models:         map[entity.ModelID]*model{},
 		upstreams:      map[entity.UpstreamID]*upstream{},
 		heard:          map[entity.HostID]time.Time{},
--- a/test/faults/control_helpers_test.go
+++ b/test/faults/control_helpers_test.go
@@ -92,6 +92,8 @@
 // replicas of each model.
 func checkPlacement(s *harness.Site, d *decisions, store *engine.WeightStore, limit int) {
 	s.T.Helper()
+	// The watch behind d has a short delay.
+	time.Sleep(100 * time.Millisecond)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for m, n := range store.MaxReplicas() {
