--- /dev/null
+++ b/test/faults/control_leaving_test.go
@@ -0,0 +1,136 @@
+package faults
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/config"
+	"github.com/foxtailpass/foxtailpass/internal/standin/engine"
+	"github.com/foxtailpass/foxtailpass/internal/standin/kv"
+	"github.com/foxtailpass/foxtailpass/test/harness"
+)
+
+// leavingBound is the design's "few seconds" after which a leaving upstream gets no new work,
+// counted from when the platform's list or the engine itself says that it leaves.
+const leavingBound = 3 * time.Second
+
+// requestsAt returns when an engine got completion requests.
+func requestsAt(e *engine.Engine) []time.Time {
+	var list []time.Time
+	for _, r := range e.Received() {
+		if r.URI == "/v1/chat/completions" {
+			list = append(list, r.At)
+		}
+	}
+	return list
+}
+
+// A leaving upstream must get no new work after a few seconds, whoever says that it leaves and
+// whichever host is cut from the platform, and its models must be loaded elsewhere.
+func TestLeavingUpstream(t *testing.T) {
+	const lag = 800 * time.Millisecond
+	for _, c := range []struct {
+		name  string
+		leave func(s *harness.Site, i int)
+		list  bool
+	}{
+		{"lagging list", nil, true},
+		{"host cut from the platform", func(s *harness.Site, _ int) { s.Net.Cut(harness.PlatformLink(0)) }, true},
+		{"watches frozen", func(s *harness.Site, _ int) { s.Store.SetFaults(kv.Faults{FreezeWatches: true}) }, true},
+		{"engine says it", func(s *harness.Site, i int) { s.Engines[i].SetLeaving(true) }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			list, store := engines(3, 3000, true)
+			o := harness.Options{Hosts: 3, Engines: list, Base: models(2, 1000), RegistryLag: lag}
+			s := parallelSite(t, o)
+			d := followDecisions(s)
+			key, _ := s.Key("clerks")
+			for _, h := range s.Hosts {
+				for m := range 2 {
+					if a := h.Do(harness.Chat(key, fmt.Sprintf("m%d", m), 2, false)); a.Status != 200 {
+						t.Fatalf("status %d, %s", a.Status, a.Body)
+					}
+				}
+			}
+			leaving := -1
+			for i, e := range s.Engines {
+				if len(e.Record().LoadsOf("m0")) > 0 {
+					leaving = i
+				}
+			}
+			var a answers
+			stop := make(chan struct{})
+			go func() {
+				defer close(stop)
+				for end := time.Now().Add(leavingBound + 3*time.Second); time.Now().Before(end); {
+					for i, h := range s.Hosts {
+						a.send(h, harness.Chat(key, fmt.Sprintf("m%d", i%2), 2, false))
+					}
+					time.Sleep(20 * time.Millisecond)
+				}
+			}()
+			time.Sleep(300 * time.Millisecond)
+			if c.leave != nil {
+				c.leave(s, leaving)
+			}
+			if c.list {
+				up := s.Upstreams()
+				up[leaving].State = config.UpstreamLeaving
+				up[leaving].LeaveBy = time.Now().Add(10 * time.Second)
+				s.SetUpstreams(up)
+			}
+			left := time.Now()
+			<-stop
+			got := a.wait()
+			late := 0
+			for _, at := range requestsAt(s.Engines[leaving]) {
+				if at.After(left.Add(leavingBound)) {
+					late++
+				}
+			}
+			if late > 0 {
+				t.Errorf("the leaving engine got %d requests more than %v after it was leaving", late, leavingBound)
+			}
+			if n := summary(got)["200 "]; n != len(got) {
+				t.Errorf("answers: %v", summary(got))
+			}
+			if n := loads(s, "m0"); n != 2 {
+				t.Errorf("the model of the leaving engine was loaded %d times, want once more elsewhere", n)
+			}
+			// A leaving replica may exist beside the one that replaces it.
+			s.Store.SetFaults(kv.Faults{})
+			checkPlacement(s, d, store, 2)
+		})
+	}
+}
+
+// What is queued for a model whose only replica leaves must be served by the replacement.
+func TestLeavingWhileQueued(t *testing.T) {
+	list, store := engines(2, 3000, true)
+	list[0].Slots, list[1].Slots = 1, 1
+	s := parallelSite(t, harness.Options{Hosts: 2, Engines: list, Base: models(1, 1000)})
+	d := followDecisions(s)
+	key, _ := s.Key("clerks")
+	var a answers
+	for range 10 {
+		for _, h := range s.Hosts {
+			a.send(h, harness.Chat(key, "m0", 100, false))
+		}
+	}
+	s.Eventually(5*time.Second, "the first request runs", func() bool {
+		return s.Engines[0].Record().Requests+s.Engines[1].Record().Requests > 0 && loads(s, "m0") > 0
+	})
+	up := s.Upstreams()
+	for i, e := range s.Engines {
+		if len(e.Record().LoadsOf("m0")) > 0 {
+			up[i].State = config.UpstreamLeaving
+			e.SetLeaving(true)
+		}
+	}
+	s.SetUpstreams(up)
+	if got := summary(a.wait()); got["200 "] != 20 {
+		t.Errorf("answers: %v", got)
+	}
+	checkPlacement(s, d, store, 2)
+}
