harness: take ports of hosts below the range of outgoing connections

A port that was free when the settings were written could be taken by an outgoing connection before the host started: one start in about 40 failed with "bind: address already in use" when four sites started at once.

--- a/test/harness/harness.go
+++ b/test/harness/harness.go
@@ -8,12 +8,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -253,14 +255,31 @@
 	}
 }
 
+// Ports of hosts lie below the range from which the system takes ports of outgoing connections,
+// so that no connection occupies the port of a host that is about to start.
+const (
+	firstPort = 10000
+	lastPort  = 30000
+)
+
+// nextPort starts at a random place, because other test processes take ports too.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(rand.Int64N(lastPort - firstPort)) }
+
 func freeAddr(t testing.TB, ip string) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		t.Fatal(err)
+	for range lastPort - firstPort {
+		addr := fmt.Sprintf("%s:%d", ip, firstPort+nextPort.Add(1)%(lastPort-firstPort))
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
+		_ = ln.Close()
+		return addr
 	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
+	t.Fatalf("no free port at %s", ip)
+	return ""
 }
 
 func (s *Site) newHost(i int) *Host {
