host: do not wait 10 s for shares while the key-value service is down

A host that restarts during an outage cannot claim shares and borrows tokens from the other hosts, but it reported "waiting for shares" for 10 s. It now waits 2 s.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -36,6 +36,9 @@
 	releaseTimeout = 5 * time.Second
 	// shareWait is the longest time for which a starting host waits for its shares.
 	shareWait = 10 * time.Second
+	// outageShareWait applies while the key-value service does not answer: no share can be
+	// claimed then, and the host borrows tokens from the others.
+	outageShareWait = 2 * time.Second
 	// drainPoll is the time between two looks at whether the last request has its answer.
 	drainPoll = 20 * time.Millisecond
 )
@@ -235,7 +238,11 @@
 	if h.warm.Load() {
 		return true
 	}
-	held := time.Since(h.started) > shareWait
+	wait := shareWait
+	if !h.view.ServiceReachable() {
+		wait = outageShareWait
+	}
+	held := time.Since(h.started) > wait
 	h.loop.Query(func(c *control.Core, now time.Time) { held = held || c.HasShares(now) })
 	if held {
 		h.warm.Store(true)
