--- a/test/faults/control_helpers_test.go
+++ b/test/faults/control_helpers_test.go
@@ -14,7 +14,6 @@
 	"github.com/foxtailpass/foxtailpass/internal/placement"
 	"github.com/foxtailpass/foxtailpass/internal/platform"
 	"github.com/foxtailpass/foxtailpass/internal/standin/engine"
-	"github.com/foxtailpass/foxtailpass/internal/standin/kv"
 	"github.com/foxtailpass/foxtailpass/internal/standin/service"
 	"github.com/foxtailpass/foxtailpass/test/harness"
 )
@@ -177,10 +176,16 @@
 	}
 }
 
-// outage makes the key-value service refuse every call; the result ends it.
+// outage takes the key-value service away from all hosts; the result ends it.
 func outage(s *harness.Site) (end func()) {
-	s.Store.SetFaults(kv.Faults{Refuse: true})
-	return func() { s.Store.SetFaults(kv.Faults{}) }
+	for i := range s.Hosts {
+		s.Net.Cut(harness.PlatformLink(i))
+	}
+	return func() {
+		for i := range s.Hosts {
+			s.Net.Heal(harness.PlatformLink(i))
+		}
+	}
 }
 
 // answers collects the answers of concurrent requests.
