gateway: keep accepting callers when file descriptors run out

Cause: fasthttp's Serve returns at the first accept error, so one EMFILE ended the gateway goroutine; the host then stopped with a fatal error. The backlog, the connection limit and the read timeouts were ruled out: none of them is reached in the test. Before: TestServeSurvivesDescriptorShortage fails with a client time-out after 5 s. After: the accept is retried every 10 ms and the request is answered.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -149,7 +149,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go g.watcher.run(ctx)
-	if err := g.server.Serve(ln); err != nil {
+	if err := g.server.Serve(retryingListener{ln}); err != nil {
 		return fmt.Errorf("gateway: %w", err)
 	}
 	return nil
