gateway: send engines no larger maximum than was charged

Cause: with both max_tokens and max_completion_tokens, the charge follows max_tokens, but max_completion_tokens went upstream unchanged, so an engine that prefers it generates more than the workspace paid for. Ruled out: a single field and the default are written back as charged. Before: TestMaximumIsWhatWasCharged: charged 3, sent 5000. After: both fields name the charged number.

--- a/internal/gateway/parse.go
+++ b/internal/gateway/parse.go
@@ -116,6 +116,10 @@
 		*f.value = n
 	}
 	fields["max_tokens"] = json.RawMessage(strconv.Itoa(most))
+	if _, ok := fields["max_completion_tokens"]; ok {
+		// An engine may prefer this field; both must name what was charged.
+		fields["max_completion_tokens"] = fields["max_tokens"]
+	}
 	c.outputTokens = most * choices
 	return nil
 }
--- /dev/null
+++ b/internal/gateway/parse_test.go
@@ -0,0 +1,33 @@
+package gateway
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/foxtailpass/foxtailpass/internal/config"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+)
+
+// Guards against an engine that generates more than was charged because a request names two maxima.
+func TestMaximumIsWhatWasCharged(t *testing.T) {
+	for _, body := range []string{
+		`{"model":"m","prompt":"x","max_tokens":3,"max_completion_tokens":5000}`,
+		`{"model":"m","prompt":"x","max_completion_tokens":3}`,
+		`{"model":"m","prompt":"x","max_tokens":3}`,
+	} {
+		c, refusal := parseCompletion([]byte(body), entity.Interactive, config.Limits{MaxOutputTokens: 256})
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		var sent struct {
+			Tokens     int `json:"max_tokens"`
+			Completion int `json:"max_completion_tokens"`
+		}
+		if err := json.Unmarshal(c.body, &sent); err != nil {
+			t.Fatal(err)
+		}
+		if sent.Tokens != c.outputTokens || sent.Completion != 0 && sent.Completion != c.outputTokens {
+			t.Errorf("%s: charged %d, sent %+v", body, c.outputTokens, sent)
+		}
+	}
+}
