upstream: do not wait for the body of an answer to HEAD

Cause: the client read the announced Content-Length of an answer to HEAD, which has no body, until the deadline. Ruled out: the service answers GET on the same route at once, and its record shows that the HEAD request ran. Before: TestCallersBadRequests, 'HEAD on an open route': 504 after 2.0 s (the route's time-out). After: 200 at once.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -125,6 +125,8 @@
 		return call.failure("send", err)
 	}
 	call.Response.StreamBody = o.Stream
+	// The answer to HEAD announces a body that never comes.
+	call.Response.SkipBody = req.Header.IsHead()
 	if err := call.Response.ReadLimitBody(cn.r, maxWholeAnswer); err != nil {
 		return call.failure("read", err)
 	}
