host: end the gateway when a stop is aborted or the host fails

Cause: Run waits for all its goroutines, but only a graceful shutdown ended the gateway's Serve. A second signal during the balancer's lag, or a newer process under the same name, left a process that served callers for ever. Ruled out: the signal arrives (the log ends with 'Stopping.'), and a second signal after the lag works, because the listener is closed by then.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -149,6 +149,8 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer stopBackground()
+	// After an aborted stop or a failure, nothing else ends the gateway.
+	defer func() { _ = h.callerListener.Close() }()
 	fatal := make(chan error, 4)
 	h.runBackground(background, &wg, fatal)
 	defer h.claims.Close()
--- a/test/harness/caller.go
+++ b/test/harness/caller.go
@@ -48,6 +48,10 @@
 
 // Open sends a request and returns the response with its body unread. The caller closes it.
 func (h *Host) Open(ctx context.Context, r Request) (*http.Response, error) {
+	return h.open(ctx, client, r)
+}
+
+func (h *Host) open(ctx context.Context, c *http.Client, r Request) (*http.Response, error) {
 	if r.Method == "" {
 		r.Method = http.MethodGet
 	}
@@ -67,7 +71,9 @@
 	for k, v := range r.Headers {
 		req.Header.Set(k, v)
 	}
-	return client.Do(req)
+	// Without GetBody, the client does not send a request again by itself.
+	req.GetBody = nil
+	return c.Do(req)
 }
 
 // Do sends a request and reads the whole answer.
@@ -77,8 +83,13 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), r.Timeout)
 	defer cancel()
+	return h.DoWith(ctx, client, r)
+}
+
+// DoWith is Do with the connections of another client and without its own time-out.
+func (h *Host) DoWith(ctx context.Context, c *http.Client, r Request) Answer {
 	began := time.Now()
-	resp, err := h.Open(ctx, r)
+	resp, err := h.open(ctx, c, r)
 	if err != nil {
 		return Answer{Err: err, Took: time.Since(began)}
 	}
--- a/test/harness/harness.go
+++ b/test/harness/harness.go
@@ -359,25 +359,26 @@
 	return st
 }
 
-func (h *Host) signal(sig syscall.Signal) {
+// Signal sends a signal to the process.
+func (h *Host) Signal(sig syscall.Signal) {
 	h.site.T.Helper()
 	h.site.check(h.cmd.Process.Signal(sig))
 }
 
 // Kill ends the process at once.
 func (h *Host) Kill() {
-	h.signal(syscall.SIGKILL)
+	h.Signal(syscall.SIGKILL)
 	<-h.exited
 }
 
 // Pause stops the process from running until Resume.
-func (h *Host) Pause() { h.signal(syscall.SIGSTOP) }
+func (h *Host) Pause() { h.Signal(syscall.SIGSTOP) }
 
 // Resume lets a paused process run on.
-func (h *Host) Resume() { h.signal(syscall.SIGCONT) }
+func (h *Host) Resume() { h.Signal(syscall.SIGCONT) }
 
 // Terminate begins the graceful shutdown.
-func (h *Host) Terminate() { h.signal(syscall.SIGTERM) }
+func (h *Host) Terminate() { h.Signal(syscall.SIGTERM) }
 
 // WaitExit waits for the end of the process and returns its exit code.
 func (h *Host) WaitExit(limit time.Duration) int {
