control: finish a request whose attempt failed as it was canceled

Cause: a request that is canceled at its deadline, or for its key, while its attempt fails is dropped by the scheduler without a command, and the core only finished requests with outcome completed or canceled. The row stayed in the table for ever and its tokens were never settled. Ruled out: the caller gets its refusal from the cancellation, so nothing was visible there. Before: TestCanceledRequestIsFinished: 1 request left for the outcomes failed, unknown and not run.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -225,6 +225,11 @@
 		c.finish(r, e.UsedTokens, now)
 	}
 	c.run(systemPlacement, commands, now)
+	if _, left := c.requests[e.Request]; left && !c.scheduler.Holds(e.Request) {
+		// The attempt failed just when the request was canceled; its refusal is on its way, and
+		// the upstream may have run it.
+		c.finish(r, r.charge, now)
+	}
 }
 
 // callerGone ends a request that no attempt will report on.
--- /dev/null
+++ b/internal/control/core_test.go
@@ -0,0 +1,70 @@
+package control
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/config"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/limits"
+	"github.com/foxtailpass/foxtailpass/internal/placement"
+	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/schedule"
+)
+
+// recordingCaller records what the control state asks of a request.
+type recordingCaller struct {
+	dispatched int
+	refused    []entity.Refusal
+	canceled   []entity.Refusal
+}
+
+func (r *recordingCaller) ClaimFirst()                             {}
+func (r *recordingCaller) Dispatch(entity.UpstreamID, string, int) { r.dispatched++ }
+func (r *recordingCaller) Refuse(x entity.Refusal)                 { r.refused = append(r.refused, x) }
+func (r *recordingCaller) CancelAttempt(x entity.Refusal)          { r.canceled = append(r.canceled, x) }
+func at(ms int) time.Time                                          { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
+func arrival(id entity.RequestID, key entity.KeyID) *schedule.Request {
+	return &schedule.Request{ID: id, Key: key, Pool: schedule.PoolID{Kind: "orders"}, Arrived: at(0), Deadline: at(1000), Idempotent: true}
+}
+
+// newCore returns a core with one plain service.
+func newCore(t *testing.T) *Core {
+	t.Helper()
+	rng := rand.New(rand.NewPCG(1, 0))
+	c := NewCore(Options{
+		Self:      "host-1",
+		Throttler: limits.New(limits.Options{Self: "host-1", Incarnation: "i", Rand: rng}),
+		Scheduler: func(readyIn func(schedule.PoolID, time.Time) (time.Duration, bool)) *schedule.Scheduler {
+			return schedule.New(schedule.Options{Rand: rng, ReadyIn: readyIn})
+		},
+		Placer: placement.New(placement.Options{Self: "host-1", Incarnation: "i", Rand: rng}),
+	})
+	site, err := config.Compile("local", 1, []byte(`{"routes":{"/orders/":{"upstream_kind":"orders"}}}`), []byte("{}"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Handle(SiteChanged{Site: site}, at(0))
+	record := []byte(`{"kind":"orders","addr":"127.0.0.1:1","state":"live"}`)
+	c.Handle(ViewChanged{Changes: []KeyChange{{Key: config.UpstreamsPrefix + "orders-1", Pair: &platform.Pair{Value: record}}}}, at(0))
+	return c
+}
+
+// Guards against a request that stays in the table for ever, and whose tokens are never settled,
+// because its attempt failed just when its deadline passed.
+func TestCanceledRequestIsFinished(t *testing.T) {
+	for _, outcome := range []entity.Outcome{entity.AttemptFailed, entity.AttemptUnknown, entity.AttemptNotRun, entity.Completed, entity.Canceled} {
+		c := newCore(t)
+		caller := &recordingCaller{}
+		c.Handle(Arrived{Request: arrival("r", ""), Caller: caller}, at(1))
+		c.Handle(Tick{}, at(1001))
+		if caller.dispatched != 1 || len(caller.canceled) != 1 {
+			t.Fatalf("dispatched %d, canceled %v", caller.dispatched, caller.canceled)
+		}
+		c.Handle(AttemptEnded{AttemptResult: schedule.AttemptResult{Request: "r", Outcome: outcome}}, at(1002))
+		if c.Requests() != 0 || len(caller.refused) != 0 {
+			t.Errorf("outcome %v: %d requests left, refused %v", outcome, c.Requests(), caller.refused)
+		}
+	}
+}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -346,6 +346,12 @@
 	return &refusal
 }
 
+// Holds says whether the request is queued or running here.
+func (s *Scheduler) Holds(id entity.RequestID) bool {
+	_, ok := s.requests[id]
+	return ok
+}
+
 // Cancel removes a request whose caller has left. The caller of Cancel stops a running attempt
 // itself and reports its end.
 func (s *Scheduler) Cancel(id entity.RequestID) {
