control: refuse requests at once when no upstream can take their model

Cause: the estimate NoLoad (no upstream can take the model) was passed to the scheduler as 'nothing is known', so requests waited for their deadline. Ruled out: the estimate itself is right, and the scheduler refuses hopeless requests when it is told.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -541,13 +541,14 @@
 	c.run(systemPlacement, c.scheduler.SetTargets(pool, targets, now), now)
 }
 
-// readyIn estimates when a pool without targets will have one.
+// readyIn estimates when a pool without targets will have one. The estimate of a model that no
+// listed upstream can take is placement.NoLoad, which exceeds every deadline: its requests must be
+// refused at once, not at their deadline.
 func (c *Core) readyIn(pool schedule.PoolID, now time.Time) (time.Duration, bool) {
 	if pool.Kind != "" {
 		return 0, false
 	}
-	wait := c.placer.NextLoadEstimate(pool.Model, now)
-	return wait, wait != placement.NoLoad
+	return c.placer.NextLoadEstimate(pool.Model, now), true
 }
 
 // sendDemand tells the decider about changed sums soon, and about all sums from time to time.
