host: end keyed requests when the view is stale

Cause: a host that is cut from the service and from all hosts refused new requests with keys, but streams and queued requests went on until they ended by themselves, so a withdrawn key worked on for a connected caller. Ruled out: the withdrawal reaches hosts that are cut from the service only, have frozen watches or a slow service, within the bound.

The view must be stale for 0.5 s of running time, so that a host that was paused hears from the service or a peer first.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -136,6 +136,8 @@
 		c.siteChanged(e.Site, now)
 	case KeysWithdrawn:
 		c.keysWithdrawn(e.Keys, now)
+	case ViewStale:
+		c.viewStale(now)
 	case ViewChanged:
 		c.viewChanged(e.Changes, now)
 	case PeerMessage:
@@ -356,18 +358,31 @@
 	for key := range keys {
 		c.withdrawn[key] = now.Add(withdrawnMemory)
 	}
+	c.refuseUnscheduled(func(r *schedule.Request) bool { return keys[r.Key] }, withdrawnRefusal(), now)
+	c.run(systemPlacement, c.scheduler.RefuseKeys(keys), now)
+}
+
+// viewStale ends every request that came with a key: the key may have been withdrawn, and a
+// withdrawn key must stop within 3 s also for a caller who is connected already.
+func (c *Core) viewStale(now time.Time) {
+	refusal := entity.Refusal{Status: 503, Code: "stale_configuration", Message: "This host cannot confirm that its keys are current.", RetryAfter: time.Second}
+	c.refuseUnscheduled(func(r *schedule.Request) bool { return r.Key != "" }, refusal, now)
+	c.run(systemPlacement, c.scheduler.RefuseKeyed(refusal), now)
+}
+
+// refuseUnscheduled ends requests that wait for tokens or for their claim.
+func (c *Core) refuseUnscheduled(match func(*schedule.Request) bool, refusal entity.Refusal, now time.Time) {
 	for id, r := range c.requests {
-		if r.phase == phaseScheduled || !keys[r.row.Key] {
+		if r.phase == phaseScheduled || !match(r.row) {
 			continue
 		}
 		var commands []command.Command
 		if r.phase == phaseAdmitting {
 			commands = c.throttler.Cancel(id, now)
 		}
-		c.refuse(id, withdrawnRefusal(), now)
+		c.refuse(id, refusal, now)
 		c.run(systemLimits, commands, now)
 	}
-	c.run(systemPlacement, c.scheduler.RefuseKeys(keys), now)
 }
 
 // viewChanged hands changed records to the systems that they belong to.
--- a/internal/control/core_test.go
+++ b/internal/control/core_test.go
@@ -68,3 +68,20 @@
 		}
 	}
 }
+
+// Guards against a stale host that goes on with requests whose key may have been withdrawn, or that
+// ends requests on open routes.
+func TestStaleViewEndsKeyedRequests(t *testing.T) {
+	c := newCore(t)
+	keyed, open := &recordingCaller{}, &recordingCaller{}
+	c.Handle(Arrived{Request: arrival("k", "key"), Caller: keyed}, at(1))
+	c.Handle(Arrived{Request: arrival("o", ""), Caller: open}, at(1))
+	c.Handle(ViewStale{}, at(2))
+	c.Handle(ViewStale{}, at(3))
+	if len(keyed.canceled) != 1 || keyed.canceled[0].Code != "stale_configuration" || keyed.canceled[0].Ran != entity.RanUnknown {
+		t.Errorf("keyed request: %+v", keyed)
+	}
+	if len(open.canceled)+len(open.refused) != 0 {
+		t.Errorf("open route: %+v", open)
+	}
+}
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -64,6 +64,10 @@
 // KeysWithdrawn ends the requests of keys.
 type KeysWithdrawn struct{ Keys map[entity.KeyID]bool }
 
+// ViewStale says that this host can no longer know which keys are withdrawn. It ends every request
+// that came with a key, and is sent again as long as this holds.
+type ViewStale struct{}
+
 // KeyChange is one changed key of the watched prefix; Pair is nil when it is absent.
 type KeyChange struct {
 	Key  string
@@ -142,6 +146,7 @@
 func (CallerGone) isEvent()        {}
 func (SiteChanged) isEvent()       {}
 func (KeysWithdrawn) isEvent()     {}
+func (ViewStale) isEvent()         {}
 func (ViewChanged) isEvent()       {}
 func (PeerMessage) isEvent()       {}
 func (PeerLink) isEvent()          {}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -36,6 +36,12 @@
 	releaseTimeout = 5 * time.Second
 	// shareWait is the longest time for which a starting host waits for its shares.
 	shareWait = 10 * time.Second
+	// staleCheck is the time between two looks at whether the view is fresh.
+	staleCheck = 100 * time.Millisecond
+	// staleGrace is how long the view must be stale before running requests are ended. It lets a
+	// host that was paused hear from the service or a peer first, and keeps the sum with the 2 s
+	// freshness limit below the 3 s withdrawal bound.
+	staleGrace = 500 * time.Millisecond
 	// drainPoll is the time between two looks at whether the last request has its answer.
 	drainPoll = 20 * time.Millisecond
 )
@@ -185,6 +191,7 @@
 	start(func(ctx context.Context) error { h.sites.run(ctx); return nil })
 	start(func(ctx context.Context) error { h.reporter.run(ctx); return nil })
 	start(h.refreshLevels)
+	start(h.watchFreshness)
 	start(func(context.Context) error { return h.gateway.Serve(h.callerListener) })
 	start(func(context.Context) error { return h.operator.Serve(h.operatorListener) })
 	context.AfterFunc(ctx, func() { _ = h.operator.Shutdown() })
@@ -207,6 +214,29 @@
 	}
 }
 
+// watchFreshness ends the requests with keys while this host may miss withdrawals.
+func (h *Host) watchFreshness(ctx context.Context) error {
+	t := time.NewTicker(staleCheck)
+	defer t.Stop()
+	var since time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+		now := time.Now()
+		switch {
+		case h.view.Fresh(now):
+			since = time.Time{}
+		case since.IsZero():
+			since = now
+		case now.Sub(since) >= staleGrace:
+			h.loop.Send(control.ViewStale{})
+		}
+	}
+}
+
 // CallerAddr returns where callers are served.
 func (h *Host) CallerAddr() string { return h.callerListener.Addr().String() }
 
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -157,10 +157,18 @@
 	})
 }
 
+// RefuseKeyed ends all requests that came with a key: queued ones get the refusal, running ones are
+// canceled.
+func (s *Scheduler) RefuseKeyed(refusal entity.Refusal) []command.Command {
+	return s.refuseWhere(func(r *Request) bool { return r.Key != "" }, func(r *Request) entity.Refusal {
+		return r.refusal(refusal.Status, refusal.Code, refusal.Message, refusal.RetryAfter)
+	})
+}
+
 func (s *Scheduler) refuseWhere(match func(*Request) bool, refusal func(*Request) entity.Refusal) []command.Command {
 	var out []command.Command
 	for _, r := range s.requests {
-		if match(r) {
+		if match(r) && !r.canceled {
 			out = append(out, s.end(r, refusal(r)))
 		}
 	}
--- /dev/null
+++ b/test/faults/callers_withdraw_test.go
@@ -0,0 +1,137 @@
+package faults
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/standin/engine"
+	"github.com/foxtailpass/foxtailpass/internal/standin/kv"
+	"github.com/foxtailpass/foxtailpass/test/harness"
+)
+
+// longStream is a stream that outlasts the withdrawal bound by far: 20 s.
+const (
+	longStream         = 2000
+	longStreamInterval = 10 * time.Millisecond
+)
+
+// openStream starts a long stream, waits for its first part and returns a channel with the rest.
+func openStream(t *testing.T, h *harness.Host, r harness.Request) <-chan harness.Answer {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	resp, err := h.Open(ctx, r)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		cancel()
+		t.Fatalf("stream not opened: %v, %v", resp, err)
+	}
+	first := make([]byte, 1)
+	_, _ = io.ReadFull(resp.Body, first)
+	out := make(chan harness.Answer, 1)
+	began := time.Now()
+	go func() {
+		defer cancel()
+		defer func() { _ = resp.Body.Close() }()
+		body, err := io.ReadAll(resp.Body)
+		body = append(first, body...)
+		out <- harness.Answer{Status: 200, Header: resp.Header, Body: string(body), Code: harness.ErrorCode(body), Err: err, Took: time.Since(began)}
+	}()
+	return out
+}
+
+// generated returns the tokens that the engines have made and recorded.
+func generated(s *harness.Site) (n uint64) {
+	for _, e := range s.Engines {
+		n += e.Record().GeneratedTokens
+	}
+	return n
+}
+
+// Guards against a withdrawn key that keeps working for a connected caller: an open stream must end
+// with an error event and free the engine, a queued request must get 401, and new ones must be
+// refused, all within the bound, also while the host learns of the withdrawal with trouble.
+func TestCallersWithdrawnKeyStops(t *testing.T) {
+	cutPlatform := func(s *harness.Site) { s.Net.Cut(harness.PlatformLink(0)) }
+	for name, c := range map[string]struct {
+		fault func(s *harness.Site)
+		code  string
+	}{
+		"no fault":             {func(*harness.Site) {}, "key_withdrawn"},
+		"cut from platform":    {cutPlatform, "key_withdrawn"},
+		"watches frozen":       {func(s *harness.Site) { s.Store.SetFaults(kv.Faults{FreezeWatches: true}) }, "key_withdrawn"},
+		"platform slow":        {func(s *harness.Site) { s.Store.SetFaults(kv.Faults{DelayMillis: 300}) }, "key_withdrawn"},
+		"slow link":            {slowPlatformLink, "key_withdrawn"},
+		"cut from everything":  {func(s *harness.Site) { cutPlatform(s); s.Net.CutPeers(0, len(s.Hosts)) }, "stale_configuration"},
+		"cut just before that": {cutLater, "stale_configuration"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startSite(t, func(o *harness.Options) { tokenInterval(o, longStreamInterval) })
+			key, id := s.Key("clerks")
+			awaitWarm(s, key, "warm")
+			for _, e := range s.Engines {
+				if err := e.SetFault(engine.Fault{Kind: engine.FaultSlowLoad, Model: "cold", Factor: 100}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			h := s.Hosts[0]
+			open := openStream(t, h, chat(key, "warm", "open", longStream, true, 30*time.Second))
+			queued := make(chan harness.Answer, 1)
+			go func() { queued <- h.Do(chat(key, "cold", "queued", 5, true, 30*time.Second)) }()
+			time.Sleep(200 * time.Millisecond)
+			c.fault(s)
+			s.Withdraw(id)
+			withdrawn := time.Now()
+			checkStopped(t, s, <-open, withdrawn, c.code)
+			a := <-queued
+			if took := time.Since(withdrawn); took > withdrawalBound || a.Code != c.code || a.Ran != "not-run" {
+				t.Errorf("queued request: code %q, ran %q after %v", a.Code, a.Ran, took)
+			}
+			if a := h.Do(chat(key, "warm", "new", 1, false, 0)); a.Code != c.code {
+				t.Errorf("new request: status %d, code %q", a.Status, a.Code)
+			}
+			if a := h.Do(harness.Request{Path: "/open/x"}); a.Status != http.StatusOK {
+				t.Errorf("open route: status %d, body %s", a.Status, a.Body)
+			}
+			if runsOf(s, "queued")+runsOf(s, "new") != 0 {
+				t.Error("a refused request ran")
+			}
+		})
+	}
+}
+
+func slowPlatformLink(s *harness.Site) {
+	s.Net.Add(harness.PlatformLink(0), harness.Toxic{Name: "slow", Type: "latency", Stream: "downstream", Attributes: map[string]int{"latency": 500}})
+}
+
+// cutLater isolates the host a moment before the withdrawal, so that it counts as fresh at first.
+func cutLater(s *harness.Site) {
+	s.Net.CutPeers(0, len(s.Hosts))
+	time.Sleep(time.Second)
+	s.Net.Cut(harness.PlatformLink(0))
+}
+
+func checkStopped(t *testing.T, s *harness.Site, a harness.Answer, withdrawn time.Time, code string) {
+	t.Helper()
+	if took := time.Since(withdrawn); took > withdrawalBound {
+		t.Errorf("the stream ended %v after the withdrawal", took)
+	}
+	if _, whole := harness.StreamText(a.Body); whole || a.Code != code {
+		t.Errorf("the stream ended with code %q, whole %t", a.Code, whole)
+	}
+	id := entity.RequestID(a.Header.Get("X-Request-Id"))
+	s.Eventually(withdrawalBound, "the engine's work is canceled", func() bool {
+		running := 0
+		for _, e := range s.Engines {
+			if e.Runs(id) > 0 {
+				running++
+			}
+		}
+		return running > 0 && generated(s) > 0
+	})
+	if n := generated(s); n >= longStream {
+		t.Errorf("the engine went on to %d tokens", n)
+	}
+}
