--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -141,6 +141,8 @@
 		c.siteChanged(e.Site, now)
 	case KeysWithdrawn:
 		c.keysWithdrawn(e.Keys, now)
+	case ViewStale:
+		c.viewStale(now)
 	case ViewChanged:
 		c.viewChanged(e.Changes, now)
 	case PeerMessage:
@@ -232,6 +234,11 @@
 		c.finish(r, e.UsedTokens, now)
 	}
 	c.run(systemPlacement, commands, now)
+	if _, left := c.requests[e.Request]; left && !c.scheduler.Holds(e.Request) {
+		// The attempt failed just when the request was canceled; its refusal is on its way, and
+		// the upstream may have run it.
+		c.finish(r, r.charge, now)
+	}
 }
 
 // callerGone ends a request that no attempt will report on.
@@ -358,18 +365,31 @@
 	for key := range keys {
 		c.withdrawn[key] = now.Add(withdrawnMemory)
 	}
+	c.refuseUnscheduled(func(r *schedule.Request) bool { return keys[r.Key] }, withdrawnRefusal(), now)
+	c.run(systemPlacement, c.scheduler.RefuseKeys(keys), now)
+}
+
+// viewStale ends every request that came with a key: the key may have been withdrawn, and a
+// withdrawn key must stop within 3 s also for a caller who is connected already.
+func (c *Core) viewStale(now time.Time) {
+	refusal := entity.Refusal{Status: 503, Code: "stale_configuration", Message: "This host cannot confirm that its keys are current.", RetryAfter: time.Second}
+	c.refuseUnscheduled(func(r *schedule.Request) bool { return r.Key != "" }, refusal, now)
+	c.run(systemPlacement, c.scheduler.RefuseKeyed(refusal), now)
+}
+
+// refuseUnscheduled ends requests that wait for tokens or for their claim.
+func (c *Core) refuseUnscheduled(match func(*schedule.Request) bool, refusal entity.Refusal, now time.Time) {
 	for id, r := range c.requests {
-		if r.phase == phaseScheduled || !keys[r.row.Key] {
+		if r.phase == phaseScheduled || !match(r.row) {
 			continue
 		}
 		var commands []command.Command
 		if r.phase == phaseAdmitting {
 			commands = c.throttler.Cancel(id, now)
 		}
-		c.refuse(id, withdrawnRefusal(), now)
+		c.refuse(id, refusal, now)
 		c.run(systemLimits, commands, now)
 	}
-	c.run(systemPlacement, c.scheduler.RefuseKeys(keys), now)
 }
 
 // viewChanged hands changed records to the systems that they belong to. Hosts come first: the
@@ -587,13 +607,14 @@
 	c.run(systemPlacement, c.scheduler.SetTargets(pool, targets, now), now)
 }
 
-// readyIn estimates when a pool without targets will have one.
+// readyIn estimates when a pool without targets will have one. The estimate of a model that no
+// listed upstream can take is placement.NoLoad, which exceeds every deadline: its requests must be
+// refused at once, not at their deadline.
 func (c *Core) readyIn(pool schedule.PoolID, now time.Time) (time.Duration, bool) {
 	if pool.Kind != "" {
 		return 0, false
 	}
-	wait := c.placer.NextLoadEstimate(pool.Model, now)
-	return wait, wait != placement.NoLoad
+	return c.placer.NextLoadEstimate(pool.Model, now), true
 }
 
 // sendDemand tells the decider about changed sums soon, and about all sums from time to time and
--- a/internal/placement/fence_test.go
+++ b/internal/placement/fence_test.go
@@ -34,7 +34,7 @@
 // hosts registers the deciding host and others that it cannot reach.
 func (x *script) hosts(others ...config.HostRecord) {
 	self := config.HostRecord{ID: "h", Incarnation: "i", PeerAddr: "h:1", State: "live"}
-	x.p.HandleHosts(append(others, self), func(id entity.HostID) bool { return false }, x.now)
+	x.p.HandleHosts(append(others, self), func(id entity.HostID) bool { return id == "h" }, x.now)
 }
 
 func (x *script) record(key string, v any) {
