--- a/internal/host/settings.go
+++ b/internal/host/settings.go
@@ -63,8 +63,8 @@
 	Queue string `json:"queue" default:"\"fair\"" validate:"oneof=fair fifo"`
 	// Replica is "power_of_two" or the baseline "random".
 	Replica string `json:"replica" default:"\"power_of_two\"" validate:"oneof=power_of_two random"`
-	// Placement is "demand" or one of the baselines "random", "fifo" and "keep".
-	Placement string `json:"placement" default:"\"demand\"" validate:"oneof=demand random fifo keep"`
+	// Placement is "demand" or one of the baselines "random", "fifo", "keep" and "per_host".
+	Placement string `json:"placement" default:"\"demand\"" validate:"oneof=demand random fifo keep per_host"`
 }
 
 // LogSettings tells what is logged and how.
--- a/internal/host/wiring.go
+++ b/internal/host/wiring.go
@@ -126,6 +126,7 @@
 				RandomUpstream: s.Policies.Placement == "random",
 				FIFOLoads:      s.Policies.Placement == "fifo",
 				NeverUnload:    s.Policies.Placement == "keep",
+				PerHost:        s.Policies.Placement == "per_host",
 			},
 		}),
 		OnInvalidRecord: func(key string, err error) { l.Error("Record cannot be read.", "key", key, "err", err) },
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -193,6 +193,9 @@
 	}
 	slots := max(1, m.cfg.Slots)
 	need := (m.sum.total() + slots - 1) / slots
+	if p.opt.Policy.PerHost {
+		need = max(need, len(m.demand))
+	}
 	need = min(max(need, m.cfg.MinReplicas), m.cfg.MaxReplicas)
 	if need >= m.want {
 		m.lastHigh = p.now
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -51,6 +51,8 @@
 	FIFOLoads bool
 	// NeverUnload keeps idle replicas until their memory is wanted.
 	NeverUnload bool
+	// PerHost wants one replica for each host with demand, as if the hosts did not share loads.
+	PerHost bool
 }
 
 // Options configures a Placer.
