--- a/cmd/foxtailload/main.go
+++ b/cmd/foxtailload/main.go
@@ -54,10 +54,13 @@
 
 func newCommand(logger *log.Logger) *cli.Command {
 	return &cli.Command{
-		Name:     "foxtailload",
-		Usage:    "generate open-loop load and compare reports",
-		Version:  version(),
-		Commands: []*cli.Command{runCommand(logger), benchCommand(logger), compareCommand()},
+		Name:    "foxtailload",
+		Usage:   "generate open-loop load and compare reports",
+		Version: version(),
+		Commands: []*cli.Command{
+			runCommand(logger), benchCommand(logger), compareCommand(),
+			experimentCommand(), experimentsCommand(logger),
+		},
 	}
 }
 
@@ -177,6 +180,9 @@
 			if c.Args().Len() != 2 {
 				return fmt.Errorf("%w: expected two report files", errUsage)
 			}
+			if done, err := compareExperiments(c.Args().Get(0), c.Args().Get(1)); done || err != nil {
+				return err
+			}
 			a, err := load.ReadReport(c.Args().Get(0))
 			if err != nil {
 				return err
--- /dev/null
+++ b/internal/experiment/report.go
@@ -0,0 +1,288 @@
+package experiment
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/load"
+)
+
+// Report is the result of one experiment. Times are in seconds of compressed time.
+type Report struct {
+	Experiment  string    `json:"experiment"`
+	Site        string    `json:"site"`
+	Policy      string    `json:"policy"`
+	Seed        uint64    `json:"seed"`
+	Compression float64   `json:"compression"`
+	Started     time.Time `json:"started"`
+	// LoadAverage is the first load average of the machine at the end of the run.
+	LoadAverage string `json:"load_average"`
+
+	Requests uint64 `json:"requests"`
+	// ColdRequests found no replica and got a whole answer. ColdStart is the time to their first
+	// token; ColdBare is the time that an ideal site needs for the same requests.
+	ColdRequests int `json:"cold_requests"`
+	// ColdRefused counts requests that found no replica and got an error.
+	ColdRefused int         `json:"cold_refused"`
+	ColdStart   Percentiles `json:"cold_start_s"`
+	ColdBare    Percentiles `json:"cold_bare_s"`
+	// ColdRatio is the p99 of ColdStart over that of ColdBare.
+	ColdRatio float64 `json:"cold_ratio"`
+	// ColdModels counts cold starts of models.
+	ColdModels       int     `json:"cold_models"`
+	LoadsPerCold     float64 `json:"loads_per_cold_model"`
+	MaxLoadsPerCold  int     `json:"max_loads_per_cold_model"`
+	Loads            int     `json:"loads"`
+	IdleSeconds      float64 `json:"idle_accelerator_s"`
+	HeldSeconds      float64 `json:"held_accelerator_s"`
+	MemoryViolations int     `json:"memory_violations"`
+	// Worst is the workspace with the least share of in-time answers to requests within its rate,
+	// among those that the scenario keeps within their rate.
+	Worst        entity.WorkspaceID             `json:"worst_workspace"`
+	WorstInTime  float64                        `json:"worst_in_time_share"`
+	InTime       map[entity.WorkspaceID]float64 `json:"in_time_shares"`
+	WithinRate   uint64                         `json:"requests_within_rate"`
+	WrongRefused uint64                         `json:"wrong_refusals"`
+	// WrongShare relates the wrong refusals to the requests within the rate. A workspace that the
+	// scenario lets exceed its rate is left out: which of its requests the exact bucket admits
+	// depends on their order.
+	WrongShare float64 `json:"wrong_refusal_share"`
+	// ExcessTokens is the proven excess over the limit, summed over all workspaces.
+	ExcessTokens float64 `json:"tokens_over_limit"`
+	// Unanswered requests got no whole answer and no error; those at a killed host are apart.
+	Unanswered       uint64             `json:"unanswered"`
+	UnansweredKilled uint64             `json:"unanswered_at_killed_host"`
+	PlatformCalls    map[string]float64 `json:"platform_calls_per_s"`
+	Results          map[string]uint64  `json:"results"`
+	Load             *load.Report       `json:"load"`
+}
+
+// Percentiles are the p50, p95 and p99 of some times, in seconds.
+type Percentiles struct {
+	P50 float64 `json:"p50"`
+	P95 float64 `json:"p95"`
+	P99 float64 `json:"p99"`
+}
+
+func percentiles(values []time.Duration) Percentiles {
+	slices.Sort(values)
+	at := func(q float64) float64 {
+		if len(values) == 0 {
+			return 0
+		}
+		return values[min(int(q*float64(len(values))), len(values)-1)].Seconds()
+	}
+	return Percentiles{at(0.5), at(0.95), at(0.99)}
+}
+
+// usage is what the engines and the platform have counted so far.
+type usage struct {
+	idle, held float64
+	calls      map[string]int64
+}
+
+func (r *run) sumUsage() usage {
+	u := usage{calls: r.site.Store.Counts().Map()}
+	for _, rec := range r.records() {
+		u.idle += rec.IdleSeconds
+		u.held += rec.HeldSeconds
+	}
+	return u
+}
+
+func (r *run) report(l *load.Report, before usage) *Report {
+	took := time.Since(r.began).Seconds()
+	after := r.sumUsage()
+	out := &Report{
+		Experiment: r.config.Experiment, Site: r.config.Site, Policy: r.config.Policy, Seed: r.config.Seed,
+		Compression: Compression, Started: r.began, LoadAverage: loadAverage(),
+		IdleSeconds: after.idle - before.idle, HeldSeconds: after.held - before.held,
+		PlatformCalls: map[string]float64{}, InTime: map[entity.WorkspaceID]float64{}, Results: map[string]uint64{}, Load: l,
+	}
+	for kind, n := range after.calls {
+		out.PlatformCalls[kind] = float64(n-before.calls[kind]) / took
+	}
+	r.addColdStarts(out)
+	r.addWorkspaces(out, l)
+	for _, g := range l.Groups {
+		for k, n := range g.Results {
+			out.Results[k] += n
+		}
+	}
+	return out
+}
+
+func (r *run) addColdStarts(out *Report) {
+	records := r.records()
+	h := newLoadHistory(records, r.stopped)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var took, bare []time.Duration
+	for _, c := range h.coldStarts(r.document, r.engines, r.samples) {
+		took = append(took, c.took)
+		bare = append(bare, c.bare)
+	}
+	out.ColdRequests = len(took)
+	out.ColdStart, out.ColdBare = percentiles(took), percentiles(bare)
+	if out.ColdBare.P99 > 0 {
+		out.ColdRatio = out.ColdStart.P99 / out.ColdBare.P99
+	}
+	loads := 0
+	for _, e := range h.episodes(r.began) {
+		out.ColdModels++
+		loads += e.loads
+		out.MaxLoadsPerCold = max(out.MaxLoadsPerCold, e.loads)
+	}
+	if out.ColdModels > 0 {
+		out.LoadsPerCold = float64(loads) / float64(out.ColdModels)
+	}
+	for _, rec := range records {
+		out.MemoryViolations += len(rec.MemoryViolations)
+		for _, l := range rec.Loads {
+			if l.Adapter == "" && !l.Began.Before(r.began) {
+				out.Loads++
+			}
+		}
+	}
+	for _, s := range r.samples {
+		out.Requests++
+		if s.Model != "" && !s.Complete && h.cold(entity.ModelID(s.Model), s.At) {
+			out.ColdRefused++
+		}
+		switch {
+		case s.Complete, s.Refused, s.ErrorEvent:
+		case s.Target == r.killed:
+			out.UnansweredKilled++
+		default:
+			out.Unanswered++
+		}
+	}
+}
+
+func (r *run) addWorkspaces(out *Report, l *load.Report) {
+	out.WorstInTime = 1
+	for ws, w := range l.Workspaces {
+		out.ExcessTokens += w.ProvenExcessTokens
+		if w.Sent == 0 || out.Experiment == "greedy" && ws == r.size.greedy {
+			continue
+		}
+		out.InTime[ws] = w.AdmissibleInTimeShare
+		out.WithinRate += w.Admissible
+		out.WrongRefused += w.RefusedWithinRate
+		if w.Admissible > 0 && w.AdmissibleInTimeShare < out.WorstInTime {
+			out.Worst, out.WorstInTime = ws, w.AdmissibleInTimeShare
+		}
+	}
+	if out.WithinRate > 0 {
+		out.WrongShare = float64(out.WrongRefused) / float64(out.WithinRate)
+	}
+}
+
+func loadAverage() string {
+	data, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return "unknown"
+	}
+	return strings.Fields(string(data))[0]
+}
+
+// Write stores the report as a JSON file.
+func (r *Report) Write(file string) error {
+	data, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return fmt.Errorf("experiment: write report: %w", err)
+	}
+	if err := os.WriteFile(file, append(data, '\n'), 0o644); err != nil {
+		return fmt.Errorf("experiment: write report: %w", err)
+	}
+	return nil
+}
+
+// ReadReport reads a report file. It returns nil without an error if the file holds a report of
+// another sort.
+func ReadReport(file string) (*Report, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("experiment: read report: %w", err)
+	}
+	var r Report
+	if err := json.Unmarshal(data, &r); err != nil {
+		return nil, fmt.Errorf("experiment: read report %s: %w", file, err)
+	}
+	if r.Experiment == "" {
+		return nil, nil
+	}
+	return &r, nil
+}
+
+// line is one line of the printed table.
+type line struct {
+	label string
+	value func(*Report) string
+}
+
+func (p Percentiles) String() string { return fmt.Sprintf("%.3f/%.3f/%.3f s", p.P50, p.P95, p.P99) }
+
+var lines = []line{
+	{"experiment", func(r *Report) string { return r.Experiment + " " + r.Site }},
+	{"policy, seed", func(r *Report) string { return fmt.Sprintf("%s, %d", r.Policy, r.Seed) }},
+	{"load average", func(r *Report) string { return r.LoadAverage }},
+	{"requests", func(r *Report) string { return fmt.Sprint(r.Requests) }},
+	{"cold requests answered/not", func(r *Report) string { return fmt.Sprintf("%d/%d", r.ColdRequests, r.ColdRefused) }},
+	{"cold start p50/p95/p99", func(r *Report) string { return r.ColdStart.String() }},
+	{"bare load and store wait p50/p95/p99", func(r *Report) string { return r.ColdBare.String() }},
+	{"cold start p99 / bare p99", func(r *Report) string { return fmt.Sprintf("%.2f", r.ColdRatio) }},
+	{"loads per cold model mean/max", func(r *Report) string {
+		return fmt.Sprintf("%.3f/%d of %d", r.LoadsPerCold, r.MaxLoadsPerCold, r.ColdModels)
+	}},
+	{"idle of held accelerator seconds", func(r *Report) string { return fmt.Sprintf("%.1f of %.1f", r.IdleSeconds, r.HeldSeconds) }},
+	{"worst-served workspace in time", func(r *Report) string { return fmt.Sprintf("%.2f %% (%s)", 100*r.WorstInTime, r.Worst) }},
+	{"wrong refusals", func(r *Report) string {
+		return fmt.Sprintf("%d of %d (%.3f %%)", r.WrongRefused, r.WithinRate, 100*r.WrongShare)
+	}},
+	{"tokens over the limit", func(r *Report) string { return fmt.Sprintf("%.0f", r.ExcessTokens) }},
+	{"without answer (at killed host)", func(r *Report) string { return fmt.Sprintf("%d (%d)", r.Unanswered, r.UnansweredKilled) }},
+	{"memory violations", func(r *Report) string { return fmt.Sprint(r.MemoryViolations) }},
+	{"platform calls/s", func(r *Report) string { return callList(r.PlatformCalls) }},
+	{"results", func(r *Report) string { return resultList(r.Results) }},
+}
+
+func callList(calls map[string]float64) string {
+	var list []string
+	for k, v := range calls {
+		list = append(list, fmt.Sprintf("%s %.1f", k, v))
+	}
+	slices.Sort(list)
+	return strings.Join(list, ", ")
+}
+
+func resultList(results map[string]uint64) string {
+	var list []string
+	for k, n := range results {
+		list = append(list, fmt.Sprintf("%s: %d", k, n))
+	}
+	slices.Sort(list)
+	return strings.Join(list, ", ")
+}
+
+// Print writes reports side by side.
+func Print(out io.Writer, reports ...*Report) error {
+	tw := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	for _, l := range lines {
+		row := []string{l.label}
+		for _, r := range reports {
+			row = append(row, l.value(r))
+		}
+		if _, err := fmt.Fprintln(tw, strings.Join(row, "\t")); err != nil {
+			return err
+		}
+	}
+	return tw.Flush()
+}
--- /dev/null
+++ b/internal/experiment/summary.go
@@ -0,0 +1,108 @@
+package experiment
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+)
+
+// measure is one figure of a report that is compared between policies.
+type measure struct {
+	name  string
+	value func(*Report) float64
+}
+
+var measures = []measure{
+	{"cold start p50 (s)", func(r *Report) float64 { return r.ColdStart.P50 }},
+	{"cold start p99 (s)", func(r *Report) float64 { return r.ColdStart.P99 }},
+	{"cold p99 / bare p99", func(r *Report) float64 { return r.ColdRatio }},
+	{"loads per cold model", func(r *Report) float64 { return r.LoadsPerCold }},
+	{"idle accelerator s", func(r *Report) float64 { return r.IdleSeconds }},
+	{"worst in-time share", func(r *Report) float64 { return r.WorstInTime }},
+	{"wrong refusal share", func(r *Report) float64 { return r.WrongShare }},
+	{"tokens over the limit", func(r *Report) float64 { return r.ExcessTokens }},
+	{"without answer", func(r *Report) float64 { return float64(r.Unanswered) }},
+	{"platform calls/s", func(r *Report) float64 {
+		sum := 0.0
+		for _, v := range r.PlatformCalls {
+			sum += v
+		}
+		return sum
+	}},
+}
+
+// Summarize prints, for each experiment, every measure under each policy as mean (least to most)
+// over the seeds, and the ratio of the baselines to the first policy as mean (least to most) of
+// the ratios by seed.
+func Summarize(out io.Writer, reports []*Report) error {
+	tw := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	if _, err := fmt.Fprintln(tw, "experiment\tmeasure\tpolicy\tvalue\tratio to the first policy"); err != nil {
+		return err
+	}
+	for _, name := range distinct(reports, func(r *Report) string { return r.Experiment + " " + r.Site }) {
+		if err := summarizeOne(tw, name, reports); err != nil {
+			return err
+		}
+	}
+	return tw.Flush()
+}
+
+func distinct(reports []*Report, key func(*Report) string) []string {
+	var out []string
+	for _, r := range reports {
+		if k := key(r); !slices.Contains(out, k) {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+func summarizeOne(out io.Writer, name string, reports []*Report) error {
+	var own []*Report
+	for _, r := range reports {
+		if r.Experiment+" "+r.Site == name {
+			own = append(own, r)
+		}
+	}
+	policies := distinct(own, func(r *Report) string { return r.Policy })
+	for _, m := range measures {
+		for _, p := range policies {
+			var values, ratios []float64
+			for _, r := range own {
+				if r.Policy != p {
+					continue
+				}
+				v := m.value(r)
+				values = append(values, v)
+				if ref := find(own, policies[0], r.Seed); ref != nil && p != policies[0] && m.value(ref) > 0 {
+					ratios = append(ratios, v/m.value(ref))
+				}
+			}
+			if _, err := fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%s\n", name, m.name, p, spread(values), spread(ratios)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func find(reports []*Report, policy string, seed uint64) *Report {
+	for _, r := range reports {
+		if r.Policy == policy && r.Seed == seed {
+			return r
+		}
+	}
+	return nil
+}
+
+func spread(v []float64) string {
+	if len(v) == 0 {
+		return "-"
+	}
+	sum := 0.0
+	for _, x := range v {
+		sum += x
+	}
+	return fmt.Sprintf("%.4g (%.4g to %.4g)", sum/float64(len(v)), slices.Min(v), slices.Max(v))
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -157,11 +157,21 @@
 	select {
 	case err := <-fatal:
 		return err
+	case <-abort.Done():
+		return h.aborted(abort)
 	case <-ctx.Done():
 	}
 	return h.shutdown(abort)
 }
 
+// aborted closes the listeners without a graceful shutdown: neither the registration nor the
+// shares are given back, as when the process dies.
+func (h *Host) aborted(abort context.Context) error {
+	active := h.gateway.Active()
+	_ = h.gateway.Shutdown(abort)
+	return fmt.Errorf("host: aborted with %d requests", active)
+}
+
 // runBackground starts everything that runs until the end of the process.
 func (h *Host) runBackground(ctx context.Context, wg *sync.WaitGroup, fatal chan<- error) {
 	start := func(f func(context.Context) error) {
@@ -208,6 +218,9 @@
 // CallerAddr returns where callers are served.
 func (h *Host) CallerAddr() string { return h.callerListener.Addr().String() }
 
+// PeerAddr returns where other hosts connect.
+func (h *Host) PeerAddr() string { return h.peers.Addr().String() }
+
 // OperatorAddr returns where metrics, health and status are served.
 func (h *Host) OperatorAddr() string { return h.operatorListener.Addr().String() }
 
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -128,10 +128,20 @@
 	if w.RefusedWithinRate != 1 {
 		t.Fatalf("%+v", w)
 	}
-	charges := []charge{{time.Second, 320}, {time.Second, 100}, {0, 320}}
-	if got := excess(Rate{320, 320}, charges); got != 100 {
+	charges := []charge{{at: time.Second, cost: 320}, {at: time.Second, cost: 100}, {at: 0, cost: 320}}
+	rate := Rate{TokensPerSecond: 320, BurstTokens: 320}
+	if got := excess(rate, charges); got != 100 {
 		t.Fatalf("excess %f", got)
 	}
+	// The second and third end within the second that 640 tokens are allowed for, then too late to prove anything.
+	charges = []charge{{0, 0, 320}, {0, time.Second, 320}, {0, time.Second, 100}}
+	if got := provenExcess(rate, charges); got != 100 {
+		t.Fatalf("proven excess %f", got)
+	}
+	charges[2].ended = 2 * time.Second
+	if got := provenExcess(rate, charges); got != 0 {
+		t.Fatalf("proven excess %f", got)
+	}
 }
 
 // Guards against plain calls that repeat an order without repeating its key.
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -118,16 +118,20 @@
 	// ExcessTokens is the largest excess of completed tokens over burst + rate × d in any
 	// interval, by intended send times. A request that waited for its tokens counts too early,
 	// so that small values do not prove that the limit was exceeded.
-	ExcessTokens    float64 `json:"excess_tokens"`
-	CompletedTokens float64 `json:"completed_tokens"`
+	ExcessTokens float64 `json:"excess_tokens"`
+	// ProvenExcessTokens is the largest excess over burst + rate × d of the tokens of requests
+	// that were both sent and completed within an interval of length d. These were admitted
+	// within it, so that any positive value proves that the limit was exceeded.
+	ProvenExcessTokens float64 `json:"proven_excess_tokens"`
+	CompletedTokens    float64 `json:"completed_tokens"`
 
 	admissibleInTime uint64
 	charges          []charge
 }
 
 type charge struct {
-	at   time.Duration
-	cost float64
+	at, ended time.Duration
+	cost      float64
 }
 
 // collector gathers results. Groups have a lock each, so that they do not delay each other.
@@ -275,7 +279,7 @@
 	case res.verdict == refused && q.withinRate:
 		w.OtherRefusedWithinRate++
 	case res.verdict == complete:
-		w.charges = append(w.charges, charge{q.at, q.cost})
+		w.charges = append(w.charges, charge{q.at, q.at + res.whole, q.cost})
 		w.CompletedTokens += q.cost
 		if !q.withinRate {
 			w.CompleteBeyondRate++
@@ -296,6 +300,25 @@
 	return worst
 }
 
+// provenExcess compares the tokens of all intervals that begin with a send and end with a
+// completion. It takes quadratic time.
+func provenExcess(rate Rate, charges []charge) float64 {
+	byEnd := append([]charge(nil), charges...)
+	sort.Slice(byEnd, func(i, j int) bool { return byEnd[i].ended < byEnd[j].ended })
+	worst := 0.0
+	for _, from := range charges {
+		sum := -rate.BurstTokens
+		for _, c := range byEnd {
+			if c.at < from.at {
+				continue
+			}
+			sum += c.cost
+			worst = max(worst, sum-rate.TokensPerSecond*(c.ended-from.at).Seconds())
+		}
+	}
+	return worst
+}
+
 func (c *collector) report(s Scenario, began time.Time, took time.Duration) *Report {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -316,6 +339,7 @@
 		w.RefusedWithinRateShare = share(w.RefusedWithinRate, w.Admissible)
 		if rate, ok := s.Workspaces[name]; ok {
 			w.ExcessTokens = excess(rate, w.charges)
+			w.ProvenExcessTokens = provenExcess(rate, w.charges)
 		}
 		out.Workspaces[name] = *w
 	}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -112,6 +112,17 @@
 		r.balancer.eject(c, time.Since(r.began))
 	}
 	r.collect.ended(c.addr, q, res)
+	if r.scenario.Observe != nil {
+		r.scenario.Observe(r.sample(c.addr, q, res))
+	}
+}
+
+func (r *runner) sample(target string, q *request, res result) Sample {
+	return Sample{
+		At: r.began.Add(q.at), Group: q.class.Group, Workspace: q.class.Workspace, Model: q.model, Target: target,
+		Complete: res.verdict == complete, Refused: res.verdict == refused, ErrorEvent: res.verdict == errorEvent,
+		Code: res.code, First: res.first, Whole: res.whole,
+	}
 }
 
 // balancer chooses targets. pick is called by the dispatcher only.
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -63,6 +63,24 @@
 	// Workspaces declares the rates for the exact central token bucket.
 	Workspaces map[entity.WorkspaceID]Rate `json:"workspaces"`
 	Classes    []RequestClass              `json:"classes"`
+	// Observe is called with the result of every request, from many goroutines. May be nil.
+	Observe func(Sample) `json:"-"`
+}
+
+// Sample is the result of one request.
+type Sample struct {
+	// At is the intended send time.
+	At        time.Time
+	Group     string
+	Workspace entity.WorkspaceID
+	Model     string
+	Target    string
+	// Complete says that the whole right answer arrived. Refused says that an error answer did.
+	// Without both and without ErrorEvent, the request got no answer.
+	Complete, Refused, ErrorEvent bool
+	Code                          string
+	// First and Whole are the times to the first part and to the end of the answer.
+	First, Whole time.Duration
 }
 
 // Balancer imitates the platform's load balancer.
@@ -79,6 +97,9 @@
 type Rate struct {
 	TokensPerSecond float64 `json:"rate_tokens_per_s"`
 	BurstTokens     float64 `json:"burst_tokens"`
+	// MissingTokens is what the exact bucket lacks of its burst at the start. Hosts that have
+	// just started have not accrued a full burst yet.
+	MissingTokens float64 `json:"missing_tokens"`
 }
 
 // Range is an inclusive range from which values are drawn evenly. Max below Min means Min.
--- a/internal/load/schedule.go
+++ b/internal/load/schedule.go
@@ -236,7 +236,7 @@
 	at    time.Duration
 }
 
-func newBucket(r Rate) *bucket { return &bucket{rate: r, level: r.BurstTokens} }
+func newBucket(r Rate) *bucket { return &bucket{rate: r, level: max(0, r.BurstTokens-r.MissingTokens)} }
 
 // admit charges the cost if the bucket has it. Calls must be in the order of time.
 func (b *bucket) admit(at time.Duration, cost float64) bool {
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -53,6 +53,11 @@
 	// Via replaces the address under which hosts reach the key-value service; for tests that
 	// put a proxy between. May be nil.
 	Via func(host int, addr string) string
+	// Adjust changes the settings of a host before it starts. May be nil.
+	Adjust func(host int, s *host.Settings)
+	// Started is called with each host after its ports are open and before callers are told of
+	// it. May be nil.
+	Started func(host int, h *host.Host)
 }
 
 // Site is a running local site.
@@ -236,7 +241,7 @@
 	if s.opts.Via != nil {
 		addr = s.opts.Via(i, addr)
 	}
-	return host.Settings{
+	out := host.Settings{
 		Host:           entity.HostID(fmt.Sprintf("host-%d", i+1)),
 		Site:           s.opts.Name,
 		Region:         "local",
@@ -252,6 +257,10 @@
 		MaxConnections: 20000,
 		Policies:       s.opts.Policies,
 	}
+	if s.opts.Adjust != nil {
+		s.opts.Adjust(i, &out)
+	}
+	return out
 }
 
 // StartHost starts one more host and returns its index.
@@ -271,6 +280,9 @@
 	if err != nil {
 		return fmt.Errorf("site: host %d: %w", i+1, err)
 	}
+	if s.opts.Started != nil {
+		s.opts.Started(i, h)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	abort, kill := context.WithCancel(context.Background())
 	r := &runningHost{host: h, stop: stop, abort: kill, done: make(chan error, 1)}
@@ -333,6 +345,21 @@
 	return err
 }
 
+// KillHost ends a host at once: it gives back neither its shares nor its registration, and its
+// requests get no answer. Connections of callers have to be cut by whoever stands between.
+func (s *Site) KillHost(i int) {
+	s.mu.Lock()
+	r := s.hosts[i]
+	s.hosts[i] = nil
+	s.mu.Unlock()
+	if r == nil {
+		return
+	}
+	r.abort()
+	<-r.done
+	r.stop()
+}
+
 // Stop stops everything.
 func (s *Site) Stop() error {
 	var errs []error
