--- a/cmd/foxtailload/main.go
+++ b/cmd/foxtailload/main.go
@@ -59,7 +59,7 @@
 		Version: version(),
 		Commands: []*cli.Command{
 			runCommand(logger), benchCommand(logger), compareCommand(),
-			experimentCommand(), experimentsCommand(logger),
+			experimentCommand(), experimentsCommand(logger), overheadCommand(),
 		},
 	}
 }
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -53,6 +53,10 @@
 	"greedy": {seconds: 7, tight: true, classes: func(p *planner) []load.RequestClass {
 		return append(p.steady(0.8), p.greedy())
 	}},
+	// The short one is for tests.
+	"short": {seconds: 1, classes: func(p *planner) []load.RequestClass {
+		return append(p.steady(0.3), p.burst("first", 0, 0))
+	}},
 	"night": {seconds: 11, classes: func(p *planner) []load.RequestClass { return p.night() }},
 	"hostkill": {
 		seconds: 8, tight: true,
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -20,6 +20,9 @@
 	"github.com/foxtailpass/foxtailpass/internal/standin/service"
 )
 
+// NoHosts starts a site without hosts, for hosts that run as processes of their own.
+const NoHosts = -1
+
 const (
 	// prefix is the part of the key space that the site uses.
 	prefix = "foxtailpass/"
@@ -34,7 +37,7 @@
 type Options struct {
 	// Name selects the overlay. Default "local".
 	Name string
-	// Hosts is the number of hosts. Default 2.
+	// Hosts is the number of hosts. Default 2; NoHosts starts none.
 	Hosts int
 	// FailureDomains are given to hosts and engines in turn. Default "fd1", "fd2".
 	FailureDomains []string
@@ -121,12 +124,12 @@
 	if _, err := s.Apply(ctx, s.opts.Base, s.opts.Overlay); err != nil {
 		return err
 	}
-	for range s.opts.Hosts {
+	for range max(s.opts.Hosts, 0) {
 		if _, err := s.StartHost(); err != nil {
 			return err
 		}
 	}
-	for i := range s.opts.Hosts {
+	for i := range max(s.opts.Hosts, 0) {
 		if err := s.WaitReady(ctx, i); err != nil {
 			return err
 		}
