--- a/cmd/foxtailload/experiment.go
+++ b/cmd/foxtailload/experiment.go
@@ -116,6 +116,28 @@
 	return reports, nil
 }
 
+func summarizeCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "summarize",
+		Usage:     "print the ratios between policies from reports of experiments",
+		ArgsUsage: "report.json...",
+		Action: func(_ context.Context, c *cli.Command) error {
+			var reports []*experiment.Report
+			for _, file := range c.Args().Slice() {
+				r, err := experiment.ReadReport(file)
+				if err != nil {
+					return err
+				}
+				if r == nil {
+					return fmt.Errorf("%w: %s is no report of an experiment", errUsage, file)
+				}
+				reports = append(reports, r)
+			}
+			return experiment.Summarize(os.Stdout, reports)
+		},
+	}
+}
+
 // compareExperiments prints two reports of experiments. It returns false if one of the files is not one.
 func compareExperiments(a, b string) (bool, error) {
 	ra, err := experiment.ReadReport(a)
--- a/cmd/foxtailload/main.go
+++ b/cmd/foxtailload/main.go
@@ -59,7 +59,7 @@
 		Version: version(),
 		Commands: []*cli.Command{
 			runCommand(logger), benchCommand(logger), compareCommand(),
-			experimentCommand(), experimentsCommand(logger), overheadCommand(),
+			experimentCommand(), experimentsCommand(logger), summarizeCommand(), overheadCommand(),
 		},
 	}
 }
--- a/internal/experiment/summary.go
+++ b/internal/experiment/summary.go
@@ -9,21 +9,24 @@
 
 // measure is one figure of a report that is compared between policies.
 type measure struct {
-	name  string
+	name string
+	// cold measures are left out when no model started cold.
+	cold  bool
 	value func(*Report) float64
 }
 
 var measures = []measure{
-	{"cold start p50 (s)", func(r *Report) float64 { return r.ColdStart.P50 }},
-	{"cold start p99 (s)", func(r *Report) float64 { return r.ColdStart.P99 }},
-	{"cold p99 / bare p99", func(r *Report) float64 { return r.ColdRatio }},
-	{"loads per cold model", func(r *Report) float64 { return r.LoadsPerCold }},
-	{"idle accelerator s", func(r *Report) float64 { return r.IdleSeconds }},
-	{"worst in-time share", func(r *Report) float64 { return r.WorstInTime }},
-	{"wrong refusal share", func(r *Report) float64 { return r.WrongShare }},
-	{"tokens over the limit", func(r *Report) float64 { return r.ExcessTokens }},
-	{"without answer", func(r *Report) float64 { return float64(r.Unanswered) }},
-	{"platform calls/s", func(r *Report) float64 {
+	{"cold start p50 (s)", true, func(r *Report) float64 { return r.ColdStart.P50 }},
+	{"cold start p99 (s)", true, func(r *Report) float64 { return r.ColdStart.P99 }},
+	{"cold p99 / bare p99", true, func(r *Report) float64 { return r.ColdRatio }},
+	{"cold requests refused", true, func(r *Report) float64 { return float64(r.ColdRefused) }},
+	{"loads per cold model", true, func(r *Report) float64 { return r.LoadsPerCold }},
+	{"idle accelerator s", false, func(r *Report) float64 { return r.IdleSeconds }},
+	{"worst in-time share", false, func(r *Report) float64 { return r.WorstInTime }},
+	{"wrong refusal share", false, func(r *Report) float64 { return r.WrongShare }},
+	{"tokens over the limit", false, func(r *Report) float64 { return r.ExcessTokens }},
+	{"without answer", false, func(r *Report) float64 { return float64(r.Unanswered) }},
+	{"platform calls/s", false, func(r *Report) float64 {
 		sum := 0.0
 		for _, v := range r.PlatformCalls {
 			sum += v
@@ -33,8 +36,8 @@
 }
 
 // Summarize prints, for each experiment, every measure under each policy as mean (least to most)
-// over the seeds, and the ratio of the baselines to the first policy as mean (least to most) of
-// the ratios by seed.
+// over the seeds, and the ratio of the baselines to the first policy, in the order of Policies, as
+// mean (least to most) of the ratios by seed.
 func Summarize(out io.Writer, reports []*Report) error {
 	tw := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	if _, err := fmt.Fprintln(tw, "experiment\tmeasure\tpolicy\tvalue\tratio to the first policy"); err != nil {
@@ -66,7 +69,11 @@
 		}
 	}
 	policies := distinct(own, func(r *Report) string { return r.Policy })
+	slices.SortFunc(policies, func(a, b string) int { return slices.Index(Policies, a) - slices.Index(Policies, b) })
 	for _, m := range measures {
+		if m.cold && !slices.ContainsFunc(own, func(r *Report) bool { return r.ColdModels > 0 }) {
+			continue
+		}
 		for _, p := range policies {
 			var values, ratios []float64
 			for _, r := range own {
