--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -20,6 +20,9 @@
 	"github.com/foxtailpass/foxtailpass/internal/standin/service"
 )
 
+// NoHosts starts a site without hosts, for hosts that run as processes of their own.
+const NoHosts = -1
+
 const (
 	// prefix is the part of the key space that the site uses.
 	prefix = "foxtailpass/"
@@ -34,7 +37,7 @@
 type Options struct {
 	// Name selects the overlay. Default "local".
 	Name string
-	// Hosts is the number of hosts. Default 2.
+	// Hosts is the number of hosts. Default 2; NoHosts starts none.
 	Hosts int
 	// FailureDomains are given to hosts and engines in turn. Default "fd1", "fd2".
 	FailureDomains []string
@@ -53,6 +56,11 @@
 	// Via replaces the address under which hosts reach the key-value service; for tests that
 	// put a proxy between. May be nil.
 	Via func(host int, addr string) string
+	// Adjust changes the settings of a host before it starts. May be nil.
+	Adjust func(host int, s *host.Settings)
+	// Started is called with each host after its ports are open and before callers are told of
+	// it. May be nil.
+	Started func(host int, h *host.Host)
 }
 
 // Site is a running local site.
@@ -116,12 +124,12 @@
 	if _, err := s.Apply(ctx, s.opts.Base, s.opts.Overlay); err != nil {
 		return err
 	}
-	for range s.opts.Hosts {
+	for range max(s.opts.Hosts, 0) {
 		if _, err := s.StartHost(); err != nil {
 			return err
 		}
 	}
-	for i := range s.opts.Hosts {
+	for i := range max(s.opts.Hosts, 0) {
 		if err := s.WaitReady(ctx, i); err != nil {
 			return err
 		}
@@ -236,7 +244,7 @@
 	if s.opts.Via != nil {
 		addr = s.opts.Via(i, addr)
 	}
-	return host.Settings{
+	out := host.Settings{
 		Host:           entity.HostID(fmt.Sprintf("host-%d", i+1)),
 		Site:           s.opts.Name,
 		Region:         "local",
@@ -252,6 +260,10 @@
 		MaxConnections: 20000,
 		Policies:       s.opts.Policies,
 	}
+	if s.opts.Adjust != nil {
+		s.opts.Adjust(i, &out)
+	}
+	return out
 }
 
 // StartHost starts one more host and returns its index.
@@ -271,6 +283,9 @@
 	if err != nil {
 		return fmt.Errorf("site: host %d: %w", i+1, err)
 	}
+	if s.opts.Started != nil {
+		s.opts.Started(i, h)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	abort, kill := context.WithCancel(context.Background())
 	r := &runningHost{host: h, stop: stop, abort: kill, done: make(chan error, 1)}
@@ -333,6 +348,21 @@
 	return err
 }
 
+// KillHost ends a host at once: it gives back neither its shares nor its registration, and its
+// requests get no answer. Connections of callers have to be cut by whoever stands between.
+func (s *Site) KillHost(i int) {
+	s.mu.Lock()
+	r := s.hosts[i]
+	s.hosts[i] = nil
+	s.mu.Unlock()
+	if r == nil {
+		return
+	}
+	r.abort()
+	<-r.done
+	r.stop()
+}
+
 // Stop stops everything.
 func (s *Site) Stop() error {
 	var errs []error
