--- a/internal/control/core_test.go
+++ b/internal/control/core_test.go
@@ -29,8 +29,8 @@
 func (f *fakeCaller) Refuse(r entity.Refusal)                 { f.refusal = &r }
 func (f *fakeCaller) CancelAttempt(r entity.Refusal)          { f.canceled = &r }
 
-// newTestCore returns the control state of host "a" with one plain service that runs one request
-// at a time per slot, and an open route to it.
+// newTestCore returns the control state of host "a" with an engine, one plain service and an open
+// route to it.
 func newTestCore(t *testing.T) *Core {
 	t.Helper()
 	rng := rand.New(rand.NewPCG(1, 2))
@@ -50,6 +50,7 @@
 	}
 	c.Handle(ViewChanged{Changes: []KeyChange{
 		record(config.UpstreamsPrefix+"p", config.UpstreamRecord{Kind: "plain", Addr: "127.0.0.1:1", State: config.UpstreamLive}, 1),
+		record(config.UpstreamsPrefix+"e", config.UpstreamRecord{Kind: "engine", Addr: "127.0.0.1:2", MemoryBytes: 10, State: config.UpstreamLive}, 1),
 	}}, start)
 	c.Handle(SiteChanged{Site: site}, start)
 	return c
--- a/internal/placement/fence_test.go
+++ b/internal/placement/fence_test.go
@@ -134,7 +134,7 @@
 		t.Fatal("the entry is free although x-1 can still arrive at a later boot")
 	}
 	x.hosts(config.HostRecord{ID: "other", Incarnation: "o2", PeerAddr: "other:1", State: "live"})
-	x.pass(5 * time.Second)
+	x.pass(orderFlight + 5*time.Second)
 	if len(x.place.Entries) == 1 {
 		x.report("b2", 3, []string{last.ID, x.place.Entries[0].last().ID})
 		x.pass(time.Second)
--- a/test/faults/control_helpers_test.go
+++ b/test/faults/control_helpers_test.go
@@ -18,9 +18,6 @@
 	"github.com/foxtailpass/foxtailpass/test/harness"
 )
 
-// siteSlots bounds the sites that run at once, because the machine is shared.
-var siteSlots = make(chan struct{}, 4)
-
 // parallelSite starts a site for a test that runs beside others.
 func parallelSite(t *testing.T, o harness.Options) *harness.Site {
 	t.Helper()
