--- /dev/null
+++ b/test/scenarios/scenarios_test.go
@@ -0,0 +1,261 @@
+// Package scenarios runs the scripts in testdata against a site of real host processes.
+//
+// The commands, with hosts named host-1 and so on and engines engine-1 and so on:
+//
+//	site start                               start three hosts and wait until they are ready
+//	key NAME WORKSPACE                       issue a key
+//	withdraw NAME                            withdraw it
+//	sigkill|pause|resume|restart HOST        act on a host's process; kill is a command of testscript
+//	cut|heal LINK                            break a link, as named by package harness
+//	fault ENGINE KIND [count=N] [delay=MS] [tokens=N] [factor=F]
+//	fault platform refuse|freeze|delay=MS|none
+//	chat ID HOST KEY MODEL TOKENS [stream]   send a request and go on
+//	order ID HOST KEY ORDER [claim]          the same for an order, with claim under an idempotency key
+//	sleep DURATION                           wait
+//	expect ID STATUS|CODE [DURATION]         wait for the answer, at most so long after the last withdrawal
+//	expect runs ORDER N                      compare the runs of an order
+//	expect loads MODEL N                     compare the loads of a model at all engines
+package scenarios
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/standin/engine"
+	"github.com/foxtailpass/foxtailpass/internal/standin/kv"
+	"github.com/foxtailpass/foxtailpass/internal/standin/service"
+	"github.com/foxtailpass/foxtailpass/test/harness"
+)
+
+const base = `{
+  "models": {
+    "warm": {"bytes": 1000, "cold_start_ms": 300, "min_replicas": 1, "max_replicas": 2},
+    "cold": {"bytes": 1000, "cold_start_ms": 300, "max_replicas": 1},
+    "huge": {"bytes": 1000000, "cold_start_ms": 300}
+  },
+  "workspaces": {
+    "clerks": {"rate_tokens_per_s": 100000, "burst_tokens": 100000, "models": ["*"], "routes": ["*"]},
+    "archive": {"rate_tokens_per_s": 100000, "burst_tokens": 100000, "models": ["warm"]}
+  },
+  "routes": {"/orders/": {"upstream_kind": "orders", "timeout_ms": 5000}}
+}`
+
+// siteSlots bounds the sites that run at the same time.
+var siteSlots = make(chan struct{}, 4)
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	harness.RemoveBinary()
+	os.Exit(code)
+}
+
+// Guards against regressions in sequences of events that operators know; see testdata.
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			env.Values[stateKey{}] = &state{t: env.T().(testing.TB), keys: map[string]key{}, answers: map[string]chan harness.Answer{}}
+			return nil
+		},
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"site": command(startSite), "key": command(issueKey), "withdraw": command(withdraw),
+			"sigkill": hostCommand((*harness.Host).Kill), "pause": hostCommand((*harness.Host).Pause),
+			"resume": hostCommand((*harness.Host).Resume), "restart": hostCommand(restart),
+			"cut":   command(func(s *state, a []string) error { s.site.Net.Cut(strings.Join(a, " ")); return nil }),
+			"heal":  command(func(s *state, a []string) error { s.site.Net.Heal(strings.Join(a, " ")); return nil }),
+			"fault": command(setFault), "chat": command(chat), "order": command(order), "sleep": command(sleep), "expect": command(expect),
+		},
+	})
+}
+
+type stateKey struct{}
+
+type key struct {
+	value string
+	id    entity.KeyID
+}
+
+// state is one running script.
+type state struct {
+	t         testing.TB
+	site      *harness.Site
+	keys      map[string]key
+	answers   map[string]chan harness.Answer
+	withdrawn time.Time
+}
+
+func command(f func(s *state, args []string) error) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, neg bool, args []string) {
+		s := ts.Value(stateKey{}).(*state)
+		if neg {
+			ts.Fatalf("this command cannot be negated")
+		}
+		ts.Check(f(s, args))
+	}
+}
+
+func hostCommand(f func(*harness.Host)) func(*testscript.TestScript, bool, []string) {
+	return command(func(s *state, args []string) error {
+		h, err := s.host(args[0])
+		if err == nil {
+			f(h)
+		}
+		return err
+	})
+}
+
+func restart(h *harness.Host) {
+	h.Start()
+	h.WaitReady()
+}
+
+func (s *state) host(name string) (*harness.Host, error) {
+	for _, h := range s.site.Hosts {
+		if string(h.Settings.Host) == name {
+			return h, nil
+		}
+	}
+	return nil, fmt.Errorf("no host %q", name)
+}
+
+func startSite(s *state, _ []string) error {
+	siteSlots <- struct{}{}
+	s.t.Cleanup(func() { <-siteSlots })
+	o := harness.Options{Hosts: 3, Base: base, Services: []service.Options{{ID: "orders-1", Kind: "orders", WorkTime: 5 * time.Millisecond}}}
+	store := engine.NewWeightStore(engine.WeightStoreOptions{})
+	for i := range 2 {
+		o.Engines = append(o.Engines, engine.Options{
+			ID: entity.UpstreamID(fmt.Sprintf("engine-%d", i+1)), MemoryBytes: 3000, ChecksFence: true, Store: store,
+			LoadTimes:     engine.LoadTimes{Memory: 50 * time.Millisecond, Disk: 100 * time.Millisecond, Remote: 300 * time.Millisecond},
+			TokenInterval: 10 * time.Millisecond, ReportLag: 20 * time.Millisecond,
+		})
+	}
+	s.site = harness.Start(s.t, o)
+	return nil
+}
+
+func issueKey(s *state, args []string) error {
+	value, id := s.site.Key(entity.WorkspaceID(args[1]))
+	s.keys[args[0]] = key{value, id}
+	return nil
+}
+
+func withdraw(s *state, args []string) error {
+	s.site.Withdraw(s.keys[args[0]].id)
+	s.withdrawn = time.Now()
+	return nil
+}
+
+func setFault(s *state, args []string) error {
+	number := func(a, name string) (int64, bool) {
+		v, ok := strings.CutPrefix(a, name+"=")
+		n, err := strconv.ParseInt(v, 10, 64)
+		return n, ok && err == nil
+	}
+	if args[0] == "platform" {
+		delay, _ := number(args[1], "delay")
+		s.site.Store.SetFaults(kv.Faults{Refuse: args[1] == "refuse", FreezeWatches: args[1] != "none" && delay == 0, DelayMillis: delay})
+		return nil
+	}
+	f := engine.Fault{Kind: args[1]}
+	for _, a := range args[2:] {
+		for name, set := range map[string]func(n int64){
+			"count": func(n int64) { f.Count = int(n) }, "delay": func(n int64) { f.DelayMS = n },
+			"tokens": func(n int64) { f.Tokens = int(n) }, "factor": func(n int64) { f.Factor = float64(n) },
+		} {
+			if n, ok := number(a, name); ok {
+				set(n)
+			}
+		}
+	}
+	for _, e := range s.site.Engines {
+		if string(e.ID()) == args[0] {
+			return e.SetFault(f)
+		}
+	}
+	return fmt.Errorf("no engine %q", args[0])
+}
+
+func (s *state) send(id, host string, r harness.Request) error {
+	h, err := s.host(host)
+	if err != nil {
+		return err
+	}
+	out := make(chan harness.Answer, 1)
+	s.answers[id] = out
+	go func() { out <- h.Do(r) }()
+	return nil
+}
+
+func chat(s *state, args []string) error {
+	tokens, err := strconv.Atoi(args[4])
+	if err != nil {
+		return err
+	}
+	return s.send(args[0], args[1], harness.Chat(s.keys[args[2]].value, args[3], tokens, len(args) > 5))
+}
+
+func order(s *state, args []string) error {
+	r := harness.Request{Method: "POST", Path: "/orders/new", Key: s.keys[args[2]].value, Body: fmt.Sprintf(`{"order":%q}`, args[3])}
+	if len(args) > 4 {
+		r.IdempotencyKey = args[3]
+	}
+	return s.send(args[0], args[1], r)
+}
+
+func sleep(_ *state, args []string) error {
+	d, err := time.ParseDuration(args[0])
+	time.Sleep(d)
+	return err
+}
+
+func expect(s *state, args []string) error {
+	switch args[0] {
+	case "runs":
+		return compare(args[2], s.site.Services[0].Runs(args[1]))
+	case "loads":
+		n := 0
+		for _, e := range s.site.Engines {
+			n += len(e.Record().LoadsOf(entity.ModelID(args[1])))
+		}
+		return compare(args[2], n)
+	}
+	a := <-s.answers[args[0]]
+	got := a.Code
+	if got == "" {
+		got = strconv.Itoa(a.Status)
+	}
+	if strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream") {
+		if _, whole := harness.StreamText(a.Body); whole != (a.Code == "") {
+			return fmt.Errorf("end marker %t with code %q", whole, a.Code)
+		}
+	}
+	if len(args) > 2 {
+		limit, err := time.ParseDuration(args[2])
+		if took := time.Since(s.withdrawn); err != nil || took > limit {
+			return fmt.Errorf("answered %v after the withdrawal, %v", took, err)
+		}
+	}
+	return compareText(args[1], got, a)
+}
+
+func compare(want string, got int) error {
+	if strconv.Itoa(got) != want {
+		return fmt.Errorf("got %d, want %s", got, want)
+	}
+	return nil
+}
+
+func compareText(want, got string, a harness.Answer) error {
+	if want != got {
+		return fmt.Errorf("got %s, want %s: error %v, body %.300s", got, want, a.Err, a.Body)
+	}
+	return nil
+}
