--- a/test/harness/network.go
+++ b/test/harness/network.go
@@ -136,16 +136,24 @@
 	}
 }
 
-// Heal ends Cut.
+// healWithin bounds the wait for a port that was just closed.
+const healWithin = 5 * time.Second
+
+// Heal ends Cut. The system may need a moment until the port of a stopped proxy is free again.
 func (n *Network) Heal(name string) {
+	n.t.Helper()
 	n.mu.Lock()
 	p := n.proxies[name]
 	n.mu.Unlock()
 	if p == nil {
 		return
 	}
-	if err := p.Start(); err != nil {
-		n.t.Fatalf("heal %s: %v", name, err)
+	end := time.Now().Add(healWithin)
+	for err := p.Start(); err != nil; err = p.Start() {
+		if time.Now().After(end) {
+			n.t.Fatalf("heal %s: %v", name, err)
+		}
+		time.Sleep(20 * time.Millisecond)
 	}
 }
 
