--- a/test/faults/control_claims_test.go
+++ b/test/faults/control_claims_test.go
@@ -18,7 +18,7 @@
 	})
 }
 
-func order(key, claim, body string) harness.Request {
+func claimedOrder(key, claim, body string) harness.Request {
 	return harness.Request{Method: "POST", Path: "/orders/new", Key: key, IdempotencyKey: claim, Body: fmt.Sprintf(`{"order":%q}`, body)}
 }
 
@@ -75,7 +75,7 @@
 				for i := range orders {
 					for j := range s.Hosts {
 						h := s.Hosts[(i+j+round)%len(s.Hosts)]
-						rounds[i].send(h, order(key, fmt.Sprintf("k%d", i), fmt.Sprintf("o%d", i)))
+						rounds[i].send(h, claimedOrder(key, fmt.Sprintf("k%d", i), fmt.Sprintf("o%d", i)))
 					}
 				}
 				time.Sleep(300 * time.Millisecond)
@@ -85,7 +85,7 @@
 			for i := range rounds {
 				_ = rounds[i].wait()
 				for try := range 100 {
-					a := s.Hosts[try%len(s.Hosts)].Do(order(key, fmt.Sprintf("k%d", i), fmt.Sprintf("o%d", i)))
+					a := s.Hosts[try%len(s.Hosts)].Do(claimedOrder(key, fmt.Sprintf("k%d", i), fmt.Sprintf("o%d", i)))
 					if a.Status == 200 || a.Code == "outcome_unknown" {
 						break
 					}
@@ -133,15 +133,15 @@
 func TestStoredAnswer(t *testing.T) {
 	s := claimsSite(t, 0)
 	key, _ := s.Key("clerks")
-	first := s.Hosts[0].Do(order(key, "k", "o"))
+	first := s.Hosts[0].Do(claimedOrder(key, "k", "o"))
 	if first.Status != 200 {
 		t.Fatalf("status %d, %s", first.Status, first.Body)
 	}
 	for _, h := range s.Hosts {
-		if a := h.Do(order(key, "k", "o")); a.Status != 200 || a.Body != first.Body || a.Header.Get("X-Foxtailpass-Replayed") != "true" {
+		if a := h.Do(claimedOrder(key, "k", "o")); a.Status != 200 || a.Body != first.Body || a.Header.Get("X-Foxtailpass-Replayed") != "true" {
 			t.Errorf("replay: status %d, %s, want %s", a.Status, a.Body, first.Body)
 		}
-		if a := h.Do(order(key, "k", "other")); a.Status != 422 || a.Code != "idempotency_key_reused" || a.Ran != "not-run" {
+		if a := h.Do(claimedOrder(key, "k", "other")); a.Status != 422 || a.Code != "idempotency_key_reused" || a.Ran != "not-run" {
 			t.Errorf("other body: status %d, code %q, ran %q", a.Status, a.Code, a.Ran)
 		}
 	}
@@ -157,7 +157,7 @@
 	key, _ := s.Key("clerks")
 	end := outage(s)
 	for i, h := range s.Hosts {
-		a := h.Do(order(key, fmt.Sprint("k", i), fmt.Sprint("o", i)))
+		a := h.Do(claimedOrder(key, fmt.Sprint("k", i), fmt.Sprint("o", i)))
 		if a.Status != 503 || a.Code != "claims_unavailable" || a.Ran != "not-run" || a.Header.Get("Retry-After") == "" {
 			t.Errorf("status %d, code %q, ran %q, Retry-After %q", a.Status, a.Code, a.Ran, a.Header.Get("Retry-After"))
 		}
@@ -166,7 +166,7 @@
 		t.Errorf("%d orders ran during the outage", n)
 	}
 	end()
-	s.Eventually(5*time.Second, "orders run again", func() bool { return s.Hosts[0].Do(order(key, "k0", "o0")).Status == 200 })
+	s.Eventually(5*time.Second, "orders run again", func() bool { return s.Hosts[0].Do(claimedOrder(key, "k0", "o0")).Status == 200 })
 	checkRuns(t, s)
 }
 
@@ -177,12 +177,12 @@
 	key, _ := s.Key("clerks")
 	var a answers
 	for i := range 10 {
-		a.send(s.Hosts[0], order(key, fmt.Sprint("k", i), fmt.Sprint("o", i)))
+		a.send(s.Hosts[0], claimedOrder(key, fmt.Sprint("k", i), fmt.Sprint("o", i)))
 	}
 	s.Eventually(5*time.Second, "all orders run", func() bool { return s.Services[0].Record().Runs == 10 })
 	s.Hosts[0].Kill()
 	for i := range 10 {
-		x := s.Hosts[1+i%2].Do(order(key, fmt.Sprint("k", i), fmt.Sprint("o", i)))
+		x := s.Hosts[1+i%2].Do(claimedOrder(key, fmt.Sprint("k", i), fmt.Sprint("o", i)))
 		if x.Status != 409 || x.Ran != "unknown" {
 			t.Errorf("repetition: status %d, code %q, ran %q", x.Status, x.Code, x.Ran)
 		}
@@ -191,7 +191,7 @@
 	s.Hosts[0].WaitReady()
 	for i := range 10 {
 		for _, h := range s.Hosts {
-			if x := h.Do(order(key, fmt.Sprint("k", i), fmt.Sprint("o", i))); x.Status != 409 || x.Code != "outcome_unknown" {
+			if x := h.Do(claimedOrder(key, fmt.Sprint("k", i), fmt.Sprint("o", i))); x.Status != 409 || x.Code != "outcome_unknown" {
 				t.Errorf("after the restart: status %d, code %q", x.Status, x.Code)
 			}
 		}
@@ -208,7 +208,7 @@
 	link := harness.UpstreamLink("orders-1")
 	send := func(name string) {
 		for i := range 5 {
-			a := s.Hosts[i%3].Do(order(key, "", fmt.Sprint(name, i)))
+			a := s.Hosts[i%3].Do(claimedOrder(key, "", fmt.Sprint(name, i)))
 			if a.Status == 200 || a.Ran != "unknown" {
 				t.Errorf("%s: status %d, code %q, ran %q, %v", name, a.Status, a.Code, a.Ran, a.Err)
 			}
@@ -223,7 +223,7 @@
 	send("cut")
 	s.Net.Remove(link, "cut")
 	s.Net.Cut(link)
-	if a := s.Hosts[0].Do(order(key, "", "refused")); a.Ran != "not-run" || s.Services[0].Runs("refused") != 0 {
+	if a := s.Hosts[0].Do(claimedOrder(key, "", "refused")); a.Ran != "not-run" || s.Services[0].Runs("refused") != 0 {
 		t.Errorf("unreachable: status %d, code %q, ran %q", a.Status, a.Code, a.Ran)
 	}
 	s.Net.Heal(link)
