gateway: do not hold a whole stream back for the end of its body

Cause: after the engine's end marker, the gateway read the end of the chunked body before it passed the marker on. An engine that leaves the body open held the answer, its slot and a graceful stop until the deadline and 2 s. Ruled out: a body that ends is read at once, and the connection is used again as before. Before: TestFinishDoesNotWait/left_open (with the limit taken out): 10.0 s, the deadline of the call. After: 50 ms, and the connection is closed.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -166,9 +166,8 @@
 const endMarker = "data: [DONE]\n\n"
 
 func (t *stream) complete(w *bufio.Writer) string {
-	drain(t.call)
 	contentType := string(t.call.Response.Header.ContentType())
-	t.call.Close()
+	t.call.Finish()
 	t.g.endAttempt(t.s, schedule.AttemptResult{Request: t.s.request.ID, Outcome: entity.Completed})
 	t.kept.WriteString(endMarker)
 	t.g.completeClaim(t.s, fasthttp.StatusOK, contentType, t.kept.Bytes())
@@ -179,13 +178,6 @@
 	return ""
 }
 
-// drain reads the end of the chunked body behind the end marker, so that the connection can be
-// used again.
-func drain(call *upstream.Call) {
-	var b [16]byte
-	_, _ = call.Read(b[:])
-}
-
 // callerGone stops the engine's work for a caller that does not read any more.
 func (t *stream) callerGone() string {
 	if !t.s.call.idempotent {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -27,6 +27,8 @@
 	maxWholeAnswer = 16 << 20
 	// cancelTimeout bounds the order to an engine to stop a request.
 	cancelTimeout = time.Second
+	// finishTimeout bounds the wait for the end of a body whose content is complete.
+	finishTimeout = 50 * time.Millisecond
 )
 
 // Failure describes an attempt that did not bring an answer.
@@ -162,6 +164,15 @@
 	return n, err
 }
 
+// Finish closes a streamed call whose end marker has been read. It waits only a short time for the
+// end of the body, which lets the connection be used again: the answer is whole already.
+func (call *Call) Finish() {
+	_ = call.conn.SetReadDeadline(time.Now().Add(finishTimeout))
+	var b [16]byte
+	_, _ = call.Read(b[:])
+	call.Close()
+}
+
 // Close ends the call. The connection is kept only when the whole answer has been read, so
 // that a late answer can never be taken for the answer to a later request.
 func (call *Call) Close() {
--- /dev/null
+++ b/internal/upstream/client_test.go
@@ -0,0 +1,69 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// serveOnce answers every connection's first request with fixed bytes and keeps it open.
+func serveOnce(t *testing.T, answer string) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = c.Close() })
+			_, _ = c.Read(make([]byte, 4096))
+			_, _ = io.WriteString(c, answer)
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// Guards against a whole answer that is held back until its deadline because the upstream does not
+// end the body behind the end marker, and against such a connection being used again.
+func TestFinishDoesNotWait(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\ne\r\ndata: [DONE]\n\n\r\n"
+	for name, c := range map[string]struct {
+		answer string
+		idle   int
+	}{
+		"ended":     {head + "0\r\n\r\n", 1},
+		"left open": {head, 0},
+		"more data": {head + "6\r\ndata: \r\n", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client, addr := NewClient(), serveOnce(t, c.answer)
+			req := fasthttp.AcquireRequest()
+			defer fasthttp.ReleaseRequest(req)
+			req.SetRequestURI("http://" + addr + "/")
+			call, err := client.Do(context.Background(), req, Options{Addr: addr, Stream: true, Deadline: time.Now().Add(10 * time.Second)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, done, err := NewEventReader(call.Body()).Next(); !done || err != nil {
+				t.Fatalf("done %t, error %v", done, err)
+			}
+			began := time.Now()
+			call.Finish()
+			if took := time.Since(began); took > time.Second {
+				t.Errorf("Finish took %v", took)
+			}
+			if n := len(client.pool.idle[addr]); n != c.idle {
+				t.Errorf("%d idle connections, want %d", n, c.idle)
+			}
+		})
+	}
+}
