--- a/test/faults/callers_withdraw_test.go
+++ b/test/faults/callers_withdraw_test.go
@@ -135,3 +135,27 @@
 		t.Errorf("the engine went on to %d tokens", n)
 	}
 }
+
+// Guards against a paused host that ends the streams of valid keys when it runs on because its view
+// is old at that moment, and against one that goes on with a key that was withdrawn meanwhile.
+func TestCallersPausedHost(t *testing.T) {
+	s := startSite(t, func(o *harness.Options) { tokenInterval(o, longStreamInterval) })
+	good, _ := s.Key("clerks")
+	bad, id := s.Key("clerks")
+	awaitWarm(s, good, "warm")
+	h := s.Hosts[0]
+	const tokens = 600
+	kept := openStream(t, h, chat(good, "warm", "kept", tokens, true, 30*time.Second))
+	ended := openStream(t, h, chat(bad, "warm", "ended", longStream, true, 30*time.Second))
+	h.Pause()
+	s.Withdraw(id)
+	// Longer than the freshness limit of 2 s and the lease of 3 s.
+	time.Sleep(4 * time.Second)
+	h.Resume()
+	resumed := time.Now()
+	a := <-ended
+	if took := time.Since(resumed); took > withdrawalBound || a.Code != "key_withdrawn" {
+		t.Errorf("withdrawn key: code %q, %v after the pause", a.Code, took)
+	}
+	checkOwn(t, s, <-kept, "warm", "kept", tokens)
+}
