--- a/test/faults/control_limits_test.go
+++ b/test/faults/control_limits_test.go
@@ -6,9 +6,11 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/standin/service"
 	"github.com/foxtailpass/foxtailpass/test/harness"
 )
@@ -251,3 +253,66 @@
 		})
 	}
 }
+
+// The first requests of a workspace that has just been configured must not be refused because its
+// share record does not exist yet.
+func TestNewWorkspaceIsServed(t *testing.T) {
+	s := parallelSite(t, harness.Options{
+		Hosts: 3, Base: limitsBase(tokenRate, burstSize),
+		Services: []service.Options{{ID: "orders-1", Kind: "orders"}},
+	})
+	for n := range 5 {
+		name := fmt.Sprintf("fresh%d", n)
+		fresh := fmt.Sprintf(`%q: {"rate_tokens_per_s": 1000, "burst_tokens": 600, "routes": ["*"]}, "greedy":`, name)
+		base := strings.Replace(limitsBase(tokenRate, burstSize), `"greedy":`, fresh, 1)
+		key, _, err := s.Config.IssueKey(t.Context(), entity.WorkspaceID(name), "test")
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(200 * time.Millisecond)
+		// The callers are there before the workspace is in force.
+		var wg sync.WaitGroup
+		for _, h := range s.Hosts {
+			wg.Go(func() {
+				r := harness.Request{Method: "POST", Path: "/orders/new", Key: key, Body: `{}`}
+				a := h.Do(r)
+				for began := time.Now(); a.Status == 403 && time.Since(began) < inForceBound; {
+					a = h.Do(r)
+				}
+				if a.Status != 200 {
+					t.Errorf("workspace %s at host %d: status %d, %s", name, h.Index+1, a.Status, a.Code)
+				}
+			})
+		}
+		s.Apply(base)
+		wg.Wait()
+	}
+}
+
+// Hosts that come back while one host holds all units must get a share at once, and not one after
+// the other as that host releases 10 % at a time.
+func TestReturningHostsAreReadySoon(t *testing.T) {
+	s := parallelSite(t, harness.Options{Hosts: 5, Base: limitsBase(tokenRate, burstSize)})
+	back := s.Hosts[1:]
+	for _, h := range back {
+		h.Terminate()
+	}
+	for _, h := range back {
+		if code := h.WaitExit(10 * time.Second); code != 0 {
+			t.Errorf("exit code %d", code)
+		}
+	}
+	s.Eventually(10*time.Second, "one host holds all units", func() bool {
+		return s.Hosts[0].Status().Control.Limits[0].Units > 990_000
+	})
+	began := time.Now()
+	for _, h := range back {
+		h.Start()
+	}
+	for _, h := range back {
+		h.WaitReady()
+	}
+	if took := time.Since(began); took > inForceBound {
+		t.Errorf("the hosts were ready after %v, want at most %v", took, inForceBound)
+	}
+}
--- /dev/null
+++ b/test/faults/control_long_test.go
@@ -0,0 +1,29 @@
+//go:build long
+
+package faults
+
+import (
+	"os"
+	"strconv"
+	"testing"
+	"time"
+)
+
+// TestLongRandomRun runs pairs of failures for FOXTAILPASS_FAULTS_DURATION (default 10m) from
+// FOXTAILPASS_FAULTS_SEED (default the time). It guards against rare combinations; see docs/operations.md.
+func TestLongRandomRun(t *testing.T) {
+	d, seed := 10*time.Minute, uint64(time.Now().UnixNano())
+	if v := os.Getenv("FOXTAILPASS_FAULTS_DURATION"); v != "" {
+		var err error
+		if d, err = time.ParseDuration(v); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if v := os.Getenv("FOXTAILPASS_FAULTS_SEED"); v != "" {
+		var err error
+		if seed, err = strconv.ParseUint(v, 10, 64); err != nil {
+			t.Fatal(err)
+		}
+	}
+	pairRounds(t, seed, d)
+}
