--- a/test/faults/control_pairs_test.go
+++ b/test/faults/control_pairs_test.go
@@ -145,7 +145,7 @@
 			// Each order goes to two hosts, and some of them come again later.
 			id := n - r.IntN(2)*r.IntN(20)
 			for range 2 {
-				others.send(s.Hosts[r.IntN(3)], order(clerks, fmt.Sprint("k", id), fmt.Sprint("keyed", id)))
+				others.send(s.Hosts[r.IntN(3)], claimedOrder(clerks, fmt.Sprint("k", id), fmt.Sprint("keyed", id)))
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
