Take a sender for gone only when a newer incarnation is at its address

Two registrations can share an address until the lease of the dead one expires. The list is in no fixed order, so the older one could prove a live sender gone, or hide the newer one.

--- a/internal/placement/fence_test.go
+++ b/internal/placement/fence_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -143,3 +144,59 @@
 		t.Errorf("the entry is still reserved although no order can arrive: %+v", x.place)
 	}
 }
+
+// TestSenderGone guards against memory that stays reserved for the orders of a dead process, and
+// against taking a live process for dead because a former registration at its address has not expired.
+func TestSenderGone(t *testing.T) {
+	registration := func(id, inc, addr string) config.HostRecord {
+		return config.HostRecord{ID: entity.HostID(id), Incarnation: entity.Incarnation(inc), PeerAddr: addr, State: "live"}
+	}
+	sender := registration("sender", "s1", "a:1")
+	for _, c := range []struct {
+		name string
+		// hosts are the successive lists of registrations.
+		hosts [][]config.HostRecord
+		gone  string
+		free  bool
+	}{
+		{"sender is registered", [][]config.HostRecord{{sender}}, "", false},
+		{"lease of the sender has expired", [][]config.HostRecord{{sender}, {}}, "", false},
+		{"operator confirmed", [][]config.HostRecord{{sender}, {}}, "sender/s1", true},
+		{"operator confirmed another incarnation", [][]config.HostRecord{{sender}, {}}, "sender/s0", false},
+		{"newer incarnation", [][]config.HostRecord{{sender}, {registration("sender", "s2", "b:1")}}, "", true},
+		{"newer host at the address", [][]config.HostRecord{{sender}, {registration("x", "x1", "a:1")}}, "", true},
+		{"newer host at the address before the lease expired", [][]config.HostRecord{{sender}, {sender, registration("x", "x1", "a:1")}}, "", true},
+		{"newer host listed first", [][]config.HostRecord{{sender}, {registration("x", "x1", "a:1"), sender}}, "", true},
+		{"newer host at another address", [][]config.HostRecord{{sender}, {registration("x", "x1", "c:1")}}, "", false},
+		{"older host at the address", [][]config.HostRecord{{registration("x", "x1", "a:1")}, {registration("x", "x1", "a:1"), sender}}, "", false},
+		{"older host listed last", [][]config.HostRecord{{registration("x", "x1", "a:1")}, {sender, registration("x", "x1", "a:1")}}, "", false},
+		{"older host outlives the registration", [][]config.HostRecord{{registration("x", "x1", "a:1")}, {sender, registration("x", "x1", "a:1")}, {registration("x", "x1", "a:1")}}, "", false},
+		{"order of registration unknown", [][]config.HostRecord{{sender, registration("x", "x1", "a:1")}}, "", false},
+		{"order of registration unknown, listed last", [][]config.HostRecord{{registration("x", "x1", "a:1"), sender}}, "", false},
+		{"sender never seen", [][]config.HostRecord{{registration("x", "x1", "a:1")}}, "", true},
+	} {
+		x := newScript(t, testSite(1, 2000), engineRecord(0, 40, false))
+		for _, list := range c.hosts {
+			x.hosts(list...)
+		}
+		if host, inc, ok := strings.Cut(c.gone, "/"); ok {
+			x.p.HandleGone(entity.HostID(host), entity.Incarnation(inc), x.now)
+		}
+		load := SentOrder{ID: "x-1", Action: command.LoadModel, Fence: 1, Host: "sender", Incarnation: "s1", Addr: "a:1"}
+		unload := SentOrder{ID: "x-2", Action: command.UnloadModel, Fence: 2, Host: "h", Incarnation: "i", Addr: "h:1", Done: true}
+		x.place = UpstreamPlacement{MemoryBytes: 40, Fence: 2, Entries: []Entry{{ID: "x", Model: "m0", Bytes: 10, State: StateUnloading, Sends: 2, Orders: []SentOrder{load, unload}}}}
+		x.record(config.PlaceModels+"m0", ModelRecord{Decided: 1, Fence: 2, Replicas: []entity.UpstreamID{"e0"}})
+		x.record(config.PlaceUpstreams+"e0", x.place)
+		applied := []string{"x-2"}
+		for seq := range uint64(3) {
+			x.report("b1", seq+1, applied)
+			x.pass(2 * time.Second)
+			if len(x.place.Entries) == 1 {
+				applied = append(applied, x.place.Entries[0].last().ID)
+			}
+		}
+		if free := len(x.place.Entries) == 0; free != c.free {
+			t.Errorf("%s: memory is free: %v, want %v; %+v", c.name, free, c.free, x.place)
+		}
+	}
+}
--- a/internal/placement/maintain.go
+++ b/internal/placement/maintain.go
@@ -341,9 +341,9 @@
 }
 
 // senderGone says whether the process that listed the order no longer exists: an operator
-// confirmed it, or another incarnation is registered under its host ID or address. The sender was
+// confirmed it, or a newer incarnation is registered under its host ID or address. The sender was
 // registered when it wrote the record, so a view that includes the record and shows another
-// incarnation shows a newer one. A record that is newer than the view is therefore not judged.
+// incarnation under its ID shows a newer one. A record that is newer than the view is therefore not judged.
 func (p *Placer) senderGone(u *upstream, o *SentOrder) bool {
 	if p.owns(o) {
 		return false
@@ -357,8 +357,19 @@
 	if h, ok := p.live[o.Host]; ok && h.Incarnation != o.Incarnation {
 		return true
 	}
-	inc, ok := p.liveAddr[o.Addr]
-	return ok && o.Addr != "" && inc != o.Incarnation
+	return o.Addr != "" && slices.ContainsFunc(p.liveAddr[o.Addr], func(inc entity.Incarnation) bool { return p.newer(inc, o.Incarnation) })
+}
+
+// newer says whether the registered incarnation began after the former one. The registration of a
+// dead predecessor at an address lasts until its lease expires, so an incarnation in the same or
+// an earlier list of hosts is no proof. A former one that this host never saw registered counts as
+// older, because its lease, had it been granted later, would not have expired first.
+func (p *Placer) newer(inc, former entity.Incarnation) bool {
+	if inc == former {
+		return false
+	}
+	first, ok := p.firstList[former]
+	return !ok || p.firstList[inc] > first
 }
 
 func (p *Placer) senderLive(o *SentOrder) bool {
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -79,8 +79,12 @@
 	// decidesSince is when this host became the usual decider.
 	decidesSince time.Time
 	live         map[entity.HostID]config.HostRecord
-	liveAddr     map[string]entity.Incarnation
-	gone         map[string]bool
+	// liveAddr holds the registered incarnations by peer address.
+	liveAddr map[string][]entity.Incarnation
+	// hostLists counts the different lists of hosts, firstList holds the first one with an incarnation.
+	hostLists uint64
+	firstList map[entity.Incarnation]uint64
+	gone      map[string]bool
 
 	models    map[entity.ModelID]*model
 	upstreams map[entity.UpstreamID]*upstream
@@ -259,7 +263,8 @@
 	return &Placer{
 		opt:            opt,
 		live:           map[entity.HostID]config.HostRecord{},
-		liveAddr:       map[string]entity.Incarnation{},
+		liveAddr:       map[string][]entity.Incarnation{},
+		firstList:      map[entity.Incarnation]uint64{},
 		gone:           map[string]bool{},
 		models:         map[entity.ModelID]*model{},
 		upstreams:      map[entity.UpstreamID]*upstream{},
@@ -351,13 +356,17 @@
 	next := make(map[entity.HostID]config.HostRecord, len(live))
 	clear(p.liveAddr)
 	p.inList = false
+	p.hostLists++
 	for _, h := range live {
 		if old, ok := p.live[h.ID]; !ok || old.Incarnation != h.Incarnation || old.PeerAddr != h.PeerAddr {
 			changed = true
 		}
 		next[h.ID] = h
 		if h.PeerAddr != "" {
-			p.liveAddr[h.PeerAddr] = h.Incarnation
+			p.liveAddr[h.PeerAddr] = append(p.liveAddr[h.PeerAddr], h.Incarnation)
+		}
+		if _, ok := p.firstList[h.Incarnation]; !ok {
+			p.firstList[h.Incarnation] = p.hostLists
 		}
 		if h.ID == p.opt.Self && h.Incarnation == p.opt.Incarnation {
 			p.self = h
--- a/internal/placement/records.go
+++ b/internal/placement/records.go
@@ -19,9 +19,6 @@
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 )
 
-// GonePrefix is followed by <host>/<incarnation>: an operator confirmed that the process is gone.
-const GonePrefix = config.ViewPrefix + "gone/"
-
 // The states of an entry. An unloading entry without an unload order is draining.
 const (
 	StateLoading   = "loading"
