--- a/internal/placement/maintain.go
+++ b/internal/placement/maintain.go
@@ -529,7 +529,8 @@
 	if p.void(last) {
 		wait = drainGrace
 	}
-	due := u.since[last.ID].Add(wait)
+	// Later orders follow more slowly, so that an engine that refuses or ignores them costs few writes.
+	due := u.since[last.ID].Add(wait * time.Duration(min(e.Sends, maxWaits)))
 	if p.now.Before(due) {
 		p.wakeUpstream(due, u.id)
 		return false
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -23,6 +23,8 @@
 	demandTTL = 3 * time.Second
 	// resendAfter is how long an order may go without a trace in the reports before another one is listed.
 	resendAfter = 3 * time.Second
+	// maxWaits bounds the growth of the wait between orders of one entry.
+	maxWaits = 5
 	// drainGrace lets every host see that a replica is draining before an idle report counts.
 	drainGrace = 200 * time.Millisecond
 	// settleDelay lets the usual decider settle an order from the reports before the owner writes its result.
@@ -44,6 +46,8 @@
 	maxOrders = 8
 	// maxTxnModels keeps a transaction below the default limit of 128 operations of an etcd server.
 	maxTxnModels = 50
+	// bootSilence is how long the current boot must be silent before a replaced one counts again.
+	bootSilence = 3 * time.Second
 	// keptBoots bounds the remembered earlier boots of one engine.
 	keptBoots = 8
 )
@@ -650,6 +654,7 @@
 		r.Leaving = r.Leaving || u.report.Leaving
 	}
 	if u.report != nil && u.report.Boot != r.Boot {
+		u.boots = slices.DeleteFunc(u.boots, func(b string) bool { return b == r.Boot })
 		u.boots = append(u.boots, u.report.Boot)
 		u.boots = u.boots[max(0, len(u.boots)-keptBoots):]
 	}
@@ -703,8 +708,10 @@
 	return d.Sum64()
 }
 
-// isNewer orders reports by sequence within one boot. A boot that was replaced never returns;
-// an unknown boot counts as newer when its state is.
+// isNewer orders reports by sequence within one boot. An unknown boot counts as newer when its
+// state is. A replaced boot returns only after the current one was silent: a host that started
+// after an engine restart can take a delayed report of the old boot for a newer one. Safety does
+// not depend on this order, because each proof lies within one report.
 func (u *upstream) isNewer(r *wire.UpstreamReport, stateTime time.Time) bool {
 	if u.report == nil {
 		return true
@@ -713,7 +720,7 @@
 		return r.Seq > u.report.Seq || (r.Seq == u.report.Seq && stateTime.After(u.stateTime))
 	}
 	if slices.Contains(u.boots, r.Boot) {
-		return false
+		return stateTime.After(u.stateTime.Add(bootSilence))
 	}
 	return stateTime.After(u.stateTime)
 }
--- a/internal/placement/placer_test.go
+++ b/internal/placement/placer_test.go
@@ -70,3 +70,29 @@
 		}
 	}
 }
+
+// TestBootOrder guards against ignoring an engine for good after a delayed report of its former
+// boot was taken for a newer one.
+func TestBootOrder(t *testing.T) {
+	s := newSim(1, testSite(1, 2000))
+	h := s.addHost(Policy{})
+	steps := []struct {
+		boot   string
+		seq    uint64
+		at     time.Duration
+		accept bool
+	}{
+		{"new", 1, 0, true},
+		{"old", 9, 10 * time.Millisecond, true},
+		{"new", 2, time.Second, false},
+		{"new", 3, 4 * time.Second, true},
+		{"old", 9, 5 * time.Second, false},
+	}
+	for i, step := range steps {
+		h.p.HandleReport(wire.UpstreamReport{Upstream: "e0", Boot: step.boot, Seq: step.seq}, s.now.Add(step.at))
+		r := h.p.upstreams["e0"].report
+		if accepted := r.Boot == step.boot && r.Seq == step.seq; accepted != step.accept {
+			t.Errorf("step %d: accepted is %v, want %v", i, accepted, step.accept)
+		}
+	}
+}
