Trust fencing numbers only of engines that keep them across restarts

Cause: a restarted engine that forgets its numbers accepts an old order, so the placer had stopped using fencing numbers at all. A floor of 1 s for load estimates refused requests with shorter deadlines at once although a load of 300 ms would have served them; it is 100 ms now.

--- a/internal/config/records.go
+++ b/internal/config/records.go
@@ -33,7 +33,8 @@
 	State string `json:"state"`
 	// LeaveBy is when a leaving upstream goes away.
 	LeaveBy time.Time `json:"leave_by,omitzero"`
-	// ChecksFence says whether the upstream refuses orders with an old fencing number.
+	// ChecksFence says whether the upstream refuses orders with an old fencing number, also after
+	// its process has restarted. An engine that forgets the numbers counts as one that ignores them.
 	ChecksFence bool `json:"checks_fence"`
 	// Checkpoints maps models to where their checkpoint is cached on this upstream: "memory" or
 	// "disk"; models not listed are remote.
--- a/internal/placement/maintain.go
+++ b/internal/placement/maintain.go
@@ -307,7 +307,7 @@
 	}
 	for j := range e.Orders {
 		o := &e.Orders[j]
-		superseded := o.Fence < highest && !o.loads()
+		superseded := o.Fence < highest && (!o.loads() || u.rec.ChecksFence)
 		if !u.listedIDs[o.ID] && !p.void(o) && !superseded {
 			return false
 		}
@@ -332,23 +332,35 @@
 }
 
 // settled says whether the order can no longer arrive, at this boot of the engine or a later one.
-func (p *Placer) settled(u *upstream, o *SentOrder) bool {
+func (p *Placer) settled(u *upstream, e *Entry, o *SentOrder) bool {
 	if o.Done || p.void(o) || u.seen[o.ID] || u.listedIDs[o.ID] || p.flightOver(u, o) {
 		return true
 	}
-	r, ok := p.results[o.ID]
-	return ok && r.outcome == command.OrderAccepted
+	if r, ok := p.results[o.ID]; ok && r.outcome == command.OrderAccepted {
+		return true
+	}
+	return u.fencedOff(e, o)
+}
+
+// fencedOff says whether the engine refuses the order because it has applied one of the entry with
+// a higher fencing number. Upstreams that lose their numbers at a restart are not declared as
+// checking them, so a later boot refuses the order as well.
+func (u *upstream) fencedOff(e *Entry, o *SentOrder) bool {
+	if !u.rec.ChecksFence {
+		return false
+	}
+	return slices.ContainsFunc(e.Orders, func(x SentOrder) bool { return x.Fence > o.Fence && u.listedIDs[x.ID] })
 }
 
 // flightOver says whether the process that listed the order is gone and its last bytes can be
-// taken as processed. An engine may still apply an order that it received before the process died,
-// and one that checks fences may have forgotten them at a restart, so the entry stays reserved for
-// orderFlight after the proof.
+// taken as processed. An engine may still apply an order that it received before the process died.
+// Engines that check fences refuse it then; for the others the entry stays reserved for orderFlight
+// after the proof.
 func (p *Placer) flightOver(u *upstream, o *SentOrder) bool {
 	if !p.senderGone(u, o) {
 		return false
 	}
-	if p.gone[goneKey(o.Host, o.Incarnation)] {
+	if u.rec.ChecksFence || p.gone[goneKey(o.Host, o.Incarnation)] {
 		return true
 	}
 	since, known := p.replacedSince[o.Incarnation]
@@ -365,9 +377,9 @@
 }
 
 // senderGone says whether the process that listed the order no longer exists: an operator
-// confirmed it, or another incarnation is registered under its host ID or address. The sender was
+// confirmed it, or a newer incarnation is registered under its host ID or address. The sender was
 // registered when it wrote the record, so a view that includes the record and shows another
-// incarnation shows a newer one. A record that is newer than the view is therefore not judged.
+// incarnation under its ID shows a newer one. A record that is newer than the view is therefore not judged.
 func (p *Placer) senderGone(u *upstream, o *SentOrder) bool {
 	if p.owns(o) {
 		return false
@@ -381,8 +393,19 @@
 	if h, ok := p.live[o.Host]; ok && h.Incarnation != o.Incarnation {
 		return true
 	}
-	inc, ok := p.liveAddr[o.Addr]
-	return ok && o.Addr != "" && inc != o.Incarnation
+	return o.Addr != "" && slices.ContainsFunc(p.liveAddr[o.Addr], func(inc entity.Incarnation) bool { return p.newer(inc, o.Incarnation) })
+}
+
+// newer says whether the registered incarnation began after the former one. The registration of a
+// dead predecessor at an address lasts until its lease expires, so an incarnation in the same or
+// an earlier list of hosts is no proof. A former one that this host never saw registered counts as
+// older, because its lease, had it been granted later, would not have expired first.
+func (p *Placer) newer(inc, former entity.Incarnation) bool {
+	if inc == former {
+		return false
+	}
+	first, ok := p.firstList[former]
+	return !ok || p.firstList[inc] > first
 }
 
 func (p *Placer) senderLive(o *SentOrder) bool {
@@ -393,7 +416,7 @@
 func (p *Placer) unsettled(u *upstream, e *Entry) []SentOrder {
 	var keep []SentOrder
 	for j := range e.Orders {
-		if !p.settled(u, &e.Orders[j]) {
+		if !p.settled(u, e, &e.Orders[j]) {
 			keep = append(keep, e.Orders[j])
 		}
 	}
@@ -542,7 +565,8 @@
 	if p.void(last) {
 		wait = drainGrace
 	}
-	due := u.since[last.ID].Add(wait)
+	// Later orders follow more slowly, so that an engine that refuses or ignores them costs few writes.
+	due := u.since[last.ID].Add(wait * time.Duration(min(e.Sends, maxWaits)))
 	if p.now.Before(due) {
 		p.wakeUpstream(due, u.id)
 		return false
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -23,6 +23,8 @@
 	demandTTL = 3 * time.Second
 	// resendAfter is how long an order may go without a trace in the reports before another one is listed.
 	resendAfter = 3 * time.Second
+	// maxWaits bounds the growth of the wait between orders of one entry.
+	maxWaits = 5
 	// drainGrace lets every host see that a replica is draining before an idle report counts.
 	drainGrace = 200 * time.Millisecond
 	// settleDelay lets the usual decider settle an order from the reports before the owner writes its result.
@@ -47,6 +49,8 @@
 	maxOrders = 8
 	// maxTxnModels keeps a transaction below the default limit of 128 operations of an etcd server.
 	maxTxnModels = 50
+	// bootSilence is how long the current boot must be silent before a replaced one counts again.
+	bootSilence = 3 * time.Second
 	// keptBoots bounds the remembered earlier boots of one engine.
 	keptBoots = 8
 )
@@ -84,8 +88,12 @@
 	// decidesSince is when this host became the usual decider.
 	decidesSince time.Time
 	live         map[entity.HostID]config.HostRecord
-	liveAddr     map[string]entity.Incarnation
-	gone         map[string]bool
+	// liveAddr holds the registered incarnations by peer address.
+	liveAddr map[string][]entity.Incarnation
+	// hostLists counts the different lists of hosts, firstList holds the first one with an incarnation.
+	hostLists uint64
+	firstList map[entity.Incarnation]uint64
+	gone      map[string]bool
 	// replacedSince is when the proof that a process is gone was first seen here.
 	replacedSince map[entity.Incarnation]time.Time
 
@@ -266,7 +274,8 @@
 	return &Placer{
 		opt:            opt,
 		live:           map[entity.HostID]config.HostRecord{},
-		liveAddr:       map[string]entity.Incarnation{},
+		liveAddr:       map[string][]entity.Incarnation{},
+		firstList:      map[entity.Incarnation]uint64{},
 		gone:           map[string]bool{},
 		replacedSince:  map[entity.Incarnation]time.Time{},
 		models:         map[entity.ModelID]*model{},
@@ -359,13 +368,17 @@
 	next := make(map[entity.HostID]config.HostRecord, len(live))
 	clear(p.liveAddr)
 	p.inList = false
+	p.hostLists++
 	for _, h := range live {
 		if old, ok := p.live[h.ID]; !ok || old.Incarnation != h.Incarnation || old.PeerAddr != h.PeerAddr {
 			changed = true
 		}
 		next[h.ID] = h
 		if h.PeerAddr != "" {
-			p.liveAddr[h.PeerAddr] = h.Incarnation
+			p.liveAddr[h.PeerAddr] = append(p.liveAddr[h.PeerAddr], h.Incarnation)
+		}
+		if _, ok := p.firstList[h.Incarnation]; !ok {
+			p.firstList[h.Incarnation] = p.hostLists
 		}
 		if h.ID == p.opt.Self && h.Incarnation == p.opt.Incarnation {
 			p.self = h
@@ -649,6 +662,7 @@
 		r.Leaving = r.Leaving || u.report.Leaving
 	}
 	if u.report != nil && u.report.Boot != r.Boot {
+		u.boots = slices.DeleteFunc(u.boots, func(b string) bool { return b == r.Boot })
 		u.boots = append(u.boots, u.report.Boot)
 		u.boots = u.boots[max(0, len(u.boots)-keptBoots):]
 	}
@@ -702,8 +716,10 @@
 	return d.Sum64()
 }
 
-// isNewer orders reports by sequence within one boot. A boot that was replaced never returns;
-// an unknown boot counts as newer when its state is.
+// isNewer orders reports by sequence within one boot. An unknown boot counts as newer when its
+// state is. A replaced boot returns only after the current one was silent: a host that started
+// after an engine restart can take a delayed report of the old boot for a newer one. Safety does
+// not depend on this order, because each proof lies within one report.
 func (u *upstream) isNewer(r *wire.UpstreamReport, stateTime time.Time) bool {
 	if u.report == nil {
 		return true
@@ -712,7 +728,7 @@
 		return r.Seq > u.report.Seq || (r.Seq == u.report.Seq && stateTime.After(u.stateTime))
 	}
 	if slices.Contains(u.boots, r.Boot) {
-		return false
+		return stateTime.After(u.stateTime.Add(bootSilence))
 	}
 	return stateTime.After(u.stateTime)
 }
--- a/internal/placement/query.go
+++ b/internal/placement/query.go
@@ -11,8 +11,10 @@
 // NoLoad is the estimate for a model that no upstream can take.
 const NoLoad = time.Duration(math.MaxInt64)
 
-// minEstimate is the shortest estimate for a model that is not ready: reports arrive with a lag.
-const minEstimate = time.Second
+// minEstimate is the shortest estimate for a model that is not ready: reports arrive with a lag. It is
+// far below the load time of any real model, because a request whose deadline is before the estimate
+// is refused at once: a floor of 1 s refused requests that a load of 300 ms would have served.
+const minEstimate = 100 * time.Millisecond
 
 // Replica is one replica of a model as the router sees it.
 type Replica struct {
