schedule: eject upstreams that break several requests in a row

Cause: only an upstream that does not accept connections was ejected. One whose connections break after they are made, for example a dead engine behind a proxy that still accepts, got the whole queue within moments: every waiting request was sent into it and refused when the retry budget was used up. Ruled out: the retry budget works as designed; more retries would only use up the attempts.

After three broken attempts in a row the upstream is left out for a growing time and is then probed by one request at a time for 1 s.

--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -358,3 +358,36 @@
 		}
 	}
 }
+
+// Guards against an upstream that breaks every connection and uses up the whole queue within
+// moments: waiting requests must wait for it to recover, not be sent into it and refused.
+func TestBrokenUpstreamKeepsTheQueue(t *testing.T) {
+	s := newScheduler(t, Options{})
+	s.SetTargets(testPool, []Target{{Upstream: "u", Slots: 4}}, start)
+	const requests = 50
+	refused, completed := 0, 0
+	var pending []command.Command
+	for i := range requests {
+		pending = append(pending, s.Enqueue(request(fmt.Sprint("r", i), "a", entity.Interactive, 10*time.Second), start)...)
+	}
+	for ms := 0; ms < 5000; ms += 10 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		outcome := entity.AttemptUnknown
+		if ms >= 1000 {
+			outcome = entity.Completed
+		}
+		next := s.Tick(now)
+		for _, id := range dispatched(pending) {
+			if outcome == entity.Completed {
+				completed++
+			}
+			next = append(next, s.AttemptEnded(AttemptResult{Request: id, Outcome: outcome, Reason: "read"}, now)...)
+		}
+		refused += len(refusals(pending))
+		pending = next
+	}
+	// The five that run at first, and one probe at a time while the upstream is broken.
+	if refused > 15 || refused+completed != requests {
+		t.Errorf("%d of %d requests refused, %d completed", refused, requests, completed)
+	}
+}
--- a/internal/schedule/upstream.go
+++ b/internal/schedule/upstream.go
@@ -16,6 +16,12 @@
 	// doubles with every failure in a row.
 	ejectBase = 50 * time.Millisecond
 	ejectMax  = 2 * time.Second
+	// unknownFailures is the number of broken attempts in a row that eject an upstream. Single ones
+	// also come from idle connections that the upstream has closed, or from answers that went astray.
+	unknownFailures = 3
+	// probeTime is how long after an ejection only one request is sent. It ends by itself, because
+	// a long stream says only at its end that the upstream works.
+	probeTime = time.Second
 	// interactiveHeadroom lets interactive requests exceed the slots by a quarter, because the
 	// engine runs them before the patient ones that it has waiting.
 	interactiveHeadroom = 1.25
@@ -82,6 +88,10 @@
 	if now.Before(u.ejected) {
 		return false
 	}
+	if u.failures >= unknownFailures && now.Sub(u.ejected) < probeTime {
+		// A single request shows whether the upstream works again.
+		return u.inflight == 0
+	}
 	limit := float64(slots)
 	if tier == entity.Interactive {
 		limit = math.Ceil(limit * interactiveHeadroom)
@@ -89,13 +99,24 @@
 	return u.load(now) < limit
 }
 
-// handleOutcome ejects an upstream that does not accept connections, for a growing time.
+// handleOutcome ejects an upstream that does not accept connections, or breaks several in a row,
+// for a growing time. Otherwise its queue would be sent into it and refused within moments.
 func (u *upstream) handleOutcome(res AttemptResult, now time.Time) {
-	if !res.Unreachable {
+	broken := res.Outcome == entity.AttemptUnknown
+	switch {
+	case res.Outcome == entity.Canceled:
+		return
+	case !res.Unreachable && !broken:
 		u.failures = 0
 		return
+	case now.Before(u.ejected):
+		// This attempt began before the ejection and says nothing new.
+		return
 	}
 	u.failures++
+	if broken && u.failures < unknownFailures {
+		return
+	}
 	wait := ejectBase << min(u.failures-1, 10)
 	u.ejected = now.Add(min(wait, ejectMax))
 }
