--- a/test/faults/callers_input_test.go
+++ b/test/faults/callers_input_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"io"
@@ -12,6 +13,9 @@
 	"testing"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/foxtailpass/foxtailpass/internal/wire"
 	"github.com/foxtailpass/foxtailpass/test/harness"
 )
 
@@ -135,19 +139,26 @@
 	frame := func(length uint32, body ...byte) []byte {
 		return append(binary.BigEndian.AppendUint32(nil, length), body...)
 	}
-	inputs := [][]byte{
-		frame(0), frame(1<<32 - 1), frame(4 << 20), frame(3, 0xc1, 0xc1, 0xc1), frame(1, 0x80), frame(10, 0x81),
-		// A map that announces 2^32-1 entries, and a hello without fields.
-		frame(5, 0xdf, 0xff, 0xff, 0xff, 0xff),
-		frame(13, append([]byte{0x81, 0xa4}, "kind\xa5hello"...)...)[:4+12],
-		frame(12, append([]byte{0x81, 0xa4}, "kind\xa5hello"...)...),
+	typed := func(kind byte, body []byte) []byte {
+		return frame(uint32(len(body))+2, append([]byte{1, kind}, body...)...)
 	}
-	for range 20 {
-		b := make([]byte, 1+rng.IntN(200))
-		for i := range b {
-			b[i] = byte(rng.Uint32())
+	hello, err := msgpack.Marshal(wire.Hello{Host: "host-9", Incarnation: "i", Prefix: "foxtailpass/"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	inputs := [][]byte{
+		frame(0), frame(1), frame(1<<32 - 1), frame(4 << 20), frame(2, 9, 1),
+		// Maps and lists that announce 2^32-1 entries, deep nesting, and a hello that is cut off.
+		typed(1, []byte{0xdf, 0xff, 0xff, 0xff, 0xff}), typed(1, []byte{0xdd, 0xff, 0xff, 0xff, 0xff}),
+		typed(1, bytes.Repeat([]byte{0x91}, 4000)), typed(1, hello)[:10],
+	}
+	for kind := range byte(16) {
+		garbage := make([]byte, rng.IntN(200))
+		for i := range garbage {
+			garbage[i] = byte(rng.Uint32())
 		}
-		inputs = append(inputs, frame(uint32(len(b)), b...))
+		// Before and after a hello that is well formed.
+		inputs = append(inputs, typed(kind, garbage), append(typed(1, hello), typed(kind, garbage)...))
 	}
 	for _, in := range inputs {
 		sendRaw(t, s.Hosts[0].Settings.PeerAddr, in)
