harness: find free ports without listening

A probing listener is inherited for a moment by a process that another site is starting, so the port was still in use when the proxy wanted it (2 of about 35 sites failed with "address already in use").

--- a/test/faults/control_helpers_test.go
+++ b/test/faults/control_helpers_test.go
@@ -14,7 +14,6 @@
 	"github.com/foxtailpass/foxtailpass/internal/placement"
 	"github.com/foxtailpass/foxtailpass/internal/platform"
 	"github.com/foxtailpass/foxtailpass/internal/standin/engine"
-	"github.com/foxtailpass/foxtailpass/internal/standin/service"
 	"github.com/foxtailpass/foxtailpass/test/harness"
 )
 
@@ -56,10 +55,6 @@
 	  "routes": {"/orders/": {"upstream_kind": "orders", "timeout_ms": 3000}}}`
 }
 
-func orderService() []service.Options {
-	return []service.Options{{ID: "orders-1", Kind: "orders", WorkTime: 20 * time.Millisecond}}
-}
-
 // decisions follows the placement records and keeps the highest decided count of each model.
 type decisions struct {
 	mu   sync.Mutex
--- a/test/harness/harness.go
+++ b/test/harness/harness.go
@@ -14,6 +14,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -276,16 +277,18 @@
 
 func init() { nextPort.Store(rand.Int64N(lastPort - firstPort)) }
 
+// freeAddr returns an address at which nothing listens. It does not listen to find out: a process
+// that is being started would keep the port for a moment.
 func freeAddr(t testing.TB, ip string) string {
 	t.Helper()
 	for range lastPort - firstPort {
-		addr := fmt.Sprintf("%s:%d", ip, firstPort+nextPort.Add(1)%(lastPort-firstPort))
-		ln, err := net.Listen("tcp", addr)
+		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+		addr := net.JoinHostPort(ip, strconv.FormatInt(port, 10))
+		c, err := net.Dial("tcp", addr)
 		if err != nil {
-			continue
+			return addr
 		}
-		_ = ln.Close()
-		return addr
+		_ = c.Close()
 	}
 	t.Fatalf("no free port at %s", ip)
 	return ""
