--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -36,6 +36,15 @@
 	releaseTimeout = 5 * time.Second
 	// shareWait is the longest time for which a starting host waits for its shares.
 	shareWait = 10 * time.Second
+	// outageShareWait applies while the key-value service does not answer: no share can be
+	// claimed then, and the host borrows tokens from the others.
+	outageShareWait = 2 * time.Second
+	// staleCheck is the time between two looks at whether the view is fresh.
+	staleCheck = 100 * time.Millisecond
+	// staleGrace is how long the view must be stale before running requests are ended. It lets a
+	// host that was paused hear from the service or a peer first, and keeps the sum with the 2 s
+	// freshness limit below the 3 s withdrawal bound.
+	staleGrace = 500 * time.Millisecond
 	// drainPoll is the time between two looks at whether the last request has its answer.
 	drainPoll = 20 * time.Millisecond
 )
@@ -149,6 +158,8 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer stopBackground()
+	// After an aborted stop or a failure, nothing else ends the gateway.
+	defer func() { _ = h.callerListener.Close() }()
 	fatal := make(chan error, 4)
 	h.runBackground(background, &wg, fatal)
 	defer h.claims.Close()
@@ -157,11 +168,21 @@
 	select {
 	case err := <-fatal:
 		return err
+	case <-abort.Done():
+		return h.aborted(abort)
 	case <-ctx.Done():
 	}
 	return h.shutdown(abort)
 }
 
+// aborted closes the listeners without a graceful shutdown: neither the registration nor the
+// shares are given back, as when the process dies.
+func (h *Host) aborted(abort context.Context) error {
+	active := h.gateway.Active()
+	_ = h.gateway.Shutdown(abort)
+	return fmt.Errorf("host: aborted with %d requests", active)
+}
+
 // runBackground starts everything that runs until the end of the process.
 func (h *Host) runBackground(ctx context.Context, wg *sync.WaitGroup, fatal chan<- error) {
 	start := func(f func(context.Context) error) {
@@ -183,12 +204,14 @@
 	start(func(ctx context.Context) error { h.sites.run(ctx); return nil })
 	start(func(ctx context.Context) error { h.reporter.run(ctx); return nil })
 	start(h.refreshLevels)
+	start(h.watchFreshness)
 	start(func(context.Context) error { return h.gateway.Serve(h.callerListener) })
 	start(func(context.Context) error { return h.operator.Serve(h.operatorListener) })
 	context.AfterFunc(ctx, func() { _ = h.operator.Shutdown() })
 }
 
-// refreshLevels copies the token levels for the heartbeats.
+// refreshLevels copies the token levels for the heartbeats and tells the control state whether
+// the key-value service answers.
 func (h *Host) refreshLevels(ctx context.Context) error {
 	t := time.NewTicker(levelsInterval)
 	defer t.Stop()
@@ -197,6 +220,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
+			h.loop.Send(control.ServiceState{Reachable: h.view.ServiceReachable()})
 			h.loop.Query(func(c *control.Core, now time.Time) {
 				levels := c.Levels(now)
 				h.beats.levels.Store(&levels)
@@ -205,9 +229,35 @@
 	}
 }
 
+// watchFreshness ends the requests with keys while this host may miss withdrawals.
+func (h *Host) watchFreshness(ctx context.Context) error {
+	t := time.NewTicker(staleCheck)
+	defer t.Stop()
+	var since time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+		now := time.Now()
+		switch {
+		case h.view.Fresh(now):
+			since = time.Time{}
+		case since.IsZero():
+			since = now
+		case now.Sub(since) >= staleGrace:
+			h.loop.Send(control.ViewStale{})
+		}
+	}
+}
+
 // CallerAddr returns where callers are served.
 func (h *Host) CallerAddr() string { return h.callerListener.Addr().String() }
 
+// PeerAddr returns where other hosts connect.
+func (h *Host) PeerAddr() string { return h.peers.Addr().String() }
+
 // OperatorAddr returns where metrics, health and status are served.
 func (h *Host) OperatorAddr() string { return h.operatorListener.Addr().String() }
 
@@ -235,7 +285,11 @@
 	if h.warm.Load() {
 		return true
 	}
-	held := time.Since(h.started) > shareWait
+	wait := shareWait
+	if !h.view.ServiceReachable() {
+		wait = outageShareWait
+	}
+	held := time.Since(h.started) > wait
 	h.loop.Query(func(c *control.Core, now time.Time) { held = held || c.HasShares(now) })
 	if held {
 		h.warm.Store(true)
--- a/internal/limits/share.go
+++ b/internal/limits/share.go
@@ -374,15 +374,24 @@
 func (t *Throttler) planRelease(a *account, next *Record, own *Holder, target int64, now time.Time) bool {
 	s := &a.share
 	surplus := own.Units - target
-	if s.unknown || now.Before(s.nextRelease) || surplus < leastMove+target/8 || !t.demandFresh(now) {
+	if s.unknown || surplus < leastMove+target/8 {
 		return false
 	}
-	if a.burst <= 0 {
+	largest := int64(largestMove)
+	if t.starved(next) {
+		// A host without units waits for its first readiness, so the surplus is not kept back.
+		largest = TotalUnits
+	} else if now.Before(s.nextRelease) || !t.demandFresh(now) {
+		return false
+	}
+	// Units that nobody claims, for example of a stopping host that is still registered, would
+	// otherwise be claimed and released in turn.
+	if a.burst <= 0 || next.Unissued+next.Free >= leastMove {
 		return false
 	}
 	// The capacity that remains must cover the outstanding loans.
 	least := int64(a.outstanding/a.burst*TotalUnits) + 1
-	units := min(surplus, largestMove, own.Units-least)
+	units := min(surplus, largest, own.Units-least)
 	if units < leastMove {
 		return false
 	}
@@ -396,6 +405,19 @@
 	return true
 }
 
+// starved says whether a live host holds no units at all.
+func (t *Throttler) starved(rec *Record) bool {
+	for id, h := range t.term.hosts {
+		if id == t.opt.Self || h.State == config.HostStopping {
+			continue
+		}
+		if own := rec.holder(h.Incarnation); own == nil || own.Units == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // demandFresh says whether all live peers have reported recently.
 func (t *Throttler) demandFresh(now time.Time) bool {
 	for id := range t.term.hosts {
@@ -430,7 +452,8 @@
 }
 
 // Stop releases all units for a graceful shutdown and refuses waiting requests. Units that cover
-// outstanding loans are released by Tick when the loans have expired.
+// outstanding loans are released by Tick when the loans have expired. The host should be
+// registered as stopping first, because registered live hosts keep a part of the shares.
 func (t *Throttler) Stop(now time.Time) []command.Command {
 	t.stopping = true
 	var out []command.Command
--- a/internal/placement/maintain.go
+++ b/internal/placement/maintain.go
@@ -333,13 +333,37 @@
 
 // settled says whether the order can no longer arrive, at this boot of the engine or a later one.
 func (p *Placer) settled(u *upstream, o *SentOrder) bool {
-	if o.Done || p.void(o) || u.seen[o.ID] || u.listedIDs[o.ID] || p.senderGone(u, o) {
+	if o.Done || p.void(o) || u.seen[o.ID] || u.listedIDs[o.ID] || p.flightOver(u, o) {
 		return true
 	}
 	r, ok := p.results[o.ID]
 	return ok && r.outcome == command.OrderAccepted
 }
 
+// flightOver says whether the process that listed the order is gone and its last bytes can be
+// taken as processed. An engine may still apply an order that it received before the process died,
+// and one that checks fences may have forgotten them at a restart, so the entry stays reserved for
+// orderFlight after the proof.
+func (p *Placer) flightOver(u *upstream, o *SentOrder) bool {
+	if !p.senderGone(u, o) {
+		return false
+	}
+	if p.gone[goneKey(o.Host, o.Incarnation)] {
+		return true
+	}
+	since, known := p.replacedSince[o.Incarnation]
+	if !known {
+		since = p.now
+		p.replacedSince[o.Incarnation] = since
+	}
+	over := since.Add(orderFlight)
+	if p.now.Before(over) {
+		p.wakeUpstream(over, u.id)
+		return false
+	}
+	return true
+}
+
 // senderGone says whether the process that listed the order no longer exists: an operator
 // confirmed it, or a newer incarnation is registered under its host ID or address. The sender was
 // registered when it wrote the record, so a view that includes the record and shows another
@@ -400,11 +424,21 @@
 	if r != nil && r.State == StateLoading {
 		return
 	}
-	if p.needsOrder(u, e) {
+	if p.needsProof(ed, e) || p.needsOrder(u, e) {
 		p.order(ed, e)
 	}
 }
 
+// needsProof says whether all orders of an absent entry have arrived or never will, but one of
+// them perhaps after this report. The report that lists one more order settles the entry.
+func (p *Placer) needsProof(ed *edit, e *Entry) bool {
+	last := e.last()
+	if last == nil || !ed.up.listedIDs[last.ID] || len(p.unsettled(ed.up, e)) > 0 {
+		return false
+	}
+	return !p.provenAbsent(ed, e) && !(e.Adapter == "" && ed.place.hasAdapters(e.Model))
+}
+
 // explains says whether the reported entry is the result of the entry's orders. A load of a
 // model that was already there keeps the former order ID, but the new order is listed as applied.
 func (p *Placer) explains(u *upstream, e *Entry, r *wire.ReportedEntry) bool {
@@ -478,12 +512,7 @@
 		p.order(ed, e)
 		return
 	}
-	if listed && len(p.unsettled(u, e)) == 0 && !p.provenAbsent(ed, e) && !(e.Adapter == "" && ed.place.hasAdapters(e.Model)) {
-		// All orders have arrived or never will, but one of them perhaps after this report.
-		p.order(ed, e)
-		return
-	}
-	if !listed && p.needsOrder(u, e) {
+	if p.needsProof(ed, e) || (!listed && p.needsOrder(u, e)) {
 		p.order(ed, e)
 	}
 }
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -33,6 +33,9 @@
 	readBackAfter = 500 * time.Millisecond
 	// storeRetry is the pause after the key-value service did not respond.
 	storeRetry = 250 * time.Millisecond
+	// orderFlight is how long an order of a replaced process may stay unprocessed at an engine; it
+	// is longer than the 3 s after which a living sender gives up on the answer.
+	orderFlight = 5 * time.Second
 	// refusedBackoff keeps a model off an upstream that refused its load.
 	refusedBackoff = 2 * time.Second
 	// choiceRetry bounds how often a model without a possible upstream searches again.
@@ -60,6 +63,8 @@
 	FIFOLoads bool
 	// NeverUnload keeps idle replicas until their memory is wanted.
 	NeverUnload bool
+	// PerHost wants one replica for each host with demand, as if the hosts did not share loads.
+	PerHost bool
 }
 
 // Options configures a Placer.
@@ -89,6 +94,8 @@
 	hostLists uint64
 	firstList map[entity.Incarnation]uint64
 	gone      map[string]bool
+	// replacedSince is when the proof that a process is gone was first seen here.
+	replacedSince map[entity.Incarnation]time.Time
 
 	models    map[entity.ModelID]*model
 	upstreams map[entity.UpstreamID]*upstream
@@ -270,6 +277,7 @@
 		liveAddr:       map[string][]entity.Incarnation{},
 		firstList:      map[entity.Incarnation]uint64{},
 		gone:           map[string]bool{},
+		replacedSince:  map[entity.Incarnation]time.Time{},
 		models:         map[entity.ModelID]*model{},
 		upstreams:      map[entity.UpstreamID]*upstream{},
 		heard:          map[entity.HostID]time.Time{},
@@ -397,7 +405,7 @@
 		if h.State == "stopping" {
 			continue
 		}
-		if h.ID != self && reachable != nil && !reachable(h.ID) {
+		if reachable != nil && !reachable(h.ID) {
 			continue
 		}
 		score := xxhash.Sum64String("placement/" + string(h.ID))
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -58,10 +58,12 @@
 
 // Scheduler holds the request, pool and upstream tables of one host.
 type Scheduler struct {
-	opts      Options
-	site      *config.Site
-	requests  map[entity.RequestID]*Request
-	pools     map[PoolID]*pool
+	opts     Options
+	site     *config.Site
+	requests map[entity.RequestID]*Request
+	pools    map[PoolID]*pool
+	// byModel holds the model pools by model.
+	byModel   map[entity.ModelID]map[PoolID]*pool
 	upstreams map[entity.UpstreamID]*upstream
 	expiry    expiryHeap
 	budgets   map[entity.WorkspaceID]*retryBudget
@@ -89,6 +91,7 @@
 		opts:      opts,
 		requests:  make(map[entity.RequestID]*Request),
 		pools:     make(map[PoolID]*pool),
+		byModel:   make(map[entity.ModelID]map[PoolID]*pool),
 		upstreams: make(map[entity.UpstreamID]*upstream),
 		budgets:   make(map[entity.WorkspaceID]*retryBudget),
 		wanting:   make(map[PoolID]*pool),
@@ -110,7 +113,7 @@
 		out = append(out, s.refusePool(p)...)
 		if !p.active() {
 			p.setTargets(nil, s.upstream)
-			delete(s.pools, id)
+			s.deletePool(id)
 		}
 	}
 	return append(out, s.fill(now)...)
@@ -161,10 +164,18 @@
 	})
 }
 
+// RefuseKeyed ends all requests that came with a key: queued ones get the refusal, running ones are
+// canceled.
+func (s *Scheduler) RefuseKeyed(refusal entity.Refusal) []command.Command {
+	return s.refuseWhere(func(r *Request) bool { return r.Key != "" }, func(r *Request) entity.Refusal {
+		return r.refusal(refusal.Status, refusal.Code, refusal.Message, refusal.RetryAfter)
+	})
+}
+
 func (s *Scheduler) refuseWhere(match func(*Request) bool, refusal func(*Request) entity.Refusal) []command.Command {
 	var out []command.Command
 	for _, r := range s.requests {
-		if match(r) {
+		if match(r) && !r.canceled {
 			out = append(out, s.end(r, refusal(r)))
 		}
 	}
@@ -350,6 +361,12 @@
 	return &refusal
 }
 
+// Holds says whether the request is queued or running here.
+func (s *Scheduler) Holds(id entity.RequestID) bool {
+	_, ok := s.requests[id]
+	return ok
+}
+
 // Cancel removes a request whose caller has left. The caller of Cancel stops a running attempt
 // itself and reports its end.
 func (s *Scheduler) Cancel(id entity.RequestID) {
@@ -580,10 +597,30 @@
 	if !ok {
 		p = &pool{id: id, flows: make(map[entity.WorkspaceID]*flow)}
 		s.pools[id] = p
+		if id.Kind == "" {
+			s.indexPool(p)
+		}
 	}
 	return p
 }
 
+func (s *Scheduler) indexPool(p *pool) {
+	m := s.byModel[p.id.Model]
+	if m == nil {
+		m = make(map[PoolID]*pool)
+		s.byModel[p.id.Model] = m
+	}
+	m[p.id] = p
+}
+
+func (s *Scheduler) deletePool(id PoolID) {
+	delete(s.pools, id)
+	delete(s.byModel[id.Model], id)
+	if len(s.byModel[id.Model]) == 0 {
+		delete(s.byModel, id.Model)
+	}
+}
+
 func (s *Scheduler) upstream(id entity.UpstreamID) *upstream {
 	u, ok := s.upstreams[id]
 	if !ok {
