--- a/internal/placement/maintain.go
+++ b/internal/placement/maintain.go
@@ -436,11 +436,21 @@
 	if r != nil && r.State == StateLoading {
 		return
 	}
-	if p.needsOrder(u, e) {
+	if p.needsProof(ed, e) || p.needsOrder(u, e) {
 		p.order(ed, e)
 	}
 }
 
+// needsProof says whether all orders of an absent entry have arrived or never will, but one of
+// them perhaps after this report. The report that lists one more order settles the entry.
+func (p *Placer) needsProof(ed *edit, e *Entry) bool {
+	last := e.last()
+	if last == nil || !ed.up.listedIDs[last.ID] || len(p.unsettled(ed.up, e)) > 0 {
+		return false
+	}
+	return !p.provenAbsent(ed, e) && !(e.Adapter == "" && ed.place.hasAdapters(e.Model))
+}
+
 // explains says whether the reported entry is the result of the entry's orders. A load of a
 // model that was already there keeps the former order ID, but the new order is listed as applied.
 func (p *Placer) explains(u *upstream, e *Entry, r *wire.ReportedEntry) bool {
@@ -514,12 +524,7 @@
 		p.order(ed, e)
 		return
 	}
-	if listed && len(p.unsettled(u, e)) == 0 && !p.provenAbsent(ed, e) && !(e.Adapter == "" && ed.place.hasAdapters(e.Model)) {
-		// All orders have arrived or never will, but one of them perhaps after this report.
-		p.order(ed, e)
-		return
-	}
-	if !listed && p.needsOrder(u, e) {
+	if p.needsProof(ed, e) || (!listed && p.needsOrder(u, e)) {
 		p.order(ed, e)
 	}
 }
