limits: do not fence a process whose heartbeats arrive

Cause: an outage in which the service refuses calls but still ends leases made every host look unregistered. Holders then asked for fences, the witnesses granted them although the hosts were linked and alive, and a fenced host is never answered again, so its shares and the freshness of its keys ended. Ruled out: the links; keeping them up alone did not help (trial of the test's author). A dead host is fenced 2 s after its last heartbeat at the earliest.

--- a/internal/limits/term.go
+++ b/internal/limits/term.go
@@ -237,14 +237,19 @@
 	}}}
 }
 
-// fence promises not to answer a process again. It declines while the registry lists the process.
+// fence promises not to answer a process again. It declines while the registry lists the process,
+// and while its heartbeats arrive: a process can lose its registration in an outage of the service
+// that ends leases, and its peers are then all that keeps it serving.
 func (t *Throttler) fence(host entity.HostID, inc entity.Incarnation, now time.Time) (time.Duration, bool) {
 	m := &t.term
 	if !m.loaded || m.isLive(host, inc) || inc == t.opt.Incarnation {
 		return 0, false
 	}
-	m.fenced[inc] = true
 	last, answered := m.lastAnswer[inc]
+	if answered && now.Sub(last) < heartbeatAlive {
+		return 0, false
+	}
+	m.fenced[inc] = true
 	if !answered {
 		return -1, true
 	}
--- a/internal/limits/throttler.go
+++ b/internal/limits/throttler.go
@@ -26,6 +26,8 @@
 	LoanTerm = 250 * time.Millisecond
 	// loanMargin shortens the term at the borrower; it covers 2 % difference in clock speed.
 	loanMargin = 5 * time.Millisecond
+	// heartbeatAlive is how long a process counts as alive after its last heartbeat: four intervals.
+	heartbeatAlive = 2 * time.Second
 	// WitnessTerm is how long a witness answer counts, from when the heartbeat was sent.
 	WitnessTerm = 5 * time.Second
 	// LongTerm bounds the time without a lease, also when all witnesses answer.
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -220,7 +220,13 @@
 		t.Fatal("hang: got an answer")
 	}
 	waitFor(t, func() bool { return e.Boot() != boot })
-	if status, _, _, _ := send("f"); status != 409 || len(e.Report().Entries) != 0 {
+	// The new boot is known a moment before its port is open.
+	status := 0
+	waitFor(t, func() bool {
+		status, _, _, _ = send("f")
+		return status != 0
+	})
+	if status != 409 || len(e.Report().Entries) != 0 {
 		t.Fatalf("memory survived the restart: %d", status)
 	}
 	if now, most := e.opts.Store.Replicas("m"); now != 0 || most != 1 {
