limits: deliver configuration changes in order in the simulation

The cause was in the simulation: two changes 6 ms apart reached one process in the wrong order, so it kept the older limits for good, which were twice the newer. Ruled out: the slack of checkBound (2 s more changed nothing but the time) and the ledger (its cap was exactly its units of the older burst). Hosts never take an older configuration, because their view never goes back. The simulated process now ignores a change that is older than the one it has; all later checks are as before.

--- a/internal/limits/cluster_test.go
+++ b/internal/limits/cluster_test.go
@@ -57,6 +57,8 @@
 	stopped bool
 	// seen is the newest store revision whose changes it has received.
 	seen int64
+	// change is the number of the configuration change that it has applied.
+	change int
 }
 
 // cluster runs several Throttlers against an in-memory record store in one loop.
@@ -163,9 +165,15 @@
 	c.site = &config.Site{Document: config.Document{Workspaces: map[entity.WorkspaceID]config.Workspace{
 		testWorkspace: {RateTokensPerSecond: rate, BurstTokens: burst},
 	}}}
-	site := c.site
+	site, change := c.site, len(c.rates)
 	for _, p := range c.all {
-		c.deliver(p, c.lag(), func() { p.th.HandleSite(site, c.clock(p)) })
+		c.deliver(p, c.lag(), func() {
+			// A view never goes back to an older configuration, whatever the order of delivery.
+			if change > p.change {
+				p.change = change
+				p.th.HandleSite(site, c.clock(p))
+			}
+		})
 	}
 }
 
@@ -177,6 +185,7 @@
 	}
 	p.th = New(Options{Self: host, Incarnation: p.inc, Addr: p.addr, Policy: c.policy, Rand: rand.New(rand.NewPCG(c.rng.Uint64(), 1))})
 	p.th.HandleSite(c.site, c.clock(p))
+	p.change = len(c.rates)
 	c.procs[host] = p
 	c.all = append(c.all, p)
 	c.after(0, func() { c.register(p, true) })
