--- a/internal/placement/query.go
+++ b/internal/placement/query.go
@@ -11,8 +11,9 @@
 // NoLoad is the estimate for a model that no upstream can take.
 const NoLoad = time.Duration(math.MaxInt64)
 
-// minEstimate is the shortest estimate for a model that is not ready: reports arrive with a lag.
-const minEstimate = time.Second
+// minEstimate is the shortest estimate for a load in progress, because reports arrive with a lag.
+// With 1 s, requests with shorter deadlines were refused while a load of 300 ms ran.
+const minEstimate = 200 * time.Millisecond
 
 // Replica is one replica of a model as the router sees it.
 type Replica struct {
@@ -123,7 +124,7 @@
 	if source := p.cachedSource(m); source != SourceRemote {
 		estimate = min(estimate, p.loadTimeFrom(m, source))
 	}
-	return max(estimate, minEstimate)
+	return estimate
 }
 
 // cachedSource is the best place from which an upstream with free memory can load the model.
--- a/internal/placement/rules_test.go
+++ b/internal/placement/rules_test.go
@@ -204,3 +204,17 @@
 		}
 	}
 }
+
+// TestEstimateOfShortLoad guards against refusing requests as hopeless although their deadline is
+// longer than the load.
+func TestEstimateOfShortLoad(t *testing.T) {
+	x := newScript(t, testSite(1, 300), engineRecord(0, 40, true))
+	if got := x.p.NextLoadEstimate("m0", x.now); got != 300*time.Millisecond {
+		t.Errorf("the estimate before the load is %v, want 300ms", got)
+	}
+	x.demand("m0", 1)
+	x.pass(200 * time.Millisecond)
+	if got := x.p.NextLoadEstimate("m0", x.now); got > 300*time.Millisecond {
+		t.Errorf("the estimate during the load is %v", got)
+	}
+}
