--- a/internal/placement/query.go
+++ b/internal/placement/query.go
@@ -127,11 +127,15 @@
 	return estimate
 }
 
-// cachedSource is the best place from which an upstream with free memory can load the model.
+// cachedSource is the best place from which an upstream that has the memory, or can free it, can
+// load the model.
 func (p *Placer) cachedSource(m *model) string {
 	best := SourceRemote
 	for _, u := range m.local {
-		if !p.eligible(m, u) || u.freeBytes(&u.place) < m.cfg.Bytes {
+		if !p.eligible(m, u) {
+			continue
+		}
+		if _, _, ok := p.victims(m, u); !ok {
 			continue
 		}
 		if s := u.source(m.id); sourceOrder(s) < sourceOrder(best) {
