--- a/internal/placement/query.go
+++ b/internal/placement/query.go
@@ -11,10 +11,9 @@
 // NoLoad is the estimate for a model that no upstream can take.
 const NoLoad = time.Duration(math.MaxInt64)
 
-// minEstimate is the shortest estimate for a model that is not ready: reports arrive with a lag. It is
-// far below the load time of any real model, because a request whose deadline is before the estimate
-// is refused at once: a floor of 1 s refused requests that a load of 300 ms would have served.
-const minEstimate = 100 * time.Millisecond
+// minEstimate is the shortest estimate for a load in progress, because reports arrive with a lag.
+// With 1 s, requests with shorter deadlines were refused while a load of 300 ms ran.
+const minEstimate = 200 * time.Millisecond
 
 // Replica is one replica of a model as the router sees it.
 type Replica struct {
@@ -125,14 +124,18 @@
 	if source := p.cachedSource(m); source != SourceRemote {
 		estimate = min(estimate, p.loadTimeFrom(m, source))
 	}
-	return max(estimate, minEstimate)
+	return estimate
 }
 
-// cachedSource is the best place from which an upstream with free memory can load the model.
+// cachedSource is the best place from which an upstream that has the memory, or can free it, can
+// load the model.
 func (p *Placer) cachedSource(m *model) string {
 	best := SourceRemote
 	for _, u := range m.local {
-		if !p.eligible(m, u) || u.freeBytes(&u.place) < m.cfg.Bytes {
+		if !p.eligible(m, u) {
+			continue
+		}
+		if _, _, ok := p.victims(m, u); !ok {
 			continue
 		}
 		if s := u.source(m.id); sourceOrder(s) < sourceOrder(best) {
