limits: wait longer for loans

Cause: on a busy machine an answer to a loan request can take longer than 25 ms, and requests within the rate were refused after 60 ms although the fleet had the tokens (TestRateBound/rate_lowered: 3 of 459 in 1 of 5 runs of its author). The wait is 150 ms now, well within the loan term of 250 ms; when the fleet's known tokens cannot suffice the refusal still comes at once.

--- a/internal/limits/throttler.go
+++ b/internal/limits/throttler.go
@@ -42,9 +42,9 @@
 // Durations that affect only service quality.
 const (
 	// loanWait bounds how long a request waits for loans.
-	loanWait = 60 * time.Millisecond
+	loanWait = 150 * time.Millisecond
 	// askTimeout ends the wait for one peer's answer, so that a second round fits in loanWait.
-	askTimeout = 25 * time.Millisecond
+	askTimeout = 60 * time.Millisecond
 	// firstShareWait bounds how long requests of a workspace that is new in the configuration wait
 	// for this host's first share: two writes to the key-value service and their conflicts.
 	firstShareWait = time.Second
