--- a/internal/experiment/cold.go
+++ b/internal/experiment/cold.go
@@ -141,8 +141,9 @@
 }
 
 // coldStarts compares cold requests with an ideal site that knows of the first request of each
-// model at once, loads it from the nearest checkpoint on an engine that stays, and starts remote loads in the order of
-// these requests as soon as the weight store allows. Links, prefill and memory cost it nothing.
+// model at once, loads it from the nearest checkpoint on an engine that stays, and starts remote
+// loads in the order of these requests as soon as the weight store allows. Links, prefill and
+// memory cost it nothing.
 func (h *loadHistory) coldStarts(site *config.Site, engines func(time.Time) []engine.Options, samples []load.Sample) []coldStart {
 	slices.SortFunc(samples, func(a, b load.Sample) int { return a.At.Compare(b.At) })
 	ideal := newIdealStore(site.WeightStore)
