--- a/internal/experiment/overhead.go
+++ b/internal/experiment/overhead.go
@@ -76,6 +76,10 @@
 	Through load.Latency `json:"through"`
 	// Answered is the share of complete answers through the host.
 	Answered float64 `json:"answered"`
+	// CPUShare is the CPU time of the host per second, and RunDelay the time per second that its
+	// threads were ready but waited for a CPU, which is the machine's part of the latency.
+	CPUShare float64 `json:"cpu_share"`
+	RunDelay float64 `json:"run_delay"`
 }
 
 // Overhead compares calls through one host on one core with calls of the engine stand-in.
@@ -128,9 +132,13 @@
 		if round.Direct, _, err = c.openLoop(ctx, direct, key, r.Rate, uint64(i)); err != nil {
 			return nil, err
 		}
+		began, cpu, delay := time.Now(), h.cpu(), h.runDelay()
 		if round.Through, round.Answered, err = c.openLoop(ctx, h.caller, key, r.Rate, uint64(i)); err != nil {
 			return nil, err
 		}
+		took := time.Since(began).Seconds()
+		round.CPUShare = (h.cpu() - cpu).Seconds() / took
+		round.RunDelay = (h.runDelay() - delay).Seconds() / took
 		r.Rounds = append(r.Rounds, round)
 	}
 	r.MemoryHighest, r.LoadAverageAfter = h.memory("VmHWM"), loadAverage()
@@ -251,6 +259,20 @@
 	return time.Duration(user+system) * time.Second / clockTicks
 }
 
+// runDelay returns the time that the threads of the process have waited for a CPU while ready.
+func (h *hostProcess) runDelay() time.Duration {
+	files, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", h.cmd.Process.Pid))
+	var sum time.Duration
+	for _, file := range files {
+		data, _ := os.ReadFile(file)
+		if fields := strings.Fields(string(data)); len(fields) == 3 {
+			ns, _ := strconv.ParseInt(fields[1], 10, 64)
+			sum += time.Duration(ns)
+		}
+	}
+	return sum
+}
+
 // Print writes the report as a table.
 func (r *OverheadReport) Print(out io.Writer) error {
 	tw := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
@@ -266,6 +288,7 @@
 		row(fmt.Sprintf("round %d direct p50/p99", i+1), "%.2f/%.2f ms", ms(o.Direct.P50), ms(o.Direct.P99))
 		row(fmt.Sprintf("round %d through the host p50/p99", i+1), "%.2f/%.2f ms, %.2f %% answered", ms(o.Through.P50), ms(o.Through.P99), 100*o.Answered)
 		row(fmt.Sprintf("round %d added p50/p99", i+1), "%.2f/%.2f ms", ms(o.Through.P50-o.Direct.P50), ms(o.Through.P99-o.Direct.P99))
+		row(fmt.Sprintf("round %d host on CPU/ready but waiting for one", i+1), "%.0f/%.0f ms per s", 1000*o.CPUShare, 1000*o.RunDelay)
 	}
 	return tw.Flush()
 }
