--- a/internal/experiment/overhead.go
+++ b/internal/experiment/overhead.go
@@ -48,8 +48,10 @@
 	Binary string
 	// Duration is the length of each of the three measurements.
 	Duration time.Duration
-	// Rounds repeats the two measurements at half of the saturating load, in turn.
+	// Rounds repeats the two measurements at a share of the saturating load, in turn.
 	Rounds int
+	// Share of the saturating load is sent in the rounds.
+	Share  float64
 	Seed   uint64
 	Stream bool
 }
@@ -126,7 +128,7 @@
 	if used := h.cpu() - before; used > 0 {
 		r.PerCore = float64(sat.Complete) / used.Seconds()
 	}
-	r.Rate = r.Saturated / 2
+	r.Rate = r.Saturated * c.Share
 	for i := range c.Rounds {
 		var round OverheadRound
 		if round.Direct, _, err = c.openLoop(ctx, direct, key, r.Rate, uint64(i)); err != nil {
