--- a/internal/placement/maintain.go
+++ b/internal/placement/maintain.go
@@ -307,7 +307,7 @@
 	}
 	for j := range e.Orders {
 		o := &e.Orders[j]
-		superseded := o.Fence < highest && !o.loads()
+		superseded := o.Fence < highest && (!o.loads() || u.rec.ChecksFence)
 		if !u.listedIDs[o.ID] && !p.void(o) && !superseded {
 			return false
 		}
@@ -332,23 +332,35 @@
 }
 
 // settled says whether the order can no longer arrive, at this boot of the engine or a later one.
-func (p *Placer) settled(u *upstream, o *SentOrder) bool {
+func (p *Placer) settled(u *upstream, e *Entry, o *SentOrder) bool {
 	if o.Done || p.void(o) || u.seen[o.ID] || u.listedIDs[o.ID] || p.flightOver(u, o) {
 		return true
 	}
-	r, ok := p.results[o.ID]
-	return ok && r.outcome == command.OrderAccepted
+	if r, ok := p.results[o.ID]; ok && r.outcome == command.OrderAccepted {
+		return true
+	}
+	return u.fencedOff(e, o)
+}
+
+// fencedOff says whether the engine refuses the order because it has applied one of the entry with
+// a higher fencing number. Upstreams that lose their numbers at a restart are not declared as
+// checking them, so a later boot refuses the order as well.
+func (u *upstream) fencedOff(e *Entry, o *SentOrder) bool {
+	if !u.rec.ChecksFence {
+		return false
+	}
+	return slices.ContainsFunc(e.Orders, func(x SentOrder) bool { return x.Fence > o.Fence && u.listedIDs[x.ID] })
 }
 
 // flightOver says whether the process that listed the order is gone and its last bytes can be
-// taken as processed. An engine may still apply an order that it received before the process died,
-// and one that checks fences may have forgotten them at a restart, so the entry stays reserved for
-// orderFlight after the proof.
+// taken as processed. An engine may still apply an order that it received before the process died.
+// Engines that check fences refuse it then; for the others the entry stays reserved for orderFlight
+// after the proof.
 func (p *Placer) flightOver(u *upstream, o *SentOrder) bool {
 	if !p.senderGone(u, o) {
 		return false
 	}
-	if p.gone[goneKey(o.Host, o.Incarnation)] {
+	if u.rec.ChecksFence || p.gone[goneKey(o.Host, o.Incarnation)] {
 		return true
 	}
 	since, known := p.replacedSince[o.Incarnation]
@@ -404,7 +416,7 @@
 func (p *Placer) unsettled(u *upstream, e *Entry) []SentOrder {
 	var keep []SentOrder
 	for j := range e.Orders {
-		if !p.settled(u, &e.Orders[j]) {
+		if !p.settled(u, e, &e.Orders[j]) {
 			keep = append(keep, e.Orders[j])
 		}
 	}
