--- a/internal/placement/query.go
+++ b/internal/placement/query.go
@@ -11,10 +11,9 @@
 // NoLoad is the estimate for a model that no upstream can take.
 const NoLoad = time.Duration(math.MaxInt64)
 
-// minEstimate is the shortest estimate for a load in progress: reports arrive with a lag. It is
-// far below the load time of any real model, because a request whose deadline is before the estimate
-// is refused at once: a floor of 1 s refused requests that a load of 300 ms would have served.
-const minEstimate = 100 * time.Millisecond
+// minEstimate is the shortest estimate for a load in progress, because reports arrive with a lag.
+// With 1 s, requests with shorter deadlines were refused while a load of 300 ms ran.
+const minEstimate = 200 * time.Millisecond
 
 // Replica is one replica of a model as the router sees it.
 type Replica struct {
