placement: keep a ready replica while another one is loading

Cause: when demand fell, the replicas to drain were counted with those still loading; the loading one cannot be drained, so the ready one was, and the model had no replica until the load ended. Ruled out: memory pressure, reclaim, loss of an engine, the hold time. TestShrinkKeepsReady failed before.

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -103,7 +103,7 @@
 			p.pending[m.id] = struct{}{}
 		}
 	case len(c.active) > m.want:
-		p.shrink(m, c.active, len(c.active)-m.want)
+		p.shrinkActive(m, c)
 	}
 	if len(c.leaving) > 0 && c.ready >= m.want {
 		p.shrink(m, c.leaving, len(c.leaving))
@@ -111,6 +111,16 @@
 	p.evaluateAdapters(m)
 }
 
+// shrinkActive drains what exceeds the wanted replicas, but never a ready replica in the place of
+// one that is still loading: the model would have none until that load ends.
+func (p *Placer) shrinkActive(m *model, c replicaCount) {
+	if c.ready <= m.want {
+		p.wakeModel(p.now.Add(drainGrace), m.id)
+		return
+	}
+	p.shrink(m, c.active, c.ready-m.want)
+}
+
 // adoptActive keeps the replicas that a former decider left until all hosts have had time to send
 // their demand to this one.
 func (p *Placer) adoptActive(m *model, c *replicaCount) {
--- /dev/null
+++ b/internal/placement/shrink_test.go
@@ -0,0 +1,45 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/wire"
+)
+
+// TestShrinkKeepsReady guards against draining the only ready replica when demand falls while a
+// second one is still loading: the model would have no replica until that load ends.
+func TestShrinkKeepsReady(t *testing.T) {
+	site := testSite(1, 30_000)
+	site.Placement.HoldMillis = 1000
+	s := newSim(1, site)
+	h := s.addHost(Policy{})
+	for i := range 3 {
+		s.addEngine(engineRecord(i, 100, true))
+	}
+	run := func(d time.Duration) {
+		for end := s.now.Add(d); s.now.Before(end); {
+			s.step()
+		}
+	}
+	h.demand = []wire.ModelDemand{{Model: "m0", WaitingInteractive: 1, OldestDeadline: time.Minute}}
+	for range 4000 {
+		if s.step(); s.ready("m0", "") == 1 {
+			break
+		}
+	}
+	if s.ready("m0", "") != 1 {
+		t.Fatal("not loaded")
+	}
+	h.demand = []wire.ModelDemand{{Model: "m0", Running: 6}}
+	run(3 * time.Second)
+	if s.loads["m0"] != 2 {
+		t.Fatalf("%d loads", s.loads["m0"])
+	}
+	h.demand = []wire.ModelDemand{{Model: "m0", Running: 2}}
+	for range 2000 {
+		if s.step(); s.ready("m0", "") == 0 {
+			t.Fatalf("no ready replica\n%s", s.dump())
+		}
+	}
+}
