--- a/internal/placement/maintain.go
+++ b/internal/placement/maintain.go
@@ -377,9 +377,9 @@
 }
 
 // senderGone says whether the process that listed the order no longer exists: an operator
-// confirmed it, or a newer incarnation is registered under its host ID or address. The sender was
-// registered when it wrote the record, so a view that includes the record and shows another
-// incarnation under its ID shows a newer one. A record that is newer than the view is therefore not judged.
+// confirmed it, or a newer incarnation is registered at its address. A newer incarnation of the same
+// host at another address proves nothing: the lease of a paused process expires, and it can wake
+// up and send. A record that is newer than the view is not judged.
 func (p *Placer) senderGone(u *upstream, o *SentOrder) bool {
 	if p.owns(o) {
 		return false
@@ -390,9 +390,6 @@
 	if u.viewRev < u.rev {
 		return false
 	}
-	if h, ok := p.live[o.Host]; ok && h.Incarnation != o.Incarnation {
-		return true
-	}
 	return o.Addr != "" && slices.ContainsFunc(p.liveAddr[o.Addr], func(inc entity.Incarnation) bool { return p.newer(inc, o.Incarnation) })
 }
 
