Split the large files of placement and control; share what programs and stand-ins repeat

No behavior changes: functions moved to files by their concern, the mains of two tools and the records of received requests now have one implementation each.

--- a/cmd/foxtailload/main.go
+++ b/cmd/foxtailload/main.go
@@ -9,54 +9,25 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
-	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/load"
+	"github.com/foxtailpass/foxtailpass/internal/program"
 	"github.com/urfave/cli/v3"
 )
 
-const (
-	exitFailure  = 1
-	exitSettings = 2
-)
-
 // errUsage marks invalid scenarios, flags and arguments.
 var errUsage = errors.New("invalid usage")
 
-func main() {
-	logger := log.NewWithOptions(os.Stderr, log.Options{Prefix: "foxtailload", ReportTimestamp: true})
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	// After the first signal the default handling is back, so that a second one ends the process.
-	context.AfterFunc(ctx, stop)
-	err := newCommand(logger).Run(ctx, os.Args)
-	if err == nil {
-		return
-	}
-	logger.Error("Command failed.", "err", err)
-	if errors.Is(err, errUsage) {
-		os.Exit(exitSettings)
-	}
-	os.Exit(exitFailure)
-}
-
-func version() string {
-	if info, ok := debug.ReadBuildInfo(); ok {
-		return info.Main.Version
-	}
-	return "unknown"
-}
+func main() { os.Exit(program.Main("foxtailload", newCommand, errUsage)) }
 
 func newCommand(logger *log.Logger) *cli.Command {
 	return &cli.Command{
 		Name:    "foxtailload",
 		Usage:   "generate open-loop load and compare reports",
-		Version: version(),
+		Version: program.Version(),
 		Commands: []*cli.Command{
 			runCommand(logger), benchCommand(logger), compareCommand(),
 			experimentCommand(), experimentsCommand(logger), summarizeCommand(), overheadCommand(),
--- a/cmd/foxtailstandin/main.go
+++ b/cmd/foxtailstandin/main.go
@@ -11,21 +11,17 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
-	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/program"
 	"github.com/foxtailpass/foxtailpass/internal/standin/engine"
 	"github.com/foxtailpass/foxtailpass/internal/standin/service"
 	"github.com/urfave/cli/v3"
 )
 
 const (
-	exitFailure  = 1
-	exitSettings = 2
 	// stopTimeout bounds the wait for running requests in a graceful stop.
 	stopTimeout = 60 * time.Second
 )
@@ -33,35 +29,13 @@
 // errSettings marks errors of flags and settings files.
 var errSettings = errors.New("invalid settings")
 
-func main() {
-	logger := log.NewWithOptions(os.Stderr, log.Options{Prefix: "foxtailstandin", ReportTimestamp: true})
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	// After the first signal the default handling is back, so that a second one ends the process.
-	context.AfterFunc(ctx, stop)
-	err := newCommand(logger).Run(ctx, os.Args)
-	if err == nil {
-		return
-	}
-	logger.Error("Command failed.", "err", err)
-	if errors.Is(err, errSettings) {
-		os.Exit(exitSettings)
-	}
-	os.Exit(exitFailure)
-}
-
-func version() string {
-	if info, ok := debug.ReadBuildInfo(); ok {
-		return info.Main.Version
-	}
-	return "unknown"
-}
+func main() { os.Exit(program.Main("foxtailstandin", newCommand, errSettings)) }
 
 func newCommand(logger *log.Logger) *cli.Command {
 	return &cli.Command{
 		Name:     "foxtailstandin",
 		Usage:    "run stand-ins for the platform, model engines and plain services",
-		Version:  version(),
+		Version:  program.Version(),
 		Commands: []*cli.Command{platformCommand(logger), engineCommand(logger), serviceCommand(logger), demoCommand(logger)},
 	}
 }
--- /dev/null
+++ b/internal/control/status.go
@@ -0,0 +1,77 @@
+package control
+
+import (
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/limits"
+	"github.com/foxtailpass/foxtailpass/internal/placement"
+	"github.com/foxtailpass/foxtailpass/internal/schedule"
+	"github.com/foxtailpass/foxtailpass/internal/wire"
+)
+
+// Addr returns the address of an upstream, or empty if it is not listed.
+func (c *Core) Addr(id entity.UpstreamID) string { return c.upstreams[id].Addr }
+
+// Levels returns the token state for heartbeats.
+func (c *Core) Levels(now time.Time) []wire.WorkspaceLevel { return c.throttler.Levels(now) }
+
+// Released says that all shares have been given back after Stopping.
+func (c *Core) Released() bool { return c.throttler.Released() }
+
+// HasShares says whether this host holds a usable share of every workspace, so that it can admit
+// requests without asking other hosts.
+func (c *Core) HasShares(now time.Time) bool {
+	for _, a := range c.throttler.Status(now) {
+		if a.Rate > 0 && (a.Units == 0 || !a.Usable) {
+			return false
+		}
+	}
+	return true
+}
+
+// Requests returns the number of requests without a final answer.
+func (c *Core) Requests() int { return len(c.requests) }
+
+// Status is the operator view of the control state.
+type Status struct {
+	Requests  int                                  `json:"requests"`
+	Scheduler schedule.Status                      `json:"scheduler"`
+	Limits    []limits.AccountStatus               `json:"limits"`
+	Placement placement.Status                     `json:"placement"`
+	Hosts     map[entity.HostID]HostStatus         `json:"hosts"`
+	Upstreams map[entity.UpstreamID]UpstreamStatus `json:"upstreams"`
+}
+
+// HostStatus is what this host knows about another.
+type HostStatus struct {
+	Incarnation entity.Incarnation `json:"incarnation"`
+	State       string             `json:"state"`
+	Linked      bool               `json:"linked"`
+}
+
+// UpstreamStatus is what the platform's list says about an upstream.
+type UpstreamStatus struct {
+	Kind  string `json:"kind"`
+	Addr  string `json:"addr"`
+	State string `json:"state"`
+}
+
+// Status returns the operator view.
+func (c *Core) Status(now time.Time) Status {
+	s := Status{
+		Requests:  len(c.requests),
+		Scheduler: c.scheduler.Status(),
+		Limits:    c.throttler.Status(now),
+		Placement: c.placer.Status(),
+		Hosts:     make(map[entity.HostID]HostStatus),
+		Upstreams: make(map[entity.UpstreamID]UpstreamStatus),
+	}
+	for id, h := range c.hosts {
+		s.Hosts[id] = HostStatus{Incarnation: h.Incarnation, State: h.State, Linked: c.reachable(id)}
+	}
+	for id, u := range c.upstreams {
+		s.Upstreams[id] = UpstreamStatus{Kind: u.Kind, Addr: u.Addr, State: u.State}
+	}
+	return s
+}
--- a/internal/standin/engine/record.go
+++ b/internal/standin/engine/record.go
@@ -6,12 +6,11 @@
 
 	"github.com/foxtailpass/foxtailpass/internal/command"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/standin/received"
 	"github.com/valyala/fasthttp"
 )
 
 const (
-	// maxRecordedBody bounds the kept bytes of one request body.
-	maxRecordedBody = 64 << 10
 	// maxRecordedRuns bounds the request IDs whose runs are counted one by one.
 	maxRecordedRuns = 1 << 20
 	// maxRecordedOrders bounds the recorded orders, loads and violations each.
@@ -21,13 +20,7 @@
 )
 
 // Received is one request as it arrived.
-type Received struct {
-	At      time.Time         `json:"at"`
-	Method  string            `json:"method"`
-	URI     string            `json:"uri"`
-	Headers map[string]string `json:"headers"`
-	Body    string            `json:"body"`
-}
+type Received = received.Request
 
 // LoadRecord is one load of a model or adapter. Ended is zero while it runs.
 type LoadRecord struct {
@@ -95,20 +88,16 @@
 
 // recorder collects the records of one engine. Its lock is taken after the engine's.
 type recorder struct {
-	limit int
-
-	mu       sync.Mutex
-	sum      Record
-	received []Received
-	// oldest is the index of the oldest entry once received is full.
-	oldest                    int
+	mu                        sync.Mutex
+	sum                       Record
+	received                  *received.Log
 	runs                      map[entity.RequestID]int
 	loads                     []*LoadRecord
 	heldFor, idleFor, loading time.Duration
 }
 
 func newRecorder(limit int) *recorder {
-	return &recorder{limit: limit, runs: map[entity.RequestID]int{}}
+	return &recorder{received: received.NewLog(limit), runs: map[entity.RequestID]int{}}
 }
 
 func (r *recorder) receive(req *fasthttp.Request) {
@@ -117,41 +106,10 @@
 	if own {
 		return
 	}
-	var got Received
-	if r.limit > 0 {
-		got = copyRequest(req)
-	}
+	r.received.Add(req)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sum.Requests++
-	switch {
-	case r.limit <= 0:
-	case len(r.received) < r.limit:
-		r.received = append(r.received, got)
-	default:
-		r.received[r.oldest] = got
-		r.oldest = (r.oldest + 1) % r.limit
-		r.sum.DroppedReceived++
-	}
-}
-
-func copyRequest(req *fasthttp.Request) Received {
-	got := Received{
-		At:      time.Now(),
-		Method:  string(req.Header.Method()),
-		URI:     string(req.RequestURI()),
-		Headers: map[string]string{},
-	}
-	for k, v := range req.Header.All() {
-		if old, ok := got.Headers[string(k)]; ok {
-			got.Headers[string(k)] = old + ", " + string(v)
-			continue
-		}
-		got.Headers[string(k)] = string(v)
-	}
-	body := req.Body()
-	got.Body = string(body[:min(len(body), maxRecordedBody)])
-	return got
 }
 
 func (r *recorder) ran(id entity.RequestID) {
@@ -260,6 +218,7 @@
 	defer r.mu.Unlock()
 	out := r.sum
 	out.ID, out.Kind = e.opts.ID, e.opts.Kind
+	out.DroppedReceived = r.received.Dropped()
 	out.HeldSeconds = r.heldFor.Seconds()
 	out.IdleSeconds = r.idleFor.Seconds()
 	out.LoadingSeconds = r.loading.Seconds()
@@ -282,14 +241,7 @@
 }
 
 // Received returns the recorded requests, oldest first, without those to /standin/.
-func (e *Engine) Received() []Received {
-	r := e.rec
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	out := make([]Received, 0, len(r.received))
-	out = append(out, r.received[r.oldest:]...)
-	return append(out, r.received[:r.oldest]...)
-}
+func (e *Engine) Received() []Received { return e.rec.received.All() }
 
 // Runs returns how often the request with this ID was run, over all boots.
 func (e *Engine) Runs(id entity.RequestID) int {
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -13,6 +13,7 @@
 
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/standin/listener"
+	"github.com/foxtailpass/foxtailpass/internal/standin/received"
 	"github.com/valyala/fasthttp"
 )
 
@@ -76,18 +77,11 @@
 
 const (
 	defaultReceivedLimit = 4096
-	maxRecordedBody      = 64 << 10
 	maxBodyBytes         = 8 << 20
 )
 
 // Received is one request as it arrived.
-type Received struct {
-	At      time.Time         `json:"at"`
-	Method  string            `json:"method"`
-	URI     string            `json:"uri"`
-	Headers map[string]string `json:"headers"`
-	Body    string            `json:"body"`
-}
+type Received = received.Request
 
 // Record is the summary of everything since the service was created.
 type Record struct {
@@ -115,8 +109,7 @@
 	mu       sync.Mutex
 	faults   map[string]*Fault
 	sum      Record
-	received []Received
-	oldest   int
+	received *received.Log
 }
 
 // New returns a service that is not started.
@@ -131,9 +124,10 @@
 		o.ReceivedLimit = defaultReceivedLimit
 	}
 	return &Service{
-		opts:   o,
-		faults: map[string]*Fault{},
-		sum:    Record{ID: o.ID, Kind: o.Kind, Orders: map[string]int{}},
+		opts:     o,
+		received: received.NewLog(o.ReceivedLimit),
+		faults:   map[string]*Fault{},
+		sum:      Record{ID: o.ID, Kind: o.Kind, Orders: map[string]int{}},
 	}
 }
 
@@ -346,41 +340,10 @@
 }
 
 func (s *Service) receive(req *fasthttp.Request) {
-	var got Received
-	if s.opts.ReceivedLimit > 0 {
-		got = copyRequest(req)
-	}
+	s.received.Add(req)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sum.Requests++
-	switch {
-	case s.opts.ReceivedLimit <= 0:
-	case len(s.received) < s.opts.ReceivedLimit:
-		s.received = append(s.received, got)
-	default:
-		s.received[s.oldest] = got
-		s.oldest = (s.oldest + 1) % len(s.received)
-		s.sum.DroppedReceived++
-	}
-}
-
-func copyRequest(req *fasthttp.Request) Received {
-	got := Received{
-		At:      time.Now(),
-		Method:  string(req.Header.Method()),
-		URI:     string(req.RequestURI()),
-		Headers: map[string]string{},
-	}
-	for k, v := range req.Header.All() {
-		if old, ok := got.Headers[string(k)]; ok {
-			got.Headers[string(k)] = old + ", " + string(v)
-			continue
-		}
-		got.Headers[string(k)] = string(v)
-	}
-	body := req.Body()
-	got.Body = string(body[:min(len(body), maxRecordedBody)])
-	return got
 }
 
 // Runs returns how often the order was run.
@@ -395,6 +358,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := s.sum
+	out.DroppedReceived = s.received.Dropped()
 	out.Orders = make(map[string]int, len(s.sum.Orders))
 	for o, n := range s.sum.Orders {
 		out.Orders[o] = n
@@ -403,13 +367,7 @@
 }
 
 // Received returns the recorded requests, oldest first, without those to /standin/.
-func (s *Service) Received() []Received {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := make([]Received, 0, len(s.received))
-	out = append(out, s.received[s.oldest:]...)
-	return append(out, s.received[:s.oldest]...)
-}
+func (s *Service) Received() []Received { return s.received.All() }
 
 func (s *Service) handleFaults(ctx *fasthttp.RequestCtx) {
 	var body FaultsRequest
