--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -110,7 +110,7 @@
 	after := r.sumUsage()
 	out := &Report{
 		Experiment: r.config.Experiment, Site: r.config.Site, Policy: r.config.Policy, Seed: r.config.Seed,
-		Compression: Compression, Started: r.began, LoadAverage: loadAverage(),
+		Compression: Compression, Started: r.began, LoadAverage: LoadAverage(),
 		IdleSeconds: after.idle - before.idle, HeldSeconds: after.held - before.held,
 		PlatformCalls: map[string]float64{}, InTime: map[entity.WorkspaceID]float64{}, Results: map[string]uint64{}, Load: l,
 	}
@@ -209,7 +209,8 @@
 	}
 }
 
-func loadAverage() string {
+// LoadAverage returns the load average of the last minute, or "unknown".
+func LoadAverage() string {
 	data, err := os.ReadFile("/proc/loadavg")
 	if err != nil {
 		return "unknown"
--- a/internal/experiment/overhead.go
+++ b/test/overhead/overhead.go
@@ -1,4 +1,6 @@
-package experiment
+// Package overhead measures what one host on one core adds to calls of a warm model. The host is a
+// process of its own, so that its processor time and memory can be told apart.
+package overhead
 
 import (
 	"context"
@@ -18,6 +20,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/experiment"
 	"github.com/foxtailpass/foxtailpass/internal/host"
 	"github.com/foxtailpass/foxtailpass/internal/load"
 	"github.com/foxtailpass/foxtailpass/internal/settings"
@@ -42,8 +45,8 @@
   "workspaces": {"bench": {"rate_tokens_per_s": 1000000000, "burst_tokens": 1000000000, "models": ["*"]}}
 }`
 
-// OverheadConfig selects a run of Overhead.
-type OverheadConfig struct {
+// Config selects a run.
+type Config struct {
 	// Binary is the foxtailpass program; it runs as a process of its own with GOMAXPROCS=1.
 	Binary string
 	// Duration is the length of each of the three measurements.
@@ -56,8 +59,8 @@
 	Stream bool
 }
 
-// OverheadReport is the result of Overhead.
-type OverheadReport struct {
+// Report is the result of Run.
+type Report struct {
 	LoadAverageBefore string `json:"load_average_before"`
 	LoadAverageAfter  string `json:"load_average_after"`
 	// Saturated is the closed-loop rate of the host; PerCore relates it to the CPU time used.
@@ -69,11 +72,11 @@
 	MemoryHighest int64   `json:"memory_highest_bytes"`
 	// Rate is the open-loop rate of the rounds.
 	Rate   float64         `json:"rate_per_s"`
-	Rounds []OverheadRound `json:"rounds"`
+	Rounds []Round `json:"rounds"`
 }
 
-// OverheadRound holds the latencies of one round.
-type OverheadRound struct {
+// Round holds the latencies of one round.
+type Round struct {
 	Direct  load.Latency `json:"direct"`
 	Through load.Latency `json:"through"`
 	// Answered is the share of complete answers through the host.
@@ -84,8 +87,8 @@
 	RunDelay float64 `json:"run_delay"`
 }
 
-// Overhead compares calls through one host on one core with calls of the engine stand-in.
-func Overhead(ctx context.Context, c OverheadConfig) (*OverheadReport, error) {
+// Run compares calls through one host on one core with calls of the engine stand-in.
+func Run(ctx context.Context, c Config) (*Report, error) {
 	s, err := site.Start(ctx, site.Options{
 		Hosts: site.NoHosts, Base: []byte(overheadBase), Overlay: []byte("{}"),
 		Engines: []engine.Options{{ID: "engine-1", Slots: 4096, ReceivedLimit: -1, LoadTimes: engine.LoadTimes{Memory: 1, Disk: 1, Remote: 1}}},
@@ -109,7 +112,7 @@
 	return c.measure(ctx, h, s.Engines[0].Addr(), key)
 }
 
-func (c OverheadConfig) class(key string) load.RequestClass {
+func (c Config) class(key string) load.RequestClass {
 	return load.RequestClass{
 		Name: "short", Workspace: overheadWorkspace, Key: key, Models: []string{overheadModel},
 		Arrivals:     load.Arrivals{RatePerSecond: 1},
@@ -117,8 +120,8 @@
 	}
 }
 
-func (c OverheadConfig) measure(ctx context.Context, h *hostProcess, direct, key string) (*OverheadReport, error) {
-	r := &OverheadReport{LoadAverageBefore: loadAverage(), MemoryIdle: h.memory("VmRSS")}
+func (c Config) measure(ctx context.Context, h *hostProcess, direct, key string) (*Report, error) {
+	r := &Report{LoadAverageBefore: experiment.LoadAverage(), MemoryIdle: h.memory("VmRSS")}
 	before := h.cpu()
 	sat, err := load.Saturate(ctx, h.caller, c.class(key), saturatingWorkers, c.Duration)
 	if err != nil {
@@ -130,7 +133,7 @@
 	}
 	r.Rate = r.Saturated * c.Share
 	for i := range c.Rounds {
-		var round OverheadRound
+		var round Round
 		if round.Direct, _, err = c.openLoop(ctx, direct, key, r.Rate, uint64(i)); err != nil {
 			return nil, err
 		}
@@ -143,11 +146,11 @@
 		round.RunDelay = (h.runDelay() - delay).Seconds() / took
 		r.Rounds = append(r.Rounds, round)
 	}
-	r.MemoryHighest, r.LoadAverageAfter = h.memory("VmHWM"), loadAverage()
+	r.MemoryHighest, r.LoadAverageAfter = h.memory("VmHWM"), experiment.LoadAverage()
 	return r, nil
 }
 
-func (c OverheadConfig) openLoop(ctx context.Context, target, key string, rate float64, round uint64) (load.Latency, float64, error) {
+func (c Config) openLoop(ctx context.Context, target, key string, rate float64, round uint64) (load.Latency, float64, error) {
 	class := c.class(key)
 	class.Arrivals.RatePerSecond = rate
 	out, err := load.Run(ctx, load.Scenario{
@@ -276,7 +279,7 @@
 }
 
 // Print writes the report as a table.
-func (r *OverheadReport) Print(out io.Writer) error {
+func (r *Report) Print(out io.Writer) error {
 	tw := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	row := func(label, format string, args ...any) {
 		_, _ = fmt.Fprintf(tw, "%s\t%s\n", label, fmt.Sprintf(format, args...))
