--- a/test/overhead/overhead.go
+++ b/test/overhead/overhead.go
@@ -34,6 +34,8 @@
 	// saturatingWorkers keeps one core busy without a long queue.
 	saturatingWorkers = 64
 	hostStartLimit    = 20 * time.Second
+	// hostPoll is the time between two looks at whether the host is ready.
+	hostPoll = 20 * time.Millisecond
 	// productionReportInterval is the default of the hosts' settings; a local site reads more often.
 	productionReportInterval = 100 * time.Millisecond
 	// clockTicks is the unit of CPU times in /proc on Linux.
@@ -71,7 +73,7 @@
 	MemoryLoaded  int64   `json:"memory_loaded_bytes"`
 	MemoryHighest int64   `json:"memory_highest_bytes"`
 	// Rate is the open-loop rate of the rounds.
-	Rate   float64         `json:"rate_per_s"`
+	Rate   float64 `json:"rate_per_s"`
 	Rounds []Round `json:"rounds"`
 }
 
@@ -222,7 +224,7 @@
 // waitServing waits until a request through the host is answered.
 func (h *hostProcess) waitServing(ctx context.Context, key string) error {
 	body := fmt.Appendf(nil, `{"model":%q,"max_tokens":1,"messages":[{"role":"user","content":"warm"}]}`, overheadModel)
-	for limit := time.Now().Add(hostStartLimit); time.Now().Before(limit) && ctx.Err() == nil; time.Sleep(warmPoll) {
+	for limit := time.Now().Add(hostStartLimit); time.Now().Before(limit) && ctx.Err() == nil; time.Sleep(hostPoll) {
 		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 		req.SetRequestURI("http://" + h.caller + "/v1/chat/completions")
 		req.Header.SetMethod("POST")
