--- a/internal/limits/bound_test.go
+++ b/internal/limits/bound_test.go
@@ -12,7 +12,7 @@
 
 // checkUnits checks, on the live state, the invariant from which the bound follows: units that
 // a process may use now, or that back unspent loans of lenders that may not, are held once.
-func (c *cluster) checkUnits() error {
+func (c *hostLoop) checkUnits() error {
 	var rec Record
 	if pair, ok := c.store[Key(testWorkspace)]; ok {
 		var err error
@@ -58,7 +58,7 @@
 }
 
 // injectFault draws one fault and its time.
-func injectFault(rt *rapid.T, c *cluster, hosts int, end time.Duration) {
+func injectFault(rt *rapid.T, c *hostLoop, hosts int, end time.Duration) {
 	at := time.Duration(rapid.IntRange(1000, int(end/time.Millisecond)).Draw(rt, "at_ms")) * time.Millisecond
 	length := time.Duration(rapid.IntRange(100, 30000).Draw(rt, "length_ms")) * time.Millisecond
 	host := entity.HostID(fmt.Sprintf("h%d", rapid.IntRange(0, hosts-1).Draw(rt, "host")))
@@ -97,7 +97,7 @@
 }
 
 // stop is a graceful shutdown: the registration ends when the units are released.
-func (c *cluster) stop(p *process) {
+func (c *hostLoop) stop(p *process) {
 	if p.dead || p.stopped || c.now < p.paused {
 		return
 	}
@@ -115,7 +115,7 @@
 }
 
 // saturate sends requests far above the rate, so that every token that exists is used.
-func (c *cluster) saturate(rt *rapid.T, hosts int) {
+func (c *hostLoop) saturate(rt *rapid.T, hosts int) {
 	size := rapid.Float64Range(0.5, 400).Draw(rt, "size")
 	gap := time.Duration(rapid.IntRange(3, 60).Draw(rt, "gap_ms")) * time.Millisecond
 	skew := rapid.IntRange(1, hosts).Draw(rt, "skew")
@@ -136,7 +136,7 @@
 		seed := rapid.Uint64().Draw(rt, "seed")
 		hosts := rapid.IntRange(1, 5).Draw(rt, "hosts")
 		burst := rapid.Float64Range(100, 5000).Draw(rt, "burst")
-		c := newCluster(rand.New(rand.NewPCG(seed, 7)), PolicyLoans, hosts, rapid.Float64Range(50, 2000).Draw(rt, "rate"), burst)
+		c := newHostLoop(rand.New(rand.NewPCG(seed, 7)), PolicyLoans, hosts, rapid.Float64Range(50, 2000).Draw(rt, "rate"), burst)
 		c.loss = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(rt, "loss")
 		c.loseAck = rapid.SampledFrom([]float64{0, 0.3}).Draw(rt, "lose_ack")
 		c.maxLag = time.Duration(rapid.SampledFrom([]int{1, 20, 300}).Draw(rt, "lag_ms")) * time.Millisecond
--- a/internal/limits/cluster_test.go
+++ b/internal/limits/loop_test.go
@@ -61,8 +61,8 @@
 	change int
 }
 
-// cluster runs several Throttlers against an in-memory record store in one loop.
-type cluster struct {
+// hostLoop runs several Throttlers against an in-memory record store in one loop.
+type hostLoop struct {
 	now   time.Duration
 	queue events
 	seq   int
@@ -121,8 +121,8 @@
 	rate, burst float64
 }
 
-func newCluster(rng *rand.Rand, policy Policy, hosts int, rate, burst float64) *cluster {
-	c := &cluster{
+func newHostLoop(rng *rand.Rand, policy Policy, hosts int, rate, burst float64) *hostLoop {
+	c := &hostLoop{
 		rng: rng, policy: policy, procs: map[entity.HostID]*process{}, store: map[string]platform.Pair{},
 		lease: map[entity.HostID]time.Duration{}, cut: map[entity.HostID]bool{}, maxLag: 1500 * time.Microsecond,
 		requests: map[entity.RequestID]*simRequest{}, usedPart: 1, runTime: time.Second, trace: func(string, ...any) {},
@@ -135,16 +135,16 @@
 	return c
 }
 
-func (c *cluster) after(d time.Duration, run func()) {
+func (c *hostLoop) after(d time.Duration, run func()) {
 	c.seq++
 	heap.Push(&c.queue, event{at: c.now + d, seq: c.seq, run: run})
 }
 
-func (c *cluster) every(d time.Duration, run func()) {
+func (c *hostLoop) every(d time.Duration, run func()) {
 	c.after(d, func() { run(); c.every(d, run) })
 }
 
-func (c *cluster) runUntil(t time.Duration) {
+func (c *hostLoop) runUntil(t time.Duration) {
 	for len(c.queue) > 0 && c.queue[0].at <= t {
 		e := heap.Pop(&c.queue).(event)
 		c.now = e.at
@@ -154,13 +154,13 @@
 }
 
 // clock is the process's own time.
-func (c *cluster) clock(p *process) time.Time { return p.origin.Add(c.now) }
+func (c *hostLoop) clock(p *process) time.Time { return p.origin.Add(c.now) }
 
-func (c *cluster) lag() time.Duration {
+func (c *hostLoop) lag() time.Duration {
 	return c.maxLag/3 + time.Duration(c.rng.Int64N(int64(c.maxLag)*2/3+1))
 }
 
-func (c *cluster) setRate(rate, burst float64) {
+func (c *hostLoop) setRate(rate, burst float64) {
 	c.rates = append(c.rates, rateEvent{c.now, rate, burst})
 	c.site = &config.Site{Revision: int64(len(c.rates)), Document: config.Document{Workspaces: map[entity.WorkspaceID]config.Workspace{
 		testWorkspace: {RateTokensPerSecond: rate, BurstTokens: burst},
@@ -178,7 +178,7 @@
 }
 
 // start starts a process at a host; its predecessor there must be dead.
-func (c *cluster) start(host entity.HostID) *process {
+func (c *hostLoop) start(host entity.HostID) *process {
 	p := &process{
 		host: host, inc: entity.Incarnation(fmt.Sprintf("%s-%d", host, len(c.all))), addr: string(host) + ":1",
 		origin: time.Unix(int64(c.rng.IntN(1_000_000)), 0),
@@ -197,7 +197,7 @@
 }
 
 // loop repeats run while the process lives; a pause delays it.
-func (c *cluster) loop(p *process, d time.Duration, run func()) {
+func (c *hostLoop) loop(p *process, d time.Duration, run func()) {
 	var step func()
 	step = func() {
 		switch {
@@ -213,7 +213,7 @@
 }
 
 // deliver runs a function at a process after a delay, later if it is paused, never if it is dead.
-func (c *cluster) deliver(p *process, d time.Duration, run func()) {
+func (c *hostLoop) deliver(p *process, d time.Duration, run func()) {
 	c.after(d, func() {
 		switch {
 		case p.dead:
@@ -225,10 +225,10 @@
 	})
 }
 
-func (c *cluster) reachable(p *process) bool { return !c.down && !c.cut[p.host] }
+func (c *hostLoop) reachable(p *process) bool { return !c.down && !c.cut[p.host] }
 
 // register renews the lease of a process, or registers it anew under the rule of the package.
-func (c *cluster) register(p *process, first bool) {
+func (c *hostLoop) register(p *process, first bool) {
 	if p.dead || p.stopped {
 		return
 	}
@@ -257,7 +257,7 @@
 	})
 }
 
-func (c *cluster) expireLeases() {
+func (c *hostLoop) expireLeases() {
 	if c.down {
 		return
 	}
@@ -268,7 +268,7 @@
 	}
 }
 
-func (c *cluster) unregister(host entity.HostID) {
+func (c *hostLoop) unregister(host entity.HostID) {
 	delete(c.lease, host)
 	key := config.HostsPrefix + string(host)
 	if _, ok := c.store[key]; ok {
@@ -279,7 +279,7 @@
 	}
 }
 
-func (c *cluster) hosts() []entity.HostID {
+func (c *hostLoop) hosts() []entity.HostID {
 	var list []entity.HostID
 	for h := range c.procs {
 		list = append(list, h)
@@ -288,7 +288,7 @@
 	return list
 }
 
-func (c *cluster) put(key string, value []byte) {
+func (c *hostLoop) put(key string, value []byte) {
 	c.rev++
 	p := c.store[key]
 	p.Key, p.Value, p.ModRevision, p.Version = key, value, c.rev, p.Version+1
@@ -301,7 +301,7 @@
 }
 
 // notify starts the watch delivery to all processes; some of it is lost and found by poll.
-func (c *cluster) notify() {
+func (c *hostLoop) notify() {
 	for _, p := range c.all {
 		if c.rng.Float64() >= c.loss {
 			c.deliver(p, c.lag(), func() { c.poll(p) })
@@ -310,7 +310,7 @@
 }
 
 // poll delivers everything that changed since the newest seen revision, registrations first.
-func (c *cluster) poll(p *process) {
+func (c *hostLoop) poll(p *process) {
 	if !c.reachable(p) || p.seen == c.rev && c.rev > 0 {
 		return
 	}
@@ -330,7 +330,7 @@
 	}
 }
 
-func (c *cluster) heartbeat(p *process) {
+func (c *hostLoop) heartbeat(p *process) {
 	levels := p.th.Levels(c.clock(p))
 	sent := c.clock(p)
 	for _, h := range c.hosts() {
@@ -352,7 +352,7 @@
 }
 
 // send delivers a message from a process to the current process of a host.
-func (c *cluster) send(from *process, to entity.HostID, run func(q *process)) {
+func (c *hostLoop) send(from *process, to entity.HostID, run func(q *process)) {
 	c.messages++
 	if c.cut[from.host] || c.cut[to] || c.rng.Float64() < c.loss {
 		return
@@ -368,7 +368,7 @@
 	})
 }
 
-func (c *cluster) do(p *process, commands []command.Command) {
+func (c *hostLoop) do(p *process, commands []command.Command) {
 	for _, cmd := range commands {
 		switch x := cmd.(type) {
 		case command.Admit:
@@ -386,7 +386,7 @@
 }
 
 // write runs a transaction; its answer may be lost or it may never arrive at the store.
-func (c *cluster) write(p *process, w command.WriteRecords) {
+func (c *hostLoop) write(p *process, w command.WriteRecords) {
 	c.writes++
 	fail := func(err error) {
 		c.deliver(p, c.lag(), func() { c.do(p, p.th.HandleWriteResult(w.ID, platform.TxnResult{}, err, c.clock(p))) })
@@ -415,7 +415,7 @@
 	})
 }
 
-func (c *cluster) apply(txn platform.Txn) platform.TxnResult {
+func (c *hostLoop) apply(txn platform.Txn) platform.TxnResult {
 	for _, cmp := range txn.Compares {
 		pair := c.store[cmp.Key]
 		value := pair.ModRevision
@@ -441,7 +441,7 @@
 }
 
 // request sends a request to a host, as the load balancer does; dead and paused hosts get none.
-func (c *cluster) request(host entity.HostID, tokens float64) *simRequest {
+func (c *hostLoop) request(host entity.HostID, tokens float64) *simRequest {
 	c.nextReq++
 	p := c.procs[host]
 	r := &simRequest{id: entity.RequestID(fmt.Sprint(c.nextReq)), proc: p, tokens: tokens, at: c.now}
@@ -453,7 +453,7 @@
 	return r
 }
 
-func (c *cluster) answer(p *process, id entity.RequestID, refusal *entity.Refusal) {
+func (c *hostLoop) answer(p *process, id entity.RequestID, refusal *entity.Refusal) {
 	r := c.requests[id]
 	if r == nil || r.answered {
 		panic("request answered twice: " + string(id))
@@ -475,7 +475,7 @@
 }
 
 // settle records the refund that the ledger actually gave.
-func (c *cluster) settle(p *process, r *simRequest) {
+func (c *hostLoop) settle(p *process, r *simRequest) {
 	a := p.th.accounts[testWorkspace]
 	a.advance(c.clock(p))
 	before := a.level
@@ -483,7 +483,7 @@
 	c.charges = append(c.charges, chargeEvent{c.now, before - a.level})
 }
 
-func (c *cluster) kill(host entity.HostID) {
+func (c *hostLoop) kill(host entity.HostID) {
 	p := c.procs[host]
 	p.dead = true
 	for id, r := range c.requests {
@@ -496,7 +496,7 @@
 // checkBound checks tokens(s,t) <= burst + rate*(t-s) over all intervals at once: a bucket that
 // starts full and is charged the same history must never go below zero. With changing limits it
 // uses the largest rate and burst in force within slack around each moment.
-func (c *cluster) checkBound() error {
+func (c *hostLoop) checkBound() error {
 	// A host learns of a change after its pause, and loans given before it are still spent.
 	slack := 400*time.Millisecond + c.longestPause
 	limitsAt := func(t time.Duration) (rate, burst float64) {
@@ -534,7 +534,7 @@
 	return nil
 }
 
-func (c *cluster) describe() string {
+func (c *hostLoop) describe() string {
 	var b strings.Builder
 	for _, h := range c.hosts() {
 		p := c.procs[h]
@@ -547,7 +547,7 @@
 
 // TestSharesSettle guards against units that stay unallocated, and against writes that never end.
 func TestSharesSettle(t *testing.T) {
-	c := newCluster(rand.New(rand.NewPCG(1, 2)), PolicyLoans, 8, 1000, 10000)
+	c := newHostLoop(rand.New(rand.NewPCG(1, 2)), PolicyLoans, 8, 1000, 10000)
 	c.runUntil(20 * time.Second)
 	writes := c.writes
 	c.runUntil(60 * time.Second)
@@ -563,7 +563,7 @@
 
 // TestStopHandsOver guards against a graceful shutdown that loses units or their level.
 func TestStopHandsOver(t *testing.T) {
-	c := newCluster(rand.New(rand.NewPCG(1, 2)), PolicyLoans, 4, 1, 10000)
+	c := newHostLoop(rand.New(rand.NewPCG(1, 2)), PolicyLoans, 4, 1, 10000)
 	c.runUntil(20 * time.Second)
 	c.stop(c.procs["h0"])
 	c.runUntil(30 * time.Second)
--- a/internal/limits/scenario_test.go
+++ b/internal/limits/scenario_test.go
@@ -31,7 +31,7 @@
 	load, hot float64
 	// burst is in seconds of the rate.
 	burst float64
-	fault func(c *cluster)
+	fault func(c *hostLoop)
 	// target bounds the ratio, from the targets of the design page.
 	target float64
 }
@@ -40,10 +40,10 @@
 
 // run returns the wrong refusals relative to what the central bucket admits, and the tokens
 // admitted less than by the central bucket.
-func (s scenario) run(policy Policy, seed uint64) (wrong, short float64, c *cluster) {
+func (s scenario) run(policy Policy, seed uint64) (wrong, short float64, c *hostLoop) {
 	const rate, warm, end = 20000, 30 * time.Second, 390 * time.Second
 	burst := s.burst * rate
-	c = newCluster(rand.New(rand.NewPCG(seed, 3)), policy, scenarioHosts, rate, burst)
+	c = newHostLoop(rand.New(rand.NewPCG(seed, 3)), policy, scenarioHosts, rate, burst)
 	c.runUntil(warm)
 	ref := &central{rate: rate, burst: burst, level: burst, at: warm}
 	allowed := map[entity.RequestID]bool{}
@@ -87,13 +87,13 @@
 // TestWrongRefusals measures refusals of requests that one exact bucket would have admitted. It
 // guards against loans or reclaiming that are too slow for the targets of the design page.
 func TestWrongRefusals(t *testing.T) {
-	kill := func(c *cluster) { c.kill("h1") }
-	killHot := func(c *cluster) { c.kill("h0") }
-	outage := func(c *cluster) {
+	kill := func(c *hostLoop) { c.kill("h1") }
+	killHot := func(c *hostLoop) { c.kill("h0") }
+	outage := func(c *hostLoop) {
 		c.down = true
 		c.after(5*time.Minute, func() { c.down = false })
 	}
-	killInOutage := func(c *cluster) { outage(c); c.after(10*time.Second, func() { kill(c) }) }
+	killInOutage := func(c *hostLoop) { outage(c); c.after(10*time.Second, func() { kill(c) }) }
 	scenarios := []scenario{
 		{"uneven 80%", 0.8, 0.95, 10, nil, 0.001},
 		{"uneven 95%", 0.95, 0.95, 10, nil, 0.001},
--- a/internal/limits/start_test.go
+++ b/internal/limits/start_test.go
@@ -9,7 +9,7 @@
 // A host that starts after another has claimed all units must not wait for slow releases of 10 %:
 // until it holds a share it is not ready.
 func TestLateHostGetsSharesAtOnce(t *testing.T) {
-	c := newCluster(rand.New(rand.NewPCG(1, 2)), PolicyLoans, 1, 1000, 1000)
+	c := newHostLoop(rand.New(rand.NewPCG(1, 2)), PolicyLoans, 1, 1000, 1000)
 	c.runUntil(3 * time.Second)
 	late := c.start("late")
 	c.runUntil(4500 * time.Millisecond)
@@ -24,7 +24,7 @@
 // The first requests of a workspace that has just been configured must wait for the share
 // record instead of being refused; requests beyond the burst must still be refused.
 func TestFirstRequestsWaitForShare(t *testing.T) {
-	c := newCluster(rand.New(rand.NewPCG(1, 2)), PolicyLoans, 2, 1000, 1000)
+	c := newHostLoop(rand.New(rand.NewPCG(1, 2)), PolicyLoans, 2, 1000, 1000)
 	var all []*simRequest
 	c.after(time.Millisecond, func() {
 		for range 4 {
