Make the price of idle memory a setting of the site

Cause: the placement policy puts no price on memory until half of it is reserved, which saves cold starts but keeps idle replicas; Thessaly weighs idle accelerator hours more than cold starts.

--- a/internal/config/site.go
+++ b/internal/config/site.go
@@ -121,6 +121,9 @@
 	// LoadFactor bounds the expected time of a load: a load is reported as slow when it takes
 	// longer than this multiple of its cold-start hint. Default 3.
 	LoadFactor float64 `json:"load_factor,omitempty" default:"3" validate:"gte=1"`
+	// FreeMemoryShare is the share of all engine memory that may be reserved before idle replicas
+	// cost anything. A high value avoids cold starts, a low one idle accelerators. Default 0.5.
+	FreeMemoryShare float64 `json:"free_memory_share" default:"0.5" validate:"gte=0,lt=1"`
 }
 
 // Site is one validated configuration in force, with all defaults filled in. It is immutable
--- a/internal/gateway/check.go
+++ b/internal/gateway/check.go
@@ -16,8 +16,6 @@
 // maxErrorBody bounds the body of an answer that was expected to be a stream and is not.
 const maxErrorBody = 1 << 20
 
-func itoa(n int) string { return strconv.Itoa(n) }
-
 func isEventStream(resp *fasthttp.Response) bool {
 	return resp.StatusCode() == fasthttp.StatusOK && bytes.HasPrefix(resp.Header.ContentType(), []byte("text/event-stream"))
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -132,7 +133,7 @@
 	if attempt <= 1 {
 		return id
 	}
-	return id + entity.RequestID("-"+itoa(attempt))
+	return id + entity.RequestID("-"+strconv.Itoa(attempt))
 }
 
 // attemptFailed reports a failed attempt. It returns true when the request is over because the
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"net"
+	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -117,7 +118,7 @@
 func (t *stream) resume() bool {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	req.SetRequestURI("http://" + t.st.addr + "/engine/v1/streams/" + string(t.id) + "?from=" + itoa(t.count))
+	req.SetRequestURI("http://" + t.st.addr + "/engine/v1/streams/" + string(t.id) + "?from=" + strconv.Itoa(t.count))
 	call, err := t.g.opts.Upstreams.Do(t.s.ctx, req, upstream.Options{
 		Addr:      t.st.addr,
 		RequestID: t.id,
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -261,11 +261,8 @@
 // OperatorAddr returns where metrics, health and status are served.
 func (h *Host) OperatorAddr() string { return h.operatorListener.Addr().String() }
 
-// Ready says whether callers should be sent here, and the reason.
-func (h *Host) Ready() (bool, string) { return h.ready() }
-
-// ready says whether the balancer should send callers here, and the reason.
-func (h *Host) ready() (bool, string) {
+// Ready says whether the balancer should send callers here, and the reason.
+func (h *Host) Ready() (bool, string) {
 	switch {
 	case h.stopping.Load():
 		return false, stateStopping
@@ -301,7 +298,7 @@
 func (h *Host) Status() Status {
 	now := time.Now()
 	revision, age := h.view.Confirmed(now)
-	_, state := h.ready()
+	_, state := h.Ready()
 	s := Status{
 		Host:             h.identity.host,
 		Incarnation:      h.identity.incarnation,
--- a/internal/host/operator.go
+++ b/internal/host/operator.go
@@ -56,7 +56,7 @@
 
 // serveReady tells the balancer whether to send callers here.
 func (h *Host) serveReady(ctx *fasthttp.RequestCtx) {
-	ok, reason := h.ready()
+	ok, reason := h.Ready()
 	if !ok {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	}
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -8,13 +8,8 @@
 	"github.com/foxtailpass/foxtailpass/internal/wire"
 )
 
-const (
-	// freeShare is the share of reserved memory below which memory counts as wanted by nobody else:
-	// a load then finds room without an eviction.
-	freeShare = 0.5
-	// idleRecheck bounds the time between two evaluations of an idle model, because the memory pressure changes.
-	idleRecheck = 10 * time.Second
-)
+// idleRecheck bounds the time between two evaluations of an idle model, because the memory pressure changes.
+const idleRecheck = 10 * time.Second
 
 // sums is demand added up over hosts.
 type sums struct {
@@ -192,11 +187,12 @@
 
 // pressure is the price of memory that others may want, from 0 to 1 for each second that it is held.
 func (p *Placer) pressure() float64 {
-	if p.totalBytes <= 0 {
+	if p.totalBytes <= 0 || p.site == nil {
 		return 1
 	}
 	used := float64(p.usedBytes) / float64(p.totalBytes)
-	return min(1, max(0, (used-freeShare)/(1-freeShare)))
+	free := p.site.Placement.FreeMemoryShare
+	return min(1, max(0, (used-free)/(1-free)))
 }
 
 func (p *Placer) hold() time.Duration {
--- a/internal/placement/placer_test.go
+++ b/internal/placement/placer_test.go
@@ -13,7 +13,7 @@
 func testSite(models int, coldMillis int64) *config.Site {
 	site := &config.Site{Revision: 1}
 	site.WeightStore = config.WeightStore{LoadsPerSecond: 7, Parallel: 4, AdapterParallel: 32}
-	site.Placement = config.Placement{IdleMillis: 300_000, HoldMillis: 10_000, LoadFactor: 3}
+	site.Placement = config.Placement{IdleMillis: 300_000, HoldMillis: 10_000, LoadFactor: 3, FreeMemoryShare: 0.5}
 	site.Models = map[entity.ModelID]config.Model{}
 	for i := range models {
 		site.Models[modelName(i)] = config.Model{
