gateway: hold an event back only behind a whole further one

Cause: events that arrived together share one write, and any received byte counted as a further event. An event followed by a comment or by a part of the next event waited for that next event. Ruled out: the reader, which had the event at once. Also: the end of a whole stream is handled in one place, and a counter that nothing read is gone.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -172,11 +172,7 @@
 const endMarker = "data: [DONE]\n\n"
 
 func (t *stream) complete(w *bufio.Writer) string {
-	contentType := string(t.call.Response.Header.ContentType())
-	t.call.Finish()
-	t.g.endAttempt(t.s, schedule.AttemptResult{Request: t.s.request.ID, Outcome: entity.Completed})
-	t.kept.WriteString(endMarker)
-	t.g.completeClaim(t.s, fasthttp.StatusOK, contentType, t.kept.Bytes())
+	t.finish()
 	_, _ = w.WriteString(endMarker)
 	if err := w.Flush(); err != nil {
 		return "caller_gone"
@@ -212,12 +208,17 @@
 		t.s.streamUsage(data)
 		t.keep(data)
 	}
+	t.finish()
+	return "caller_gone"
+}
+
+// finish reports a whole answer and stores it for its claim.
+func (t *stream) finish() {
 	contentType := string(t.call.Response.Header.ContentType())
-	t.call.Close()
+	t.call.Finish()
 	t.g.endAttempt(t.s, schedule.AttemptResult{Request: t.s.request.ID, Outcome: entity.Completed})
 	t.kept.WriteString(endMarker)
 	t.g.completeClaim(t.s, fasthttp.StatusOK, contentType, t.kept.Bytes())
-	return "caller_gone"
 }
 
 // fail ends a broken or canceled stream with an error event. There is no end marker, so the
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -55,8 +55,6 @@
 // Client sends requests to upstreams. It is safe for concurrent use.
 type Client struct {
 	pool *connPool
-	// Calls counts the calls that were started.
-	Calls atomic.Int64
 	// Mismatched counts answers that carried the ID of another request.
 	Mismatched atomic.Int64
 }
@@ -97,7 +95,6 @@
 // the connection is closed and the call fails. A *Failure is returned for everything that is
 // not an answer to this request; an answer with an error status is an answer.
 func (c *Client) Do(ctx context.Context, req *fasthttp.Request, o Options) (*Call, error) {
-	c.Calls.Add(1)
 	cn, err := c.pool.get(ctx, o.Addr, o.Fresh)
 	if err != nil {
 		return nil, &Failure{Outcome: entity.AttemptNotRun, Reason: "connect", Unreachable: ctx.Err() == nil, Err: err}
--- a/internal/upstream/sse.go
+++ b/internal/upstream/sse.go
@@ -56,8 +56,13 @@
 	}
 }
 
-// More says whether bytes after the current event have already been received.
-func (e *EventReader) More() bool { return e.r.Buffered() > 0 }
+// More says whether a whole further event has already been received, so that Next will not block.
+// Comments and parts of events do not count.
+func (e *EventReader) More() bool {
+	received, _ := e.r.Peek(e.r.Buffered())
+	start := bytes.Index(received, []byte("data:"))
+	return start >= 0 && bytes.Contains(received[start:], []byte("\n\n"))
+}
 
 func (e *EventReader) finish() ([]byte, bool, error) {
 	if bytes.Equal(e.data, []byte("[DONE]")) {
