--- a/internal/upstream/sse_test.go
+++ b/internal/upstream/sse_test.go
@@ -9,12 +9,12 @@
 // there: a comment or a part of an event can be followed by a long silence.
 func TestMoreNeedsWholeEvent(t *testing.T) {
 	for rest, want := range map[string]bool{
-		"":                         false,
-		": ping\n\n":               false,
-		"data: part":               false,
-		"data: part\n":             false,
+		"":                          false,
+		": ping\n\n":                false,
+		"data: part":                false,
+		"data: part\n":              false,
 		": ping\n\ndata: whole\n\n": true,
-		"data: whole\n\n":          true,
+		"data: whole\n\n":           true,
 	} {
 		e := NewEventReader(strings.NewReader("data: first\n\n" + rest))
 		if _, _, err := e.Next(); err != nil {
