--- a/cmd/foxtailctl/commands.go
+++ b/cmd/foxtailctl/commands.go
@@ -14,7 +14,7 @@
 
 	"github.com/foxtailpass/foxtailpass/internal/config"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 )
 
 // documents holds the contents of the files on the command line.
@@ -160,7 +160,7 @@
 		Message:      cmd.String("message"),
 		Attempt:      attempt,
 	})
-	if errors.Is(err, platform.ErrUnknown) {
+	if errors.Is(err, kvstore.ErrUnknown) {
 		return fmt.Errorf("%w; repeat the command with --attempt %s to find out", err, attempt)
 	}
 	if err != nil {
@@ -170,7 +170,7 @@
 }
 
 // confirm waits for the hosts and prints the outcome of an apply.
-func (a *app) confirm(ctx context.Context, kv platform.KV, head config.Head, wait time.Duration) error {
+func (a *app) confirm(ctx context.Context, kv kvstore.KV, head config.Head, wait time.Duration) error {
 	result := applyResult{Head: head}
 	if wait <= 0 {
 		return a.printApply(result)
@@ -327,7 +327,7 @@
 	return a.printGone(record)
 }
 
-func registeredIncarnation(ctx context.Context, kv platform.KV, id entity.HostID) (entity.Incarnation, error) {
+func registeredIncarnation(ctx context.Context, kv kvstore.KV, id entity.HostID) (entity.Incarnation, error) {
 	hosts, err := listHosts(ctx, kv)
 	if err != nil {
 		return "", err
--- a/cmd/foxtailctl/hosts.go
+++ b/cmd/foxtailctl/hosts.go
@@ -14,7 +14,7 @@
 
 	"github.com/foxtailpass/foxtailpass/internal/config"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 )
 
 const (
@@ -40,8 +40,8 @@
 }
 
 // listHosts returns the registered hosts in the order of their IDs.
-func listHosts(ctx context.Context, kv platform.KV) ([]config.HostRecord, error) {
-	result, err := kv.Range(ctx, platform.RangeRequest{Prefix: config.HostsPrefix})
+func listHosts(ctx context.Context, kv kvstore.KV) ([]config.HostRecord, error) {
+	result, err := kv.Range(ctx, kvstore.RangeRequest{Prefix: config.HostsPrefix})
 	if err != nil {
 		return nil, err
 	}
@@ -58,7 +58,7 @@
 // waitForRevision asks all registered hosts until each has the revision or a later one in force.
 // Hosts that register or leave meanwhile are taken into account. After the wait it returns the
 // last answers and errNotConfirmed.
-func waitForRevision(ctx context.Context, kv platform.KV, revision int64, wait time.Duration) ([]hostStatus, error) {
+func waitForRevision(ctx context.Context, kv kvstore.KV, revision int64, wait time.Duration) ([]hostStatus, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	var last []hostStatus
--- a/cmd/foxtailctl/main.go
+++ b/cmd/foxtailctl/main.go
@@ -19,7 +19,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/foxtailpass/foxtailpass/internal/config"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/settings"
 )
 
@@ -48,8 +48,8 @@
 }
 
 // openKV opens the key-value service.
-var openKV = func(s Settings) (platform.KV, error) {
-	return platform.NewClient(platform.Options{Endpoints: s.Endpoints, Prefix: s.Prefix, Timeout: s.Timeout.Std()})
+var openKV = func(s Settings) (kvstore.KV, error) {
+	return kvstore.NewClient(kvstore.Options{Endpoints: s.Endpoints, Prefix: s.Prefix, Timeout: s.Timeout.Std()})
 }
 
 func main() {
@@ -105,7 +105,7 @@
 		return exitInvalid
 	case errors.As(err, &conflict):
 		return exitConflict
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, kvstore.ErrUnavailable), errors.Is(err, kvstore.ErrUnknown):
 		return exitUnavailable
 	case errors.Is(err, errNotConfirmed):
 		return exitNotConfirmed
@@ -229,7 +229,7 @@
 }
 
 // open reads the settings, applies the flags and opens the key-value service.
-func (a *app) open(cmd *cli.Command) (platform.KV, *config.Store, error) {
+func (a *app) open(cmd *cli.Command) (kvstore.KV, *config.Store, error) {
 	s, err := loadSettings(cmd)
 	if err != nil {
 		return nil, nil, err
--- a/cmd/foxtailctl/main_test.go
+++ b/cmd/foxtailctl/main_test.go
@@ -19,37 +19,37 @@
 
 	"github.com/foxtailpass/foxtailpass/internal/config"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/settings"
 )
 
 // memKV keeps pairs in memory and fails every call with err if it is set.
 type memKV struct {
-	platform.KV
+	kvstore.KV
 	mu    sync.Mutex
 	rev   int64
-	pairs map[string]platform.Pair
+	pairs map[string]kvstore.Pair
 	err   error
 }
 
-func (m *memKV) find(key string) (*platform.Pair, int64) {
+func (m *memKV) find(key string) (*kvstore.Pair, int64) {
 	if p, ok := m.pairs[key]; ok {
 		return &p, p.ModRevision
 	}
 	return nil, 0
 }
 
-func (m *memKV) Get(_ context.Context, key string) (*platform.Pair, int64, error) {
+func (m *memKV) Get(_ context.Context, key string) (*kvstore.Pair, int64, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p, _ := m.find(key)
 	return p, m.rev, m.err
 }
 
-func (m *memKV) Range(_ context.Context, r platform.RangeRequest) (platform.RangeResult, error) {
+func (m *memKV) Range(_ context.Context, r kvstore.RangeRequest) (kvstore.RangeResult, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var out platform.RangeResult
+	var out kvstore.RangeResult
 	for key, p := range m.pairs {
 		if strings.HasPrefix(key, r.Prefix) {
 			out.Pairs = append(out.Pairs, p)
@@ -58,14 +58,14 @@
 	return out, m.err
 }
 
-func (m *memKV) Txn(_ context.Context, t platform.Txn) (platform.TxnResult, error) {
+func (m *memKV) Txn(_ context.Context, t kvstore.Txn) (kvstore.TxnResult, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.err != nil {
-		return platform.TxnResult{}, m.err
+		return kvstore.TxnResult{}, m.err
 	}
 	m.rev++
-	res := platform.TxnResult{Succeeded: true, Revision: m.rev}
+	res := kvstore.TxnResult{Succeeded: true, Revision: m.rev}
 	for _, c := range t.Compares {
 		_, rev := m.find(c.Key)
 		res.Succeeded = res.Succeeded && rev == c.Value
@@ -75,8 +75,8 @@
 		ops = t.Failure
 	}
 	for _, op := range ops {
-		if op.Kind == platform.OpPut {
-			m.pairs[op.Key] = platform.Pair{Key: op.Key, Value: op.Value, ModRevision: m.rev}
+		if op.Kind == kvstore.OpPut {
+			m.pairs[op.Key] = kvstore.Pair{Key: op.Key, Value: op.Value, ModRevision: m.rev}
 			continue
 		}
 		p, _ := m.find(op.Key)
@@ -87,9 +87,9 @@
 
 // useMemory makes the commands use a store in memory until the test ends.
 func useMemory(t *testing.T) *memKV {
-	kv := &memKV{pairs: map[string]platform.Pair{}}
+	kv := &memKV{pairs: map[string]kvstore.Pair{}}
 	old := openKV
-	openKV = func(Settings) (platform.KV, error) { return kv, nil }
+	openKV = func(Settings) (kvstore.KV, error) { return kv, nil }
 	t.Cleanup(func() { openKV = old })
 	return kv
 }
@@ -116,7 +116,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	m.pairs[config.HostsPrefix+id] = platform.Pair{Key: config.HostsPrefix + id, Value: value, ModRevision: 1}
+	m.pairs[config.HostsPrefix+id] = kvstore.Pair{Key: config.HostsPrefix + id, Value: value, ModRevision: 1}
 }
 
 const examples = "../../examples/"
@@ -164,7 +164,7 @@
 	if out := ctl(t, exitConflict, apply...); !strings.Contains(out, `"who": "op"`) {
 		t.Errorf("the winner is not named: %s", out)
 	}
-	for _, kv.err = range []error{platform.ErrUnavailable, platform.ErrUnknown} {
+	for _, kv.err = range []error{kvstore.ErrUnavailable, kvstore.ErrUnknown} {
 		ctl(t, exitUnavailable, "apply", "--from-revision", "1", "--base", examples+"local/base.json")
 		ctl(t, exitUnavailable, "status")
 	}
--- a/cmd/foxtailstandin/platform.go
+++ b/cmd/foxtailstandin/platform.go
@@ -9,7 +9,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/urfave/cli/v3"
 
-	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/standin/kv"
 	"github.com/foxtailpass/foxtailpass/internal/standin/site"
 )
@@ -59,7 +59,7 @@
 	if file == "" {
 		return nil
 	}
-	client, err := platform.NewClient(platform.Options{Endpoints: []string{addr}, Prefix: c.String("prefix"), Timeout: time.Second})
+	client, err := kvstore.NewClient(kvstore.Options{Endpoints: []string{addr}, Prefix: c.String("prefix"), Timeout: time.Second})
 	if err != nil {
 		return fmt.Errorf("%w: %w", errSettings, err)
 	}
--- a/internal/claims/store.go
+++ b/internal/claims/store.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/foxtailpass/foxtailpass/internal/entity"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 )
 
 // Timing of the store.
@@ -84,14 +84,14 @@
 	path     string
 	record   Record
 	revision int64
-	lease    platform.LeaseID
+	lease    kvstore.LeaseID
 	// doubtful is set when a write of the claim had an unknown outcome and may still arrive.
 	doubtful bool
 }
 
 // Options configures a Store.
 type Options struct {
-	KV          platform.KV
+	KV          kvstore.KV
 	Host        entity.HostID
 	Incarnation entity.Incarnation
 	// Alive says whether a claimant lives. It must answer Gone only when that is proven.
@@ -116,7 +116,7 @@
 	unrun map[string]bool
 
 	leaseMu   sync.Mutex
-	lease     platform.LeaseID
+	lease     kvstore.LeaseID
 	leaseHour int64
 }
 
@@ -231,7 +231,7 @@
 	delay := retryDelay
 	for len(batch) > 0 {
 		lease, err := s.hourLease(ctx)
-		var result platform.TxnResult
+		var result kvstore.TxnResult
 		if err == nil {
 			result, err = s.opt.KV.Txn(ctx, claimTxn(batch, lease))
 			markDoubtful(batch, err)
@@ -240,10 +240,10 @@
 			batch = s.resolve(batch, result, lease)
 			continue
 		}
-		if errors.Is(err, platform.ErrLeaseNotFound) {
+		if errors.Is(err, kvstore.ErrLeaseNotFound) {
 			s.forgetLease(lease)
 		}
-		if errors.Is(err, platform.ErrUnavailable) {
+		if errors.Is(err, kvstore.ErrUnavailable) {
 			batch = s.finishCertain(batch)
 		}
 		if !sleep(ctx, delay) {
@@ -258,7 +258,7 @@
 
 // markDoubtful notes that the writes may have taken effect, or may yet do so.
 func markDoubtful(batch []*pending, err error) {
-	if err == nil || errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrLeaseNotFound) {
+	if err == nil || errors.Is(err, kvstore.ErrUnavailable) || errors.Is(err, kvstore.ErrLeaseNotFound) {
 		return
 	}
 	for _, p := range batch {
@@ -279,20 +279,20 @@
 	return rest
 }
 
-func claimTxn(batch []*pending, lease platform.LeaseID) platform.Txn {
-	var t platform.Txn
+func claimTxn(batch []*pending, lease kvstore.LeaseID) kvstore.Txn {
+	var t kvstore.Txn
 	for _, p := range batch {
 		path := p.claim.path
-		t.Compares = append(t.Compares, platform.Unchanged(path, p.over))
-		t.Success = append(t.Success, platform.PutLeased(path, p.claim.record.encode(), lease))
-		t.Failure = append(t.Failure, platform.Op{Kind: platform.OpGet, Key: path})
+		t.Compares = append(t.Compares, kvstore.Unchanged(path, p.over))
+		t.Success = append(t.Success, kvstore.PutLeased(path, p.claim.record.encode(), lease))
+		t.Failure = append(t.Failure, kvstore.Op{Kind: kvstore.OpGet, Key: path})
 	}
 	return t
 }
 
 // resolve ends the claims that a transaction has decided and returns those to try again, which
 // are the ones whose own compare did not fail.
-func (s *Store) resolve(batch []*pending, result platform.TxnResult, lease platform.LeaseID) []*pending {
+func (s *Store) resolve(batch []*pending, result kvstore.TxnResult, lease kvstore.LeaseID) []*pending {
 	if result.Succeeded {
 		for _, p := range batch {
 			p.claim.revision, p.claim.lease = result.Revision, lease
@@ -320,7 +320,7 @@
 
 // judge decides a claim by the stored one. It is undecided when the stored claim is one of this
 // process that was never run and can be replaced.
-func (s *Store) judge(p *pending, pair *platform.Pair) (Result, bool) {
+func (s *Store) judge(p *pending, pair *kvstore.Pair) (Result, bool) {
 	stored, err := parseRecord(pair.Value)
 	if err != nil {
 		return Result{Outcome: OutcomeUnknown}, true
@@ -396,9 +396,9 @@
 	if err != nil || stored.Attempt != attempt {
 		return false
 	}
-	result, err := s.opt.KV.Txn(ctx, platform.Txn{
-		Compares: []platform.Compare{platform.Unchanged(path, pair.ModRevision)},
-		Success:  []platform.Op{{Kind: platform.OpDelete, Key: path}},
+	result, err := s.opt.KV.Txn(ctx, kvstore.Txn{
+		Compares: []kvstore.Compare{kvstore.Unchanged(path, pair.ModRevision)},
+		Success:  []kvstore.Op{{Kind: kvstore.OpDelete, Key: path}},
 	})
 	return err == nil && result.Succeeded
 }
@@ -409,7 +409,7 @@
 	bounded := answer.bounded()
 	record := c.record
 	record.Answer = &bounded
-	return s.replace(ctx, c, platform.PutLeased(c.path, record.encode(), c.lease), func(pair *platform.Pair) bool {
+	return s.replace(ctx, c, kvstore.PutLeased(c.path, record.encode(), c.lease), func(pair *kvstore.Pair) bool {
 		if pair == nil {
 			return false
 		}
@@ -421,7 +421,7 @@
 // Release gives up a claim whose request was proven not to have run. When the service cannot be
 // reached before ctx ends, the claim is removed in the background.
 func (s *Store) Release(ctx context.Context, c *Claim) error {
-	err := s.replace(ctx, c, platform.Op{Kind: platform.OpDelete, Key: c.path}, func(pair *platform.Pair) bool {
+	err := s.replace(ctx, c, kvstore.Op{Kind: kvstore.OpDelete, Key: c.path}, func(pair *kvstore.Pair) bool {
 		return pair == nil
 	})
 	if err != nil || c.doubtful {
@@ -435,18 +435,18 @@
 
 // replace runs one operation on the held claim until its outcome is known; applied tells from the
 // stored pair whether an earlier try took effect.
-func (s *Store) replace(ctx context.Context, c *Claim, op platform.Op, applied func(*platform.Pair) bool) error {
+func (s *Store) replace(ctx context.Context, c *Claim, op kvstore.Op, applied func(*kvstore.Pair) bool) error {
 	delay := retryDelay
 	for {
-		result, err := s.opt.KV.Txn(ctx, platform.Txn{
-			Compares: []platform.Compare{platform.Unchanged(c.path, c.revision)},
-			Success:  []platform.Op{op},
-			Failure:  []platform.Op{{Kind: platform.OpGet, Key: c.path}},
+		result, err := s.opt.KV.Txn(ctx, kvstore.Txn{
+			Compares: []kvstore.Compare{kvstore.Unchanged(c.path, c.revision)},
+			Success:  []kvstore.Op{op},
+			Failure:  []kvstore.Op{{Kind: kvstore.OpGet, Key: c.path}},
 		})
 		switch {
 		case err == nil && (result.Succeeded || applied(result.Gets[0])):
 			return nil
-		case err == nil || errors.Is(err, platform.ErrLeaseNotFound):
+		case err == nil || errors.Is(err, kvstore.ErrLeaseNotFound):
 			return ErrLost
 		}
 		if !sleep(ctx, delay) {
@@ -457,7 +457,7 @@
 }
 
 // hourLease returns the lease of the current hour, which ends at least Window after its last claim.
-func (s *Store) hourLease(ctx context.Context) (platform.LeaseID, error) {
+func (s *Store) hourLease(ctx context.Context) (kvstore.LeaseID, error) {
 	s.leaseMu.Lock()
 	defer s.leaseMu.Unlock()
 	hour := s.opt.Now().Unix() / int64(bucket/time.Second)
@@ -465,9 +465,9 @@
 		return s.lease, nil
 	}
 	id, err := s.opt.KV.Grant(ctx, Window+bucket)
-	if errors.Is(err, platform.ErrUnknown) {
+	if errors.Is(err, kvstore.ErrUnknown) {
 		// A lease without keys expires by itself, so the claim was certainly not written.
-		err = fmt.Errorf("%w: lease not granted: %v", platform.ErrUnavailable, err)
+		err = fmt.Errorf("%w: lease not granted: %v", kvstore.ErrUnavailable, err)
 	}
 	if err != nil {
 		return 0, err
@@ -476,7 +476,7 @@
 	return id, nil
 }
 
-func (s *Store) forgetLease(id platform.LeaseID) {
+func (s *Store) forgetLease(id kvstore.LeaseID) {
 	s.leaseMu.Lock()
 	defer s.leaseMu.Unlock()
 	if s.lease == id {
--- a/internal/claims/store_test.go
+++ b/internal/claims/store_test.go
@@ -11,15 +11,15 @@
 	"github.com/anishathalye/porcupine"
 
 	"github.com/foxtailpass/foxtailpass/internal/entity"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 )
 
 // memoryKV is a key-value service in memory that loses answers and can be down.
 type memoryKV struct {
-	platform.KV
+	kvstore.KV
 	mu     sync.Mutex
 	rev    int64
-	pairs  map[string]platform.Pair
+	pairs  map[string]kvstore.Pair
 	txns   int
 	grants int
 	down   bool
@@ -28,54 +28,54 @@
 	lose, late, refuse float64
 }
 
-func newKV() *memoryKV { return &memoryKV{pairs: map[string]platform.Pair{}} }
+func newKV() *memoryKV { return &memoryKV{pairs: map[string]kvstore.Pair{}} }
 
-func (m *memoryKV) Grant(context.Context, time.Duration) (platform.LeaseID, error) {
+func (m *memoryKV) Grant(context.Context, time.Duration) (kvstore.LeaseID, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.grants++
-	return platform.LeaseID(m.grants), nil
+	return kvstore.LeaseID(m.grants), nil
 }
 
-func (m *memoryKV) Get(_ context.Context, key string) (*platform.Pair, int64, error) {
+func (m *memoryKV) Get(_ context.Context, key string) (*kvstore.Pair, int64, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.down {
-		return nil, 0, platform.ErrUnavailable
+		return nil, 0, kvstore.ErrUnavailable
 	}
 	return m.get(key), m.rev, nil
 }
 
-func (m *memoryKV) get(key string) *platform.Pair {
+func (m *memoryKV) get(key string) *kvstore.Pair {
 	if p, ok := m.pairs[key]; ok {
 		return &p
 	}
 	return nil
 }
 
-func (m *memoryKV) Txn(_ context.Context, t platform.Txn) (platform.TxnResult, error) {
+func (m *memoryKV) Txn(_ context.Context, t kvstore.Txn) (kvstore.TxnResult, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.txns++
 	switch x := rand.Float64(); {
 	case m.down || x < m.refuse:
-		return platform.TxnResult{}, platform.ErrUnavailable
+		return kvstore.TxnResult{}, kvstore.ErrUnavailable
 	case x < m.refuse+m.late:
 		time.AfterFunc(rand.N(40*time.Millisecond), func() {
 			m.mu.Lock()
 			defer m.mu.Unlock()
 			m.apply(t)
 		})
-		return platform.TxnResult{}, platform.ErrUnknown
+		return kvstore.TxnResult{}, kvstore.ErrUnknown
 	case x < m.refuse+m.late+m.lose:
 		m.apply(t)
-		return platform.TxnResult{}, platform.ErrUnknown
+		return kvstore.TxnResult{}, kvstore.ErrUnknown
 	}
 	return m.apply(t), nil
 }
 
-func (m *memoryKV) apply(t platform.Txn) platform.TxnResult {
-	r := platform.TxnResult{Succeeded: true}
+func (m *memoryKV) apply(t kvstore.Txn) kvstore.TxnResult {
+	r := kvstore.TxnResult{Succeeded: true}
 	for _, c := range t.Compares {
 		r.Succeeded = r.Succeeded && m.pairs[c.Key].ModRevision == c.Value
 	}
@@ -86,16 +86,16 @@
 	}
 	seen := map[string]bool{}
 	for _, op := range ops {
-		if seen[op.Key] && op.Kind == platform.OpPut {
+		if seen[op.Key] && op.Kind == kvstore.OpPut {
 			panic("duplicate key in one transaction: " + op.Key)
 		}
 		seen[op.Key] = true
 		switch op.Kind {
-		case platform.OpPut:
-			m.pairs[op.Key] = platform.Pair{Key: op.Key, Value: op.Value, ModRevision: m.rev, Lease: op.Lease}
-		case platform.OpDelete:
+		case kvstore.OpPut:
+			m.pairs[op.Key] = kvstore.Pair{Key: op.Key, Value: op.Value, ModRevision: m.rev, Lease: op.Lease}
+		case kvstore.OpDelete:
 			delete(m.pairs, op.Key)
-		case platform.OpGet:
+		case kvstore.OpGet:
 			r.Gets = append(r.Gets, m.get(op.Key))
 		}
 	}
@@ -109,7 +109,7 @@
 	f()
 }
 
-func testStore(t *testing.T, kv platform.KV, inc string, alive Liveness) *Store {
+func testStore(t *testing.T, kv kvstore.KV, inc string, alive Liveness) *Store {
 	s := New(Options{KV: kv, Host: entity.HostID(inc), Incarnation: entity.Incarnation(inc), Alive: func(entity.HostID, entity.Incarnation) Liveness { return alive }})
 	t.Cleanup(s.Close)
 	return s
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -4,7 +4,7 @@
 
 import (
 	"github.com/foxtailpass/foxtailpass/internal/entity"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/wire"
 )
 
@@ -47,7 +47,7 @@
 type WriteRecords struct {
 	// ID is unique within the process.
 	ID  uint64
-	Txn platform.Txn
+	Txn kvstore.Txn
 }
 
 // SendOrder sends an order to an engine. The result comes back under the same OrderID.
--- a/internal/config/keys.go
+++ b/internal/config/keys.go
@@ -10,7 +10,7 @@
 	"strings"
 
 	"github.com/foxtailpass/foxtailpass/internal/entity"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 )
 
 const (
@@ -28,7 +28,7 @@
 var ErrAlreadyWithdrawn = errors.New("config: key is already withdrawn")
 
 // IssueKey creates a key for a workspace. The plain key is returned once and never stored. After
-// an error that wraps platform.ErrUnknown the key may exist; the record names the ID to withdraw.
+// an error that wraps kvstore.ErrUnknown the key may exist; the record names the ID to withdraw.
 func (s *Store) IssueKey(ctx context.Context, workspace entity.WorkspaceID, who string) (string, KeyRecord, error) {
 	if who == "" || !namePattern.MatchString(string(workspace)) {
 		return "", KeyRecord{}, fmt.Errorf("config: issuing a key needs an operator and a workspace name of %s", nameAllowed)
@@ -46,18 +46,18 @@
 		Attempt: record.Attempt, Key: record.ID, Workspace: workspace,
 	}
 	key := KeysPrefix + digest
-	if _, err := s.commitRecord(ctx, platform.Unchanged(key, 0), key, record, entry); err != nil {
+	if _, err := s.commitRecord(ctx, kvstore.Unchanged(key, 0), key, record, entry); err != nil {
 		return "", record, fmt.Errorf("config: issuing key %s: %w", record.ID, err)
 	}
 	return plain, record, nil
 }
 
-func (s *Store) commitRecord(ctx context.Context, guard platform.Compare, key string, record any, entry AuditEntry) (int64, error) {
+func (s *Store) commitRecord(ctx context.Context, guard kvstore.Compare, key string, record any, entry AuditEntry) (int64, error) {
 	value, err := json.Marshal(record)
 	if err != nil {
 		return 0, err
 	}
-	return s.commit(ctx, change{guard: guard, ops: []platform.Op{platform.Put(key, value)}, entry: entry})
+	return s.commit(ctx, change{guard: guard, ops: []kvstore.Op{kvstore.Put(key, value)}, entry: entry})
 }
 
 // WithdrawKey ends a key for good. A key that is already withdrawn gives ErrAlreadyWithdrawn, an
@@ -84,7 +84,7 @@
 			Kind: AuditWithdrawKey, Who: who, When: record.Withdrawn,
 			Attempt: record.Attempt, Key: id, Workspace: record.Workspace,
 		}
-		_, err = s.commitRecord(ctx, platform.Unchanged(pair.Key, pair.ModRevision), pair.Key, record, entry)
+		_, err = s.commitRecord(ctx, kvstore.Unchanged(pair.Key, pair.ModRevision), pair.Key, record, entry)
 		if errors.Is(err, errGuard) {
 			continue
 		}
@@ -95,24 +95,24 @@
 	}
 }
 
-func (s *Store) findKey(ctx context.Context, id entity.KeyID, digits string) (platform.Pair, KeyRecord, error) {
-	result, err := s.kv.Range(ctx, platform.RangeRequest{Prefix: KeysPrefix + digits})
+func (s *Store) findKey(ctx context.Context, id entity.KeyID, digits string) (kvstore.Pair, KeyRecord, error) {
+	result, err := s.kv.Range(ctx, kvstore.RangeRequest{Prefix: KeysPrefix + digits})
 	if err != nil {
-		return platform.Pair{}, KeyRecord{}, readError(err)
+		return kvstore.Pair{}, KeyRecord{}, readError(err)
 	}
 	if len(result.Pairs) != 1 {
-		return platform.Pair{}, KeyRecord{}, fmt.Errorf("%w: key %s", ErrNotFound, id)
+		return kvstore.Pair{}, KeyRecord{}, fmt.Errorf("%w: key %s", ErrNotFound, id)
 	}
 	var record KeyRecord
 	if err := json.Unmarshal(result.Pairs[0].Value, &record); err != nil {
-		return platform.Pair{}, KeyRecord{}, fmt.Errorf("config: record of key %s is damaged: %w", id, err)
+		return kvstore.Pair{}, KeyRecord{}, fmt.Errorf("config: record of key %s is damaged: %w", id, err)
 	}
 	return result.Pairs[0], record, nil
 }
 
 // ListKeys returns the records of all keys, withdrawn ones included, in the order of their digests.
 func (s *Store) ListKeys(ctx context.Context) ([]KeyRecord, error) {
-	result, err := s.kv.Range(ctx, platform.RangeRequest{Prefix: KeysPrefix})
+	result, err := s.kv.Range(ctx, kvstore.RangeRequest{Prefix: KeysPrefix})
 	if err != nil {
 		return nil, readError(err)
 	}
@@ -137,7 +137,7 @@
 		Kind: AuditHostGone, Who: who, When: record.When,
 		Attempt: record.Attempt, Host: host, Incarnation: incarnation,
 	}
-	_, err := s.commitRecord(ctx, platform.Unchanged(key, 0), key, record, entry)
+	_, err := s.commitRecord(ctx, kvstore.Unchanged(key, 0), key, record, entry)
 	if errors.Is(err, errGuard) {
 		_, err = s.read(ctx, key, &record)
 	}
@@ -162,13 +162,13 @@
 
 // NewKeyTable builds a table from the pairs below KeysPrefix. The error lists the pairs that are
 // damaged; the table is usable without them, so that damaged records let no caller in.
-func NewKeyTable(pairs []platform.Pair) (*KeyTable, error) {
+func NewKeyTable(pairs []kvstore.Pair) (*KeyTable, error) {
 	return (*KeyTable)(nil).Update(pairs)
 }
 
 // Update returns a table with the changed pairs applied; the receiver is left as it is. A pair
 // without a value, or with a damaged one, removes the key from the table.
-func (t *KeyTable) Update(changed []platform.Pair) (*KeyTable, error) {
+func (t *KeyTable) Update(changed []kvstore.Pair) (*KeyTable, error) {
 	next := &KeyTable{}
 	if t != nil {
 		*next = *t
@@ -217,7 +217,7 @@
 	return out
 }
 
-func setRecord(shard map[KeyDigest]KeyRecord, digest KeyDigest, pair platform.Pair) error {
+func setRecord(shard map[KeyDigest]KeyRecord, digest KeyDigest, pair kvstore.Pair) error {
 	delete(shard, digest)
 	if len(pair.Value) == 0 {
 		return nil
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/foxtailpass/foxtailpass/internal/entity"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 )
 
 const (
@@ -51,15 +51,15 @@
 // Store applies, lists and audits configurations and keys. It keeps no state of its own and is
 // safe for concurrent use by any number of processes.
 //
-// Errors of writes wrap platform.ErrUnavailable when the change certainly did not take effect
-// and platform.ErrUnknown when it may have.
+// Errors of writes wrap kvstore.ErrUnavailable when the change certainly did not take effect
+// and kvstore.ErrUnknown when it may have.
 type Store struct {
-	kv  platform.KV
+	kv  kvstore.KV
 	now func() time.Time
 }
 
 // NewStore returns a Store over kv, whose keys are relative to the installation's prefix.
-func NewStore(kv platform.KV) *Store { return &Store{kv: kv, now: time.Now} }
+func NewStore(kv kvstore.KV) *Store { return &Store{kv: kv, now: time.Now} }
 
 // ApplyRequest asks to put a configuration in force.
 type ApplyRequest struct {
@@ -100,7 +100,7 @@
 	if err != nil {
 		return Head{}, err
 	}
-	guard := platform.Unchanged(HeadKey, current.ModRevision)
+	guard := kvstore.Unchanged(HeadKey, current.ModRevision)
 	revision, err := s.commit(ctx, change{guard: guard, ops: ops, entry: entry})
 	if errors.Is(err, errGuard) {
 		if current, err = s.Head(ctx); err != nil {
@@ -268,14 +268,14 @@
 	return out
 }
 
-func applyOps(next Head, docs map[string][]byte) ([]platform.Op, error) {
+func applyOps(next Head, docs map[string][]byte) ([]kvstore.Op, error) {
 	record, err := json.Marshal(next)
 	if err != nil {
 		return nil, err
 	}
-	ops := []platform.Op{platform.Put(HeadKey, record), platform.Put(historyKey(next.Revision), record)}
+	ops := []kvstore.Op{kvstore.Put(HeadKey, record), kvstore.Put(historyKey(next.Revision), record)}
 	for _, digest := range slices.Sorted(maps.Keys(docs)) {
-		ops = append(ops, platform.Put(DocumentsPrefix+digest, docs[digest]))
+		ops = append(ops, kvstore.Put(DocumentsPrefix+digest, docs[digest]))
 	}
 	return ops, nil
 }
@@ -292,8 +292,8 @@
 
 // change is one audited transaction. Its guard is a compare of a ModRevision.
 type change struct {
-	guard platform.Compare
-	ops   []platform.Op
+	guard kvstore.Compare
+	ops   []kvstore.Op
 	entry AuditEntry
 }
 
@@ -318,9 +318,9 @@
 		}
 	}
 	if len(tried) > 0 {
-		return 0, fmt.Errorf("%w: %v", platform.ErrUnknown, last)
+		return 0, fmt.Errorf("%w: %v", kvstore.ErrUnknown, last)
 	}
-	return 0, fmt.Errorf("%w: %w", platform.ErrUnavailable, last)
+	return 0, fmt.Errorf("%w: %w", kvstore.ErrUnavailable, last)
 }
 
 // attempt runs one try of a change. It adds the audit number to tried when the try may have
@@ -358,25 +358,25 @@
 // mayHaveRun says whether a transaction that ended with err may have taken effect. A client that
 // was interrupted by its context cannot know.
 func mayHaveRun(err error) bool {
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, kvstore.ErrUnavailable) {
 		return false
 	}
-	return errors.Is(err, platform.ErrUnknown) || errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
+	return errors.Is(err, kvstore.ErrUnknown) || errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
 }
 
-func (s *Store) try(ctx context.Context, c change, counterRev int64) (platform.TxnResult, error) {
+func (s *Store) try(ctx context.Context, c change, counterRev int64) (kvstore.TxnResult, error) {
 	entry, err := json.Marshal(c.entry)
 	if err != nil {
-		return platform.TxnResult{}, err
+		return kvstore.TxnResult{}, err
 	}
 	ops := append(slices.Clone(c.ops),
-		platform.Put(auditKey(c.entry.Number), entry),
-		platform.Put(AuditCounterKey, fmt.Appendf(nil, "%d", c.entry.Number)),
+		kvstore.Put(auditKey(c.entry.Number), entry),
+		kvstore.Put(AuditCounterKey, fmt.Appendf(nil, "%d", c.entry.Number)),
 	)
-	return s.kv.Txn(ctx, platform.Txn{
-		Compares: []platform.Compare{c.guard, platform.Unchanged(AuditCounterKey, counterRev), platform.Absent(auditKey(c.entry.Number))},
+	return s.kv.Txn(ctx, kvstore.Txn{
+		Compares: []kvstore.Compare{c.guard, kvstore.Unchanged(AuditCounterKey, counterRev), kvstore.Absent(auditKey(c.entry.Number))},
 		Success:  ops,
-		Failure:  []platform.Op{{Kind: platform.OpGet, Key: c.guard.Key}},
+		Failure:  []kvstore.Op{{Kind: kvstore.OpGet, Key: c.guard.Key}},
 	})
 }
 
@@ -395,7 +395,7 @@
 	return 0, nil
 }
 
-func modRevision(p *platform.Pair) int64 {
+func modRevision(p *kvstore.Pair) int64 {
 	if p == nil {
 		return 0
 	}
@@ -423,12 +423,12 @@
 // readError reports a failed read as unavailable: a read whose answer is lost changes nothing.
 func readError(err error) error {
 	if mayHaveRun(err) {
-		return fmt.Errorf("%w: %v", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %v", kvstore.ErrUnavailable, err)
 	}
 	return err
 }
 
-func (s *Store) get(ctx context.Context, key string) (*platform.Pair, error) {
+func (s *Store) get(ctx context.Context, key string) (*kvstore.Pair, error) {
 	pair, _, err := s.kv.Get(ctx, key)
 	return pair, readError(err)
 }
@@ -457,7 +457,7 @@
 }
 
 // ParseHead decodes a head record from a pair of the watched prefix.
-func ParseHead(p platform.Pair) (Head, error) {
+func ParseHead(p kvstore.Pair) (Head, error) {
 	var h Head
 	if err := json.Unmarshal(p.Value, &h); err != nil {
 		return Head{}, fmt.Errorf("config: head record is damaged: %w", err)
@@ -541,15 +541,15 @@
 }
 
 // newest reads numbered records from last downwards, many in one call.
-func newest[T any](ctx context.Context, kv platform.KV, last int64, limit int, key func(int64) string) ([]T, error) {
+func newest[T any](ctx context.Context, kv kvstore.KV, last int64, limit int, key func(int64) string) ([]T, error) {
 	out := []T{}
 	first := max(1, last-int64(limit)+1)
 	for last >= first {
-		var ops []platform.Op
+		var ops []kvstore.Op
 		for ; last >= first && len(ops) < batchGets; last-- {
-			ops = append(ops, platform.Op{Kind: platform.OpGet, Key: key(last)})
+			ops = append(ops, kvstore.Op{Kind: kvstore.OpGet, Key: key(last)})
 		}
-		result, err := kv.Txn(ctx, platform.Txn{Success: ops})
+		result, err := kv.Txn(ctx, kvstore.Txn{Success: ops})
 		if err != nil {
 			return nil, readError(err)
 		}
--- a/internal/config/store_test.go
+++ b/internal/config/store_test.go
@@ -9,33 +9,33 @@
 	"testing"
 	"testing/synctest"
 
-	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 )
 
 // memKV keeps pairs in memory. before and after run around each transaction that writes, read
 // before each single read.
 type memKV struct {
-	platform.KV
+	kvstore.KV
 	mu            sync.Mutex
 	rev           int64
-	pairs         map[string]platform.Pair
+	pairs         map[string]kvstore.Pair
 	before, after func() error
 	read          func() error
 }
 
 func newMemKV() *memKV {
 	ok := func() error { return nil }
-	return &memKV{rev: 1, pairs: map[string]platform.Pair{}, before: ok, after: ok, read: ok}
+	return &memKV{rev: 1, pairs: map[string]kvstore.Pair{}, before: ok, after: ok, read: ok}
 }
 
-func (m *memKV) lookup(key string) *platform.Pair {
+func (m *memKV) lookup(key string) *kvstore.Pair {
 	if p, ok := m.pairs[key]; ok {
 		return &p
 	}
 	return nil
 }
 
-func (m *memKV) Get(_ context.Context, key string) (*platform.Pair, int64, error) {
+func (m *memKV) Get(_ context.Context, key string) (*kvstore.Pair, int64, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if err := m.read(); err != nil {
@@ -44,10 +44,10 @@
 	return m.lookup(key), m.rev, nil
 }
 
-func (m *memKV) Range(_ context.Context, r platform.RangeRequest) (platform.RangeResult, error) {
+func (m *memKV) Range(_ context.Context, r kvstore.RangeRequest) (kvstore.RangeResult, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := platform.RangeResult{Revision: m.rev}
+	out := kvstore.RangeResult{Revision: m.rev}
 	for key, p := range m.pairs {
 		if strings.HasPrefix(key, r.Prefix) {
 			out.Pairs = append(out.Pairs, p)
@@ -56,25 +56,25 @@
 	return out, nil
 }
 
-func (m *memKV) Txn(_ context.Context, t platform.Txn) (platform.TxnResult, error) {
+func (m *memKV) Txn(_ context.Context, t kvstore.Txn) (kvstore.TxnResult, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if len(t.Compares) > 0 {
 		if err := m.before(); err != nil {
-			return platform.TxnResult{}, err
+			return kvstore.TxnResult{}, err
 		}
 	}
 	res := m.run(t)
 	if len(t.Compares) > 0 {
 		if err := m.after(); err != nil {
-			return platform.TxnResult{}, err
+			return kvstore.TxnResult{}, err
 		}
 	}
 	return res, nil
 }
 
-func (m *memKV) run(t platform.Txn) platform.TxnResult {
-	res := platform.TxnResult{Succeeded: true}
+func (m *memKV) run(t kvstore.Txn) kvstore.TxnResult {
+	res := kvstore.TxnResult{Succeeded: true}
 	for _, c := range t.Compares {
 		res.Succeeded = res.Succeeded && modRevision(m.lookup(c.Key)) == c.Value
 	}
@@ -85,11 +85,11 @@
 		m.rev++
 	}
 	for _, op := range ops {
-		if op.Kind == platform.OpGet {
+		if op.Kind == kvstore.OpGet {
 			res.Gets = append(res.Gets, m.lookup(op.Key))
 			continue
 		}
-		m.pairs[op.Key] = platform.Pair{Key: op.Key, Value: op.Value, ModRevision: m.rev}
+		m.pairs[op.Key] = kvstore.Pair{Key: op.Key, Value: op.Value, ModRevision: m.rev}
 	}
 	res.Revision = m.rev
 	return res
@@ -154,7 +154,7 @@
 
 // Guards against an apply that is reported wrongly, or done twice, after a lost answer.
 func TestApplyAfterLostAnswer(t *testing.T) {
-	lost := fmt.Errorf("lost: %w", platform.ErrUnknown)
+	lost := fmt.Errorf("lost: %w", kvstore.ErrUnknown)
 	tests := []struct {
 		name           string
 		before, after  []error
@@ -165,10 +165,10 @@
 		{"applied", nil, []error{lost}, nil, nil, 2, 2},
 		{"not applied, then applied", []error{lost}, nil, nil, nil, 2, 2},
 		// The reads are the head, two documents, the audit counter and then the read-back.
-		{"applied, then unavailable", nil, []error{lost}, []error{nil, nil, nil, nil, platform.ErrUnavailable, lost}, nil, 2, 2},
-		{"unavailable", []error{platform.ErrUnavailable}, nil, nil, platform.ErrUnavailable, 1, 2},
-		{"lost read", nil, nil, []error{lost}, platform.ErrUnavailable, 1, 2},
-		{"interrupted", []error{context.DeadlineExceeded, platform.ErrUnavailable, platform.ErrUnavailable}, nil, nil, nil, 2, 2},
+		{"applied, then unavailable", nil, []error{lost}, []error{nil, nil, nil, nil, kvstore.ErrUnavailable, lost}, nil, 2, 2},
+		{"unavailable", []error{kvstore.ErrUnavailable}, nil, nil, kvstore.ErrUnavailable, 1, 2},
+		{"lost read", nil, nil, []error{lost}, kvstore.ErrUnavailable, 1, 2},
+		{"interrupted", []error{context.DeadlineExceeded, kvstore.ErrUnavailable, kvstore.ErrUnavailable}, nil, nil, nil, 2, 2},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -213,9 +213,9 @@
 func TestApplyStaysUnknown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		kv := newMemKV()
-		kv.before = func() error { return platform.ErrUnknown }
+		kv.before = func() error { return kvstore.ErrUnknown }
 		_, err := NewStore(kv).Apply(t.Context(), ApplyRequest{Base: []byte(goodBase), Who: "a"})
-		if !errors.Is(err, platform.ErrUnknown) || errors.Is(err, platform.ErrUnavailable) {
+		if !errors.Is(err, kvstore.ErrUnknown) || errors.Is(err, kvstore.ErrUnavailable) {
 			t.Errorf("got %v", err)
 		}
 	})
@@ -249,7 +249,7 @@
 func TestKeyLifecycle(t *testing.T) {
 	kv := newMemKV()
 	s := NewStore(kv)
-	kv.after = faults([]error{platform.ErrUnknown, nil, platform.ErrUnknown})
+	kv.after = faults([]error{kvstore.ErrUnknown, nil, kvstore.ErrUnknown})
 	plain, record, err := s.IssueKey(t.Context(), "w", "a")
 	if err != nil || len(plain) != 44 || !strings.HasPrefix(plain, "fxp_") {
 		t.Fatalf("%q, %v", plain, err)
@@ -263,11 +263,11 @@
 			t.Errorf("%s holds the plain key", key)
 		}
 	}
-	pairs := func() []platform.Pair {
-		r, _ := kv.Range(t.Context(), platform.RangeRequest{Prefix: KeysPrefix + strings.TrimPrefix(string(record.ID), "k-")})
+	pairs := func() []kvstore.Pair {
+		r, _ := kv.Range(t.Context(), kvstore.RangeRequest{Prefix: KeysPrefix + strings.TrimPrefix(string(record.ID), "k-")})
 		return r.Pairs
 	}
-	all, _ := kv.Range(t.Context(), platform.RangeRequest{Prefix: KeysPrefix})
+	all, _ := kv.Range(t.Context(), kvstore.RangeRequest{Prefix: KeysPrefix})
 	table, err := NewKeyTable(all.Pairs)
 	if err != nil || table.Len() != 2 {
 		t.Fatalf("%d keys, %v", table.Len(), err)
@@ -291,8 +291,8 @@
 	if !before.Active() || now.Active() || !kept.Active() {
 		t.Errorf("before %+v, now %+v, other %+v", before, now, kept)
 	}
-	damaged := platform.Pair{Key: KeysPrefix + Digest([]byte(other)), Value: []byte("{")}
-	after, err = after.Update([]platform.Pair{damaged})
+	damaged := kvstore.Pair{Key: KeysPrefix + Digest([]byte(other)), Value: []byte("{")}
+	after, err = after.Update([]kvstore.Pair{damaged})
 	if _, found := after.Lookup([]byte(other)); err == nil || found {
 		t.Error("a damaged record still lets its key in")
 	}
--- a/internal/control/core_test.go
+++ b/internal/control/core_test.go
@@ -9,9 +9,9 @@
 	"github.com/foxtailpass/foxtailpass/internal/command"
 	"github.com/foxtailpass/foxtailpass/internal/config"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/limits"
 	"github.com/foxtailpass/foxtailpass/internal/placement"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
 	"github.com/foxtailpass/foxtailpass/internal/schedule"
 	"github.com/foxtailpass/foxtailpass/internal/wire"
 )
@@ -61,7 +61,7 @@
 	if err != nil {
 		panic(err)
 	}
-	return KeyChange{Key: key, Pair: &platform.Pair{Key: key, Value: data, ModRevision: rev}}
+	return KeyChange{Key: key, Pair: &kvstore.Pair{Key: key, Value: data, ModRevision: rev}}
 }
 
 func arrival(id string, pool schedule.PoolID, key entity.KeyID, caller Caller, claim bool) Arrived {
--- a/internal/control/end_test.go
+++ b/internal/control/end_test.go
@@ -7,9 +7,9 @@
 
 	"github.com/foxtailpass/foxtailpass/internal/config"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/limits"
 	"github.com/foxtailpass/foxtailpass/internal/placement"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
 	"github.com/foxtailpass/foxtailpass/internal/schedule"
 )
 
@@ -47,7 +47,7 @@
 	}
 	c.Handle(SiteChanged{Site: site}, at(0))
 	record := []byte(`{"kind":"orders","addr":"127.0.0.1:1","state":"live"}`)
-	c.Handle(ViewChanged{Changes: []KeyChange{{Key: config.UpstreamsPrefix + "orders-1", Pair: &platform.Pair{Value: record}}}}, at(0))
+	c.Handle(ViewChanged{Changes: []KeyChange{{Key: config.UpstreamsPrefix + "orders-1", Pair: &kvstore.Pair{Value: record}}}}, at(0))
 	return c
 }
 
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -9,7 +9,7 @@
 	"github.com/foxtailpass/foxtailpass/internal/command"
 	"github.com/foxtailpass/foxtailpass/internal/config"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/schedule"
 	"github.com/foxtailpass/foxtailpass/internal/wire"
 )
@@ -71,7 +71,7 @@
 // KeyChange is one changed key of the watched prefix; Pair is nil when it is absent.
 type KeyChange struct {
 	Key  string
-	Pair *platform.Pair
+	Pair *kvstore.Pair
 }
 
 // ViewChanged reports changed keys of the watched prefix.
@@ -101,7 +101,7 @@
 // WriteResult is the result of a WriteRecords command.
 type WriteResult struct {
 	ID     uint64
-	Result platform.TxnResult
+	Result kvstore.TxnResult
 	Err    error
 }
 
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -6,7 +6,7 @@
 
 	"github.com/foxtailpass/foxtailpass/internal/command"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/wire"
 )
 
@@ -26,7 +26,7 @@
 // call Loop.Send on the calling goroutine; results come back as events.
 type Effects interface {
 	SendPeer(to entity.HostID, m wire.Message)
-	WriteRecords(id uint64, txn platform.Txn)
+	WriteRecords(id uint64, txn kvstore.Txn)
 	SendOrder(addr string, o command.SendOrder)
 }
 
--- a/internal/host/effects.go
+++ b/internal/host/effects.go
@@ -9,8 +9,8 @@
 	"github.com/foxtailpass/foxtailpass/internal/command"
 	"github.com/foxtailpass/foxtailpass/internal/control"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/peer"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
 	"github.com/foxtailpass/foxtailpass/internal/upstream"
 	"github.com/foxtailpass/foxtailpass/internal/wire"
 )
@@ -25,7 +25,7 @@
 // effects carries out the commands of the control state. Every write and order runs on its own
 // goroutine, so that a slow service never holds the control goroutine.
 type effects struct {
-	kv        platform.KV
+	kv        kvstore.KV
 	peers     *peer.Manager
 	upstreams *upstream.Client
 	reporter  *reporter
@@ -38,7 +38,7 @@
 func (e *effects) SendPeer(to entity.HostID, m wire.Message) { e.peers.Send(to, m) }
 
 // WriteRecords implements control.Effects.
-func (e *effects) WriteRecords(id uint64, txn platform.Txn) {
+func (e *effects) WriteRecords(id uint64, txn kvstore.Txn) {
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
 		defer cancel()
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -20,9 +20,9 @@
 	"github.com/foxtailpass/foxtailpass/internal/control"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/gateway"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/metrics"
 	"github.com/foxtailpass/foxtailpass/internal/peer"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
 	"github.com/foxtailpass/foxtailpass/internal/upstream"
 	"github.com/foxtailpass/foxtailpass/internal/view"
 	"github.com/foxtailpass/foxtailpass/internal/wire"
@@ -64,7 +64,7 @@
 	started  time.Time
 	identity identity
 
-	kv        *platform.Client
+	kv        *kvstore.Client
 	metrics   *metrics.Metrics
 	upstreams *upstream.Client
 	peers     *peer.Manager
@@ -411,7 +411,7 @@
 	for _, k := range changed {
 		ch := control.KeyChange{Key: k}
 		if e, ok := s.Get(k); ok {
-			ch.Pair = &platform.Pair{Key: k, Value: e.Value, ModRevision: e.ModRevision}
+			ch.Pair = &kvstore.Pair{Key: k, Value: e.Value, ModRevision: e.ModRevision}
 		}
 		changes = append(changes, ch)
 	}
--- a/internal/host/register.go
+++ b/internal/host/register.go
@@ -12,7 +12,7 @@
 
 	"github.com/foxtailpass/foxtailpass/internal/config"
 	"github.com/foxtailpass/foxtailpass/internal/control"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 )
 
 // ErrSuperseded means that a newer process has registered under this host's name.
@@ -24,21 +24,21 @@
 // registrar keeps the registration of this process under a lease. One lease serves all records
 // of the process, so renewing costs one call per third of its life.
 type registrar struct {
-	kv   platform.KV
+	kv   kvstore.KV
 	ttl  time.Duration
 	log  *log.Logger
 	send func(control.Event)
 
 	mu    sync.Mutex
 	rec   config.HostRecord
-	lease platform.LeaseID
+	lease kvstore.LeaseID
 	// revision is the mod revision of this process's registration, zero before the first.
 	revision int64
 	dirty    bool
 	wake     chan struct{}
 }
 
-func newRegistrar(kv platform.KV, rec config.HostRecord, ttl time.Duration, l *log.Logger, send func(control.Event)) *registrar {
+func newRegistrar(kv kvstore.KV, rec config.HostRecord, ttl time.Duration, l *log.Logger, send func(control.Event)) *registrar {
 	return &registrar{kv: kv, rec: rec, ttl: ttl, log: l, send: send, dirty: true, wake: make(chan struct{}, 1)}
 }
 
@@ -109,7 +109,7 @@
 		if err == nil {
 			return min(ttl, r.ttl), nil
 		}
-		if !errors.Is(err, platform.ErrLeaseNotFound) {
+		if !errors.Is(err, kvstore.ErrLeaseNotFound) {
 			return 0, fmt.Errorf("host: renew lease: %w", err)
 		}
 		r.log.Warn("Lease expired; registering again.")
@@ -145,17 +145,17 @@
 	return nil
 }
 
-func (r *registrar) put(ctx context.Context, rec config.HostRecord, lease platform.LeaseID, revision int64) (int64, error) {
+func (r *registrar) put(ctx context.Context, rec config.HostRecord, lease kvstore.LeaseID, revision int64) (int64, error) {
 	key := config.HostsPrefix + string(rec.ID)
 	value, err := json.Marshal(rec)
 	if err != nil {
 		return 0, fmt.Errorf("host: encode registration: %w", err)
 	}
-	txn := platform.Txn{Success: []platform.Op{platform.PutLeased(key, value, lease)}, Failure: []platform.Op{{Kind: platform.OpGet, Key: key}}}
+	txn := kvstore.Txn{Success: []kvstore.Op{kvstore.PutLeased(key, value, lease)}, Failure: []kvstore.Op{{Kind: kvstore.OpGet, Key: key}}}
 	if revision == 0 {
-		txn.Compares = []platform.Compare{platform.Absent(key)}
+		txn.Compares = []kvstore.Compare{kvstore.Absent(key)}
 	} else {
-		txn.Compares = []platform.Compare{platform.Unchanged(key, revision)}
+		txn.Compares = []kvstore.Compare{kvstore.Unchanged(key, revision)}
 	}
 	res, err := r.kv.Txn(ctx, txn)
 	switch {
@@ -169,7 +169,7 @@
 
 // resolve handles a registration that is not as this process left it: it has expired with its
 // lease, an earlier write of this process has taken effect after all, or another process has it.
-func (r *registrar) resolve(ctx context.Context, rec config.HostRecord, lease platform.LeaseID, res platform.TxnResult) (int64, error) {
+func (r *registrar) resolve(ctx context.Context, rec config.HostRecord, lease kvstore.LeaseID, res kvstore.TxnResult) (int64, error) {
 	r.mu.Lock()
 	first := r.revision == 0
 	r.mu.Unlock()
--- a/internal/host/sites.go
+++ b/internal/host/sites.go
@@ -17,8 +17,8 @@
 	"github.com/foxtailpass/foxtailpass/internal/control"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/gateway"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/peer"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
 	"github.com/foxtailpass/foxtailpass/internal/view"
 	"github.com/foxtailpass/foxtailpass/internal/wire"
 )
@@ -39,7 +39,7 @@
 // writer of the gateway's state.
 type siteWatcher struct {
 	site    string
-	kv      platform.KV
+	kv      kvstore.KV
 	peers   *peer.Manager
 	gateway *gateway.Gateway
 	log     *log.Logger
@@ -61,7 +61,7 @@
 	failed atomic.Int64
 }
 
-func newSiteWatcher(site string, kv platform.KV, p *peer.Manager, g *gateway.Gateway, l *log.Logger, send func(control.Event)) (*siteWatcher, error) {
+func newSiteWatcher(site string, kv kvstore.KV, p *peer.Manager, g *gateway.Gateway, l *log.Logger, send func(control.Event)) (*siteWatcher, error) {
 	keys, err := config.NewKeyTable(nil)
 	if err != nil {
 		return nil, fmt.Errorf("host: empty key table: %w", err)
@@ -82,14 +82,14 @@
 
 // viewChanged takes over changed heads and keys. It is called by the view, one call at a time.
 func (w *siteWatcher) viewChanged(changed []string, s *view.Snapshot) {
-	var keys []platform.Pair
+	var keys []kvstore.Pair
 	for _, k := range changed {
 		switch {
 		case k == config.HeadKey:
 			w.headChanged(s)
 		case strings.HasPrefix(k, config.KeysPrefix):
 			if e, ok := s.Get(k); ok {
-				keys = append(keys, platform.Pair{Key: k, Value: e.Value, ModRevision: e.ModRevision})
+				keys = append(keys, kvstore.Pair{Key: k, Value: e.Value, ModRevision: e.ModRevision})
 			}
 		}
 	}
@@ -103,7 +103,7 @@
 	if !ok {
 		return
 	}
-	head, err := config.ParseHead(platform.Pair{Key: config.HeadKey, Value: e.Value, ModRevision: e.ModRevision})
+	head, err := config.ParseHead(kvstore.Pair{Key: config.HeadKey, Value: e.Value, ModRevision: e.ModRevision})
 	if err != nil {
 		w.log.Error("Configuration head cannot be read.", "err", err)
 		return
@@ -117,7 +117,7 @@
 }
 
 // keysChanged puts changed keys in force and ends the requests of withdrawn ones.
-func (w *siteWatcher) keysChanged(pairs []platform.Pair) {
+func (w *siteWatcher) keysChanged(pairs []kvstore.Pair) {
 	w.mu.Lock()
 	next, err := w.keys.Update(pairs)
 	if next != nil {
--- a/internal/host/wiring.go
+++ b/internal/host/wiring.go
@@ -11,11 +11,11 @@
 	"github.com/foxtailpass/foxtailpass/internal/control"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/gateway"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/limits"
 	"github.com/foxtailpass/foxtailpass/internal/metrics"
 	"github.com/foxtailpass/foxtailpass/internal/peer"
 	"github.com/foxtailpass/foxtailpass/internal/placement"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
 	"github.com/foxtailpass/foxtailpass/internal/schedule"
 	"github.com/foxtailpass/foxtailpass/internal/upstream"
 	"github.com/foxtailpass/foxtailpass/internal/view"
@@ -30,14 +30,14 @@
 		metrics.New,
 		upstream.NewClient,
 		newHostTable,
-		func() (*platform.Client, error) {
-			return platform.NewClient(platform.Options{
+		func() (*kvstore.Client, error) {
+			return kvstore.NewClient(kvstore.Options{
 				Endpoints: s.Platform.Endpoints,
 				Prefix:    s.Platform.Prefix,
 				Timeout:   s.Platform.Timeout.Std(),
 			})
 		},
-		func(id identity, kv *platform.Client) *view.Manager {
+		func(id identity, kv *kvstore.Client) *view.Manager {
 			return view.NewManager(view.Options{
 				KV:       kv,
 				Self:     id.incarnation,
@@ -64,7 +64,7 @@
 				Logger: l.WithPrefix("peer"),
 			})
 		},
-		func(id identity, kv *platform.Client) *claims.Store {
+		func(id identity, kv *kvstore.Client) *claims.Store {
 			return claims.New(claims.Options{KV: kv, Host: id.host, Incarnation: id.incarnation, Alive: h.alive})
 		},
 		func(b *bus, c *upstream.Client, st *claims.Store, m *metrics.Metrics, v *view.Manager) *gateway.Gateway {
@@ -78,7 +78,7 @@
 				MaxConnections: s.MaxConnections,
 			})
 		},
-		func(b *bus, kv *platform.Client, p *peer.Manager, g *gateway.Gateway) (*siteWatcher, error) {
+		func(b *bus, kv *kvstore.Client, p *peer.Manager, g *gateway.Gateway) (*siteWatcher, error) {
 			return newSiteWatcher(s.Site, kv, p, g, l.WithPrefix("config"), b.Send)
 		},
 		func(id identity, b *bus, c *upstream.Client, p *peer.Manager) *reporter {
@@ -146,7 +146,7 @@
 
 	Identity  identity
 	Bus       *bus
-	KV        *platform.Client
+	KV        *kvstore.Client
 	Metrics   *metrics.Metrics
 	Upstreams *upstream.Client
 	Peers     *peer.Manager
--- a/internal/platform/client.go
+++ b/internal/kvstore/client.go
@@ -1,4 +1,4 @@
-package platform
+package kvstore
 
 import (
 	"context"
@@ -12,12 +12,12 @@
 
 	"github.com/valyala/fasthttp"
 
-	gw "github.com/foxtailpass/foxtailpass/internal/platform/gatewayjson"
+	gw "github.com/foxtailpass/foxtailpass/internal/kvstore/gatewayjson"
 )
 
 // ErrRejected means that the service refused the call for good, so that it had no effect and
 // must not be repeated unchanged; for example, a value is too large.
-var ErrRejected = errors.New("platform: call rejected")
+var ErrRejected = errors.New("kvstore: call rejected")
 
 // errNotSent marks failures before any byte of the request was sent.
 var errNotSent = errors.New("not sent")
@@ -65,7 +65,7 @@
 // NewClient returns a client. It connects on first use.
 func NewClient(opt Options) (*Client, error) {
 	if len(opt.Endpoints) == 0 {
-		return nil, errors.New("platform: no endpoints")
+		return nil, errors.New("kvstore: no endpoints")
 	}
 	if opt.Timeout <= 0 {
 		opt.Timeout = DefaultTimeout
@@ -77,7 +77,7 @@
 	for _, e := range opt.Endpoints {
 		addr := strings.TrimSuffix(strings.TrimPrefix(e, "http://"), "/")
 		if _, _, err := net.SplitHostPort(addr); err != nil {
-			return nil, fmt.Errorf("platform: endpoint %q: %w", e, err)
+			return nil, fmt.Errorf("kvstore: endpoint %q: %w", e, err)
 		}
 		c.endpoints = append(c.endpoints, c.newHostClient(addr))
 	}
--- a/internal/platform/client_test.go
+++ b/internal/kvstore/client_test.go
@@ -1,4 +1,4 @@
-package platform
+package kvstore
 
 import (
 	"context"
--- a/internal/platform/kv.go
+++ b/internal/kvstore/kv.go
@@ -1,6 +1,6 @@
-// Package platform is the client of the platform's key-value service, which speaks
+// Package kvstore is the client of the platform's key-value service, which speaks
 // the published etcd v3 JSON gateway.
-package platform
+package kvstore
 
 import (
 	"context"
@@ -11,10 +11,10 @@
 // Errors of the key-value service. ErrUnavailable means that the call certainly had no
 // effect; after ErrUnknown a write may have taken effect and must be read back.
 var (
-	ErrUnavailable   = errors.New("platform: service unavailable")
-	ErrUnknown       = errors.New("platform: outcome unknown")
-	ErrCompacted     = errors.New("platform: revision compacted")
-	ErrLeaseNotFound = errors.New("platform: lease not found")
+	ErrUnavailable   = errors.New("kvstore: service unavailable")
+	ErrUnknown       = errors.New("kvstore: outcome unknown")
+	ErrCompacted     = errors.New("kvstore: revision compacted")
+	ErrLeaseNotFound = errors.New("kvstore: lease not found")
 )
 
 // LeaseID identifies a lease; zero means no lease.
--- a/internal/platform/watch.go
+++ b/internal/kvstore/watch.go
@@ -1,4 +1,4 @@
-package platform
+package kvstore
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	gw "github.com/foxtailpass/foxtailpass/internal/platform/gatewayjson"
+	gw "github.com/foxtailpass/foxtailpass/internal/kvstore/gatewayjson"
 )
 
 // watchConn owns the connection of one watch, so that it can be closed at any time. Closing the
--- a/internal/limits/loop_test.go
+++ b/internal/limits/loop_test.go
@@ -13,7 +13,7 @@
 	"github.com/foxtailpass/foxtailpass/internal/command"
 	"github.com/foxtailpass/foxtailpass/internal/config"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 )
 
 const (
@@ -74,8 +74,8 @@
 	site   *config.Site
 
 	rev     int64
-	store   map[string]platform.Pair
-	log     []platform.Pair // versions by revision; a nil value is a deletion
+	store   map[string]kvstore.Pair
+	log     []kvstore.Pair // versions by revision; a nil value is a deletion
 	lease   map[entity.HostID]time.Duration
 	down    bool
 	loseAck float64 // probability that the answer of an applied write is lost
@@ -123,7 +123,7 @@
 
 func newHostLoop(rng *rand.Rand, policy Policy, hosts int, rate, burst float64) *hostLoop {
 	c := &hostLoop{
-		rng: rng, policy: policy, procs: map[entity.HostID]*process{}, store: map[string]platform.Pair{},
+		rng: rng, policy: policy, procs: map[entity.HostID]*process{}, store: map[string]kvstore.Pair{},
 		lease: map[entity.HostID]time.Duration{}, cut: map[entity.HostID]bool{}, maxLag: 1500 * time.Microsecond,
 		requests: map[entity.RequestID]*simRequest{}, usedPart: 1, runTime: time.Second, trace: func(string, ...any) {},
 	}
@@ -274,7 +274,7 @@
 	if _, ok := c.store[key]; ok {
 		c.rev++
 		delete(c.store, key)
-		c.log = append(c.log, platform.Pair{Key: key, ModRevision: c.rev})
+		c.log = append(c.log, kvstore.Pair{Key: key, ModRevision: c.rev})
 		c.notify()
 	}
 }
@@ -389,41 +389,41 @@
 func (c *hostLoop) write(p *process, w command.WriteRecords) {
 	c.writes++
 	fail := func(err error) {
-		c.deliver(p, c.lag(), func() { c.do(p, p.th.HandleWriteResult(w.ID, platform.TxnResult{}, err, c.clock(p))) })
+		c.deliver(p, c.lag(), func() { c.do(p, p.th.HandleWriteResult(w.ID, kvstore.TxnResult{}, err, c.clock(p))) })
 	}
 	c.after(c.lag(), func() {
 		if !c.reachable(p) {
 			if c.rng.IntN(2) == 0 {
-				fail(platform.ErrUnavailable)
+				fail(kvstore.ErrUnavailable)
 			} else {
-				fail(platform.ErrUnknown)
+				fail(kvstore.ErrUnknown)
 			}
 			return
 		}
 		if c.loseAck > 0 && c.rng.Float64() < c.loseAck/2 {
 			// The answer is lost first and the write takes effect later.
-			fail(platform.ErrUnknown)
+			fail(kvstore.ErrUnknown)
 			c.after(time.Duration(c.rng.Int64N(int64(2*time.Second))), func() { c.apply(w.Txn) })
 			return
 		}
 		result := c.apply(w.Txn)
 		if c.rng.Float64() < c.loseAck {
-			fail(platform.ErrUnknown)
+			fail(kvstore.ErrUnknown)
 			return
 		}
 		c.deliver(p, c.lag(), func() { c.do(p, p.th.HandleWriteResult(w.ID, result, nil, c.clock(p))) })
 	})
 }
 
-func (c *hostLoop) apply(txn platform.Txn) platform.TxnResult {
+func (c *hostLoop) apply(txn kvstore.Txn) kvstore.TxnResult {
 	for _, cmp := range txn.Compares {
 		pair := c.store[cmp.Key]
 		value := pair.ModRevision
-		if cmp.Target == platform.CompareCreateRevision {
+		if cmp.Target == kvstore.CompareCreateRevision {
 			value = pair.CreateRevision
 		}
 		if value != cmp.Value {
-			r := platform.TxnResult{Revision: c.rev}
+			r := kvstore.TxnResult{Revision: c.rev}
 			for _, op := range txn.Failure {
 				if got, ok := c.store[op.Key]; ok {
 					r.Gets = append(r.Gets, &got)
@@ -437,7 +437,7 @@
 	for _, op := range txn.Success {
 		c.put(op.Key, op.Value)
 	}
-	return platform.TxnResult{Succeeded: true, Revision: c.rev}
+	return kvstore.TxnResult{Succeeded: true, Revision: c.rev}
 }
 
 // request sends a request to a host, as the load balancer does; dead and paused hosts get none.
--- a/internal/limits/share.go
+++ b/internal/limits/share.go
@@ -10,7 +10,7 @@
 	"github.com/foxtailpass/foxtailpass/internal/command"
 	"github.com/foxtailpass/foxtailpass/internal/config"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 )
 
 const (
@@ -74,7 +74,7 @@
 
 // HandleRecord takes a version of a workspace's share record; nil means that the key is absent.
 // Versions that are older than the known one are ignored.
-func (t *Throttler) HandleRecord(workspace entity.WorkspaceID, pair *platform.Pair, now time.Time) []command.Command {
+func (t *Throttler) HandleRecord(workspace entity.WorkspaceID, pair *kvstore.Pair, now time.Time) []command.Command {
 	a := t.account(workspace)
 	if pair == nil {
 		if a.share.rev > 0 {
@@ -168,7 +168,7 @@
 }
 
 // HandleWriteResult takes the result of a WriteRecords command of this Throttler.
-func (t *Throttler) HandleWriteResult(id uint64, result platform.TxnResult, err error, now time.Time) []command.Command {
+func (t *Throttler) HandleWriteResult(id uint64, result kvstore.TxnResult, err error, now time.Time) []command.Command {
 	a := t.writes[id]
 	if a == nil {
 		return nil
@@ -180,7 +180,7 @@
 	s.wanted = true
 	t.active[a] = struct{}{}
 	switch {
-	case err != nil && !errors.Is(err, platform.ErrUnavailable):
+	case err != nil && !errors.Is(err, kvstore.ErrUnavailable):
 		if w != nil {
 			s.addUnknown(w, t.opt.Incarnation)
 		}
@@ -254,7 +254,7 @@
 	s.wanted = false
 	a.advance(now)
 	next := s.rec.clone()
-	var compares []platform.Compare
+	var compares []kvstore.Compare
 	changed := false
 	if t.stopping {
 		changed = t.planStop(a, &next)
@@ -269,7 +269,7 @@
 }
 
 // write sends the next version. Units and tokens that it gives away are unusable from now on.
-func (t *Throttler) write(a *account, next Record, compares []platform.Compare, now time.Time) []command.Command {
+func (t *Throttler) write(a *account, next Record, compares []kvstore.Compare, now time.Time) []command.Command {
 	s := &a.share
 	id := t.newID()
 	next.Attempt = string(t.opt.Incarnation) + "-" + strconv.FormatUint(id, 10)
@@ -278,23 +278,23 @@
 		panic("limits: share record cannot be encoded: " + err.Error())
 	}
 	key := Key(a.id)
-	compares = append(compares, platform.Unchanged(key, s.rev))
+	compares = append(compares, kvstore.Unchanged(key, s.rev))
 	if s.inFlight == nil {
 		s.inFlight = map[uint64]*write{}
 	}
 	s.inFlight[id] = &write{base: s.rev, rec: next}
 	t.writes[id] = a
 	t.reconcile(a, now)
-	return []command.Command{command.WriteRecords{ID: id, Txn: platform.Txn{
+	return []command.Command{command.WriteRecords{ID: id, Txn: kvstore.Txn{
 		Compares: compares,
-		Success:  []platform.Op{platform.Put(key, value)},
-		Failure:  []platform.Op{{Kind: platform.OpGet, Key: key}},
+		Success:  []kvstore.Op{kvstore.Put(key, value)},
+		Failure:  []kvstore.Op{{Kind: kvstore.OpGet, Key: key}},
 	}}}
 }
 
 // planReclaim frees the units of holders whose term is proven to be over.
-func (t *Throttler) planReclaim(a *account, next *Record, now time.Time) (bool, []platform.Compare) {
-	var compares []platform.Compare
+func (t *Throttler) planReclaim(a *account, next *Record, now time.Time) (bool, []kvstore.Compare) {
+	var compares []kvstore.Compare
 	changed := false
 	delay := t.rankDelay(a)
 	for _, h := range a.share.rec.Holders {
@@ -305,7 +305,7 @@
 		changed = true
 		if _, listed := t.term.hosts[h.Host]; !listed {
 			// The registry may be stale: the holder may have registered again.
-			compares = append(compares, platform.Absent(config.HostsPrefix+string(h.Host)))
+			compares = append(compares, kvstore.Absent(config.HostsPrefix+string(h.Host)))
 		}
 	}
 	return changed, compares
--- a/internal/limits/throttler_test.go
+++ b/internal/limits/throttler_test.go
@@ -9,7 +9,7 @@
 	"github.com/foxtailpass/foxtailpass/internal/command"
 	"github.com/foxtailpass/foxtailpass/internal/config"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/wire"
 )
 
@@ -29,7 +29,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	th.HandleRecord("w", &platform.Pair{Value: value, ModRevision: 5}, now)
+	th.HandleRecord("w", &kvstore.Pair{Value: value, ModRevision: 5}, now)
 	return th
 }
 
@@ -61,7 +61,7 @@
 	now = now.Add(time.Second)
 	for _, c := range th.Tick(now) {
 		if w, ok := c.(command.WriteRecords); ok {
-			th.HandleWriteResult(w.ID, platform.TxnResult{Succeeded: true, Revision: 6}, nil, now)
+			th.HandleWriteResult(w.ID, kvstore.TxnResult{Succeeded: true, Revision: 6}, nil, now)
 		}
 	}
 	if !admits(th, "4", 1, now) {
@@ -188,7 +188,7 @@
 		if !ok {
 			continue
 		}
-		if w.Txn.Compares[0] != platform.Absent(config.HostsPrefix+"b") {
+		if w.Txn.Compares[0] != kvstore.Absent(config.HostsPrefix+"b") {
 			t.Errorf("compares %+v do not cover the registration", w.Txn.Compares)
 		}
 		return
--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -9,7 +9,7 @@
 	"github.com/foxtailpass/foxtailpass/internal/command"
 	"github.com/foxtailpass/foxtailpass/internal/config"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/wire"
 )
 
@@ -83,7 +83,7 @@
 
 func (x *bench) record(key string, v any) {
 	x.rev++
-	x.p.HandleRecord(key, &platform.Pair{Key: key, Value: encode(v), ModRevision: x.rev}, x.now)
+	x.p.HandleRecord(key, &kvstore.Pair{Key: key, Value: encode(v), ModRevision: x.rev}, x.now)
 }
 
 // tick confirms every write at once, as the key-value service would.
@@ -95,7 +95,7 @@
 		if w, ok := c.(command.WriteRecords); ok {
 			x.rev++
 			writes++
-			x.p.HandleWriteResult(w.ID, platform.TxnResult{Succeeded: true, Revision: x.rev}, nil, x.now)
+			x.p.HandleWriteResult(w.ID, kvstore.TxnResult{Succeeded: true, Revision: x.rev}, nil, x.now)
 		}
 	}
 	return writes
--- a/internal/placement/fence_test.go
+++ b/internal/placement/fence_test.go
@@ -10,7 +10,7 @@
 	"github.com/foxtailpass/foxtailpass/internal/command"
 	"github.com/foxtailpass/foxtailpass/internal/config"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/wire"
 )
 
@@ -40,7 +40,7 @@
 
 func (x *script) record(key string, v any) {
 	x.rev++
-	x.p.HandleRecord(key, &platform.Pair{Key: key, Value: encode(v), ModRevision: x.rev}, x.now)
+	x.p.HandleRecord(key, &kvstore.Pair{Key: key, Value: encode(v), ModRevision: x.rev}, x.now)
 }
 
 // pass ticks for the duration, confirms every write through the view and accepts every order.
@@ -65,9 +65,9 @@
 
 func (x *script) confirm(w command.WriteRecords) {
 	x.rev++
-	cmds := x.p.HandleWriteResult(w.ID, platform.TxnResult{Succeeded: true, Revision: x.rev}, nil, x.now)
+	cmds := x.p.HandleWriteResult(w.ID, kvstore.TxnResult{Succeeded: true, Revision: x.rev}, nil, x.now)
 	for _, op := range w.Txn.Success {
-		pair := platform.Pair{Key: op.Key, Value: op.Value, ModRevision: x.rev}
+		pair := kvstore.Pair{Key: op.Key, Value: op.Value, ModRevision: x.rev}
 		x.p.HandleRecord(op.Key, &pair, x.now)
 		if op.Key == config.PlaceUpstreams+"e0" {
 			x.place = UpstreamPlacement{}
--- a/internal/placement/inputs.go
+++ b/internal/placement/inputs.go
@@ -10,7 +10,7 @@
 
 	"github.com/foxtailpass/foxtailpass/internal/config"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/wire"
 )
 
@@ -152,7 +152,7 @@
 
 // HandleRecord takes a record from the view. A nil pair means that the key is absent; records
 // are never deleted, so an absent key never replaces a known one.
-func (p *Placer) HandleRecord(key string, pair *platform.Pair, now time.Time) {
+func (p *Placer) HandleRecord(key string, pair *kvstore.Pair, now time.Time) {
 	if pair == nil {
 		return
 	}
@@ -167,7 +167,7 @@
 	}
 }
 
-func (p *Placer) takeModel(id entity.ModelID, pair *platform.Pair, now time.Time) {
+func (p *Placer) takeModel(id entity.ModelID, pair *kvstore.Pair, now time.Time) {
 	m := p.model(id)
 	if pair.ModRevision <= m.rev {
 		return
@@ -180,7 +180,7 @@
 	p.setModel(m, rec, pair.ModRevision)
 }
 
-func (p *Placer) takeUpstream(u *upstream, pair *platform.Pair, now time.Time) {
+func (p *Placer) takeUpstream(u *upstream, pair *kvstore.Pair, now time.Time) {
 	if pair.ModRevision <= u.rev {
 		// The view has caught up with a record that came with a transaction, which may
 		// complete the proof that a sender is gone.
--- a/internal/placement/maintain.go
+++ b/internal/placement/maintain.go
@@ -8,7 +8,7 @@
 	"github.com/foxtailpass/foxtailpass/internal/command"
 	"github.com/foxtailpass/foxtailpass/internal/config"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/wire"
 )
 
@@ -48,9 +48,9 @@
 	p.nextID++
 	w.readBack = p.nextID
 	p.writes[w.readBack] = w
-	txn := platform.Txn{Success: []platform.Op{{Kind: platform.OpGet, Key: config.PlaceUpstreams + string(w.up.id)}}}
+	txn := kvstore.Txn{Success: []kvstore.Op{{Kind: kvstore.OpGet, Key: config.PlaceUpstreams + string(w.up.id)}}}
 	for _, m := range w.models {
-		txn.Success = append(txn.Success, platform.Op{Kind: platform.OpGet, Key: config.PlaceModels + string(m.id)})
+		txn.Success = append(txn.Success, kvstore.Op{Kind: kvstore.OpGet, Key: config.PlaceModels + string(m.id)})
 	}
 	p.out = append(p.out, command.WriteRecords{ID: w.readBack, Txn: txn})
 }
@@ -193,10 +193,10 @@
 	w.place.MemoryBytes = u.rec.MemoryBytes
 	w.starts = ed.starts(p)
 	upKey := config.PlaceUpstreams + string(u.id)
-	txn := platform.Txn{
-		Compares: []platform.Compare{compareAt(upKey, u.rev)},
-		Success:  []platform.Op{platform.Put(upKey, encode(&w.place))},
-		Failure:  []platform.Op{{Kind: platform.OpGet, Key: upKey}},
+	txn := kvstore.Txn{
+		Compares: []kvstore.Compare{compareAt(upKey, u.rev)},
+		Success:  []kvstore.Op{kvstore.Put(upKey, encode(&w.place))},
+		Failure:  []kvstore.Op{{Kind: kvstore.OpGet, Key: upKey}},
 	}
 	for _, mid := range sortedKeys(ed.models) {
 		m := p.models[mid]
@@ -204,8 +204,8 @@
 		rec.Attempt = w.attempt
 		key := config.PlaceModels + string(mid)
 		txn.Compares = append(txn.Compares, compareAt(key, m.rev))
-		txn.Success = append(txn.Success, platform.Put(key, encode(&rec)))
-		txn.Failure = append(txn.Failure, platform.Op{Kind: platform.OpGet, Key: key})
+		txn.Success = append(txn.Success, kvstore.Put(key, encode(&rec)))
+		txn.Failure = append(txn.Failure, kvstore.Op{Kind: kvstore.OpGet, Key: key})
 		w.models = append(w.models, m)
 		w.recs = append(w.recs, rec)
 		m.writing = w
@@ -227,11 +227,11 @@
 	return s
 }
 
-func compareAt(key string, rev int64) platform.Compare {
+func compareAt(key string, rev int64) kvstore.Compare {
 	if rev == 0 {
-		return platform.Absent(key)
+		return kvstore.Absent(key)
 	}
-	return platform.Unchanged(key, rev)
+	return kvstore.Unchanged(key, rev)
 }
 
 // advance moves every entry of the upstream as far as the reports and proofs allow.
--- a/internal/placement/sim_test.go
+++ b/internal/placement/sim_test.go
@@ -12,7 +12,7 @@
 	"github.com/foxtailpass/foxtailpass/internal/command"
 	"github.com/foxtailpass/foxtailpass/internal/config"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/wire"
 )
 
@@ -21,7 +21,7 @@
 	now     time.Time
 	rng     *rand.Rand
 	site    *config.Site
-	store   map[string]platform.Pair
+	store   map[string]kvstore.Pair
 	log     []func(h *simHost) // view changes in revision order
 	rev     int64
 	down    bool
@@ -98,7 +98,7 @@
 		now:   time.Unix(1_700_000_000, 0),
 		rng:   rand.New(rand.NewPCG(seed, 1)),
 		site:  site,
-		store: map[string]platform.Pair{},
+		store: map[string]kvstore.Pair{},
 		loads: map[entity.ModelID]int{},
 		late:  0.15,
 
@@ -253,7 +253,7 @@
 func (h *simHost) write(c command.WriteRecords) {
 	s := h.s
 	alive := h.alive()
-	result := func(r platform.TxnResult, err error) {
+	result := func(r kvstore.TxnResult, err error) {
 		s.after(2*time.Millisecond, func() {
 			if alive() {
 				h.run(h.p.HandleWriteResult(c.ID, r, err, s.now))
@@ -262,10 +262,10 @@
 	}
 	switch {
 	case s.down:
-		result(platform.TxnResult{}, platform.ErrUnavailable)
+		result(kvstore.TxnResult{}, kvstore.ErrUnavailable)
 	case s.chance(0.05):
 		// The answer is lost; the write takes effect now, later or never.
-		result(platform.TxnResult{}, platform.ErrUnknown)
+		result(kvstore.TxnResult{}, kvstore.ErrUnknown)
 		if s.rng.IntN(3) > 0 {
 			s.after(time.Duration(s.rng.IntN(3000))*time.Millisecond, func() { s.txn(c.Txn) })
 		}
@@ -274,7 +274,7 @@
 	}
 }
 
-func (s *sim) txn(t platform.Txn) platform.TxnResult {
+func (s *sim) txn(t kvstore.Txn) kvstore.TxnResult {
 	ok := true
 	for _, c := range t.Compares {
 		ok = ok && s.store[c.Key].ModRevision == c.Value
@@ -283,9 +283,9 @@
 	if ok {
 		ops = t.Success
 	}
-	r := platform.TxnResult{Succeeded: ok}
+	r := kvstore.TxnResult{Succeeded: ok}
 	for _, op := range ops {
-		if op.Kind == platform.OpGet {
+		if op.Kind == kvstore.OpGet {
 			if pair, found := s.store[op.Key]; found {
 				r.Gets = append(r.Gets, &pair)
 			} else {
@@ -296,7 +296,7 @@
 	if ok && len(t.Compares) > 0 {
 		s.rev++
 		for _, op := range t.Success {
-			pair := platform.Pair{Key: op.Key, Value: op.Value, ModRevision: s.rev}
+			pair := kvstore.Pair{Key: op.Key, Value: op.Value, ModRevision: s.rev}
 			s.store[op.Key] = pair
 			s.log = append(s.log, func(h *simHost) { h.p.HandleRecord(pair.Key, &pair, h.s.now) })
 		}
--- a/internal/placement/writes.go
+++ b/internal/placement/writes.go
@@ -8,7 +8,7 @@
 	"github.com/foxtailpass/foxtailpass/internal/command"
 	"github.com/foxtailpass/foxtailpass/internal/config"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 )
 
 // HandleOrderResult takes the result of sending an order once.
@@ -26,7 +26,7 @@
 }
 
 // HandleWriteResult takes the result of a WriteRecords command.
-func (p *Placer) HandleWriteResult(id uint64, result platform.TxnResult, err error, now time.Time) []command.Command {
+func (p *Placer) HandleWriteResult(id uint64, result kvstore.TxnResult, err error, now time.Time) []command.Command {
 	p.now = now
 	w := p.writes[id]
 	if w == nil {
@@ -38,7 +38,7 @@
 		return p.take()
 	}
 	switch {
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, kvstore.ErrUnavailable):
 		p.retryStore = now.Add(storeRetry)
 		p.release(w)
 	case err != nil:
@@ -72,7 +72,7 @@
 
 // handleReadBack ends an unknown write. When the record is unchanged the write can still land
 // later, but then a newer write's compare fails, and orders follow only from confirmed records.
-func (p *Placer) handleReadBack(w *write, result platform.TxnResult, err error, now time.Time) {
+func (p *Placer) handleReadBack(w *write, result kvstore.TxnResult, err error, now time.Time) {
 	if w.resolved {
 		return
 	}
@@ -87,7 +87,7 @@
 	p.sendOwn(w.up)
 }
 
-func (p *Placer) takeGets(gets []*platform.Pair, now time.Time) {
+func (p *Placer) takeGets(gets []*kvstore.Pair, now time.Time) {
 	for _, g := range gets {
 		if g == nil {
 			continue
--- a/internal/standin/kv/faults.go
+++ b/internal/standin/kv/faults.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 )
 
 // Faults selects how a Store misbehaves. The zero value is a healthy service.
@@ -88,13 +88,13 @@
 }
 
 // enter counts a call and applies the faults that act before it. It must not be called with s.mu held.
-func (s *Store) enter(ctx context.Context, kind platform.CallKind) error {
+func (s *Store) enter(ctx context.Context, kind kvstore.CallKind) error {
 	s.counts.Add(kind)
 	delay, err := s.admit(kind)
 	if err != nil {
 		return err
 	}
-	if delay > 0 && kind != platform.CallWatch {
+	if delay > 0 && kind != kvstore.CallWatch {
 		t := time.NewTimer(delay)
 		defer t.Stop()
 		select {
@@ -108,19 +108,19 @@
 	return nil
 }
 
-func (s *Store) admit(kind platform.CallKind) (time.Duration, error) {
+func (s *Store) admit(kind kvstore.CallKind) (time.Duration, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f := &s.faults
 	if f.Refuse {
-		return 0, fmt.Errorf("%w: %w", platform.ErrUnavailable, errRefused)
+		return 0, fmt.Errorf("%w: %w", kvstore.ErrUnavailable, errRefused)
 	}
 	b, rate := &s.reads, f.ReadsPerSecond
-	if kind.IsWrite() || kind == platform.CallKeepAlive {
+	if kind.IsWrite() || kind == kvstore.CallKeepAlive {
 		b, rate = &s.writes, f.WritesPerSecond
 	}
 	if !b.take(rate, s.opt.Now()) {
-		return 0, fmt.Errorf("%w: %w", platform.ErrUnavailable, errRateLimited)
+		return 0, fmt.Errorf("%w: %w", kvstore.ErrUnavailable, errRateLimited)
 	}
 	if f.Drop {
 		return 0, lost(kind)
@@ -129,11 +129,11 @@
 }
 
 // lost returns the error of a call whose answer never arrives.
-func lost(kind platform.CallKind) error {
+func lost(kind kvstore.CallKind) error {
 	if kind.IsWrite() {
-		return fmt.Errorf("%w: %w", platform.ErrUnknown, errLost)
+		return fmt.Errorf("%w: %w", kvstore.ErrUnknown, errLost)
 	}
-	return fmt.Errorf("%w: %w", platform.ErrUnavailable, errLost)
+	return fmt.Errorf("%w: %w", kvstore.ErrUnavailable, errLost)
 }
 
 // loseAnswer decides whether the answer of an applied write is lost. It is called with s.mu held.
--- a/internal/standin/kv/kv_test.go
+++ b/internal/standin/kv/kv_test.go
@@ -10,10 +10,10 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 )
 
-func serve(t *testing.T, s *Store) (*platform.Client, string) {
+func serve(t *testing.T, s *Store) (*kvstore.Client, string) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -23,29 +23,29 @@
 	go func() { _ = srv.Serve(ln) }()
 	t.Cleanup(func() { _ = srv.Close() })
 	addr := ln.Addr().String()
-	c, err := platform.NewClient(platform.Options{Endpoints: []string{addr}, Prefix: "p/", Timeout: 500 * time.Millisecond})
+	c, err := kvstore.NewClient(kvstore.Options{Endpoints: []string{addr}, Prefix: "p/", Timeout: 500 * time.Millisecond})
 	if err != nil {
 		t.Fatal(err)
 	}
 	return c, addr
 }
 
-func put(key, value string) platform.Txn {
-	return platform.Txn{Success: []platform.Op{platform.Put(key, []byte(value))}}
+func put(key, value string) kvstore.Txn {
+	return kvstore.Txn{Success: []kvstore.Op{kvstore.Put(key, []byte(value))}}
 }
 
 // Guards against the store and the client-server pair disagreeing about the meaning of KV.
 func TestKVSemantics(t *testing.T) {
 	client, _ := serve(t, NewStore(Options{}))
-	for name, kv := range map[string]platform.KV{"store": NewStore(Options{}), "http": client} {
+	for name, kv := range map[string]kvstore.KV{"store": NewStore(Options{}), "http": client} {
 		t.Run(name, func(t *testing.T) {
 			ctx := t.Context()
 			if p, _, err := kv.Get(ctx, "a"); p != nil || err != nil {
 				t.Fatalf("absent key: %v %v", p, err)
 			}
 			create := put("a", "1")
-			create.Compares = []platform.Compare{platform.Absent("a")}
-			create.Failure = []platform.Op{{Kind: platform.OpGet, Key: "a"}, {Kind: platform.OpGet, Key: "b"}}
+			create.Compares = []kvstore.Compare{kvstore.Absent("a")}
+			create.Failure = []kvstore.Op{{Kind: kvstore.OpGet, Key: "a"}, {Kind: kvstore.OpGet, Key: "b"}}
 			first, err := kv.Txn(ctx, create)
 			if err != nil || !first.Succeeded {
 				t.Fatalf("create: %+v %v", first, err)
@@ -58,28 +58,28 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if _, err := kv.Txn(ctx, platform.Txn{Success: []platform.Op{platform.PutLeased("h", nil, lease)}}); err != nil {
+			if _, err := kv.Txn(ctx, kvstore.Txn{Success: []kvstore.Op{kvstore.PutLeased("h", nil, lease)}}); err != nil {
 				t.Fatal(err)
 			}
 			if ttl, err := kv.KeepAlive(ctx, lease); ttl != time.Minute || err != nil {
 				t.Fatalf("keep-alive: %v %v", ttl, err)
 			}
-			r, err := kv.Range(ctx, platform.RangeRequest{Prefix: "h", MinModRevision: first.Revision + 1})
+			r, err := kv.Range(ctx, kvstore.RangeRequest{Prefix: "h", MinModRevision: first.Revision + 1})
 			if err != nil || len(r.Pairs) != 1 || r.Pairs[0].Lease != lease {
 				t.Fatalf("range: %+v %v", r, err)
 			}
 			if err := kv.Revoke(ctx, lease); err != nil {
 				t.Fatal(err)
 			}
-			if _, err := kv.KeepAlive(ctx, lease); !errors.Is(err, platform.ErrLeaseNotFound) {
+			if _, err := kv.KeepAlive(ctx, lease); !errors.Is(err, kvstore.ErrLeaseNotFound) {
 				t.Fatalf("keep-alive after revoke: %v", err)
 			}
-			if _, err := kv.Txn(ctx, put("a", string(make([]byte, MaxValueBytes+1)))); !errors.Is(err, platform.ErrRejected) {
+			if _, err := kv.Txn(ctx, put("a", string(make([]byte, MaxValueBytes+1)))); !errors.Is(err, kvstore.ErrRejected) {
 				t.Fatalf("large value: %v", err)
 			}
-			var events []platform.Event
+			var events []kvstore.Event
 			done := errors.New("done")
-			err = kv.Watch(ctx, "", first.Revision, func(b platform.WatchBatch) error {
+			err = kv.Watch(ctx, "", first.Revision, func(b kvstore.WatchBatch) error {
 				events = append(events, b.Events...)
 				if len(events) >= 3 {
 					return done
@@ -104,13 +104,13 @@
 		want    error
 		applied bool
 	}{
-		{"refuse", Faults{Refuse: true}, platform.ErrUnavailable, false},
-		{"drop", Faults{Drop: true}, platform.ErrUnknown, false},
-		{"lose", Faults{LoseEvery: 1}, platform.ErrUnknown, true},
-		{"lose by chance", Faults{LoseProbability: 1}, platform.ErrUnknown, true},
-		{"rate", Faults{WritesPerSecond: 0.001}, platform.ErrUnavailable, false},
+		{"refuse", Faults{Refuse: true}, kvstore.ErrUnavailable, false},
+		{"drop", Faults{Drop: true}, kvstore.ErrUnknown, false},
+		{"lose", Faults{LoseEvery: 1}, kvstore.ErrUnknown, true},
+		{"lose by chance", Faults{LoseProbability: 1}, kvstore.ErrUnknown, true},
+		{"rate", Faults{WritesPerSecond: 0.001}, kvstore.ErrUnavailable, false},
 		// Last, because the delayed write is applied after the check.
-		{"delay", Faults{DelayMillis: 800}, platform.ErrUnknown, false},
+		{"delay", Faults{DelayMillis: 800}, kvstore.ErrUnknown, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			body, err := json.Marshal(Control{Faults: &tc.faults})
@@ -138,7 +138,7 @@
 			}
 		})
 	}
-	if s.Counts().Get(platform.CallTxn) != 7 {
+	if s.Counts().Get(kvstore.CallTxn) != 7 {
 		t.Errorf("counted %v", s.Counts().Map())
 	}
 }
@@ -154,12 +154,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := client.Txn(ctx, platform.Txn{Success: []platform.Op{platform.PutLeased("h", nil, lease)}}); err != nil {
+	if _, err := client.Txn(ctx, kvstore.Txn{Success: []kvstore.Op{kvstore.PutLeased("h", nil, lease)}}); err != nil {
 		t.Fatal(err)
 	}
 	s.Compact(s.Revision())
-	nop := func(platform.WatchBatch) error { return nil }
-	if err := client.Watch(ctx, "h", 1, nop); !errors.Is(err, platform.ErrCompacted) {
+	nop := func(kvstore.WatchBatch) error { return nil }
+	if err := client.Watch(ctx, "h", 1, nop); !errors.Is(err, kvstore.ErrCompacted) {
 		t.Fatalf("compacted: %v", err)
 	}
 	s.SetFaults(Faults{FreezeWatches: true})
@@ -168,13 +168,13 @@
 	}
 	short, cancel := context.WithTimeout(ctx, 150*time.Millisecond)
 	defer cancel()
-	frozen := func(platform.WatchBatch) error { t.Error("frozen watch delivered"); return nil }
+	frozen := func(kvstore.WatchBatch) error { t.Error("frozen watch delivered"); return nil }
 	if err := client.Watch(short, "h", s.Revision(), frozen); !errors.Is(err, context.DeadlineExceeded) {
 		t.Fatalf("frozen: %v", err)
 	}
 	s.SetFaults(Faults{})
 	got := errors.New("got")
-	err = client.Watch(ctx, "h", s.Revision(), func(b platform.WatchBatch) error {
+	err = client.Watch(ctx, "h", s.Revision(), func(b kvstore.WatchBatch) error {
 		if len(b.Events) == 1 && b.Events[0].Deleted {
 			return got
 		}
@@ -184,7 +184,7 @@
 		t.Fatalf("delete event: %v", err)
 	}
 	time.AfterFunc(50*time.Millisecond, s.BreakWatches)
-	if err := client.Watch(ctx, "h", 0, nop); !errors.Is(err, platform.ErrUnavailable) {
+	if err := client.Watch(ctx, "h", 0, nop); !errors.Is(err, kvstore.ErrUnavailable) {
 		t.Fatalf("broken: %v", err)
 	}
 }
@@ -200,7 +200,7 @@
 	}
 	rev := s.Revision()
 	for _, min := range []int64{0, rev - 30, rev - 3, rev, rev + 1} {
-		r, err := s.Range(ctx, platform.RangeRequest{Prefix: "", MinModRevision: min})
+		r, err := s.Range(ctx, kvstore.RangeRequest{Prefix: "", MinModRevision: min})
 		if want := int(max(0, rev+1-max(min, rev-19))); err != nil || len(r.Pairs) != want {
 			t.Errorf("from %d: %d pairs, want %d (%v)", min, len(r.Pairs), want, err)
 		}
@@ -209,8 +209,8 @@
 	if _, err := s.Txn(ctx, put("a", "new")); err != nil {
 		t.Fatal(err)
 	}
-	stale, _ := s.Range(ctx, platform.RangeRequest{Prefix: "a", Serializable: true})
-	fresh, _ := s.Range(ctx, platform.RangeRequest{Prefix: "a"})
+	stale, _ := s.Range(ctx, kvstore.RangeRequest{Prefix: "a", Serializable: true})
+	fresh, _ := s.Range(ctx, kvstore.RangeRequest{Prefix: "a"})
 	if string(stale.Pairs[0].Value) != "v" || stale.Revision != rev || string(fresh.Pairs[0].Value) != "new" {
 		t.Errorf("stale %+v, fresh %+v", stale, fresh)
 	}
--- a/internal/standin/kv/server.go
+++ b/internal/standin/kv/server.go
@@ -14,8 +14,8 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/foxtailpass/foxtailpass/internal/platform"
-	gw "github.com/foxtailpass/foxtailpass/internal/platform/gatewayjson"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
+	gw "github.com/foxtailpass/foxtailpass/internal/kvstore/gatewayjson"
 )
 
 const (
@@ -119,7 +119,7 @@
 func unary[In, Out any](s *Server, ctx *fasthttp.RequestCtx, f func(context.Context, *In) (*Out, error)) {
 	var in In
 	if err := json.Unmarshal(ctx.PostBody(), &in); err != nil {
-		writeError(ctx, fmt.Errorf("%w: %w", platform.ErrRejected, err))
+		writeError(ctx, fmt.Errorf("%w: %w", kvstore.ErrRejected, err))
 		return
 	}
 	out, err := f(s.ctx, &in)
@@ -150,9 +150,9 @@
 		status, e = fasthttp.StatusTooManyRequests, gw.Error{Error: gw.MessageTooManyRequests, Code: gw.CodeResourceExhausted}
 	case errors.Is(err, errRefused):
 		e.Error = gw.MessageNoLeader
-	case errors.Is(err, platform.ErrLeaseNotFound):
+	case errors.Is(err, kvstore.ErrLeaseNotFound):
 		status, e = fasthttp.StatusNotFound, gw.Error{Error: gw.MessageLeaseNotFound, Code: gw.CodeNotFound}
-	case errors.Is(err, platform.ErrRejected):
+	case errors.Is(err, kvstore.ErrRejected):
 		status, e.Code = fasthttp.StatusBadRequest, gw.CodeInvalidArgument
 	}
 	e.Message = e.Error
@@ -167,14 +167,14 @@
 	}
 	var c Control
 	if err := json.Unmarshal(ctx.PostBody(), &c); err != nil {
-		writeError(ctx, fmt.Errorf("%w: %w", platform.ErrRejected, err))
+		writeError(ctx, fmt.Errorf("%w: %w", kvstore.ErrRejected, err))
 		return
 	}
 	if c.Faults != nil {
 		s.store.SetFaults(*c.Faults)
 	}
 	if c.ExpireLease != 0 {
-		s.store.ExpireLease(platform.LeaseID(c.ExpireLease))
+		s.store.ExpireLease(kvstore.LeaseID(c.ExpireLease))
 	}
 	if c.ExpireKey != "" {
 		s.store.ExpireKey(c.ExpireKey)
@@ -209,9 +209,9 @@
 		return single(s.header(rev), p), nil
 	}
 	if string(in.RangeEnd) != string(gw.PrefixEnd(string(in.Key))) {
-		return nil, fmt.Errorf("%w: only prefix ranges are supported", platform.ErrRejected)
+		return nil, fmt.Errorf("%w: only prefix ranges are supported", kvstore.ErrRejected)
 	}
-	res, err := s.store.Range(ctx, platform.RangeRequest{
+	res, err := s.store.Range(ctx, kvstore.RangeRequest{
 		Prefix:         string(in.Key),
 		MinModRevision: in.MinModRevision,
 		Limit:          in.Limit,
@@ -229,7 +229,7 @@
 	return out, nil
 }
 
-func single(h gw.Header, p *platform.Pair) *gw.RangeResponse {
+func single(h gw.Header, p *kvstore.Pair) *gw.RangeResponse {
 	out := &gw.RangeResponse{Header: h}
 	if p != nil {
 		out.Kvs = []gw.KeyValue{keyValue(p)}
@@ -238,7 +238,7 @@
 	return out
 }
 
-func keyValue(p *platform.Pair) gw.KeyValue {
+func keyValue(p *kvstore.Pair) gw.KeyValue {
 	return gw.KeyValue{
 		Key:            []byte(p.Key),
 		Value:          p.Value,
@@ -250,7 +250,7 @@
 }
 
 func (s *Server) txn(ctx context.Context, in *gw.TxnRequest) (*gw.TxnResponse, error) {
-	var t platform.Txn
+	var t kvstore.Txn
 	for _, c := range in.Compare {
 		cmp, err := compare(c)
 		if err != nil {
@@ -272,46 +272,46 @@
 	gets := res.Gets
 	for _, op := range ran {
 		switch op.Kind {
-		case platform.OpGet:
+		case kvstore.OpGet:
 			out.Responses = append(out.Responses, gw.ResponseOp{Range: single(out.Header, gets[0])})
 			gets = gets[1:]
-		case platform.OpPut:
+		case kvstore.OpPut:
 			out.Responses = append(out.Responses, gw.ResponseOp{Put: &struct{}{}})
-		case platform.OpDelete:
+		case kvstore.OpDelete:
 			out.Responses = append(out.Responses, gw.ResponseOp{Delete: &struct{}{}})
 		}
 	}
 	return out, nil
 }
 
-func compare(c gw.Compare) (platform.Compare, error) {
-	out := platform.Compare{Key: string(c.Key)}
+func compare(c gw.Compare) (kvstore.Compare, error) {
+	out := kvstore.Compare{Key: string(c.Key)}
 	if c.Result != "EQUAL" {
-		return out, fmt.Errorf("%w: compare result %q is not supported", platform.ErrRejected, c.Result)
+		return out, fmt.Errorf("%w: compare result %q is not supported", kvstore.ErrRejected, c.Result)
 	}
 	switch c.Target {
 	case "MOD":
-		out.Target, out.Value = platform.CompareModRevision, c.ModRevision
+		out.Target, out.Value = kvstore.CompareModRevision, c.ModRevision
 	case "CREATE":
-		out.Target, out.Value = platform.CompareCreateRevision, c.CreateRevision
+		out.Target, out.Value = kvstore.CompareCreateRevision, c.CreateRevision
 	case "VERSION":
-		out.Target, out.Value = platform.CompareVersion, c.Version
+		out.Target, out.Value = kvstore.CompareVersion, c.Version
 	default:
-		return out, fmt.Errorf("%w: compare target %q is not supported", platform.ErrRejected, c.Target)
+		return out, fmt.Errorf("%w: compare target %q is not supported", kvstore.ErrRejected, c.Target)
 	}
 	return out, nil
 }
 
-func ops(in []gw.RequestOp) []platform.Op {
-	var out []platform.Op
+func ops(in []gw.RequestOp) []kvstore.Op {
+	var out []kvstore.Op
 	for _, op := range in {
 		switch {
 		case op.Put != nil:
-			out = append(out, platform.PutLeased(string(op.Put.Key), op.Put.Value, platform.LeaseID(op.Put.Lease)))
+			out = append(out, kvstore.PutLeased(string(op.Put.Key), op.Put.Value, kvstore.LeaseID(op.Put.Lease)))
 		case op.Delete != nil:
-			out = append(out, platform.Op{Kind: platform.OpDelete, Key: string(op.Delete.Key)})
+			out = append(out, kvstore.Op{Kind: kvstore.OpDelete, Key: string(op.Delete.Key)})
 		case op.Range != nil:
-			out = append(out, platform.Op{Kind: platform.OpGet, Key: string(op.Range.Key)})
+			out = append(out, kvstore.Op{Kind: kvstore.OpGet, Key: string(op.Range.Key)})
 		}
 	}
 	return out
@@ -327,8 +327,8 @@
 
 // keepAlive answers an unknown lease with a TTL of zero, as etcd does.
 func (s *Server) keepAlive(ctx context.Context, in *gw.LeaseRequest) (*gw.KeepAliveResponse, error) {
-	ttl, err := s.store.KeepAlive(ctx, platform.LeaseID(in.ID))
-	if err != nil && !errors.Is(err, platform.ErrLeaseNotFound) {
+	ttl, err := s.store.KeepAlive(ctx, kvstore.LeaseID(in.ID))
+	if err != nil && !errors.Is(err, kvstore.ErrLeaseNotFound) {
 		return nil, err
 	}
 	res := gw.LeaseResponse{Header: s.header(0), ID: in.ID, TTL: int64(ttl / time.Second)}
@@ -336,7 +336,7 @@
 }
 
 func (s *Server) revoke(ctx context.Context, in *gw.LeaseRequest) (*gw.LeaseResponse, error) {
-	if err := s.store.Revoke(ctx, platform.LeaseID(in.ID)); err != nil {
+	if err := s.store.Revoke(ctx, kvstore.LeaseID(in.ID)); err != nil {
 		return nil, err
 	}
 	return &gw.LeaseResponse{Header: s.header(0)}, nil
@@ -346,10 +346,10 @@
 func (s *Server) watch(ctx *fasthttp.RequestCtx) {
 	var in gw.WatchRequest
 	if err := json.Unmarshal(ctx.PostBody(), &in); err != nil {
-		writeError(ctx, fmt.Errorf("%w: %w", platform.ErrRejected, err))
+		writeError(ctx, fmt.Errorf("%w: %w", kvstore.ErrRejected, err))
 		return
 	}
-	if err := s.store.enter(s.ctx, platform.CallWatch); err != nil {
+	if err := s.store.enter(s.ctx, kvstore.CallWatch); err != nil {
 		writeError(ctx, err)
 		return
 	}
@@ -386,10 +386,10 @@
 	if send(gw.WatchResult{Header: s.header(0), Created: true}) != nil {
 		return
 	}
-	err := s.store.watch(ctx, string(in.Key), in.StartRevision, func(b platform.WatchBatch) error {
+	err := s.store.watch(ctx, string(in.Key), in.StartRevision, func(b kvstore.WatchBatch) error {
 		return send(watchResult(b))
 	})
-	if errors.Is(err, platform.ErrCompacted) {
+	if errors.Is(err, kvstore.ErrCompacted) {
 		s.store.mu.Lock()
 		compacted := s.store.compacted
 		s.store.mu.Unlock()
@@ -397,7 +397,7 @@
 	}
 }
 
-func watchResult(b platform.WatchBatch) gw.WatchResult {
+func watchResult(b kvstore.WatchBatch) gw.WatchResult {
 	r := gw.WatchResult{Header: gw.Header{ClusterID: b.ClusterID, MemberID: 1, Revision: b.Revision}}
 	for i := range b.Events {
 		e := gw.Event{Kv: keyValue(&b.Events[i].Pair)}
--- a/internal/standin/kv/store.go
+++ b/internal/standin/kv/store.go
@@ -1,4 +1,4 @@
-// Package kv is a stand-in for the platform's key-value service. Store implements platform.KV in
+// Package kv is a stand-in for the platform's key-value service. Store implements kvstore.KV in
 // memory, and Server serves a Store over the etcd v3 JSON gateway. Both can inject faults.
 package kv
 
@@ -13,7 +13,7 @@
 	"sync"
 	"time"
 
-	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 )
 
 const (
@@ -43,21 +43,21 @@
 
 type state struct {
 	revision int64
-	pairs    map[string]platform.Pair
+	pairs    map[string]kvstore.Pair
 }
 
 // Store is the key-value service in memory. It is safe for concurrent use. Leases expire when a
 // call or ExpireLeases finds them overdue; Run does this at short intervals.
 type Store struct {
 	opt    Options
-	counts platform.Counts
+	counts kvstore.Counts
 
 	mu        sync.Mutex
 	state     state
-	leases    map[platform.LeaseID]*lease
-	nextLease platform.LeaseID
+	leases    map[kvstore.LeaseID]*lease
+	nextLease kvstore.LeaseID
 	// history holds all events after revision compacted, ordered by revision.
-	history   []platform.Event
+	history   []kvstore.Event
 	compacted int64
 	// changed is closed and replaced to wake the watches; breaks counts BreakWatches calls.
 	changed chan struct{}
@@ -70,7 +70,7 @@
 	writes, reads   bucket
 }
 
-var _ platform.KV = (*Store)(nil)
+var _ kvstore.KV = (*Store)(nil)
 
 // NewStore returns an empty store at revision 1, like a new etcd cluster.
 func NewStore(opt Options) *Store {
@@ -85,8 +85,8 @@
 	}
 	return &Store{
 		opt:     opt,
-		state:   state{revision: 1, pairs: map[string]platform.Pair{}},
-		leases:  map[platform.LeaseID]*lease{},
+		state:   state{revision: 1, pairs: map[string]kvstore.Pair{}},
+		leases:  map[kvstore.LeaseID]*lease{},
 		changed: make(chan struct{}),
 		rng:     newRand(0),
 	}
@@ -95,7 +95,7 @@
 func newRand(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 0)) }
 
 // Counts returns the counters of received calls, including failed ones.
-func (s *Store) Counts() *platform.Counts { return &s.counts }
+func (s *Store) Counts() *kvstore.Counts { return &s.counts }
 
 // Revision returns the store revision.
 func (s *Store) Revision() int64 {
@@ -134,7 +134,7 @@
 
 func (s *Store) expireOverdue() {
 	now := s.opt.Now()
-	var overdue []platform.LeaseID
+	var overdue []kvstore.LeaseID
 	for id, l := range s.leases {
 		if now.After(l.expires) {
 			overdue = append(overdue, id)
@@ -147,7 +147,7 @@
 }
 
 // ExpireLease expires a lease at once and says whether it existed.
-func (s *Store) ExpireLease(id platform.LeaseID) bool {
+func (s *Store) ExpireLease(id kvstore.LeaseID) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.dropLease(id)
@@ -160,13 +160,13 @@
 	return s.dropLease(s.state.pairs[key].Lease)
 }
 
-func (s *Store) dropLease(id platform.LeaseID) bool {
+func (s *Store) dropLease(id kvstore.LeaseID) bool {
 	l := s.leases[id]
 	if l == nil {
 		return false
 	}
 	delete(s.leases, id)
-	var events []platform.Event
+	var events []kvstore.Event
 	for _, key := range slices.Sorted(maps.Keys(l.keys)) {
 		events = append(events, s.remove(key, s.state.revision+1))
 	}
@@ -209,14 +209,14 @@
 
 // historyIndex returns the index of the first event at or after the revision.
 func (s *Store) historyIndex(revision int64) int {
-	i, _ := slices.BinarySearchFunc(s.history, revision, func(e platform.Event, r int64) int {
+	i, _ := slices.BinarySearchFunc(s.history, revision, func(e kvstore.Event, r int64) int {
 		return cmp.Compare(e.Pair.ModRevision, r)
 	})
 	return i
 }
 
 // commit records the events of one revision and wakes the watches.
-func (s *Store) commit(events []platform.Event) {
+func (s *Store) commit(events []kvstore.Event) {
 	if len(events) == 0 {
 		return
 	}
@@ -229,14 +229,14 @@
 	s.wakeWatches()
 }
 
-func (s *Store) remove(key string, revision int64) platform.Event {
+func (s *Store) remove(key string, revision int64) kvstore.Event {
 	delete(s.state.pairs, key)
-	return platform.Event{Deleted: true, Pair: platform.Pair{Key: key, ModRevision: revision}}
+	return kvstore.Event{Deleted: true, Pair: kvstore.Pair{Key: key, ModRevision: revision}}
 }
 
-// Get implements platform.KV.
-func (s *Store) Get(ctx context.Context, key string) (*platform.Pair, int64, error) {
-	if err := s.enter(ctx, platform.CallRange); err != nil {
+// Get implements kvstore.KV.
+func (s *Store) Get(ctx context.Context, key string) (*kvstore.Pair, int64, error) {
+	if err := s.enter(ctx, kvstore.CallRange); err != nil {
 		return nil, 0, err
 	}
 	s.mu.Lock()
@@ -245,7 +245,7 @@
 	return s.get(key), s.state.revision, nil
 }
 
-func (s *Store) get(key string) *platform.Pair {
+func (s *Store) get(key string) *kvstore.Pair {
 	p, ok := s.state.pairs[key]
 	if !ok {
 		return nil
@@ -254,10 +254,10 @@
 	return &p
 }
 
-// Range implements platform.KV.
-func (s *Store) Range(ctx context.Context, r platform.RangeRequest) (platform.RangeResult, error) {
-	if err := s.enter(ctx, platform.CallRange); err != nil {
-		return platform.RangeResult{}, err
+// Range implements kvstore.KV.
+func (s *Store) Range(ctx context.Context, r kvstore.RangeRequest) (kvstore.RangeResult, error) {
+	if err := s.enter(ctx, kvstore.CallRange); err != nil {
+		return kvstore.RangeResult{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -266,7 +266,7 @@
 	if r.Serializable && s.stale != nil {
 		st = s.stale
 	}
-	res := platform.RangeResult{Revision: st.revision, ClusterID: s.opt.ClusterID}
+	res := kvstore.RangeResult{Revision: st.revision, ClusterID: s.opt.ClusterID}
 	for _, key := range s.candidates(st, r.MinModRevision) {
 		p, ok := st.pairs[key]
 		if !ok || !strings.HasPrefix(key, r.Prefix) || p.ModRevision < r.MinModRevision {
@@ -299,10 +299,10 @@
 	return slices.Compact(keys)
 }
 
-// Txn implements platform.KV.
-func (s *Store) Txn(ctx context.Context, t platform.Txn) (platform.TxnResult, error) {
-	if err := s.enter(ctx, platform.CallTxn); err != nil {
-		return platform.TxnResult{}, err
+// Txn implements kvstore.KV.
+func (s *Store) Txn(ctx context.Context, t kvstore.Txn) (kvstore.TxnResult, error) {
+	if err := s.enter(ctx, kvstore.CallTxn); err != nil {
+		return kvstore.TxnResult{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -312,18 +312,18 @@
 		ops, succeeded = t.Success, true
 	}
 	if err := s.check(ops); err != nil {
-		return platform.TxnResult{}, err
+		return kvstore.TxnResult{}, err
 	}
-	res := platform.TxnResult{Succeeded: succeeded}
+	res := kvstore.TxnResult{Succeeded: succeeded}
 	revision := s.state.revision + 1
-	var events []platform.Event
+	var events []kvstore.Event
 	for _, op := range ops {
 		switch op.Kind {
-		case platform.OpGet:
+		case kvstore.OpGet:
 			res.Gets = append(res.Gets, s.get(op.Key))
-		case platform.OpPut:
+		case kvstore.OpPut:
 			events = append(events, s.put(op, revision))
-		case platform.OpDelete:
+		case kvstore.OpDelete:
 			if p, ok := s.state.pairs[op.Key]; ok {
 				s.unbind(p)
 				events = append(events, s.remove(op.Key, revision))
@@ -333,19 +333,19 @@
 	s.commit(events)
 	res.Revision = s.state.revision
 	if s.loseAnswer() {
-		return platform.TxnResult{}, lost(platform.CallTxn)
+		return kvstore.TxnResult{}, lost(kvstore.CallTxn)
 	}
 	return res, nil
 }
 
-func (s *Store) holdAll(compares []platform.Compare) bool {
+func (s *Store) holdAll(compares []kvstore.Compare) bool {
 	for _, c := range compares {
 		p := s.state.pairs[c.Key]
 		got := p.ModRevision
 		switch c.Target {
-		case platform.CompareCreateRevision:
+		case kvstore.CompareCreateRevision:
 			got = p.CreateRevision
-		case platform.CompareVersion:
+		case kvstore.CompareVersion:
 			got = p.Version
 		}
 		if got != c.Value {
@@ -356,36 +356,36 @@
 }
 
 // check refuses what the service refuses before it applies anything.
-func (s *Store) check(ops []platform.Op) error {
+func (s *Store) check(ops []kvstore.Op) error {
 	written := map[string]bool{}
 	for _, op := range ops {
-		if op.Kind == platform.OpGet {
+		if op.Kind == kvstore.OpGet {
 			continue
 		}
 		if op.Key == "" || written[op.Key] {
-			return fmt.Errorf("%w: empty or duplicate key %q", platform.ErrRejected, op.Key)
+			return fmt.Errorf("%w: empty or duplicate key %q", kvstore.ErrRejected, op.Key)
 		}
 		written[op.Key] = true
 		if len(op.Value) > MaxValueBytes {
-			return fmt.Errorf("%w: value of %d bytes is too large", platform.ErrRejected, len(op.Value))
+			return fmt.Errorf("%w: value of %d bytes is too large", kvstore.ErrRejected, len(op.Value))
 		}
 		if op.Lease != 0 && s.leases[op.Lease] == nil {
-			return platform.ErrLeaseNotFound
+			return kvstore.ErrLeaseNotFound
 		}
 	}
 	return nil
 }
 
-func (s *Store) unbind(p platform.Pair) {
+func (s *Store) unbind(p kvstore.Pair) {
 	if l := s.leases[p.Lease]; l != nil {
 		delete(l.keys, p.Key)
 	}
 }
 
-func (s *Store) put(op platform.Op, revision int64) platform.Event {
+func (s *Store) put(op kvstore.Op, revision int64) kvstore.Event {
 	p, ok := s.state.pairs[op.Key]
 	if !ok {
-		p = platform.Pair{Key: op.Key, CreateRevision: revision}
+		p = kvstore.Pair{Key: op.Key, CreateRevision: revision}
 	}
 	s.unbind(p)
 	p.Value = slices.Clone(op.Value)
@@ -396,12 +396,12 @@
 		l.keys[op.Key] = struct{}{}
 	}
 	s.state.pairs[op.Key] = p
-	return platform.Event{Pair: p}
+	return kvstore.Event{Pair: p}
 }
 
-// Grant implements platform.KV.
-func (s *Store) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
-	if err := s.enter(ctx, platform.CallGrant); err != nil {
+// Grant implements kvstore.KV.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (kvstore.LeaseID, error) {
+	if err := s.enter(ctx, kvstore.CallGrant); err != nil {
 		return 0, err
 	}
 	s.mu.Lock()
@@ -410,14 +410,14 @@
 	id := s.nextLease
 	s.leases[id] = &lease{ttl: ttl, expires: s.opt.Now().Add(ttl), keys: map[string]struct{}{}}
 	if s.loseAnswer() {
-		return 0, lost(platform.CallGrant)
+		return 0, lost(kvstore.CallGrant)
 	}
 	return id, nil
 }
 
-// KeepAlive implements platform.KV.
-func (s *Store) KeepAlive(ctx context.Context, id platform.LeaseID) (time.Duration, error) {
-	if err := s.enter(ctx, platform.CallKeepAlive); err != nil {
+// KeepAlive implements kvstore.KV.
+func (s *Store) KeepAlive(ctx context.Context, id kvstore.LeaseID) (time.Duration, error) {
+	if err := s.enter(ctx, kvstore.CallKeepAlive); err != nil {
 		return 0, err
 	}
 	s.mu.Lock()
@@ -425,38 +425,38 @@
 	s.expireOverdue()
 	l := s.leases[id]
 	if l == nil {
-		return 0, platform.ErrLeaseNotFound
+		return 0, kvstore.ErrLeaseNotFound
 	}
 	l.expires = s.opt.Now().Add(l.ttl)
 	return l.ttl, nil
 }
 
-// Revoke implements platform.KV.
-func (s *Store) Revoke(ctx context.Context, id platform.LeaseID) error {
-	if err := s.enter(ctx, platform.CallRevoke); err != nil {
+// Revoke implements kvstore.KV.
+func (s *Store) Revoke(ctx context.Context, id kvstore.LeaseID) error {
+	if err := s.enter(ctx, kvstore.CallRevoke); err != nil {
 		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireOverdue()
 	if !s.dropLease(id) {
-		return platform.ErrLeaseNotFound
+		return kvstore.ErrLeaseNotFound
 	}
 	if s.loseAnswer() {
-		return lost(platform.CallRevoke)
+		return lost(kvstore.CallRevoke)
 	}
 	return nil
 }
 
-// Watch implements platform.KV.
-func (s *Store) Watch(ctx context.Context, prefix string, from int64, fn func(platform.WatchBatch) error) error {
-	if err := s.enter(ctx, platform.CallWatch); err != nil {
+// Watch implements kvstore.KV.
+func (s *Store) Watch(ctx context.Context, prefix string, from int64, fn func(kvstore.WatchBatch) error) error {
+	if err := s.enter(ctx, kvstore.CallWatch); err != nil {
 		return err
 	}
 	return s.watch(ctx, prefix, from, fn)
 }
 
-func (s *Store) watch(ctx context.Context, prefix string, from int64, fn func(platform.WatchBatch) error) error {
+func (s *Store) watch(ctx context.Context, prefix string, from int64, fn func(kvstore.WatchBatch) error) error {
 	s.mu.Lock()
 	breaks := s.breaks
 	if from <= 0 {
@@ -468,7 +468,7 @@
 		changed := s.changed
 		if s.breaks != breaks {
 			s.mu.Unlock()
-			return fmt.Errorf("%w: watch broken", platform.ErrUnavailable)
+			return fmt.Errorf("%w: watch broken", kvstore.ErrUnavailable)
 		}
 		batch, err := s.nextBatch(prefix, from)
 		s.mu.Unlock()
@@ -490,14 +490,14 @@
 }
 
 // nextBatch returns the events of the prefix from the revision on; it is empty while watches are frozen.
-func (s *Store) nextBatch(prefix string, from int64) (platform.WatchBatch, error) {
+func (s *Store) nextBatch(prefix string, from int64) (kvstore.WatchBatch, error) {
 	if s.faults.FreezeWatches {
-		return platform.WatchBatch{}, nil
+		return kvstore.WatchBatch{}, nil
 	}
 	if from <= s.compacted {
-		return platform.WatchBatch{}, platform.ErrCompacted
+		return kvstore.WatchBatch{}, kvstore.ErrCompacted
 	}
-	batch := platform.WatchBatch{Revision: s.state.revision, ClusterID: s.opt.ClusterID}
+	batch := kvstore.WatchBatch{Revision: s.state.revision, ClusterID: s.opt.ClusterID}
 	for _, e := range s.history[s.historyIndex(from):] {
 		if strings.HasPrefix(e.Pair.Key, prefix) {
 			batch.Events = append(batch.Events, e)
--- a/internal/standin/site/registry.go
+++ b/internal/standin/site/registry.go
@@ -12,7 +12,7 @@
 
 	"github.com/foxtailpass/foxtailpass/internal/config"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 )
 
 // filePoll is the time between two looks at the file of a Registry.
@@ -20,14 +20,14 @@
 
 // Registry plays the part of the platform that lists live and leaving upstreams, with a lag.
 type Registry struct {
-	kv  platform.KV
+	kv  kvstore.KV
 	lag time.Duration
 	// listed holds what has been written.
 	listed map[entity.UpstreamID]string
 }
 
 // NewRegistry returns a registry that writes changes after the lag.
-func NewRegistry(kv platform.KV, lag time.Duration) *Registry {
+func NewRegistry(kv kvstore.KV, lag time.Duration) *Registry {
 	return &Registry{kv: kv, lag: lag, listed: make(map[entity.UpstreamID]string)}
 }
 
@@ -50,7 +50,7 @@
 			continue
 		}
 		key := config.UpstreamsPrefix + string(id)
-		if _, err := r.kv.Txn(ctx, platform.Txn{Success: []platform.Op{{Kind: platform.OpDelete, Key: key}}}); err != nil {
+		if _, err := r.kv.Txn(ctx, kvstore.Txn{Success: []kvstore.Op{{Kind: kvstore.OpDelete, Key: key}}}); err != nil {
 			return fmt.Errorf("site: remove upstream %s: %w", id, err)
 		}
 		delete(r.listed, id)
@@ -70,7 +70,7 @@
 		return nil
 	}
 	key := config.UpstreamsPrefix + string(u.ID)
-	if _, err := r.kv.Txn(ctx, platform.Txn{Success: []platform.Op{platform.Put(key, value)}}); err != nil {
+	if _, err := r.kv.Txn(ctx, kvstore.Txn{Success: []kvstore.Op{kvstore.Put(key, value)}}); err != nil {
 		return fmt.Errorf("site: list upstream %s: %w", u.ID, err)
 	}
 	r.listed[u.ID] = string(value)
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -13,7 +13,7 @@
 	"github.com/foxtailpass/foxtailpass/internal/config"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/host"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/settings"
 	"github.com/foxtailpass/foxtailpass/internal/standin/engine"
 	"github.com/foxtailpass/foxtailpass/internal/standin/kv"
@@ -73,7 +73,7 @@
 	registry *Registry
 	kvServer *kv.Server
 	kvAddr   string
-	client   *platform.Client
+	client   *kvstore.Client
 
 	mu    sync.Mutex
 	hosts []*runningHost
@@ -146,7 +146,7 @@
 	s.kvServer = kv.NewServer(s.Store)
 	go s.Store.Run(context.Background())
 	go func() { _ = s.kvServer.Serve(ln) }()
-	s.client, err = platform.NewClient(platform.Options{Endpoints: []string{s.kvAddr}, Prefix: prefix})
+	s.client, err = kvstore.NewClient(kvstore.Options{Endpoints: []string{s.kvAddr}, Prefix: prefix})
 	if err != nil {
 		return fmt.Errorf("site: platform client: %w", err)
 	}
--- a/internal/view/cache.go
+++ b/internal/view/cache.go
@@ -17,7 +17,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/wire"
 )
 
@@ -160,7 +160,7 @@
 
 // Apply applies a batch of a watch that started right after the full revision or earlier, and
 // returns the changed keys.
-func (c *Cache) Apply(b platform.WatchBatch) ([]string, error) {
+func (c *Cache) Apply(b kvstore.WatchBatch) ([]string, error) {
 	if err := c.checkCluster(b.ClusterID); err != nil {
 		return nil, err
 	}
@@ -182,7 +182,7 @@
 }
 
 // ApplyPoll applies the answer to a range of the whole prefix with MinModRevision = since+1.
-func (c *Cache) ApplyPoll(r platform.RangeResult, since int64) ([]string, error) {
+func (c *Cache) ApplyPoll(r kvstore.RangeResult, since int64) ([]string, error) {
 	if err := c.checkCluster(r.ClusterID); err != nil {
 		return nil, err
 	}
@@ -201,7 +201,7 @@
 
 // ApplySnapshot applies the answer to a range of the whole prefix. An answer at or below the full
 // revision has nothing new and is ignored.
-func (c *Cache) ApplySnapshot(r platform.RangeResult) ([]string, error) {
+func (c *Cache) ApplySnapshot(r kvstore.RangeResult) ([]string, error) {
 	if err := c.checkCluster(r.ClusterID); err != nil {
 		return nil, err
 	}
@@ -225,7 +225,7 @@
 
 // ApplySweep applies the answer to a range of one prefix below the whole one, with or without
 // values: it only removes keys that are missing in the answer.
-func (c *Cache) ApplySweep(prefix string, r platform.RangeResult) ([]string, error) {
+func (c *Cache) ApplySweep(prefix string, r kvstore.RangeResult) ([]string, error) {
 	if err := c.checkCluster(r.ClusterID); err != nil {
 		return nil, err
 	}
--- a/internal/view/cache_test.go
+++ b/internal/view/cache_test.go
@@ -9,14 +9,14 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/standin/kv"
 	"github.com/foxtailpass/foxtailpass/internal/wire"
 )
 
 // recorded is an answer of the service that a test delivers late.
 type recorded struct {
-	result platform.RangeResult
+	result kvstore.RangeResult
 	since  int64
 	kind   string
 }
@@ -41,11 +41,11 @@
 			switch rapid.IntRange(0, 7).Draw(t, "op") {
 			case 0, 1:
 				key := fmt.Sprintf("v/%d", rapid.IntRange(0, 2).Draw(t, "key"))
-				op := platform.Put(key, []byte{byte(store.Revision())})
+				op := kvstore.Put(key, []byte{byte(store.Revision())})
 				if rapid.Bool().Draw(t, "delete") {
-					op = platform.Op{Kind: platform.OpDelete, Key: key}
+					op = kvstore.Op{Kind: kvstore.OpDelete, Key: key}
 				}
-				if _, err := store.Txn(ctx, platform.Txn{Success: []platform.Op{op}}); err != nil {
+				if _, err := store.Txn(ctx, kvstore.Txn{Success: []kvstore.Op{op}}); err != nil {
 					t.Fatal(err)
 				}
 			case 2:
@@ -53,7 +53,7 @@
 			case 3:
 				kind := rapid.SampledFrom([]string{"poll", "sweep", "snapshot"}).Draw(t, "kind")
 				r := recorded{since: c.Revision(), kind: kind}
-				req := platform.RangeRequest{Prefix: "v/", KeysOnly: kind == "sweep"}
+				req := kvstore.RangeRequest{Prefix: "v/", KeysOnly: kind == "sweep"}
 				if kind == "poll" {
 					req.MinModRevision = r.since + 1
 				}
@@ -86,7 +86,7 @@
 		}
 		for _, c := range caches {
 			watchUpTo(t, store, c, store.Revision())
-			want, _ := store.Range(ctx, platform.RangeRequest{Prefix: "v/"})
+			want, _ := store.Range(ctx, kvstore.RangeRequest{Prefix: "v/"})
 			if got := len(c.Prefix("v/")); got != len(want.Pairs) {
 				t.Fatalf("%d keys, want %d", got, len(want.Pairs))
 			}
@@ -101,7 +101,7 @@
 
 // checkPuts verifies that every put up to the put revision is in the cache.
 func checkPuts(t *rapid.T, store *kv.Store, c *Cache) {
-	res, _ := store.Range(context.Background(), platform.RangeRequest{Prefix: "v/"})
+	res, _ := store.Range(context.Background(), kvstore.RangeRequest{Prefix: "v/"})
 	for _, p := range res.Pairs {
 		if e, ok := c.Get(p.Key); p.ModRevision <= c.Revision() && (!ok || e.ModRevision != p.ModRevision) {
 			t.Fatalf("put of %s at %d is missing at revision %d: %+v", p.Key, p.ModRevision, c.Revision(), e)
@@ -126,13 +126,13 @@
 
 // watchUpTo delivers the events after the full revision up to a revision.
 func watchUpTo(t *rapid.T, store *kv.Store, c *Cache, upTo int64) {
-	var all platform.WatchBatch
+	var all kvstore.WatchBatch
 	end := errors.New("end")
 	// The put behind the last event ends the watch without waiting.
-	if _, err := store.Txn(context.Background(), platform.Txn{Success: []platform.Op{platform.Put("w/end", nil)}}); err != nil {
+	if _, err := store.Txn(context.Background(), kvstore.Txn{Success: []kvstore.Op{kvstore.Put("w/end", nil)}}); err != nil {
 		t.Fatal(err)
 	}
-	_ = store.Watch(context.Background(), "", c.FullRevision()+1, func(b platform.WatchBatch) error {
+	_ = store.Watch(context.Background(), "", c.FullRevision()+1, func(b kvstore.WatchBatch) error {
 		all.ClusterID = b.ClusterID
 		for _, e := range b.Events {
 			if e.Pair.ModRevision <= upTo && strings.HasPrefix(e.Pair.Key, "v/") {
--- a/internal/view/manager.go
+++ b/internal/view/manager.go
@@ -13,7 +13,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/foxtailpass/foxtailpass/internal/entity"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 )
 
 // Defaults of Options.
@@ -57,7 +57,7 @@
 
 // Options configures a Manager. Zero durations and sizes mean the defaults.
 type Options struct {
-	KV platform.KV
+	KV kvstore.KV
 	// Prefix is watched; SweepPrefix is the part of it whose keys are bound to leases.
 	Prefix, SweepPrefix string
 	// Self is this process; only acknowledgements of its own heartbeats bound the age of a peer's.
@@ -252,17 +252,17 @@
 	defer cancel()
 	m.watchStarted(cancel, full)
 	defer m.watchStopped()
-	err = m.opt.KV.Watch(wctx, m.opt.Prefix, full+1, func(b platform.WatchBatch) error {
+	err = m.opt.KV.Watch(wctx, m.opt.Prefix, full+1, func(b kvstore.WatchBatch) error {
 		delivered = true
 		return m.handleBatch(b)
 	})
-	if errors.Is(err, platform.ErrCompacted) {
+	if errors.Is(err, kvstore.ErrCompacted) {
 		m.setNeedFull()
 	}
 	return delivered, err
 }
 
-func (m *Manager) handleBatch(b platform.WatchBatch) error {
+func (m *Manager) handleBatch(b kvstore.WatchBatch) error {
 	if err := m.update(func(c *Cache) ([]string, error) { return c.Apply(b) }); err != nil {
 		return err
 	}
@@ -282,7 +282,7 @@
 	m.stats.FullRanges.Add(1)
 	sent := m.opt.Now()
 	_, known := m.revisions()
-	res, err := m.opt.KV.Range(ctx, platform.RangeRequest{Prefix: m.opt.Prefix})
+	res, err := m.opt.KV.Range(ctx, kvstore.RangeRequest{Prefix: m.opt.Prefix})
 	if err != nil {
 		m.fresh.serviceFailed(sent)
 		return err
@@ -292,7 +292,7 @@
 
 // accept applies the answer to a linearizable range that was sent when the put revision was known.
 // An answer below that revision comes from a stale replica: it proves nothing about freshness.
-func (m *Manager) accept(res platform.RangeResult, known int64, sent time.Time, apply func(*Cache) ([]string, error)) error {
+func (m *Manager) accept(res kvstore.RangeResult, known int64, sent time.Time, apply func(*Cache) ([]string, error)) error {
 	if res.Revision < known {
 		m.stats.StaleAnswers.Add(1)
 		return nil
@@ -378,7 +378,7 @@
 	ctx, cancel := context.WithTimeout(ctx, m.opt.PollTimeout)
 	defer cancel()
 	sent := m.opt.Now()
-	res, err := m.opt.KV.Range(ctx, platform.RangeRequest{Prefix: m.opt.Prefix, MinModRevision: since + 1})
+	res, err := m.opt.KV.Range(ctx, kvstore.RangeRequest{Prefix: m.opt.Prefix, MinModRevision: since + 1})
 	if err != nil {
 		m.stats.PollErrors.Add(1)
 		m.fresh.serviceFailed(sent)
@@ -421,7 +421,7 @@
 func (m *Manager) sweep(ctx context.Context) {
 	m.stats.Sweeps.Add(1)
 	_, known := m.revisions()
-	res, err := m.opt.KV.Range(ctx, platform.RangeRequest{Prefix: m.opt.SweepPrefix, KeysOnly: true})
+	res, err := m.opt.KV.Range(ctx, kvstore.RangeRequest{Prefix: m.opt.SweepPrefix, KeysOnly: true})
 	if err != nil {
 		return
 	}
--- a/internal/view/manager_test.go
+++ b/internal/view/manager_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/foxtailpass/foxtailpass/internal/entity"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/standin/kv"
 	"github.com/foxtailpass/foxtailpass/internal/wire"
 )
@@ -19,20 +19,20 @@
 	down atomic.Bool
 }
 
-func (c *cutKV) Range(ctx context.Context, r platform.RangeRequest) (platform.RangeResult, error) {
+func (c *cutKV) Range(ctx context.Context, r kvstore.RangeRequest) (kvstore.RangeResult, error) {
 	if c.down.Load() {
-		return platform.RangeResult{}, platform.ErrUnavailable
+		return kvstore.RangeResult{}, kvstore.ErrUnavailable
 	}
 	return c.Store.Range(ctx, r)
 }
 
-func (c *cutKV) Watch(ctx context.Context, prefix string, from int64, fn func(platform.WatchBatch) error) error {
+func (c *cutKV) Watch(ctx context.Context, prefix string, from int64, fn func(kvstore.WatchBatch) error) error {
 	if c.down.Load() {
-		return platform.ErrUnavailable
+		return kvstore.ErrUnavailable
 	}
-	return c.Store.Watch(ctx, prefix, from, func(b platform.WatchBatch) error {
+	return c.Store.Watch(ctx, prefix, from, func(b kvstore.WatchBatch) error {
 		if c.down.Load() {
-			return platform.ErrUnavailable
+			return kvstore.ErrUnavailable
 		}
 		return fn(b)
 	})
@@ -47,7 +47,7 @@
 	parted atomic.Bool
 	// deaf drops the answers to view requests.
 	deaf  atomic.Bool
-	lease platform.LeaseID
+	lease kvstore.LeaseID
 }
 
 // run runs f in a bubble of fake time with two hosts that have loaded one key and one host record.
@@ -57,7 +57,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		x.lease, _ = x.store.Grant(ctx, time.Hour)
 		x.put("v/keys/1", "issued")
-		_, _ = x.store.Txn(ctx, platform.Txn{Success: []platform.Op{platform.PutLeased("v/hosts/1", nil, x.lease)}})
+		_, _ = x.store.Txn(ctx, kvstore.Txn{Success: []kvstore.Op{kvstore.PutLeased("v/hosts/1", nil, x.lease)}})
 		for i := range x.hosts {
 			x.ways[i] = &cutKV{Store: x.store}
 			x.hosts[i] = NewManager(Options{KV: x.ways[i], Self: entity.Incarnation(rune('a' + i))})
@@ -75,7 +75,7 @@
 
 func (x *fixture) put(key, value string) {
 	x.t.Helper()
-	if _, err := x.store.Txn(x.t.Context(), platform.Txn{Success: []platform.Op{platform.Put(key, []byte(value))}}); err != nil {
+	if _, err := x.store.Txn(x.t.Context(), kvstore.Txn{Success: []kvstore.Op{kvstore.Put(key, []byte(value))}}); err != nil {
 		x.t.Fatal(err)
 	}
 }
--- a/test/capacity/site_test.go
+++ b/test/capacity/site_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/foxtailpass/foxtailpass/internal/config"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/standin/engine"
 	"github.com/foxtailpass/foxtailpass/test/harness"
 )
@@ -98,7 +98,7 @@
 	for i := range keys {
 		value := fmt.Sprintf(`{"id":"k-%016d","workspace":"workspace-001","issued":"2026-01-01T00:00:00Z","attempt":"x"}`, i)
 		key := fmt.Sprintf("%s%064x", config.KeysPrefix, rand.Uint64())
-		if _, err := s.Client.Txn(context.Background(), platform.Txn{Success: []platform.Op{platform.Put(key, []byte(value))}}); err != nil {
+		if _, err := s.Client.Txn(context.Background(), kvstore.Txn{Success: []kvstore.Op{kvstore.Put(key, []byte(value))}}); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/test/capacity/slopes_test.go
+++ b/test/capacity/slopes_test.go
@@ -16,9 +16,9 @@
 	"github.com/foxtailpass/foxtailpass/internal/config"
 	"github.com/foxtailpass/foxtailpass/internal/control"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/limits"
 	"github.com/foxtailpass/foxtailpass/internal/placement"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
 	"github.com/foxtailpass/foxtailpass/internal/schedule"
 	"github.com/foxtailpass/foxtailpass/internal/view"
 	"github.com/foxtailpass/foxtailpass/internal/wire"
@@ -90,10 +90,10 @@
 func BenchmarkKeyTable(b *testing.B) {
 	for _, n := range []int{1000, 10000} {
 		b.Run(fmt.Sprintf("keys=%d", n), func(b *testing.B) {
-			var pairs []platform.Pair
+			var pairs []kvstore.Pair
 			for i := range n {
 				value, _ := json.Marshal(config.KeyRecord{ID: entity.KeyID(fmt.Sprintf("k-%016d", i)), Workspace: "workspace-001", Issued: time.Now()})
-				pairs = append(pairs, platform.Pair{Key: config.KeysPrefix + fmt.Sprintf("%064x", i), Value: value, ModRevision: int64(i + 1)})
+				pairs = append(pairs, kvstore.Pair{Key: config.KeysPrefix + fmt.Sprintf("%064x", i), Value: value, ModRevision: int64(i + 1)})
 			}
 			before := heap()
 			table, err := config.NewKeyTable(pairs)
@@ -117,20 +117,20 @@
 			value := []byte(strings.Repeat("x", 200))
 			before := heap()
 			c := view.NewCache(4096)
-			batch := platform.WatchBatch{Revision: int64(n), ClusterID: 1}
+			batch := kvstore.WatchBatch{Revision: int64(n), ClusterID: 1}
 			for i := range n {
-				batch.Events = append(batch.Events, platform.Event{Pair: platform.Pair{Key: fmt.Sprintf("v/place/upstream/%06d", i), Value: append([]byte(nil), value...), ModRevision: int64(i + 1)}})
+				batch.Events = append(batch.Events, kvstore.Event{Pair: kvstore.Pair{Key: fmt.Sprintf("v/place/upstream/%06d", i), Value: append([]byte(nil), value...), ModRevision: int64(i + 1)}})
 			}
 			if _, err := c.Apply(batch); err != nil {
 				b.Fatal(err)
 			}
-			batch = platform.WatchBatch{}
+			batch = kvstore.WatchBatch{}
 			perKey := float64(heap()-before) / float64(n)
 			rev := int64(n)
 			for b.Loop() {
 				rev++
-				ev := platform.Event{Pair: platform.Pair{Key: "v/place/upstream/000001", Value: value, ModRevision: rev}}
-				if _, err := c.Apply(platform.WatchBatch{Events: []platform.Event{ev}, Revision: rev, ClusterID: 1}); err != nil {
+				ev := kvstore.Event{Pair: kvstore.Pair{Key: "v/place/upstream/000001", Value: value, ModRevision: rev}}
+				if _, err := c.Apply(kvstore.WatchBatch{Events: []kvstore.Event{ev}, Revision: rev, ClusterID: 1}); err != nil {
 					b.Fatal(err)
 				}
 			}
@@ -249,7 +249,7 @@
 	for i := range upstreams {
 		value, _ := json.Marshal(config.UpstreamRecord{Kind: "orders", Addr: "127.0.0.1:1", State: config.UpstreamLive})
 		key := fmt.Sprintf("%splain-%04d", config.UpstreamsPrefix, i)
-		changes = append(changes, control.KeyChange{Key: key, Pair: &platform.Pair{Key: key, Value: value, ModRevision: int64(i + 1)}})
+		changes = append(changes, control.KeyChange{Key: key, Pair: &kvstore.Pair{Key: key, Value: value, ModRevision: int64(i + 1)}})
 	}
 	c.Handle(control.ViewChanged{Changes: changes}, now)
 	c.Handle(control.SiteChanged{Site: site}, now)
--- a/test/faults/callers_stop_test.go
+++ b/test/faults/callers_stop_test.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/foxtailpass/foxtailpass/internal/config"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/test/harness"
 )
 
@@ -193,7 +193,7 @@
 		t.Fatalf("no registration: %v", err)
 	}
 	newer := strings.Replace(string(pair.Value), old, "newer", 1)
-	if _, err := s.Client.Txn(t.Context(), platform.Txn{Success: []platform.Op{platform.Put(pair.Key, []byte(newer))}}); err != nil {
+	if _, err := s.Client.Txn(t.Context(), kvstore.Txn{Success: []kvstore.Op{kvstore.Put(pair.Key, []byte(newer))}}); err != nil {
 		t.Fatal(err)
 	}
 	s.Store.ExpireLease(pair.Lease)
--- a/test/faults/control_config_test.go
+++ b/test/faults/control_config_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/foxtailpass/foxtailpass/internal/config"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/standin/kv"
 	"github.com/foxtailpass/foxtailpass/test/harness"
 )
@@ -115,7 +115,7 @@
 			}
 			o.mu.Unlock()
 			return
-		case !errors.Is(err, platform.ErrUnknown) && !errors.Is(err, platform.ErrUnavailable):
+		case !errors.Is(err, kvstore.ErrUnknown) && !errors.Is(err, kvstore.ErrUnavailable):
 			o.s.T.Errorf("apply: %v", err)
 			return
 		}
--- a/test/faults/control_helpers_test.go
+++ b/test/faults/control_helpers_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/foxtailpass/foxtailpass/internal/config"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/placement"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
 	"github.com/foxtailpass/foxtailpass/internal/standin/engine"
 	"github.com/foxtailpass/foxtailpass/test/harness"
 )
@@ -63,7 +63,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s.T.Cleanup(cancel)
 	go func() {
-		_ = s.Store.Watch(ctx, "foxtailpass/"+config.PlaceModels, 1, func(b platform.WatchBatch) error {
+		_ = s.Store.Watch(ctx, "foxtailpass/"+config.PlaceModels, 1, func(b kvstore.WatchBatch) error {
 			d.mu.Lock()
 			defer d.mu.Unlock()
 			for _, e := range b.Events {
--- a/test/harness/harness.go
+++ b/test/harness/harness.go
@@ -24,7 +24,7 @@
 	"github.com/foxtailpass/foxtailpass/internal/config"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/host"
-	"github.com/foxtailpass/foxtailpass/internal/platform"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/standin/engine"
 	"github.com/foxtailpass/foxtailpass/internal/standin/kv"
 	"github.com/foxtailpass/foxtailpass/internal/standin/service"
@@ -63,7 +63,7 @@
 	Hosts    []*Host
 	Net      *Network
 	// Client reaches the key-value service without a proxy.
-	Client   *platform.Client
+	Client   *kvstore.Client
 	opts     Options
 	kvServer *kv.Server
 	registry *site.Registry
@@ -158,7 +158,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go s.Store.Run(ctx)
 	go func() { _ = s.kvServer.Serve(ln) }()
-	s.Client, err = platform.NewClient(platform.Options{Endpoints: []string{ln.Addr().String()}, Prefix: prefix})
+	s.Client, err = kvstore.NewClient(kvstore.Options{Endpoints: []string{ln.Addr().String()}, Prefix: prefix})
 	s.check(err)
 	s.Config = config.NewStore(s.Client)
 	s.registry = site.NewRegistry(s.Client, s.opts.RegistryLag)
