--- /dev/null
+++ b/cmd/foxtailedge/main.go
@@ -0,0 +1,139 @@
+// Command foxtailedge is an entry host beside the users' platform: it serves callers, forwards
+// their requests to model engines and plain services, and shares control with the other entry
+// hosts.
+//
+// Exit codes: 0 after a graceful stop; 1 on a failure; 2 on wrong usage or settings.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/charmbracelet/log"
+	"github.com/urfave/cli/v3"
+	"go.uber.org/dig"
+
+	"github.com/foxtailpass/foxtailpass/internal/edge"
+	"github.com/foxtailpass/foxtailpass/internal/settings"
+	"github.com/foxtailpass/foxtailpass/platform"
+)
+
+// The exit codes.
+const (
+	exitOK = iota
+	exitFailure
+	exitUsage
+)
+
+// version is set by the linker for releases.
+var version = "dev"
+
+// errUsage marks wrong usage and settings.
+var errUsage = errors.New("wrong usage")
+
+// gcPercent keeps the heap small: the platform bills peak memory, and the live heap is a few MB.
+const gcPercent = 60
+
+func main() {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
+	os.Exit(run(os.Args, os.Stdout, os.Stderr))
+}
+
+func run(args []string, stdout, stderr io.Writer) int {
+	err := command(stdout).Run(context.Background(), args)
+	if err == nil {
+		return exitOK
+	}
+	log.NewWithOptions(stderr, log.Options{Prefix: "foxtailedge"}).Error("Stopped with an error.", "err", err)
+	if errors.Is(err, errUsage) {
+		return exitUsage
+	}
+	return exitFailure
+}
+
+func command(stdout io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:    "foxtailedge",
+		Usage:   "serve callers beside the users' platform",
+		Version: version,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "JSON settings `file`; default: the file that the platform names"},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			path := c.String("settings")
+			if path == "" {
+				path = platform.SettingsPath()
+			}
+			s, err := settings.Load[edge.Settings](path)
+			if err != nil {
+				return fmt.Errorf("%w: %w", errUsage, err)
+			}
+			if c.Bool("check") {
+				return nil
+			}
+			return serve(s, path, stdout)
+		},
+		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+			return fmt.Errorf("%w: %w", errUsage, err)
+		},
+	}
+}
+
+// serve runs the host until the first SIGTERM or SIGINT begins its graceful stop.
+func serve(s edge.Settings, path string, stdout io.Writer) error {
+	c := dig.New()
+	for _, p := range providers(s, stdout) {
+		if err := c.Provide(p); err != nil {
+			return fmt.Errorf("wiring: %w", err)
+		}
+	}
+	return dig.RootCause(c.Invoke(func(h *edge.Host, l *log.Logger) error {
+		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+		defer stop()
+		go reload(ctx, path, l)
+		return h.Run(ctx)
+	}))
+}
+
+func providers(s edge.Settings, stdout io.Writer) []any {
+	return []any{
+		func() (*log.Logger, error) { return edge.NewLogger(stdout, s.Log) },
+		func() edge.Store { return platform.NewStore(s.Store.Addr, s.Store.Timeout.Std()) },
+		func() edge.Protocol { return platform.New() },
+		func(l *log.Logger, st edge.Store, p edge.Protocol) (*edge.Host, error) {
+			return edge.New(edge.Options{Settings: s, Store: st, Protocol: p, Log: l, Version: version})
+		},
+	}
+}
+
+// reload reads the settings again at SIGHUP. Only the level of the log can change while the
+// process runs; the rest is taken up by the next start.
+func reload(ctx context.Context, path string, l *log.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		s, err := settings.Load[edge.Settings](path)
+		if err != nil {
+			l.Error("Settings not reloaded.", "err", err)
+			continue
+		}
+		if level, err := log.ParseLevel(s.Log.Level); err == nil {
+			l.SetLevel(level)
+		}
+		l.Info("Settings reloaded.", "level", s.Log.Level)
+	}
+}
--- /dev/null
+++ b/internal/catalog/catalog.go
@@ -0,0 +1,214 @@
+// Package catalog holds what a site offers at one version of its configuration: routes, the
+// services behind them, the models of the engines, and the workspaces with their keys. A Catalog
+// is immutable and safe for concurrent use.
+package catalog
+
+import (
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+)
+
+// ServiceID names a set of interchangeable upstreams.
+type ServiceID string
+
+// RouteKind says what may be repeated.
+type RouteKind uint8
+
+// The kinds of routes.
+const (
+	// NonIdempotent requests run at most once.
+	NonIdempotent RouteKind = iota
+	// Idempotent requests may be repeated.
+	Idempotent
+	// Streaming requests are answered by a series of events and run at most once, unless the
+	// route is resumable.
+	Streaming
+)
+
+// String returns the log value of the kind.
+func (k RouteKind) String() string {
+	switch k {
+	case Idempotent:
+		return "idempotent"
+	case Streaming:
+		return "streaming"
+	}
+	return "non_idempotent"
+}
+
+// Route is one entry of the routing table.
+type Route struct {
+	Name       string
+	Host       string
+	PathPrefix string
+	Kind       RouteKind
+	// Timeout is the longest time that a request may be kept waiting.
+	Timeout time.Duration
+	// Target is the time to the answer, or to the first event, that earns full credit.
+	Target time.Duration
+	// Priority ranks the route; 0 is the most urgent.
+	Priority int
+	Split    []Share
+	// MaxAttempts bounds the upstreams to which one request is sent.
+	MaxAttempts int
+	// Open routes need no key.
+	Open bool
+	// Resumable streams may go on at another upstream.
+	Resumable bool
+}
+
+// Repeatable says whether a request of the route may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
+}
+
+// Share is the part of a route's requests that goes to one service.
+type Share struct {
+	Service ServiceID
+	Weight  int
+}
+
+// Service is a set of interchangeable upstreams.
+type Service struct {
+	ID         ServiceID
+	HealthPath string
+	// MaxConnections bounds the connections of all hosts to one upstream.
+	MaxConnections int
+	// Engine is nil for a plain service.
+	Engine *Engine
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	Slots int
+	// CacheTokens is the memory of one replica for running and cached prompts.
+	CacheTokens int
+	// WeightsMB is the memory of one replica for weights and adapters.
+	WeightsMB     float64
+	AdapterPlaces int
+	// DiskMB and HostMemoryMB bound the copies of weights that a replica keeps.
+	DiskMB       float64
+	HostMemoryMB float64
+	// LoadsPerSecond bounds the loads that start at the weight store over all replicas.
+	LoadsPerSecond float64
+	Models         map[entity.ModelID]*Model
+}
+
+// Model is one model that the engines of a service may hold.
+type Model struct {
+	ID     entity.ModelID
+	SizeMB float64
+	// StoreLoad, DiskLoad and MemoryLoad are the load times by where the weights lie.
+	StoreLoad  time.Duration
+	DiskLoad   time.Duration
+	MemoryLoad time.Duration
+	AdapterMB  float64
+	Adapters   int
+}
+
+// Workspace is one workspace with its rate over all hosts.
+type Workspace struct {
+	ID       entity.WorkspaceID
+	Priority int
+	// Rate is in tokens per second and Burst in tokens; a Rate of 0 means no limit.
+	Rate  float64
+	Burst float64
+	// DefaultTokens is the cost of a request that does not state its own.
+	DefaultTokens int
+}
+
+// Limits bounds what callers may send.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// Document is the input of New.
+type Document struct {
+	Version    int64
+	Routes     []*Route
+	Services   []*Service
+	Workspaces []*Workspace
+	// Keys maps caller keys to workspaces.
+	Keys   map[string]entity.WorkspaceID
+	Limits Limits
+}
+
+// Catalog is one version of what the site offers.
+type Catalog struct {
+	Version    int64
+	Limits     Limits
+	services   map[ServiceID]*Service
+	workspaces map[entity.WorkspaceID]*Workspace
+	keys       map[string]*Workspace
+	byHost     map[string][]*Route
+	routes     int
+}
+
+// New returns the catalog of a document.
+func New(d Document) *Catalog {
+	c := &Catalog{
+		Version:    d.Version,
+		Limits:     d.Limits,
+		services:   make(map[ServiceID]*Service, len(d.Services)),
+		workspaces: make(map[entity.WorkspaceID]*Workspace, len(d.Workspaces)),
+		keys:       make(map[string]*Workspace, len(d.Keys)),
+		byHost:     make(map[string][]*Route),
+		routes:     len(d.Routes),
+	}
+	for _, s := range d.Services {
+		c.services[s.ID] = s
+	}
+	for _, w := range d.Workspaces {
+		c.workspaces[w.ID] = w
+	}
+	for key, id := range d.Keys {
+		if w := c.workspaces[id]; w != nil {
+			c.keys[key] = w
+		}
+	}
+	for _, r := range d.Routes {
+		host := strings.ToLower(r.Host)
+		c.byHost[host] = append(c.byHost[host], r)
+	}
+	for _, routes := range c.byHost {
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].PathPrefix) > len(routes[j].PathPrefix) })
+	}
+	return c
+}
+
+// Route returns the route with the longest prefix of path under host, or nil.
+func (c *Catalog) Route(host, path string) *Route {
+	for _, r := range c.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Routes returns the number of routes.
+func (c *Catalog) Routes() int { return c.routes }
+
+// Service returns a service, or nil.
+func (c *Catalog) Service(id ServiceID) *Service { return c.services[id] }
+
+// Services returns all services.
+func (c *Catalog) Services() map[ServiceID]*Service { return c.services }
+
+// Workspace returns a workspace, or nil.
+func (c *Catalog) Workspace(id entity.WorkspaceID) *Workspace { return c.workspaces[id] }
+
+// Workspaces returns all workspaces.
+func (c *Catalog) Workspaces() map[entity.WorkspaceID]*Workspace { return c.workspaces }
+
+// Keyed says whether routes need keys, which holds when there are workspaces.
+func (c *Catalog) Keyed() bool { return len(c.workspaces) > 0 }
+
+// Key returns the workspace that holds a key, or nil.
+func (c *Catalog) Key(key string) *Workspace { return c.keys[key] }
--- /dev/null
+++ b/internal/dispatch/request.go
@@ -0,0 +1,107 @@
+// Package dispatch decides on one host which waiting request runs next and at which upstream,
+// what is retried, and what is refused. It is pure: time and randomness are passed in, and
+// decisions are returned as values. All methods belong to the goroutine that owns the control
+// state.
+package dispatch
+
+import (
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/catalog"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+)
+
+// Pool names the requests that the same upstreams can serve.
+type Pool struct {
+	Service catalog.ServiceID
+	// Model is empty for plain services.
+	Model   entity.ModelID
+	Adapter entity.AdapterID
+}
+
+// Request is one row of the request table.
+type Request struct {
+	ID        entity.RequestID
+	Workspace entity.WorkspaceID
+	// Key is the caller's key, empty on open routes.
+	Key   string
+	Route *catalog.Route
+	Pool  Pool
+	// Rank orders waiting requests; 0 is served first.
+	Rank    int
+	Arrived time.Time
+	// Deadline is the earlier of the caller's deadline and the route's timeout.
+	Deadline time.Time
+	// Tokens is the cost against the rate of the workspace.
+	Tokens float64
+	// Affinity names the part of the prompt that the request shares with its session.
+	Affinity string
+
+	running bool
+	// mayHaveRun is set once an attempt ended without proof that it did not run.
+	mayHaveRun bool
+	// sent counts the upstreams that were given the request, proven not run ones included.
+	sent int
+	// ran counts the attempts that may have run.
+	ran        int
+	target     *target
+	dispatched time.Time
+	avoid      entity.UpstreamID
+	index      int
+}
+
+// repeatable says whether another attempt may follow one that may have run.
+func (r *Request) repeatable() bool { return r.Route.Repeatable() }
+
+// Reason says why a request was refused; it appears in logs and metrics.
+type Reason string
+
+// The reasons of refusals.
+const (
+	ReasonDeadline    Reason = "deadline_exceeded"
+	ReasonNotReady    Reason = "not_ready_in_time"
+	ReasonOverloaded  Reason = "backlog_too_long"
+	ReasonNoUpstream  Reason = "no_upstream"
+	ReasonBudget      Reason = "retry_budget_exhausted"
+	ReasonFailed      Reason = "upstream_failed"
+	ReasonUnknown     Reason = "outcome_unknown"
+	ReasonRateLimited Reason = "rate_limited"
+	ReasonStale       Reason = "stale_configuration"
+	ReasonKey         Reason = "key_withdrawn"
+	ReasonUnknownPart Reason = "model_not_offered"
+	ReasonStopping    Reason = "stopping"
+)
+
+// Decision is what the host does next with a request: an attempt at an upstream, or a refusal.
+type Decision struct {
+	Request *Request
+	// Upstream is set for an attempt.
+	Upstream *Target
+	// Attempt counts from 1.
+	Attempt int
+	// Refusal is set for a final answer.
+	Refusal *entity.Refusal
+	Reason  Reason
+}
+
+// Result tells how an attempt ended.
+type Result struct {
+	Request entity.RequestID
+	Outcome entity.Outcome
+	// Unreachable says that no connection could be made.
+	Unreachable bool
+	// Absent says that the upstream does not hold the model or adapter.
+	Absent bool
+	// Full says that the upstream had no room.
+	Full bool
+	// Broken says that the attempt ended without an answer, which speaks against the upstream.
+	Broken bool
+	// Silent says that the upstream did not answer in the expected time.
+	Silent bool
+	// Status is the status of a failed answer, zero if none.
+	Status int
+	// Started says that events have reached the caller; only a resumed attempt may follow.
+	Started bool
+	// FirstAfter is the time from the attempt's start to its answer or first event.
+	FirstAfter time.Duration
+}
--- /dev/null
+++ b/internal/edge/attempt.go
@@ -0,0 +1,193 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/foxtailpass/foxtailpass/internal/boottime"
+	"github.com/foxtailpass/foxtailpass/internal/catalog"
+	"github.com/foxtailpass/foxtailpass/internal/dispatch"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/upstream"
+)
+
+const (
+	// dialLimit bounds the time until a connection to an upstream stands.
+	dialLimit = 250 * time.Millisecond
+	// answerLimit is the time without an answer after which an idempotent request is given to
+	// another upstream.
+	answerLimit = 450 * time.Millisecond
+	// firstEventLimit and eventLimit are the times without an event after which a resumable stream
+	// goes on at another upstream.
+	firstEventLimit = 1800 * time.Millisecond
+	eventLimit      = time.Second
+	// deadlineGrace is how long after the deadline that an upstream was told its own answer is
+	// waited for.
+	deadlineGrace = 60 * time.Millisecond
+)
+
+// try makes one attempt. It returns true when the session has ended.
+func (s *session) try(st step) bool {
+	s.attempt = st.attempt
+	began := boottime.Now()
+	ex, err := s.open(s.alive, st, "")
+	if err != nil {
+		return s.attemptFailed(st, failedResult(err), err, began)
+	}
+	v := s.front.protocol.Judge(&ex.Header)
+	if res, bad := s.judge(ex, v); bad {
+		status := ex.Header.StatusCode()
+		ex.Close()
+		return s.attemptFailed(st, res, nil, began, "status", status)
+	}
+	if s.route.Kind == catalog.Streaming && ex.Header.StatusCode() == fasthttp.StatusOK {
+		return s.beginStream(ex, st, began)
+	}
+	return s.whole(ex, st, v, began)
+}
+
+// open sends the request to the upstream of a step.
+func (s *session) open(ctx context.Context, st step, lastEvent string) (*upstream.Exchange, error) {
+	left := s.request.Deadline.Sub(boottime.Now())
+	if lastEvent == "" {
+		lastEvent = s.ask.LastEvent
+	}
+	head := s.front.protocol.AppendHead(make([]byte, 0, 1024), &s.ctx.Request, Instruction{
+		Upstream:  st.target.ID,
+		Workspace: s.request.Workspace,
+		Left:      left,
+		Rank:      s.request.Rank,
+		LastEvent: lastEvent,
+		Generates: s.request.Pool.Model != "",
+	})
+	o := upstream.ExchangeOptions{
+		Addr:        st.target.Addr,
+		Head:        head,
+		Body:        s.ctx.Request.Body(),
+		NoBody:      s.ctx.IsHead(),
+		Once:        !s.route.Repeatable(),
+		DialTimeout: min(dialLimit, left),
+		Deadline:    time.Now().Add(left + deadlineGrace),
+		Allowed:     s.allowed,
+		Stray: func(h *fasthttp.ResponseHeader) bool {
+			id := s.front.protocol.Judge(h).Request
+			return id != "" && id != s.ask.ID
+		},
+	}
+	switch {
+	case s.route.Kind == catalog.Idempotent && s.route.MaxAttempts > 1:
+		o.HeadTimeout = answerLimit
+	case s.route.Repeatable():
+		o.HeadTimeout = firstEventLimit
+	}
+	s.front.log.Debug("Sent.", "request", s.ask.ID, "attempt", st.attempt, "upstream", st.target.ID, "left", left,
+		"model", s.request.Pool.Model, "adapter", s.request.Pool.Adapter, "last_event", lastEvent)
+	return s.front.upstreams.Exchange(ctx, o)
+}
+
+// allowed is asked just before the first byte leaves: the key must still be good by knowledge that
+// is new enough.
+func (s *session) allowed() bool {
+	if !s.keyed {
+		return true
+	}
+	fresh, _ := s.front.fresh()
+	w := s.front.catalog.Load().Key(s.request.Key)
+	return fresh && w != nil && w.ID == s.request.Workspace
+}
+
+// judge says whether an answer is no final answer to this request, and what it means.
+func (s *session) judge(ex *upstream.Exchange, v Judgement) (dispatch.Result, bool) {
+	status := ex.Header.StatusCode()
+	res := dispatch.Result{Request: s.request.ID, Outcome: entity.AttemptUnknown, Status: status}
+	switch {
+	case v.NotRun:
+		res.Outcome = entity.AttemptNotRun
+		res.Status = 0
+		res.Absent = v.Misdirected || status == fasthttp.StatusServiceUnavailable && s.request.Pool.Model != "" && s.loading(ex)
+		res.Full = !res.Absent
+		return res, true
+	case status >= fasthttp.StatusInternalServerError && s.route.Repeatable() && s.attempt < s.route.MaxAttempts:
+		res.Outcome = entity.AttemptFailed
+		return res, true
+	case !v.Signed || v.Encoded:
+		res.Broken = true
+		return res, true
+	}
+	return res, false
+}
+
+// loading says whether an engine turned the request away for an order under way. The answer does
+// not tell it apart from a full engine, so it counts as full.
+func (s *session) loading(*upstream.Exchange) bool { return false }
+
+// failedResult types an exchange without an answer.
+func failedResult(err error) dispatch.Result {
+	res := dispatch.Result{Outcome: entity.AttemptUnknown, Broken: true}
+	var f *upstream.Failure
+	if errors.As(err, &f) {
+		res.Outcome = f.Outcome
+		res.Unreachable = f.Unreachable
+		res.Silent = errors.Is(err, upstream.ErrSilent)
+		res.Broken = f.Outcome != entity.AttemptNotRun && !res.Silent
+	}
+	return res
+}
+
+// attemptFailed tells the control state, unless the caller has left. It returns true when the
+// session has ended.
+func (s *session) attemptFailed(st step, res dispatch.Result, err error, began time.Time, more ...any) bool {
+	if s.alive.Err() != nil {
+		s.leave()
+		return true
+	}
+	res.Request = s.request.ID
+	fields := append([]any{"request", s.ask.ID, "attempt", st.attempt, "upstream", st.target.ID, "outcome", res.Outcome,
+		"unreachable", res.Unreachable, "silent", res.Silent, "absent", res.Absent, "after", boottime.Now().Sub(began), "err", err}, more...)
+	s.front.log.Info("Attempt failed.", fields...)
+	s.front.metrics.attempts[res.Outcome].Add(1)
+	if !s.allowed() && res.Outcome == entity.AttemptNotRun {
+		s.front.send(callerGone{id: s.request.ID})
+		s.refuse(*staleRefusal())
+		s.end()
+		return true
+	}
+	s.front.send(attemptEnded{result: res})
+	return false
+}
+
+// whole reads an answer and passes it on.
+func (s *session) whole(ex *upstream.Exchange, st step, v Judgement, began time.Time) bool {
+	body, err := ex.Whole()
+	if err != nil {
+		ex.Close()
+		return s.attemptFailed(st, dispatch.Result{Outcome: entity.AttemptUnknown, Broken: true}, err, began)
+	}
+	status := ex.Header.StatusCode()
+	s.copyHeader(ex)
+	s.ctx.Response.SetBody(body)
+	ex.Close()
+	took := boottime.Now().Sub(began)
+	s.front.metrics.answered(status, boottime.Now().Sub(s.arrived))
+	s.front.log.Debug("Answered.", "request", s.ask.ID, "status", status, "upstream", st.target.ID, "after", boottime.Now().Sub(s.arrived))
+	s.front.send(attemptEnded{result: dispatch.Result{Request: s.request.ID, Outcome: entity.Completed, Status: status, FirstAfter: took}})
+	s.end()
+	return true
+}
+
+// copyHeader passes the header of an answer on, except what concerns only one connection.
+func (s *session) copyHeader(ex *upstream.Exchange) {
+	resp := &s.ctx.Response
+	resp.SetStatusCode(ex.Header.StatusCode())
+	for key, value := range ex.Header.All() {
+		switch strings.ToLower(string(key)) {
+		case "connection", "keep-alive", "transfer-encoding", "content-length", "trailer", "upgrade", "proxy-connection":
+			continue
+		}
+		resp.Header.SetBytesKV(key, value)
+	}
+}
--- /dev/null
+++ b/internal/edge/caller.go
@@ -0,0 +1,95 @@
+package edge
+
+import (
+	"errors"
+	"net"
+	"os"
+	"syscall"
+	"time"
+)
+
+// acceptRetry is the pause after an accept that failed for lack of resources. The kernel's backlog
+// holds the callers meanwhile.
+const acceptRetry = 10 * time.Millisecond
+
+// writeLimit ends a connection whose caller takes nothing for so long.
+const writeLimit = 10 * time.Second
+
+// callerListener wraps accepted connections, and retries an accept that failed for lack of
+// resources, because the HTTP server ends for good at the first error.
+type callerListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l callerListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err == nil {
+			return &callerConn{Conn: conn}, nil
+		}
+		if !shortOfResources(err) {
+			return nil, err
+		}
+		time.Sleep(acceptRetry)
+	}
+}
+
+func shortOfResources(err error) bool {
+	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ECONNABORTED, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
+// callerConn is a caller's connection that can be watched while its request is served. The HTTP
+// server reads a connection only between requests, so it cannot tell that a caller has left. A
+// byte of a pipelined request that the watch reads is given to the server afterwards.
+type callerConn struct {
+	net.Conn
+	early    [1]byte
+	hasEarly bool
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	if c.hasEarly && len(p) > 0 {
+		c.hasEarly = false
+		p[0] = c.early[0]
+		return 1, nil
+	}
+	return c.Conn.Read(p)
+}
+
+// Write implements net.Conn.
+func (c *callerConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeLimit)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+// watch calls gone when the caller closes the connection before stop is called. Nobody else may
+// read the connection in between.
+func (c *callerConn) watch(gone func()) (stop func()) {
+	if c.hasEarly || c.SetReadDeadline(time.Time{}) != nil {
+		return func() {}
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n, err := c.Conn.Read(c.early[:])
+		switch {
+		case n > 0:
+			c.hasEarly = true
+		case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
+			gone()
+		}
+	}()
+	return func() {
+		// A deadline in the past ends the read at once.
+		_ = c.SetReadDeadline(time.Unix(1, 0))
+		<-done
+		_ = c.SetReadDeadline(time.Time{})
+	}
+}
--- /dev/null
+++ b/internal/edge/core.go
@@ -0,0 +1,380 @@
+package edge
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/foxtailpass/foxtailpass/internal/catalog"
+	"github.com/foxtailpass/foxtailpass/internal/dispatch"
+	"github.com/foxtailpass/foxtailpass/internal/election"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/fleet"
+	"github.com/foxtailpass/foxtailpass/internal/peer"
+	"github.com/foxtailpass/foxtailpass/internal/quota"
+	"github.com/foxtailpass/foxtailpass/internal/swap"
+	"github.com/foxtailpass/foxtailpass/internal/wire"
+)
+
+const (
+	// linkMemory is how long the coordinator's word on the engines outlasts the session with it;
+	// afterwards the list says what they hold.
+	linkMemory = 3 * time.Second
+	// estimateTerm is how long the coordinator's estimates are used.
+	estimateTerm = 2 * time.Second
+	// unknownSwap and unknownLoad are added to the known load times when there is no estimate.
+	unknownSwap = 600 * time.Millisecond
+	unknownLoad = 2 * time.Second
+	// parkPart is the part of its target for which a request waits for tokens.
+	parkPart = 0.4
+)
+
+// effects carries out what the control state decides. Its methods must not block.
+type effects interface {
+	order(o swap.Order, token int64)
+	read(u *fleet.Upstream)
+	connect(holder *election.Holder)
+}
+
+// core is the control state of one host. It belongs to one goroutine.
+type core struct {
+	self    entity.HostID
+	domain  string
+	log     *log.Logger
+	effects effects
+
+	catalog   *catalog.Catalog
+	scheduler *dispatch.Scheduler
+	limiter   *quota.Limiter
+	fleet     *fleet.Table
+	tickets   map[entity.RequestID]*ticket
+	// parked requests wait for the tokens of their workspace.
+	parked   []parkedRequest
+	stopping bool
+
+	// holder has the right to give orders.
+	holder *election.Holder
+	// link is the session with the coordinator, nil without one.
+	link       *peer.Session
+	linkLostAt time.Time
+	// states is the coordinator's word on the engines.
+	states    map[entity.UpstreamID]wire.UpstreamState
+	estimates map[dispatch.Pool]readyEstimate
+	estimated time.Time
+	// arrivals counts requests since the last report to the coordinator.
+	arrivals map[dispatch.Pool]int
+	reporter reporter
+
+	// lead is set while this host is the coordinator.
+	lead *lead
+}
+
+type parkedRequest struct {
+	request *dispatch.Request
+	until   time.Time
+}
+
+type readyEstimate struct{ at time.Time }
+
+func newCore(self entity.HostID, domain string, b Bounds, l *log.Logger, e effects) *core {
+	c := &core{
+		self:      self,
+		domain:    domain,
+		log:       l,
+		effects:   e,
+		limiter:   quota.New(b.QuotaTolerance),
+		fleet:     fleet.NewTable(),
+		tickets:   make(map[entity.RequestID]*ticket),
+		states:    make(map[entity.UpstreamID]wire.UpstreamState),
+		estimates: make(map[dispatch.Pool]readyEstimate),
+		arrivals:  make(map[dispatch.Pool]int),
+	}
+	hosts := float64(max(b.Hosts, 1))
+	c.scheduler = dispatch.New(dispatch.Options{
+		Domain: domain,
+		Rand:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Budget: func() *dispatch.Budget {
+			return &dispatch.Budget{
+				Ratio:  b.RetryRatio,
+				Extra:  b.RetryExtra / hosts,
+				Window: time.Duration(b.RetryWindowSeconds * float64(time.Second)),
+			}
+		},
+		ReadyIn: c.readyIn,
+	})
+	return c
+}
+
+// handle takes over one event.
+func (c *core) handle(e event, now time.Time) {
+	switch e := e.(type) {
+	case arrived:
+		c.arrived(e, now)
+	case attemptEnded:
+		c.attemptEnded(e.result, now)
+	case callerGone:
+		c.callerGone(e.id, now)
+	case catalogChanged:
+		c.catalogChanged(e.catalog, now)
+	case upstreamsChanged:
+		c.upstreamsChanged(e, now)
+	case membersChanged:
+		c.limiter.SetMembers(e.hosts, now)
+	case holderChanged:
+		c.holderChanged(e.holder)
+	case rightChanged:
+		c.rightChanged(e.right, now)
+	case coordinatorLink:
+		c.linkChanged(e, now)
+	case stateReceived:
+		c.stateReceived(e.state, now)
+	case reportReceived:
+		c.reportReceived(e, now)
+	case hostLost:
+		if c.lead != nil {
+			c.lead.lost(e.session)
+		}
+	case orderAnswered:
+		c.orderAnswered(e, now)
+	case reportRead:
+		c.reportRead(e, now)
+	case stopRequested:
+		c.stopping = true
+	case query:
+		e.run(c, now)
+		close(e.done)
+	}
+	c.afterEvent(now)
+}
+
+// tick does what depends on time.
+func (c *core) tick(now time.Time) {
+	c.unpark(now)
+	c.carryOut(c.scheduler.Tick(now), now)
+	if c.lead != nil {
+		c.run(c.lead.swapper.Tick(now))
+	}
+	c.afterEvent(now)
+}
+
+// busy says whether ticks must come often.
+func (c *core) busy() bool {
+	return !c.scheduler.Idle() || len(c.parked) > 0 || c.lead != nil && c.lead.swapper.Active()
+}
+
+func (c *core) afterEvent(now time.Time) {
+	c.report(now)
+	if c.lead != nil {
+		c.publish(now)
+	}
+}
+
+func (c *core) arrived(e arrived, now time.Time) {
+	r := e.request
+	c.tickets[r.ID] = e.ticket
+	c.arrivals[r.Pool]++
+	c.admit(r, now)
+}
+
+// admit charges a request and queues it. A request whose tokens will be there soon waits for them.
+func (c *core) admit(r *dispatch.Request, now time.Time) {
+	wait, ok := c.limiter.Admit(r.Workspace, r.Tokens, now)
+	if ok {
+		c.carryOut(c.scheduler.Enqueue(r, now), now)
+		return
+	}
+	limit := r.Arrived.Add(time.Duration(parkPart * float64(r.Route.Target)))
+	if at := now.Add(wait); at.Before(limit) {
+		c.parked = append(c.parked, parkedRequest{request: r, until: at})
+		return
+	}
+	c.finish(r, step{
+		reason:  dispatch.ReasonRateLimited,
+		refusal: &entity.Refusal{Status: 429, Code: string(dispatch.ReasonRateLimited), Ran: entity.NotRun, RetryAfter: wait},
+	})
+}
+
+func (c *core) unpark(now time.Time) {
+	waiting := c.parked
+	c.parked = nil
+	for _, p := range waiting {
+		if now.Before(p.until) {
+			c.parked = append(c.parked, p)
+			continue
+		}
+		c.admit(p.request, now)
+	}
+}
+
+// finish gives a request its final answer.
+func (c *core) finish(r *dispatch.Request, s step) {
+	t := c.tickets[r.ID]
+	delete(c.tickets, r.ID)
+	if t != nil {
+		t.steps <- s
+	}
+}
+
+// carryOut passes decisions to the goroutines of their requests.
+func (c *core) carryOut(decisions []dispatch.Decision, now time.Time) {
+	for _, d := range decisions {
+		r := d.Request
+		if d.Refusal != nil {
+			if d.Refusal.Ran == entity.NotRun {
+				c.limiter.Refund(r.Workspace, r.Tokens, now)
+			}
+			c.finish(r, step{refusal: d.Refusal, reason: d.Reason})
+			continue
+		}
+		if t := c.tickets[r.ID]; t != nil {
+			target := *d.Upstream
+			t.steps <- step{target: &target, attempt: d.Attempt}
+		}
+	}
+}
+
+func (c *core) attemptEnded(res dispatch.Result, now time.Time) {
+	decisions := c.scheduler.AttemptEnded(res, now)
+	if res.Outcome == entity.Completed || res.Outcome == entity.Canceled {
+		delete(c.tickets, res.Request)
+	}
+	c.carryOut(decisions, now)
+}
+
+func (c *core) callerGone(id entity.RequestID, now time.Time) {
+	delete(c.tickets, id)
+	for i, p := range c.parked {
+		if p.request.ID == id {
+			c.parked = append(c.parked[:i], c.parked[i+1:]...)
+			return
+		}
+	}
+	c.carryOut(c.scheduler.Cancel(id, now), now)
+}
+
+func (c *core) catalogChanged(cat *catalog.Catalog, now time.Time) {
+	c.catalog = cat
+	c.limiter.SetCatalog(cat, now)
+	withdrawn := func(r *dispatch.Request) bool {
+		w := cat.Key(r.Key)
+		return r.Key != "" && (w == nil || w.ID != r.Workspace)
+	}
+	refusal := entity.Refusal{Status: 401, Code: string(dispatch.ReasonKey), Ran: entity.NotRun}
+	c.carryOut(c.scheduler.RefuseWhere(withdrawn, refusal, dispatch.ReasonKey), now)
+	if c.lead != nil {
+		c.lead.swapper.SetCatalog(cat)
+	}
+	for id := range c.fleet.Rows() {
+		c.refreshTarget(id, now)
+	}
+}
+
+func (c *core) upstreamsChanged(e upstreamsChanged, now time.Time) {
+	for _, u := range e.put {
+		ch := c.fleet.Put(u)
+		c.logUpstream(ch)
+		if c.lead != nil {
+			c.run(c.lead.swapper.SetUpstream(u, now))
+		}
+		c.refreshTarget(u.ID, now)
+	}
+	for _, id := range e.removed {
+		c.logUpstream(c.fleet.Remove(id))
+		c.scheduler.RemoveTarget(id)
+		if c.lead != nil {
+			c.lead.swapper.RemoveUpstream(id)
+		}
+	}
+}
+
+func (c *core) logUpstream(ch fleet.Change) {
+	switch {
+	case ch.After == nil && ch.Before != nil:
+		c.log.Info("Upstream gone.", "upstream", ch.Before.ID, "service", ch.Before.Service)
+	case ch.After == nil:
+	case ch.Before == nil || ch.Before.Incarnation != ch.After.Incarnation:
+		c.log.Info("Upstream seen.", "upstream", ch.After.ID, "service", ch.After.Service, "addr", ch.After.Addr, "draining", ch.After.Draining, "models", len(ch.After.Models))
+	case ch.After.Draining != ch.Before.Draining:
+		c.log.Info("Upstream draining.", "upstream", ch.After.ID, "remaining", ch.After.Remaining)
+	}
+}
+
+// refreshTarget tells the scheduler what is known of an upstream.
+func (c *core) refreshTarget(id entity.UpstreamID, now time.Time) {
+	u := c.fleet.Get(id)
+	if u == nil {
+		return
+	}
+	t := dispatch.Target{
+		ID:       u.ID,
+		Service:  u.Service,
+		Addr:     u.Addr,
+		Domain:   u.Domain,
+		Slots:    u.Slots,
+		Draining: u.Draining,
+		Held:     make(map[entity.ModelID][]entity.AdapterID),
+	}
+	state, told := c.states[id]
+	if told && state.BornMillis == u.BornMillis && c.linkCounts(now) {
+		for _, h := range state.Held {
+			t.Held[h.Model] = h.Adapters
+		}
+	} else {
+		for _, h := range u.Models {
+			t.Held[h.Model] = h.Adapters
+		}
+	}
+	c.carryOut(c.scheduler.SetTarget(t, now), now)
+}
+
+// linkCounts says whether the coordinator's word is newer than the list.
+func (c *core) linkCounts(now time.Time) bool {
+	return c.link != nil || c.lead != nil || now.Sub(c.linkLostAt) < linkMemory
+}
+
+// readyIn estimates when a pool that no upstream serves will have one.
+func (c *core) readyIn(p dispatch.Pool, now time.Time) (time.Duration, bool) {
+	model := dispatch.Pool{Service: p.Service, Model: p.Model}
+	if e, ok := c.estimates[model]; ok && now.Sub(c.estimated) < estimateTerm {
+		return max(e.at.Sub(now), 0), true
+	}
+	return c.guessReadyIn(p)
+}
+
+// guessReadyIn uses the known load times of the model, by where its copies lie.
+func (c *core) guessReadyIn(p dispatch.Pool) (time.Duration, bool) {
+	if c.catalog == nil {
+		return 0, false
+	}
+	svc := c.catalog.Service(p.Service)
+	if svc == nil || svc.Engine == nil || svc.Engine.Models[p.Model] == nil {
+		return time.Hour, true
+	}
+	m := svc.Engine.Models[p.Model]
+	copied := false
+	for _, u := range c.fleet.Rows() {
+		if u.Service != p.Service || u.Draining {
+			continue
+		}
+		for _, h := range u.Models {
+			if h.Model == p.Model {
+				return unknownSwap, true
+			}
+		}
+		copied = copied || contains(u.OnDisk, p.Model) || contains(u.InMemory, p.Model)
+	}
+	if copied {
+		return m.DiskLoad + unknownSwap, true
+	}
+	return m.StoreLoad + unknownLoad, true
+}
+
+func contains(ids []entity.ModelID, id entity.ModelID) bool {
+	for _, m := range ids {
+		if m == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/edge/dialer.go
@@ -0,0 +1,98 @@
+package edge
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/foxtailpass/foxtailpass/internal/election"
+	"github.com/foxtailpass/foxtailpass/internal/peer"
+	"github.com/foxtailpass/foxtailpass/internal/wire"
+)
+
+// dialer keeps a session with the coordinator.
+type dialer struct {
+	log       *log.Logger
+	send      func(event)
+	wake      chan struct{}
+	searching *atomic.Bool
+
+	mu      sync.Mutex
+	holder  *election.Holder
+	session *peer.Session
+}
+
+// connect names the coordinator, nil for none. A session with another process ends.
+func (d *dialer) connect(h *election.Holder) {
+	d.mu.Lock()
+	changed := d.holder == nil || h == nil || *d.holder != *h
+	d.holder = h
+	if changed && d.session != nil {
+		d.session.Close()
+	}
+	d.mu.Unlock()
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (d *dialer) target() *election.Holder {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.holder
+}
+
+func (d *dialer) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		h := d.target()
+		if h == nil {
+			select {
+			case <-ctx.Done():
+			case <-d.wake:
+			}
+			continue
+		}
+		d.serve(ctx, *h)
+		select {
+		case <-ctx.Done():
+		case <-time.After(redialPause):
+		}
+	}
+}
+
+// serve runs one session with the coordinator.
+func (d *dialer) serve(ctx context.Context, h election.Holder) {
+	s, err := peer.Dial(ctx, h.Addr)
+	if err != nil {
+		d.searching.Store(true)
+		d.log.Debug("Coordinator not reached.", "host", h.Host, "err", err)
+		return
+	}
+	d.mu.Lock()
+	current := d.holder != nil && *d.holder == h
+	if current {
+		d.session = s
+	}
+	d.mu.Unlock()
+	if !current {
+		s.Close()
+		return
+	}
+	d.searching.Store(false)
+	d.log.Info("Session with the coordinator begun.", "host", h.Host)
+	d.send(coordinatorLink{session: s, up: true})
+	stop := context.AfterFunc(ctx, s.Close)
+	err = s.Run(func(m wire.Message) {
+		if st, ok := m.(*wire.FleetState); ok {
+			d.send(stateReceived{state: st})
+		}
+	})
+	stop()
+	d.searching.Store(true)
+	d.log.Warn("Session with the coordinator lost.", "host", h.Host, "err", err)
+	d.send(coordinatorLink{session: s})
+}
--- /dev/null
+++ b/internal/edge/events.go
@@ -0,0 +1,122 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/catalog"
+	"github.com/foxtailpass/foxtailpass/internal/dispatch"
+	"github.com/foxtailpass/foxtailpass/internal/election"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/fleet"
+	"github.com/foxtailpass/foxtailpass/internal/peer"
+	"github.com/foxtailpass/foxtailpass/internal/swap"
+	"github.com/foxtailpass/foxtailpass/internal/wire"
+)
+
+// event is one input of the control state.
+type event interface{ isEvent() }
+
+// arrived is a request that has passed the checks of its key and route.
+type arrived struct {
+	request *dispatch.Request
+	ticket  *ticket
+}
+
+// attemptEnded is the end of an attempt.
+type attemptEnded struct{ result dispatch.Result }
+
+// callerGone is a caller that has left.
+type callerGone struct{ id entity.RequestID }
+
+// catalogChanged puts a configuration in force.
+type catalogChanged struct{ catalog *catalog.Catalog }
+
+// upstreamsChanged are changes of the list. The rows are of this event alone.
+type upstreamsChanged struct {
+	put     []*fleet.Upstream
+	removed []entity.UpstreamID
+}
+
+// membersChanged are the registered hosts.
+type membersChanged struct{ hosts []entity.HostID }
+
+// holderChanged names the host that has the right to give orders, nil if none.
+type holderChanged struct{ holder *election.Holder }
+
+// rightChanged is the own right to give orders, nil when it is lost.
+type rightChanged struct{ right *election.Right }
+
+// stateReceived is a message of the coordinator.
+type stateReceived struct{ state *wire.FleetState }
+
+// coordinatorLink is a session with the coordinator that has begun or ended.
+type coordinatorLink struct {
+	session *peer.Session
+	up      bool
+}
+
+// reportReceived is a host's report to the coordinator; session is nil for the own one.
+type reportReceived struct {
+	report  *wire.HostReport
+	session *peer.Session
+}
+
+// hostLost is a session of a host that has ended.
+type hostLost struct{ session *peer.Session }
+
+// orderAnswered is the answer to an order.
+type orderAnswered struct {
+	order  swap.Order
+	answer swap.Answer
+	took   time.Duration
+}
+
+// reportRead is the report of an engine, or the reason why there is none.
+type reportRead struct {
+	upstream entity.UpstreamID
+	report   swap.Report
+	err      error
+}
+
+// stopRequested begins the graceful stop.
+type stopRequested struct{}
+
+// query runs a function with the control state.
+type query struct {
+	run  func(c *core, now time.Time)
+	done chan struct{}
+}
+
+func (arrived) isEvent()          {}
+func (attemptEnded) isEvent()     {}
+func (callerGone) isEvent()       {}
+func (catalogChanged) isEvent()   {}
+func (upstreamsChanged) isEvent() {}
+func (membersChanged) isEvent()   {}
+func (holderChanged) isEvent()    {}
+func (rightChanged) isEvent()     {}
+func (stateReceived) isEvent()    {}
+func (coordinatorLink) isEvent()  {}
+func (reportReceived) isEvent()   {}
+func (hostLost) isEvent()         {}
+func (orderAnswered) isEvent()    {}
+func (reportRead) isEvent()       {}
+func (stopRequested) isEvent()    {}
+func (query) isEvent()            {}
+
+// step is what the control state tells the goroutine of a request.
+type step struct {
+	// target is set for an attempt, refusal for the final answer.
+	target  *dispatch.Target
+	attempt int
+	refusal *entity.Refusal
+	reason  dispatch.Reason
+}
+
+// ticket connects the goroutine of a request with the control state.
+type ticket struct {
+	// steps has room for all steps that can be outstanding, so that the control state never blocks.
+	steps chan step
+}
+
+func newTicket() *ticket { return &ticket{steps: make(chan step, 2)} }
--- /dev/null
+++ b/internal/edge/front.go
@@ -0,0 +1,291 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/valyala/fasthttp"
+
+	"github.com/foxtailpass/foxtailpass/internal/boottime"
+	"github.com/foxtailpass/foxtailpass/internal/catalog"
+	"github.com/foxtailpass/foxtailpass/internal/dispatch"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/upstream"
+)
+
+const (
+	// maxConnections bounds the callers' connections.
+	maxConnections = 3000
+	// maxHeaderBytes and maxBodyBytes bound a request.
+	maxHeaderBytes = 16<<10 + 512
+	maxBodyBytes   = 4 << 20
+	// readLimit bounds the time in which a request must arrive, idleLimit that between two
+	// requests of a connection.
+	readLimit = 10 * time.Second
+	idleLimit = 20 * time.Second
+	// defaultWait is assumed for callers that do not say how long they wait.
+	defaultWait = 10 * time.Second
+	// stoppingWait is after how much of a stop new requests are turned away: what is accepted later
+	// might not end in time.
+	stoppingWait = 3 * time.Second
+	// staleRetryAfter and startingRetryAfter tell callers when to come back.
+	staleRetryAfter    = 700 * time.Millisecond
+	startingRetryAfter = 400 * time.Millisecond
+)
+
+// front serves callers.
+type front struct {
+	protocol  Protocol
+	upstreams *upstream.Client
+	send      func(event)
+	fresh     func() (keyed, known bool)
+	log       *log.Logger
+	catalog   atomic.Pointer[catalog.Catalog]
+	server    *fasthttp.Server
+	active    atomic.Int64
+	// stopping is the boot time in nanoseconds at which the stop began, zero before.
+	stopping atomic.Int64
+	grace    time.Duration
+	metrics  *counters
+}
+
+func newFront(f *front) *front {
+	f.server = &fasthttp.Server{
+		Handler:               f.handle,
+		Concurrency:           maxConnections,
+		ReadBufferSize:        maxHeaderBytes,
+		WriteBufferSize:       4 << 10,
+		MaxRequestBodySize:    maxBodyBytes,
+		ReadTimeout:           readLimit,
+		IdleTimeout:           idleLimit,
+		NoDefaultServerHeader: true,
+		NoDefaultDate:         true,
+		NoDefaultContentType:  true,
+		CloseOnShutdown:       true,
+		Logger:                quietLogger{f.log},
+	}
+	return f
+}
+
+// quietLogger sends the HTTP library's messages about single connections to the debug level.
+type quietLogger struct{ log *log.Logger }
+
+// Printf implements fasthttp.Logger.
+func (q quietLogger) Printf(format string, args ...any) { q.log.Debugf(format, args...) }
+
+// handle serves one request.
+func (f *front) handle(ctx *fasthttp.RequestCtx) {
+	f.active.Add(1)
+	s := f.newSession(ctx)
+	if refusal := s.check(); refusal != nil {
+		s.refuse(*refusal)
+		s.end()
+		return
+	}
+	s.serve()
+}
+
+// session serves one request from its arrival to its final answer. It belongs to the request's
+// goroutine.
+type session struct {
+	front   *front
+	ctx     *fasthttp.RequestCtx
+	ask     Description
+	route   *catalog.Route
+	request *dispatch.Request
+	ticket  *ticket
+	keyed   bool
+	arrived time.Time
+	// alive ends when the caller leaves.
+	alive     context.Context
+	cancel    context.CancelFunc
+	stopWatch func()
+	attempt   int
+}
+
+func (f *front) newSession(ctx *fasthttp.RequestCtx) *session {
+	s := &session{front: f, ctx: ctx, ask: f.protocol.Describe(&ctx.Request.Header), arrived: boottime.Now()}
+	s.alive, s.cancel = context.WithCancel(context.Background())
+	s.stopWatch = func() {}
+	if conn, ok := ctx.Conn().(*callerConn); ok {
+		s.stopWatch = conn.watch(s.cancel)
+	}
+	return s
+}
+
+// end gives back what the session holds. It is called exactly once.
+func (s *session) end() {
+	s.stopWatch()
+	s.cancel()
+	s.front.active.Add(-1)
+	if s.front.stopping.Load() != 0 {
+		s.ctx.SetConnectionClose()
+	}
+}
+
+// check refuses what needs no decision of the control state.
+func (s *session) check() *entity.Refusal {
+	f := s.front
+	cat := f.catalog.Load()
+	keyed, known := f.fresh()
+	if cat == nil || !known {
+		return &entity.Refusal{Status: 503, Code: "starting", RetryAfter: startingRetryAfter}
+	}
+	if f.late() {
+		return &entity.Refusal{Status: 503, Code: string(dispatch.ReasonStopping), RetryAfter: startingRetryAfter}
+	}
+	s.route = cat.Route(s.ask.Host, s.ask.Path)
+	if s.route == nil {
+		if !keyed {
+			// The route may have been added since.
+			return staleRefusal()
+		}
+		return &entity.Refusal{Status: 404, Code: "no_route"}
+	}
+	workspace, refusal := s.authenticate(cat, keyed)
+	if refusal != nil {
+		return refusal
+	}
+	return s.compose(cat, workspace)
+}
+
+// late says whether a stop has gone on for so long that new requests are turned away.
+func (f *front) late() bool {
+	at := f.stopping.Load()
+	return at != 0 && boottime.Now().Sub(time.Unix(0, at)) > stoppingWait
+}
+
+func staleRefusal() *entity.Refusal {
+	return &entity.Refusal{Status: 503, Code: string(dispatch.ReasonStale), RetryAfter: staleRetryAfter}
+}
+
+func (s *session) authenticate(cat *catalog.Catalog, fresh bool) (*catalog.Workspace, *entity.Refusal) {
+	if s.route.Open || !cat.Keyed() {
+		return nil, nil
+	}
+	s.keyed = true
+	if !fresh {
+		return nil, staleRefusal()
+	}
+	w := cat.Key(s.ask.Key)
+	if w == nil {
+		return nil, &entity.Refusal{Status: 401, Code: "unknown_key"}
+	}
+	return w, nil
+}
+
+// compose builds the row of the request table.
+func (s *session) compose(cat *catalog.Catalog, w *catalog.Workspace) *entity.Refusal {
+	wait := s.ask.Deadline
+	if wait <= 0 {
+		wait = defaultWait
+	}
+	if s.route.Timeout > 0 {
+		wait = min(wait, s.route.Timeout)
+	}
+	r := &dispatch.Request{
+		ID:       s.ask.ID,
+		Route:    s.route,
+		Pool:     dispatch.Pool{Service: pickService(s.route)},
+		Rank:     s.route.Priority,
+		Arrived:  s.arrived,
+		Deadline: s.arrived.Add(wait),
+	}
+	if r.ID == "" {
+		r.ID = entity.RequestID(entity.RandomHex(8))
+	}
+	if w != nil {
+		r.Workspace = w.ID
+		r.Key = s.ask.Key
+		r.Rank = w.Priority*3 + s.route.Priority
+		r.Tokens = float64(w.DefaultTokens)
+	}
+	if s.ask.Sized {
+		r.Tokens = float64(s.ask.PromptTokens + s.ask.OutputTokens)
+	}
+	s.request = r
+	svc := cat.Service(r.Pool.Service)
+	if svc == nil {
+		return &entity.Refusal{Status: 503, Code: string(dispatch.ReasonNoUpstream), RetryAfter: startingRetryAfter}
+	}
+	if svc.Engine != nil {
+		r.Pool.Model, r.Pool.Adapter = s.ask.Model, s.ask.Adapter
+		r.Affinity = s.ask.Session
+	}
+	return nil
+}
+
+// pickService draws a service by the weights of a route.
+func pickService(r *catalog.Route) catalog.ServiceID {
+	if len(r.Split) == 1 {
+		return r.Split[0].Service
+	}
+	total := 0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	n := rand.IntN(max(total, 1))
+	for _, s := range r.Split {
+		if n -= s.Weight; n < 0 {
+			return s.Service
+		}
+	}
+	return r.Split[0].Service
+}
+
+// serve follows the control state's steps until the request has its final answer.
+func (s *session) serve() {
+	s.ticket = newTicket()
+	s.front.send(arrived{request: s.request, ticket: s.ticket})
+	for {
+		select {
+		case st := <-s.ticket.steps:
+			if st.refusal != nil {
+				s.refuse(*st.refusal)
+				s.end()
+				return
+			}
+			if s.try(st) {
+				return
+			}
+		case <-s.alive.Done():
+			s.leave()
+			return
+		}
+	}
+}
+
+// leave ends the session of a caller that has closed its connection.
+func (s *session) leave() {
+	s.front.log.Info("Caller left.", "request", s.request.ID, "after", boottime.Now().Sub(s.arrived), "attempt", s.attempt)
+	s.front.metrics.left.Add(1)
+	s.front.send(callerGone{id: s.request.ID})
+	s.ctx.SetConnectionClose()
+	s.end()
+}
+
+// refuse writes a final answer of this host's own.
+func (s *session) refuse(r entity.Refusal) {
+	f := s.front
+	f.metrics.refused(r.Code)
+	f.log.Info("Refused.", "request", s.ask.ID, "status", r.Status, "reason", r.Code, "ran", r.Ran, "retry_after", r.RetryAfter,
+		"after", boottime.Now().Sub(s.arrived), "attempts", s.attempt, "route", routeName(s.route), "model", s.ask.Model, "adapter", s.ask.Adapter)
+	resp := &s.ctx.Response
+	resp.SetStatusCode(r.Status)
+	resp.Header.SetContentType("application/json")
+	if r.RetryAfter > 0 {
+		resp.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 2, 64))
+	}
+	resp.SetBodyString(`{"error":{"code":"` + r.Code + `","ran":"` + r.Ran.String() + `"}}`)
+}
+
+func routeName(r *catalog.Route) string {
+	if r == nil {
+		return ""
+	}
+	return r.Name
+}
--- /dev/null
+++ b/internal/edge/host.go
@@ -0,0 +1,302 @@
+// Package edge is an entry host that runs beside a platform which keeps what must last: it
+// serves callers, forwards their requests to model engines and plain services, and shares control
+// with the other entry hosts. One of them, elected through the key-value service, gives orders to
+// the engines. What the platform calls things is hidden behind the interface Protocol.
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/valyala/fasthttp"
+
+	"github.com/foxtailpass/foxtailpass/internal/boottime"
+	"github.com/foxtailpass/foxtailpass/internal/catalog"
+	"github.com/foxtailpass/foxtailpass/internal/election"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/fleet"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
+	"github.com/foxtailpass/foxtailpass/internal/peer"
+	"github.com/foxtailpass/foxtailpass/internal/swap"
+	"github.com/foxtailpass/foxtailpass/internal/upstream"
+	"github.com/foxtailpass/foxtailpass/internal/wire"
+)
+
+const (
+	// busyTick and idleTick are the times between two ticks of the control state.
+	busyTick = 15 * time.Millisecond
+	idleTick = 200 * time.Millisecond
+	// eventQueue is the room for events that wait for the control state.
+	eventQueue = 1024
+	// freshMargin is kept between the age at which requests with keys are refused and the bound on
+	// withdrawn keys.
+	freshMargin = 700 * time.Millisecond
+	// readyAge is the age of this host's knowledge at which it reports not ready.
+	readyAge = 2500 * time.Millisecond
+	// balancerLag is the time after which a host that is not ready gets no new connections.
+	balancerLag = 2500 * time.Millisecond
+	// exitMargin is how long before the end of the grace period the process ends by itself.
+	exitMargin = 400 * time.Millisecond
+	// stopPoll is the time between two looks at whether the last request has its answer.
+	stopPoll = 50 * time.Millisecond
+	// redialPause is the pause before the coordinator is dialed again.
+	redialPause = 200 * time.Millisecond
+)
+
+// Store is the key-value service.
+type Store interface {
+	kvstore.KV
+	kvstore.Poller
+}
+
+// Options configures a Host.
+type Options struct {
+	Settings Settings
+	Store    Store
+	Protocol Protocol
+	Log      *log.Logger
+	Version  string
+}
+
+// Host is one entry host.
+type Host struct {
+	opts        Options
+	log         *log.Logger
+	incarnation entity.Incarnation
+	events      chan event
+	core        *core
+	front       *front
+	watcher     *watcher
+	registrar   *registrar
+	candidate   *election.Candidate
+	dialer      *dialer
+
+	callers, ready, peers net.Listener
+	stopping              atomic.Bool
+	background            context.Context
+}
+
+// New builds a host and opens its listeners.
+func New(o Options) (*Host, error) {
+	s := o.Settings
+	h := &Host{
+		opts:        o,
+		log:         o.Log.WithPrefix("host"),
+		incarnation: entity.NewIncarnation(),
+		events:      make(chan event, eventQueue),
+	}
+	if err := h.listen(); err != nil {
+		return nil, err
+	}
+	self := election.Holder{Host: s.Host, Incarnation: h.incarnation, Addr: s.PeerAddr}
+	value, err := json.Marshal(self)
+	if err != nil {
+		return nil, fmt.Errorf("edge: registration: %w", err)
+	}
+	h.registrar = &registrar{store: o.Store, key: s.Store.Prefix + membersPrefix + string(s.Host), value: value, log: o.Log.WithPrefix("lease")}
+	h.core = newCore(s.Host, s.FailureDomain, s.Bounds, o.Log.WithPrefix("control"), h)
+	h.dialer = &dialer{log: o.Log.WithPrefix("peer"), send: h.send, wake: make(chan struct{}, 1)}
+	h.candidate = election.New(election.Options{
+		KV:       o.Store,
+		Prefix:   s.Store.Prefix,
+		Self:     self,
+		Gap:      time.Duration(s.Bounds.OrderGapMillis) * time.Millisecond,
+		Now:      boottime.Now,
+		OnChange: func(r *election.Right) { h.send(rightChanged{right: r}) },
+		Log:      o.Log.WithPrefix("lease"),
+	})
+	h.front = newFront(&front{
+		protocol:  o.Protocol,
+		upstreams: upstream.NewClient(),
+		send:      h.send,
+		fresh:     h.fresh,
+		log:       o.Log.WithPrefix("request"),
+		grace:     time.Duration(s.Bounds.GraceSeconds * float64(time.Second)),
+		metrics:   newCounters(),
+	})
+	h.watcher = &watcher{
+		store:    o.Store,
+		protocol: o.Protocol,
+		prefix:   s.Store.Prefix,
+		log:      o.Log.WithPrefix("view"),
+		send:     h.send,
+		observe:  h.candidate.Observe,
+		self:     s.Host,
+		publish:  func(c *catalog.Catalog) { h.front.catalog.Store(c) },
+	}
+	h.dialer.searching = &h.watcher.searching
+	return h, nil
+}
+
+func (h *Host) listen() error {
+	s := h.opts.Settings
+	for _, l := range []struct {
+		name, addr string
+		to         *net.Listener
+	}{{"caller", s.CallerAddr, &h.callers}, {"ready", s.ReadyAddr, &h.ready}, {"peer", s.PeerAddr, &h.peers}} {
+		ln, err := net.Listen("tcp", l.addr)
+		if err != nil {
+			return fmt.Errorf("edge: %s port: %w", l.name, err)
+		}
+		*l.to = ln
+	}
+	return nil
+}
+
+// send takes an event to the control state.
+func (h *Host) send(e event) { h.events <- e }
+
+// fresh says whether requests with keys may be served, and whether the list has been read at all.
+func (h *Host) fresh() (keyed, known bool) {
+	at := h.watcher.freshAt()
+	if at.IsZero() {
+		return false, false
+	}
+	b := h.opts.Settings.Bounds
+	limit := time.Duration(b.RevocationMillis)*time.Millisecond - freshMargin
+	return !b.FailClosed || boottime.Now().Sub(at) < limit, h.watcher.listed.Load()
+}
+
+// isReady says whether the balancer should send callers here.
+func (h *Host) isReady() bool {
+	at := h.watcher.freshAt()
+	if h.stopping.Load() || at.IsZero() || h.front.catalog.Load() == nil {
+		return false
+	}
+	return boottime.Now().Sub(at) < readyAge
+}
+
+// Run serves until ctx ends and then stops gracefully.
+func (h *Host) Run(ctx context.Context) error {
+	var cancel context.CancelFunc
+	h.background, cancel = context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	h.log.Info("Host started.", "host", h.opts.Settings.Host, "incarnation", h.incarnation, "version", h.opts.Version,
+		"callers", h.opts.Settings.CallerAddr, "domain", h.opts.Settings.FailureDomain)
+	fatal := make(chan error, 4)
+	start := func(f func(context.Context) error) {
+		wg.Go(func() {
+			if err := f(h.background); err != nil && !errors.Is(err, context.Canceled) {
+				fatal <- err
+			}
+		})
+	}
+	start(func(ctx context.Context) error { h.loop(ctx); return nil })
+	start(func(ctx context.Context) error { h.watcher.run(ctx); return nil })
+	start(func(ctx context.Context) error { h.registrar.run(ctx); return nil })
+	start(func(ctx context.Context) error { h.dialer.run(ctx); return nil })
+	start(h.candidate.Run)
+	start(func(context.Context) error { return peer.Accept(h.peers, h.serveHost) })
+	start(func(context.Context) error { return h.front.server.Serve(callerListener{h.callers}) })
+	readiness := &fasthttp.Server{Handler: h.answerReady, NoDefaultServerHeader: true, Concurrency: 64, ReadBufferSize: 2048}
+	start(func(context.Context) error { return readiness.Serve(h.ready) })
+	select {
+	case err := <-fatal:
+		return err
+	case <-ctx.Done():
+	}
+	h.stop()
+	cancel()
+	_ = h.peers.Close()
+	_ = readiness.Shutdown()
+	return nil
+}
+
+func (h *Host) answerReady(ctx *fasthttp.RequestCtx) {
+	if !h.isReady() {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+}
+
+// stop finishes the running requests within the grace period.
+func (h *Host) stop() {
+	began := time.Now()
+	end := began.Add(h.front.grace - exitMargin)
+	h.stopping.Store(true)
+	h.front.stopping.Store(boottime.Now().UnixNano())
+	h.candidate.Stop()
+	h.send(stopRequested{})
+	h.log.Info("Stopping.", "active", h.front.active.Load())
+	for time.Now().Before(end) {
+		if time.Since(began) > balancerLag && h.front.active.Load() == 0 {
+			break
+		}
+		time.Sleep(stopPoll)
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), end.Add(exitMargin/2))
+	defer cancel()
+	_ = h.front.server.ShutdownWithContext(ctx)
+	h.registrar.leave(ctx)
+	h.log.Info("Stopped.", "after", time.Since(began), "active", h.front.active.Load())
+}
+
+// loop owns the control state.
+func (h *Host) loop(ctx context.Context) {
+	t := time.NewTimer(idleTick)
+	defer t.Stop()
+	due := time.Now().Add(idleTick)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-h.events:
+			h.core.handle(e, boottime.Now())
+			if next := time.Now().Add(busyTick); h.core.busy() && next.Before(due) {
+				due = next
+				t.Reset(busyTick)
+			}
+		case <-t.C:
+			h.core.tick(boottime.Now())
+			interval := idleTick
+			if h.core.busy() {
+				interval = busyTick
+			}
+			due = time.Now().Add(interval)
+			t.Reset(interval)
+		}
+	}
+}
+
+// order implements effects.
+func (h *Host) order(o swap.Order, token int64) {
+	go func() {
+		began := time.Now()
+		answer := h.opts.Protocol.Order(h.background, o, Authority{
+			Holder:  h.opts.Settings.Host,
+			Token:   token,
+			Allowed: h.candidate.Holds,
+		})
+		h.send(orderAnswered{order: o, answer: answer, took: time.Since(began)})
+	}()
+}
+
+// read implements effects.
+func (h *Host) read(u *fleet.Upstream) {
+	go func() {
+		r, err := h.opts.Protocol.Report(h.background, u)
+		h.send(reportRead{upstream: u.ID, report: r, err: err})
+	}()
+}
+
+// connect implements effects.
+func (h *Host) connect(holder *election.Holder) { h.dialer.connect(holder) }
+
+// serveHost serves the session of another host that takes this one for the coordinator.
+func (h *Host) serveHost(s *peer.Session) {
+	err := s.Run(func(m wire.Message) {
+		if r, ok := m.(*wire.HostReport); ok {
+			h.send(reportReceived{report: r, session: s})
+		}
+	})
+	h.log.Debug("Session of a host ended.", "err", err)
+	h.send(hostLost{session: s})
+}
--- /dev/null
+++ b/internal/edge/register.go
@@ -0,0 +1,73 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
+)
+
+const (
+	// memberTTL is the term of a registration; it is renewed every memberRenew.
+	memberTTL   = 6 * time.Second
+	memberRenew = 2 * time.Second
+	// memberRetry is the pause after a failed registration.
+	memberRetry = 500 * time.Millisecond
+)
+
+// registrar keeps this host registered, so that the others know among how many hosts the fixed
+// shares are divided.
+type registrar struct {
+	store kvstore.KV
+	key   string
+	value []byte
+	log   *log.Logger
+	lease kvstore.LeaseID
+}
+
+func (r *registrar) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := memberRenew
+		if err := r.keep(ctx); err != nil && ctx.Err() == nil {
+			r.log.Warn("Registration not renewed.", "err", err)
+			pause = memberRetry
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (r *registrar) keep(ctx context.Context) error {
+	if r.lease != 0 {
+		_, err := r.store.KeepAlive(ctx, r.lease)
+		if !errors.Is(err, kvstore.ErrLeaseNotFound) {
+			return err
+		}
+		r.lease = 0
+	}
+	lease, err := r.store.Grant(ctx, memberTTL)
+	if err != nil {
+		return err
+	}
+	if _, err := r.store.Txn(ctx, kvstore.Txn{Success: []kvstore.Op{kvstore.PutLeased(r.key, r.value, lease)}}); err != nil {
+		return err
+	}
+	r.lease = lease
+	r.log.Info("Host registered.", "lease", lease)
+	return nil
+}
+
+// leave ends the registration.
+func (r *registrar) leave(ctx context.Context) {
+	if r.lease == 0 {
+		return
+	}
+	if err := r.store.Revoke(ctx, r.lease); err != nil {
+		r.log.Warn("Registration not ended.", "err", err)
+	}
+}
--- /dev/null
+++ b/internal/edge/settings.go
@@ -0,0 +1,65 @@
+package edge
+
+import (
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/settings"
+)
+
+// Settings is the settings file of an entry host.
+type Settings struct {
+	// Host names this host; it stays the same across restarts of the process.
+	Host entity.HostID `json:"host" validate:"required"`
+	// FailureDomain and Region say where the host stands.
+	FailureDomain string `json:"failure_domain" validate:"required"`
+	Region        string `json:"region"`
+	// CallerAddr serves callers, ReadyAddr the balancer's question whether to send callers here.
+	CallerAddr string `json:"caller_addr" validate:"required,ip_port"`
+	ReadyAddr  string `json:"ready_addr" validate:"required,ip_port"`
+	// PeerAddr serves the other hosts.
+	PeerAddr string `json:"peer_addr" validate:"required,ip_port"`
+	// OperatorAddr serves metrics and status.
+	OperatorAddr string `json:"operator_addr" validate:"required,ip_port"`
+	// Store is the key-value service.
+	Store StoreSettings `json:"store"`
+	// Bounds are the limits that the site has agreed on.
+	Bounds Bounds `json:"bounds"`
+	// MemoryMB bounds the process; the runtime collects garbage more often near it.
+	MemoryMB int64 `json:"memory_mb" default:"256" validate:"min=32"`
+	// Log is the level of the log.
+	Log LogSettings `json:"log"`
+}
+
+// StoreSettings is how the key-value service is reached.
+type StoreSettings struct {
+	Addr string `json:"addr" validate:"required,ip_port"`
+	// Prefix is put before all keys of this installation.
+	Prefix string `json:"prefix" default:"\"foxtailpass/\"" validate:"required"`
+	// Timeout bounds one call.
+	Timeout settings.Duration `json:"timeout" default:"\"1s\""`
+}
+
+// Bounds are the limits that the site has agreed on. Durations are in whole milliseconds, as the
+// site gives them.
+type Bounds struct {
+	// RevocationMillis is how long after its withdrawal a key may still work. FailClosed says that
+	// requests with keys are refused rather than served on older knowledge.
+	RevocationMillis int64 `json:"revocation_ms" default:"5000" validate:"min=500"`
+	FailClosed       bool  `json:"fail_closed" default:"true"`
+	// RetryRatio, RetryExtra and RetryWindowSeconds bound the repeated attempts at one service.
+	RetryRatio         float64 `json:"retry_ratio" default:"0.2" validate:"min=0"`
+	RetryExtra         float64 `json:"retry_extra" default:"10" validate:"min=0"`
+	RetryWindowSeconds float64 `json:"retry_window_s" default:"10" validate:"gt=0"`
+	// QuotaTolerance is the number of tokens by which the hosts together may overdraw a workspace.
+	QuotaTolerance float64 `json:"quota_tolerance" default:"0" validate:"min=0"`
+	// OrderGapMillis must lie between the orders of two hosts.
+	OrderGapMillis int64 `json:"order_gap_ms" default:"3000" validate:"min=0"`
+	// GraceSeconds is the time from the request to stop to the end of the process.
+	GraceSeconds float64 `json:"grace_s" default:"8" validate:"min=1"`
+	// Hosts is the number of hosts that the fixed shares of fleet-wide bounds are made for at least.
+	Hosts int `json:"hosts" default:"12" validate:"min=1"`
+}
+
+// LogSettings is the level of the log.
+type LogSettings struct {
+	Level string `json:"level" default:"\"info\"" validate:"oneof=debug info warn error"`
+}
--- /dev/null
+++ b/internal/edge/stream.go
@@ -0,0 +1,258 @@
+package edge
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/boottime"
+	"github.com/foxtailpass/foxtailpass/internal/dispatch"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/upstream"
+)
+
+// maxEvent bounds one event of a stream.
+const maxEvent = 1 << 20
+
+var (
+	errEventTooLong = errors.New("edge: event of a stream too long")
+	errCallerGone   = errors.New("edge: caller has left")
+	errStreamBroken = errors.New("edge: stream broken")
+)
+
+// eventStream passes on the events of a stream, whole ones only, so that a stream that breaks in
+// the middle of an event can go on at another upstream. It implements the body of the answer and
+// is read by the HTTP server after the handler has returned.
+type eventStream struct {
+	session *session
+	ex      *upstream.Exchange
+	step    step
+	began   time.Time
+	// buf holds what has been read and not passed on; ready is the length of its whole events.
+	buf    []byte
+	ready  int
+	lastID string
+	ended  bool
+	// sent says that events have been passed on.
+	sent   bool
+	failed bool
+	closed bool
+}
+
+// beginStream waits for the first event and then hands the stream to the HTTP server. It returns
+// true when the session has ended or the stream has taken over.
+func (s *session) beginStream(ex *upstream.Exchange, st step, began time.Time) bool {
+	e := &eventStream{session: s, ex: ex, step: st, began: began}
+	if err := e.fill(); err != nil {
+		ex.Close()
+		return s.attemptFailed(st, e.result(err), err, began)
+	}
+	s.front.metrics.firstEvent(boottime.Now().Sub(s.arrived))
+	s.front.log.Debug("Stream begun.", "request", s.ask.ID, "upstream", st.target.ID, "after", boottime.Now().Sub(s.arrived))
+	s.copyHeader(ex)
+	s.ctx.Response.ImmediateHeaderFlush = true
+	s.ctx.Response.SetBodyStream(e, -1)
+	return true
+}
+
+// Read implements io.Reader.
+func (e *eventStream) Read(p []byte) (int, error) {
+	for e.ready == 0 {
+		if e.ended {
+			e.complete()
+			return 0, io.EOF
+		}
+		if err := e.fill(); err != nil {
+			if err = e.resume(err); err != nil {
+				return 0, err
+			}
+		}
+	}
+	n := copy(p, e.buf[:e.ready])
+	e.buf = append(e.buf[:0], e.buf[n:]...)
+	e.ready -= n
+	e.sent = true
+	return n, nil
+}
+
+// fill reads until there is a whole event, or the stream has ended.
+func (e *eventStream) fill() error {
+	for {
+		e.limitSilence()
+		if cap(e.buf)-len(e.buf) < 512 {
+			e.buf = append(make([]byte, 0, 2*cap(e.buf)+2048), e.buf...)
+		}
+		n, err := e.ex.Read(e.buf[len(e.buf):cap(e.buf)])
+		e.buf = e.buf[:len(e.buf)+n]
+		whole := wholeEvents(e.buf)
+		if whole > e.ready {
+			e.noteID(e.buf[e.ready:whole])
+			e.ready = whole
+		}
+		if errors.Is(err, io.EOF) {
+			// The upstream ended the answer, so what is left belongs to it.
+			e.ended = true
+			e.ready = len(e.buf)
+			return nil
+		}
+		if e.ready > 0 {
+			// A failure shows again at the next read.
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if len(e.buf) > maxEvent {
+			return errEventTooLong
+		}
+	}
+}
+
+// limitSilence bounds the next read of a stream that can go on elsewhere.
+func (e *eventStream) limitSilence() {
+	if !e.session.route.Resumable {
+		return
+	}
+	limit := eventLimit
+	if !e.sent {
+		limit = firstEventLimit
+	}
+	left := e.session.request.Deadline.Sub(boottime.Now()) + deadlineGrace
+	e.ex.SetReadTimeout(time.Now().Add(min(limit, left)))
+}
+
+// wholeEvents returns the length of the whole events at the start of b.
+func wholeEvents(b []byte) int {
+	lf := bytes.LastIndex(b, []byte("\n\n"))
+	crlf := bytes.LastIndex(b, []byte("\r\n\r\n"))
+	end := 0
+	if lf >= 0 {
+		end = lf + 2
+	}
+	if crlf >= 0 {
+		end = max(end, crlf+4)
+	}
+	return end
+}
+
+// noteID remembers the ID of the last of some whole events.
+func (e *eventStream) noteID(events []byte) {
+	for len(events) > 0 {
+		line := events
+		if i := bytes.IndexByte(events, '\n'); i >= 0 {
+			line, events = events[:i], events[i+1:]
+		} else {
+			events = nil
+		}
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			e.lastID = string(bytes.TrimSpace(id))
+		}
+	}
+}
+
+// result types the end of an attempt by the error of its body.
+func (e *eventStream) result(err error) dispatch.Result {
+	var timeout interface{ Timeout() bool }
+	silent := errors.As(err, &timeout) && timeout.Timeout()
+	return dispatch.Result{
+		Request: e.session.request.ID,
+		Outcome: entity.AttemptUnknown,
+		Silent:  silent,
+		Broken:  !silent,
+		Started: e.sent,
+	}
+}
+
+// resume goes on at another upstream after a failure, where the route allows it.
+func (e *eventStream) resume(cause error) error {
+	s := e.session
+	e.ex.Close()
+	e.buf = e.buf[:0]
+	if !s.route.Resumable {
+		e.fail(cause)
+		return errStreamBroken
+	}
+	res := e.result(cause)
+	for {
+		if s.alive.Err() != nil {
+			return errCallerGone
+		}
+		s.front.log.Info("Stream interrupted.", "request", s.ask.ID, "upstream", e.step.target.ID, "last_event", e.lastID, "err", cause)
+		s.front.send(attemptEnded{result: res})
+		var st step
+		select {
+		case st = <-s.ticket.steps:
+		case <-s.alive.Done():
+			return errCallerGone
+		}
+		if st.refusal != nil {
+			e.failed = true
+			s.front.log.Info("Stream not resumed.", "request", s.ask.ID, "reason", st.reason)
+			return errStreamBroken
+		}
+		e.step = st
+		s.attempt = st.attempt
+		ex, err := s.open(s.alive, st, e.lastID)
+		if err != nil {
+			cause, res = err, failedResult(err)
+			res.Request, res.Started = s.request.ID, true
+			continue
+		}
+		if bad, isBad := s.judge(ex, s.front.protocol.Judge(&ex.Header)); isBad || ex.Header.StatusCode() != 200 {
+			ex.Close()
+			cause, res = errStreamBroken, bad
+			res.Request, res.Started = s.request.ID, true
+			if !isBad {
+				res.Outcome, res.Broken = entity.AttemptFailed, true
+			}
+			continue
+		}
+		s.front.log.Info("Stream resumed.", "request", s.ask.ID, "upstream", st.target.ID, "last_event", e.lastID)
+		e.ex = ex
+		return nil
+	}
+}
+
+// fail ends the request whose stream broke for good.
+func (e *eventStream) fail(cause error) {
+	e.failed = true
+	s := e.session
+	if s.alive.Err() != nil {
+		return
+	}
+	s.front.log.Info("Stream broken.", "request", s.ask.ID, "upstream", e.step.target.ID, "last_event", e.lastID,
+		"after", boottime.Now().Sub(s.arrived), "err", cause)
+	s.front.metrics.attempts[entity.AttemptUnknown].Add(1)
+	s.front.send(attemptEnded{result: e.result(cause)})
+}
+
+// complete ends a request whose stream was passed on to its end.
+func (e *eventStream) complete() {
+	if e.closed || e.failed {
+		return
+	}
+	e.closed = true
+	s := e.session
+	e.ex.Close()
+	s.front.metrics.answered(s.ctx.Response.StatusCode(), boottime.Now().Sub(s.arrived))
+	s.front.send(attemptEnded{result: dispatch.Result{Request: s.request.ID, Outcome: entity.Completed}})
+	s.front.log.Debug("Stream ended.", "request", s.ask.ID, "upstream", e.step.target.ID, "after", boottime.Now().Sub(s.arrived))
+}
+
+// Close implements io.Closer; the HTTP server calls it in every case.
+func (e *eventStream) Close() error {
+	s := e.session
+	if !e.closed && !e.failed {
+		// The caller has left or takes nothing; closing the connection stops the upstream.
+		s.front.log.Info("Caller left.", "request", s.request.ID, "after", boottime.Now().Sub(s.arrived), "last_event", e.lastID)
+		s.front.metrics.left.Add(1)
+		s.front.send(callerGone{id: s.request.ID})
+	}
+	if !e.closed {
+		e.ex.Abort()
+		e.ex.Close()
+	}
+	s.end()
+	return nil
+}
--- /dev/null
+++ b/internal/election/election.go
@@ -0,0 +1,312 @@
+// Package election decides which host has the right to give orders to engines. The right is a
+// leased key in the key-value service. It ends by the holder's own clock before the lease can
+// end, and a successor waits until the last order that its predecessor can have given is old
+// enough. The clock must go on while a host is suspended.
+package election
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
+)
+
+const (
+	// leaseTTL is the term of the right; a renewal is due every renewInterval.
+	leaseTTL      = 2 * time.Second
+	renewInterval = 500 * time.Millisecond
+	// safetyMargin is how long before the lease can end the right ends.
+	safetyMargin = 400 * time.Millisecond
+	// callTimeout bounds one call to the service.
+	callTimeout = 800 * time.Millisecond
+	// campaignStep delays the campaign of every host behind those that rank before it.
+	campaignStep = 200 * time.Millisecond
+	// retryPause is the pause after a failed campaign.
+	retryPause = 300 * time.Millisecond
+)
+
+// Keys of the election below the installation's prefix.
+const (
+	// HolderKey names the host that has the right; it is bound to that host's lease.
+	HolderKey = "coordinator/holder"
+	// TermKey is written with every change of the holder and is never removed. Without it, no
+	// host has ever had the right.
+	TermKey = "coordinator/term"
+)
+
+// Holder is the value of HolderKey.
+type Holder struct {
+	Host        entity.HostID      `json:"host"`
+	Incarnation entity.Incarnation `json:"incarnation"`
+	// Addr is where the holder serves the other hosts.
+	Addr string `json:"addr"`
+}
+
+// Right is the right to give orders.
+type Right struct {
+	// Token rises with every holder.
+	Token int64
+	// From is when the first order may be given.
+	From time.Time
+}
+
+// Options configures a Candidate.
+type Options struct {
+	KV     kvstore.KV
+	Prefix string
+	Self   Holder
+	// Gap is the time that must lie between the orders of two holders.
+	Gap time.Duration
+	// Now is a clock that goes on while the host is suspended.
+	Now func() time.Time
+	// OnChange is told when the right is won, and with nil when it is lost. It must not block.
+	OnChange func(*Right)
+	Log      *log.Logger
+}
+
+// Candidate campaigns for the right and keeps it. Its methods are safe for concurrent use.
+type Candidate struct {
+	opts Options
+	wake chan struct{}
+
+	mu       sync.Mutex
+	observed bool
+	holder   *Holder
+	revision int64
+	termRev  int64
+	rank     int
+	stopped  bool
+	// until is when the own right ends; zero without it.
+	until time.Time
+}
+
+// New returns a Candidate that does nothing before Observe is called.
+func New(o Options) *Candidate { return &Candidate{opts: o, wake: make(chan struct{}, 1)} }
+
+// Observe takes over what the service holds: the holder, nil if none, with the revision of its
+// key, the revision of the term key, and this host's place among the candidates.
+func (c *Candidate) Observe(holder *Holder, revision, termRevision int64, rank int) {
+	c.mu.Lock()
+	c.observed = true
+	c.holder = holder
+	c.revision = revision
+	c.termRev = termRevision
+	c.rank = rank
+	c.mu.Unlock()
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Holds says whether this host has the right now. It is asked at the last moment before an order
+// leaves the host.
+func (c *Candidate) Holds() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.opts.Now().Before(c.until)
+}
+
+// Stop keeps the candidate from campaigning again and gives the right back.
+func (c *Candidate) Stop() {
+	c.mu.Lock()
+	c.stopped = true
+	c.mu.Unlock()
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// vacancy says whether to campaign, and against which revisions.
+func (c *Candidate) vacancy() (revision, term int64, rank int, own, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.observed || c.stopped {
+		return 0, 0, 0, false, false
+	}
+	if c.holder == nil {
+		return 0, c.termRev, c.rank, false, true
+	}
+	// A former process of this host has ended, so its right can be taken over at once.
+	own = c.holder.Host == c.opts.Self.Host && c.holder.Incarnation != c.opts.Self.Incarnation
+	return c.revision, c.termRev, 0, own, own
+}
+
+// Run campaigns until ctx ends.
+func (c *Candidate) Run(ctx context.Context) error {
+	for {
+		revision, term, rank, own, ok := c.vacancy()
+		if !ok {
+			if !c.sleep(ctx, time.Hour, true) {
+				return ctx.Err()
+			}
+			continue
+		}
+		if rank > 0 {
+			if !c.sleep(ctx, time.Duration(rank)*campaignStep, false) {
+				return ctx.Err()
+			}
+			if r, _, _, _, still := c.vacancy(); !still || r != revision {
+				continue
+			}
+		}
+		if right, lease, sent := c.campaign(ctx, revision, term, own); right != nil {
+			c.hold(ctx, *right, lease, sent)
+		}
+		if !c.sleep(ctx, retryPause, false) {
+			return ctx.Err()
+		}
+	}
+}
+
+// sleep waits, or ends early at a new observation when asked to. It returns false at the end of ctx.
+func (c *Candidate) sleep(ctx context.Context, d time.Duration, wakeable bool) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	wake := c.wake
+	if !wakeable {
+		wake = nil
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+	case <-wake:
+	}
+	return true
+}
+
+// campaign tries to win the right once. sent is the time from which the lease counts.
+func (c *Candidate) campaign(ctx context.Context, revision, term int64, own bool) (*Right, kvstore.LeaseID, time.Time) {
+	sent := c.opts.Now()
+	cctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	lease, err := c.opts.KV.Grant(cctx, leaseTTL)
+	if err != nil {
+		c.opts.Log.Warn("Campaign failed.", "step", "grant", "err", err)
+		return nil, 0, sent
+	}
+	value, err := json.Marshal(c.opts.Self)
+	if err != nil {
+		panic("election: holder cannot be encoded: " + err.Error())
+	}
+	res, err := c.opts.KV.Txn(cctx, kvstore.Txn{
+		Compares: []kvstore.Compare{
+			kvstore.Unchanged(c.opts.Prefix+HolderKey, revision),
+			kvstore.Unchanged(c.opts.Prefix+TermKey, term),
+		},
+		Success: []kvstore.Op{
+			kvstore.PutLeased(c.opts.Prefix+HolderKey, value, lease),
+			kvstore.Put(c.opts.Prefix+TermKey, value),
+		},
+	})
+	token := res.Revision
+	if errors.Is(err, kvstore.ErrUnknown) {
+		// The answer may be lost: the key tells whether the write took effect.
+		token, err = c.readBack(ctx)
+		res.Succeeded = err == nil && token > 0
+	}
+	if err != nil || !res.Succeeded {
+		c.opts.Log.Info("Campaign lost.", "err", err)
+		return nil, 0, sent
+	}
+	from := c.opts.Now()
+	if term > 0 && !own {
+		from = from.Add(c.opts.Gap)
+	}
+	return &Right{Token: token, From: from}, lease, sent
+}
+
+// readBack returns the revision of the holder key when it names this process, else 0.
+func (c *Candidate) readBack(ctx context.Context) (int64, error) {
+	cctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	pair, _, err := c.opts.KV.Get(cctx, c.opts.Prefix+HolderKey)
+	if err != nil || pair == nil {
+		return 0, err
+	}
+	var h Holder
+	if err := json.Unmarshal(pair.Value, &h); err != nil {
+		return 0, err
+	}
+	if h != c.opts.Self {
+		return 0, nil
+	}
+	return pair.ModRevision, nil
+}
+
+// hold keeps the right until it is lost, given back, or ctx ends.
+func (c *Candidate) hold(ctx context.Context, right Right, lease kvstore.LeaseID, sent time.Time) {
+	if !c.extend(sent) {
+		return
+	}
+	c.opts.Log.Info("Right to give orders won.", "token", right.Token, "from_in", right.From.Sub(c.opts.Now()))
+	c.opts.OnChange(&right)
+	reason := c.renewAll(ctx, lease)
+	c.mu.Lock()
+	c.until = time.Time{}
+	// What was observed before the loss is out of date.
+	c.observed = false
+	c.mu.Unlock()
+	c.opts.OnChange(nil)
+	c.opts.Log.Warn("Right to give orders lost.", "token", right.Token, "reason", reason)
+	if ctx.Err() != nil || reason == reasonStopped {
+		c.release(lease)
+	}
+}
+
+const reasonStopped = "stopping"
+
+// renewAll renews the lease until that fails for too long. It returns why it ended.
+func (c *Candidate) renewAll(ctx context.Context, lease kvstore.LeaseID) string {
+	for {
+		if !c.sleep(ctx, renewInterval, false) {
+			return reasonStopped
+		}
+		c.mu.Lock()
+		stopped := c.stopped
+		c.mu.Unlock()
+		if stopped {
+			return reasonStopped
+		}
+		if !c.Holds() {
+			return "lease ran out"
+		}
+		sent := c.opts.Now()
+		cctx, cancel := context.WithTimeout(ctx, callTimeout)
+		_, err := c.opts.KV.KeepAlive(cctx, lease)
+		cancel()
+		switch {
+		case errors.Is(err, kvstore.ErrLeaseNotFound):
+			return "lease not found"
+		case err != nil:
+			c.opts.Log.Warn("Renewal failed.", "err", err)
+		case !c.extend(sent):
+			return "renewal came too late"
+		}
+	}
+}
+
+// extend moves the end of the right to a lease that counts from sent. It returns false when that
+// has passed already, as after a suspension.
+func (c *Candidate) extend(sent time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.until = sent.Add(leaseTTL - safetyMargin)
+	return c.opts.Now().Before(c.until)
+}
+
+func (c *Candidate) release(lease kvstore.LeaseID) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	if err := c.opts.KV.Revoke(ctx, lease); err != nil {
+		c.opts.Log.Warn("Right could not be given back.", "err", err)
+	}
+}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -46,6 +46,8 @@
 	wire.KindReports:         func() wire.Message { return new(wire.Reports) },
 	wire.KindLoanReturn:      func() wire.Message { return new(wire.LoanReturn) },
 	wire.KindLoads:           func() wire.Message { return new(wire.Loads) },
+	wire.KindHostReport:      func() wire.Message { return new(wire.HostReport) },
+	wire.KindFleetState:      func() wire.Message { return new(wire.FleetState) },
 }
 
 // encodeFrame returns a whole frame: 4 bytes of big-endian length, 1 byte of version, 1 byte of
--- /dev/null
+++ b/internal/peer/session.go
@@ -0,0 +1,163 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/foxtailpass/foxtailpass/internal/wire"
+)
+
+const (
+	// sessionSilence ends a session on which nothing has arrived for so long. Both sides send at
+	// least once a second.
+	sessionSilence = 3 * time.Second
+	// sessionDialTimeout bounds the time until a connection stands.
+	sessionDialTimeout = 500 * time.Millisecond
+	// sessionQueue bounds the messages that wait to be written. A session that cannot keep up is
+	// closed, because every message is superseded by a later one.
+	sessionQueue = 64
+	// sessionBuffer is the size of the read buffer of a session.
+	sessionBuffer = 4 << 10
+)
+
+// Session is one connection between two hosts without a handshake: the messages say who sends
+// them. It is used between the coordinator and the other hosts. Its methods are safe for
+// concurrent use.
+type Session struct {
+	conn net.Conn
+	out  chan []byte
+	done chan struct{}
+	once sync.Once
+}
+
+// Dial connects to another host.
+func Dial(ctx context.Context, addr string) (*Session, error) {
+	d := net.Dialer{Timeout: sessionDialTimeout}
+	conn, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return newSession(conn), nil
+}
+
+func newSession(conn net.Conn) *Session {
+	limitUnacknowledged(conn, sessionSilence)
+	return &Session{conn: conn, out: make(chan []byte, sessionQueue), done: make(chan struct{})}
+}
+
+// limitUnacknowledged makes the kernel end a connection whose bytes are not acknowledged, as when
+// the other host has lost power.
+func limitUnacknowledged(conn net.Conn, limit time.Duration) {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) {
+		// Without the option the session still ends by sessionSilence.
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
+	})
+}
+
+// Send queues a message. It does not block; a full queue closes the session.
+func (s *Session) Send(m wire.Message) error {
+	frame, err := encodeFrame(m)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-s.done:
+		return net.ErrClosed
+	case s.out <- frame:
+		return nil
+	default:
+		s.Close()
+		return errors.New("peer: session cannot keep up")
+	}
+}
+
+// Close ends the session.
+func (s *Session) Close() {
+	s.once.Do(func() {
+		close(s.done)
+		_ = s.conn.Close()
+	})
+}
+
+// Done is closed when the session has ended.
+func (s *Session) Done() <-chan struct{} { return s.done }
+
+// Run writes queued messages and passes received ones to handle until the session ends. It
+// returns the reason.
+func (s *Session) Run(handle func(wire.Message)) error {
+	var wg sync.WaitGroup
+	wg.Go(s.write)
+	err := s.read(handle)
+	s.Close()
+	wg.Wait()
+	return err
+}
+
+func (s *Session) write() {
+	for {
+		select {
+		case <-s.done:
+			return
+		case frame := <-s.out:
+			_ = s.conn.SetWriteDeadline(time.Now().Add(sessionSilence))
+			if _, err := s.conn.Write(frame); err != nil {
+				s.Close()
+				return
+			}
+		}
+	}
+}
+
+func (s *Session) read(handle func(wire.Message)) error {
+	r := bufio.NewReaderSize(&deadlineConn{Conn: s.conn, silence: sessionSilence}, sessionBuffer)
+	var buf bytes.Buffer
+	for {
+		b, err := readFrame(r, &buf, MaxFrameBytes)
+		if err != nil {
+			return err
+		}
+		m, err := decodeFrame(b)
+		if errors.Is(err, errUnknownKind) {
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		handle(m)
+	}
+}
+
+// Accept serves sessions from a listener until it is closed.
+func Accept(ln net.Listener, serve func(*Session)) error {
+	for {
+		conn, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			// Out of descriptors or memory for a moment; the backlog holds the hosts meanwhile.
+			time.Sleep(acceptPause)
+			continue
+		}
+		go serve(newSession(conn))
+	}
+}
+
+// acceptPause is the pause after an accept that failed.
+const acceptPause = 20 * time.Millisecond
--- /dev/null
+++ b/internal/swap/decide.go
@@ -0,0 +1,425 @@
+package swap
+
+import (
+	"sort"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/catalog"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+)
+
+const (
+	// targetLoad is the share of its slots up to which the replicas of a model are filled before
+	// another one is added.
+	targetLoad = 0.6
+	// evictionSeconds weighs a lost replica: the time that a request loses when its model has to
+	// be swapped in again.
+	evictionSeconds = 5.0
+	// priorRate is assumed for every model, in requests a second: an unused model may be asked for.
+	priorRate = 0.05
+	// maxModels bounds the models of one engine that are looked at for eviction.
+	maxModels = 8
+)
+
+// Tick advances what depends on time.
+func (s *Swapper) Tick(now time.Time) []Command {
+	s.decide(now)
+	return s.take()
+}
+
+// Active says whether changes are under way or wanted, so that ticks must come often.
+func (s *Swapper) Active() bool {
+	for _, r := range s.replicas {
+		if r.task != nil || r.sending != nil || r.readAt != never && !r.readAt.IsZero() {
+			return true
+		}
+	}
+	for _, m := range s.models {
+		if m.waiting > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Swapper) decide(now time.Time) {
+	if s.catalog == nil {
+		return
+	}
+	rows := s.sortedReplicas()
+	for _, r := range rows {
+		s.pollReport(r, now)
+	}
+	if now.Before(s.from) {
+		return
+	}
+	for _, r := range rows {
+		s.advance(r, now)
+	}
+	wanted := s.wantedModels()
+	s.loadAdapters(wanted, now)
+	s.swapIn(wanted, rows, now)
+	s.addReplicas(rows, now)
+	s.prefetch(rows, now)
+}
+
+// sortedReplicas returns the engines in an order that does not depend on the map.
+func (s *Swapper) sortedReplicas() []*replica {
+	rows := make([]*replica, 0, len(s.replicas))
+	for _, r := range s.replicas {
+		if s.engine(r.up.Service) != nil {
+			rows = append(rows, r)
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].up.ID < rows[j].up.ID })
+	return rows
+}
+
+func (s *Swapper) pollReport(r *replica, now time.Time) {
+	if !r.readAt.IsZero() && r.readAt != never && !now.Before(r.readAt) {
+		s.read(r, now)
+	}
+}
+
+// advance takes the next step of an engine's task.
+func (s *Swapper) advance(r *replica, now time.Time) {
+	if r.sending != nil {
+		if r.doubtful && !now.Before(r.resendAt) {
+			s.resend(r, now)
+		}
+		return
+	}
+	s.adaptersReady(r, now)
+	t := r.task
+	if t == nil || !t.readyAt.IsZero() && now.Before(t.readyAt) {
+		return
+	}
+	switch t.stage {
+	case stageUnload:
+		s.advanceUnload(r, t, now)
+	case stageLoad:
+		s.send(r, Load, t.model, "", now)
+	case stageLoading:
+		if !t.fromStore {
+			// A load from a copy takes a known time; a request that comes too early is told so.
+			s.loaded(r, now)
+		}
+	}
+}
+
+// advanceUnload sends the next unload, or goes on to the load when the last one is over.
+func (s *Swapper) advanceUnload(r *replica, t *task, now time.Time) {
+	if t.accepted {
+		if t.awaitReport {
+			// Requests still run there; the report tells when they have ended.
+			return
+		}
+		delete(r.held, t.evict[0])
+		t.evict = t.evict[1:]
+		t.accepted = false
+	}
+	if len(t.evict) > 0 {
+		s.send(r, Unload, t.evict[0], "", now)
+		return
+	}
+	t.stage = stageLoad
+	t.started = now
+	s.send(r, Load, t.model, "", now)
+}
+
+func (s *Swapper) adaptersReady(r *replica, now time.Time) {
+	for _, h := range r.held {
+		for _, a := range h.adapters {
+			if !a.readyAt.IsZero() && a.readyAt != never && !now.Before(a.readyAt) {
+				a.readyAt = time.Time{}
+				s.version++
+			}
+		}
+	}
+}
+
+// wantedModels returns the models that requests wait for, the most wanted first.
+func (s *Swapper) wantedModels() []*modelRow {
+	var out []*modelRow
+	for _, m := range s.models {
+		if m.waiting > 0 {
+			out = append(out, m)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].waiting != out[j].waiting {
+			return out[i].waiting > out[j].waiting
+		}
+		return out[i].key.model < out[j].key.model
+	})
+	return out
+}
+
+// ready lists the engines that can be given requests for a model.
+func (s *Swapper) ready(key modelKey) []*replica {
+	var out []*replica
+	for _, r := range s.replicas {
+		if r.up.Service != key.service || r.up.Draining {
+			continue
+		}
+		if h := r.held[key.model]; h != nil && !h.unloading {
+			out = append(out, r)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].up.ID < out[j].up.ID })
+	return out
+}
+
+// loading counts the tasks that bring a model.
+func (s *Swapper) loading(key modelKey) int {
+	n := 0
+	for _, r := range s.replicas {
+		if r.up.Service == key.service && r.task != nil && r.task.model == key.model && !r.up.Draining {
+			n++
+		}
+	}
+	return n
+}
+
+// storeLoads counts the tasks that use the weight store.
+func (s *Swapper) storeLoads() int {
+	n := 0
+	for _, r := range s.replicas {
+		if r.task != nil && r.task.fromStore {
+			n++
+		}
+	}
+	return n
+}
+
+// hasCopy says whether an engine that stays has a copy of the weights.
+func (s *Swapper) hasCopy(key modelKey) bool {
+	for _, r := range s.replicas {
+		if r.up.Service == key.service && !r.up.Draining && r.copies[key.model] != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// swapIn starts a task for every wanted model that no engine serves or loads.
+func (s *Swapper) swapIn(wanted []*modelRow, rows []*replica, now time.Time) {
+	for _, m := range wanted {
+		if len(s.ready(m.key)) > 0 || s.loading(m.key) > 0 {
+			continue
+		}
+		s.bring(m.key, rows, storeParallel, now)
+	}
+}
+
+// addReplicas adds replicas of models whose replicas are filling up.
+func (s *Swapper) addReplicas(rows []*replica, now time.Time) {
+	for _, m := range s.busyModels() {
+		e := s.engine(m.key.service)
+		if e == nil {
+			continue
+		}
+		have := len(s.ready(m.key)) + s.loading(m.key)
+		want := int(float64(m.running+m.waiting)/(targetLoad*float64(max(e.Slots, 1)))) + 1
+		if have > 0 && have < want {
+			s.bring(m.key, rows, storeParallel, now)
+		}
+	}
+}
+
+func (s *Swapper) busyModels() []*modelRow {
+	var out []*modelRow
+	for _, m := range s.models {
+		if m.running+m.waiting > 0 {
+			out = append(out, m)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool {
+		a, b := out[i].running+out[i].waiting, out[j].running+out[j].waiting
+		if a != b {
+			return a > b
+		}
+		return out[i].key.model < out[j].key.model
+	})
+	return out
+}
+
+// prefetch uses the weight store to give models a copy that have none.
+func (s *Swapper) prefetch(rows []*replica, now time.Time) {
+	for id, svc := range s.catalog.Services() {
+		if svc.Engine == nil {
+			continue
+		}
+		for s.storeLoads() < prefetchParallel {
+			key, ok := s.nextPrefetch(id, svc.Engine)
+			if !ok || !s.bring(key, rows, prefetchParallel, now) {
+				break
+			}
+		}
+	}
+}
+
+// nextPrefetch returns the most used model without a copy.
+func (s *Swapper) nextPrefetch(id catalog.ServiceID, e *catalog.Engine) (modelKey, bool) {
+	var best modelKey
+	bestRate := -1.0
+	for name := range e.Models {
+		key := modelKey{service: id, model: name}
+		if s.hasCopy(key) || s.loading(key) > 0 || len(s.ready(key)) > 0 {
+			continue
+		}
+		rate := 0.0
+		if m := s.models[key]; m != nil {
+			rate = m.rate
+		}
+		if rate > bestRate || rate == bestRate && name < best.model {
+			best, bestRate = key, rate
+		}
+	}
+	return best, bestRate >= 0
+}
+
+// bring starts a task that loads a model on the engine where it costs least. It returns false
+// when no engine can take it now.
+func (s *Swapper) bring(key modelKey, rows []*replica, parallel int, now time.Time) bool {
+	copied := s.hasCopy(key)
+	if !copied && s.storeLoads() >= parallel {
+		return false
+	}
+	e := s.engine(key.service)
+	if e == nil || e.Models[key.model] == nil {
+		return false
+	}
+	var best *replica
+	var bestEvict []entity.ModelID
+	var bestCost float64
+	for _, r := range rows {
+		if r.up.Service != key.service || !r.free(now) || r.held[key.model] != nil {
+			continue
+		}
+		from := r.copies[key.model]
+		if copied && from == 0 {
+			continue
+		}
+		evict, cost, ok := s.eviction(r, e, e.Models[key.model].SizeMB, now)
+		if !ok {
+			continue
+		}
+		cost += s.placeCost(r, e.Models[key.model], from)
+		if best == nil || cost < bestCost {
+			best, bestEvict, bestCost = r, evict, cost
+		}
+	}
+	if best == nil {
+		return false
+	}
+	s.start(best, key.model, bestEvict, now)
+	return true
+}
+
+// placeCost prefers faster copies, engines with less work, and for loads from the store those
+// with fewer copies, because the engine can carry out no other order meanwhile.
+func (s *Swapper) placeCost(r *replica, m *catalog.Model, from place) float64 {
+	cost := 0.01 * float64(r.running)
+	switch from {
+	case inMemory:
+		return cost + m.MemoryLoad.Seconds()
+	case onDisk:
+		return cost + m.DiskLoad.Seconds()
+	}
+	return cost + 0.05*float64(len(r.copies))
+}
+
+// free says whether an engine can be given a new task.
+func (r *replica) free(now time.Time) bool {
+	return r.known && !r.up.Draining && r.task == nil && r.sending == nil && !now.Before(r.pausedTo)
+}
+
+// start begins a task.
+func (s *Swapper) start(r *replica, model entity.ModelID, evict []entity.ModelID, now time.Time) {
+	from := r.copies[model]
+	r.task = &task{model: model, evict: evict, from: from, fromStore: from == 0, started: now}
+	for _, id := range evict {
+		r.held[id].unloading = true
+	}
+	if len(evict) > 0 {
+		s.version++
+	}
+	s.advance(r, now)
+}
+
+// eviction returns the cheapest set of models whose removal makes room for a size.
+func (s *Swapper) eviction(r *replica, e *catalog.Engine, neededMB float64, now time.Time) ([]entity.ModelID, float64, bool) {
+	room := e.WeightsMB - adapterReserveMB(e) - r.usedMB(e) - neededMB
+	if room >= 0 {
+		return nil, 0, true
+	}
+	ids, costs := s.evictable(r, now)
+	var best []entity.ModelID
+	bestCost, found := 0.0, false
+	for set := 1; set < 1<<len(ids); set++ {
+		freed, cost := 0.0, 0.0
+		for i, id := range ids {
+			if set&(1<<i) != 0 {
+				freed += sizeMB(e, id)
+				cost += costs[i]
+			}
+		}
+		if room+freed >= 0 && (!found || cost < bestCost) {
+			found, bestCost = true, cost
+			best = best[:0]
+			for i, id := range ids {
+				if set&(1<<i) != 0 {
+					best = append(best, id)
+				}
+			}
+		}
+	}
+	return best, bestCost, found
+}
+
+
+// evictable lists the models of an engine that no request uses, with what their removal costs.
+func (s *Swapper) evictable(r *replica, now time.Time) ([]entity.ModelID, []float64) {
+	var ids []entity.ModelID
+	for id, h := range r.held {
+		if h.running == 0 && !h.unloading && now.Sub(h.loadedAt) >= settleTime || s.stranger(r, id) {
+			ids = append(ids, id)
+		}
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	if len(ids) > maxModels {
+		ids = ids[:maxModels]
+	}
+	costs := make([]float64, len(ids))
+	for i, id := range ids {
+		costs[i] = s.evictionCost(r, id, now)
+	}
+	return ids, costs
+}
+
+// stranger says whether a model is no longer offered.
+func (s *Swapper) stranger(r *replica, id entity.ModelID) bool {
+	e := s.engine(r.up.Service)
+	return e != nil && e.Models[id] == nil && r.held[id].running == 0
+}
+
+// evictionCost is the expected time lost by requests for the model, in seconds a second.
+func (s *Swapper) evictionCost(r *replica, id entity.ModelID, now time.Time) float64 {
+	key := modelKey{service: r.up.Service, model: id}
+	rate := priorRate
+	m := s.models[key]
+	if m != nil {
+		rate += m.rate
+	}
+	others := len(s.ready(key)) - 1
+	cost := evictionSeconds * rate / float64(max(others, 0)*4+1)
+	if others <= 0 && m != nil && m.waiting > 0 {
+		cost += 100
+	}
+	if r.copies[id] == 0 && others <= 0 {
+		// Without a copy the next request waits for the weight store.
+		cost += 20 * rate
+	}
+	return cost
+}
--- /dev/null
+++ b/internal/swap/swap.go
@@ -0,0 +1,321 @@
+// Package swap decides which models and adapters the engines hold. It runs on the one host that
+// has the right to give orders. An engine has room for a few models; copies of more lie in the
+// memory and on the disk of its machine, from where a load takes a fraction of a second, while a
+// load from the weight store takes several and the store carries only a few at a time. So models
+// are swapped in where a copy lies, and the weight store is used to give every model a copy.
+//
+// The package is pure: events come in as method calls with the time, and orders and reads of
+// engine reports are returned as commands.
+package swap
+
+import (
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/catalog"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/fleet"
+	"github.com/foxtailpass/foxtailpass/internal/wire"
+)
+
+const (
+	// storeParallel is the number of loads that the weight store carries at full speed.
+	storeParallel = 4
+	// prefetchParallel leaves a place for a model that a request waits for.
+	prefetchParallel = 3
+	// reportLag is how old a report of an engine may be when it arrives.
+	reportLag = 150 * time.Millisecond
+	// firstPoll and pollInterval time the reads of a report while an order is carried out.
+	firstPoll    = 20 * time.Millisecond
+	pollInterval = 60 * time.Millisecond
+	// resendInterval is the time between two sends of an order that got no answer.
+	resendInterval = 150 * time.Millisecond
+	// resendMax bounds the growth of that time at an engine that does not answer.
+	resendMax = 2 * time.Second
+	// usedMemory is the time over which the use of models is averaged.
+	usedMemory = 15 * time.Second
+	// hostSilence is how long the report of a silent host still counts.
+	hostSilence = 3 * time.Second
+	// settleTime keeps a model that was just loaded, so that those who waited for it can use it.
+	settleTime = 1500 * time.Millisecond
+)
+
+// Action is what an order asks of an engine.
+type Action uint8
+
+// The actions.
+const (
+	Load Action = iota
+	Unload
+)
+
+// String returns the log value of the action.
+func (a Action) String() string {
+	if a == Unload {
+		return "unload"
+	}
+	return "load"
+}
+
+// Order is one order to one engine.
+type Order struct {
+	// ID identifies the sending of the order; the answer names it.
+	ID       uint64
+	Upstream fleet.Incarnation
+	Addr     string
+	Action   Action
+	Model    entity.ModelID
+	Adapter  entity.AdapterID
+	// Expected is the number of orders that the engine must have accepted before.
+	Expected int64
+}
+
+// Answer is the result of sending an order once.
+type Answer uint8
+
+// The answers.
+const (
+	// Accepted means that the engine carries out the order now.
+	Accepted Answer = iota
+	// AlreadyHolds means that the engine is in the ordered state.
+	AlreadyHolds
+	// Conflict means that another order is under way or that the count of orders differs.
+	Conflict
+	// Rejected means that the engine will not carry out the order.
+	Rejected
+	// NotSent means that no byte left this host.
+	NotSent
+	// Unknown means that the order may be carried out, now or later.
+	Unknown
+)
+
+// String returns the log value of the answer.
+func (a Answer) String() string {
+	return [...]string{"accepted", "already_holds", "conflict", "rejected", "not_sent", "unknown"}[a]
+}
+
+// Report is what an engine says about itself.
+type Report struct {
+	Models   []fleet.Held
+	Pending  []PendingAdapter
+	Busy     bool
+	Sequence int64
+	InMemory []entity.ModelID
+	OnDisk   []entity.ModelID
+}
+
+// PendingAdapter is an adapter on its way to an engine.
+type PendingAdapter struct {
+	Model   entity.ModelID
+	Adapter entity.AdapterID
+}
+
+// Command is what the host must do: send an order or read a report.
+type Command struct {
+	Order *Order
+	// Read names an engine whose report is wanted.
+	Read *fleet.Upstream
+}
+
+// Swapper holds the state of the coordinator.
+type Swapper struct {
+	catalog  *catalog.Catalog
+	replicas map[entity.UpstreamID]*replica
+	hosts    map[entity.HostID]hostRow
+	models   map[modelKey]*modelRow
+	// orders maps the last sending to its replica.
+	orders map[uint64]*replica
+	nextID uint64
+	// from is when the first order may be given.
+	from time.Time
+	out  []Command
+	// version rises with every change of what replicas hold.
+	version uint64
+}
+
+type hostRow struct {
+	report wire.HostReport
+	at     time.Time
+}
+
+type modelKey struct {
+	service catalog.ServiceID
+	model   entity.ModelID
+}
+
+// modelRow is what is known of the use of one model.
+type modelRow struct {
+	key modelKey
+	// rate is the smoothed number of requests a second.
+	rate    float64
+	rateAt  time.Time
+	waiting int
+	left    time.Duration
+	running int
+	// adapters counts the waiting requests by adapter.
+	adapters map[entity.AdapterID]int
+}
+
+// New returns the Swapper of a coordinator that may give orders from a time on.
+func New(from time.Time) *Swapper {
+	return &Swapper{
+		replicas: make(map[entity.UpstreamID]*replica),
+		hosts:    make(map[entity.HostID]hostRow),
+		models:   make(map[modelKey]*modelRow),
+		orders:   make(map[uint64]*replica),
+		from:     from,
+	}
+}
+
+// Version changes whenever Holdings would return something else.
+func (s *Swapper) Version() uint64 { return s.version }
+
+func (s *Swapper) take() []Command {
+	out := s.out
+	s.out = nil
+	return out
+}
+
+// SetCatalog puts a configuration in force.
+func (s *Swapper) SetCatalog(c *catalog.Catalog) { s.catalog = c }
+
+// SetUpstream takes over an entry of the list.
+func (s *Swapper) SetUpstream(u *fleet.Upstream, now time.Time) []Command {
+	r := s.replicas[u.ID]
+	if r == nil || r.up.Incarnation != u.Incarnation {
+		s.drop(r)
+		r = newReplica(u)
+		s.replicas[u.ID] = r
+		s.version++
+		// The list lags; the report tells what the engine holds now.
+		s.read(r, now)
+		return s.take()
+	}
+	if r.up.Draining != u.Draining {
+		s.version++
+	}
+	r.up = u
+	r.noteCopies(u.InMemory, u.OnDisk)
+	if u.Sequence > r.sequence && r.sending == nil {
+		// Orders that this coordinator does not know have been carried out.
+		s.read(r, now)
+	}
+	return s.take()
+}
+
+// RemoveUpstream takes an engine out of the table with all that was ordered there.
+func (s *Swapper) RemoveUpstream(id entity.UpstreamID) {
+	s.drop(s.replicas[id])
+}
+
+func (s *Swapper) drop(r *replica) {
+	if r == nil {
+		return
+	}
+	if r.sending != nil {
+		delete(s.orders, r.sending.ID)
+	}
+	delete(s.replicas, r.up.ID)
+	s.version++
+}
+
+// HandleHost takes over the report of a host.
+func (s *Swapper) HandleHost(h wire.HostReport, now time.Time) []Command {
+	s.hosts[h.Host] = hostRow{report: h, at: now}
+	for _, n := range h.Needs {
+		row := s.row(catalog.ServiceID(n.Service), n.Model, now)
+		row.rate += float64(n.Arrived) / usedMemory.Seconds()
+	}
+	s.sumUp(now)
+	s.decide(now)
+	return s.take()
+}
+
+// row returns the row of a model with its rate decayed to now.
+func (s *Swapper) row(service catalog.ServiceID, model entity.ModelID, now time.Time) *modelRow {
+	key := modelKey{service: service, model: model}
+	m := s.models[key]
+	if m == nil {
+		m = &modelRow{key: key, rateAt: now}
+		s.models[key] = m
+	}
+	if dt := now.Sub(m.rateAt); dt > 0 {
+		m.rate *= max(0, 1-dt.Seconds()/usedMemory.Seconds())
+		m.rateAt = now
+	}
+	return m
+}
+
+// sumUp adds up what the hosts want and use.
+func (s *Swapper) sumUp(now time.Time) {
+	for _, m := range s.models {
+		m.waiting, m.running, m.left = 0, 0, 0
+		clear(m.adapters)
+	}
+	for _, r := range s.replicas {
+		r.clearUse()
+	}
+	for id, h := range s.hosts {
+		if now.Sub(h.at) > hostSilence {
+			delete(s.hosts, id)
+			continue
+		}
+		s.addNeeds(h, now)
+		for _, u := range h.report.Uses {
+			s.addUse(u, now)
+		}
+	}
+}
+
+func (s *Swapper) addNeeds(h hostRow, now time.Time) {
+	for _, n := range h.report.Needs {
+		if n.Waiting == 0 {
+			continue
+		}
+		m := s.row(catalog.ServiceID(n.Service), n.Model, now)
+		m.waiting += n.Waiting
+		m.left = max(m.left, n.Left-now.Sub(h.at))
+		if n.Adapter != "" {
+			if m.adapters == nil {
+				m.adapters = make(map[entity.AdapterID]int)
+			}
+			m.adapters[n.Adapter] += n.Waiting
+		}
+	}
+}
+
+func (s *Swapper) addUse(u wire.PoolUse, now time.Time) {
+	r := s.replicas[u.Upstream]
+	if r == nil {
+		return
+	}
+	r.running += u.Count
+	s.row(r.up.Service, u.Model, now).running += u.Count
+	if h := r.held[u.Model]; h != nil {
+		h.running += u.Count
+		h.usedAt = now
+		if a := h.adapters[u.Adapter]; a != nil {
+			a.running += u.Count
+			a.usedAt = now
+		}
+	}
+}
+
+// Holding is what the coordinator knows of one engine.
+type Holding struct {
+	Upstream fleet.Incarnation
+	// Held lists what can be used; a model that is being unloaded is not in it.
+	Held []fleet.Held
+	// Running counts the requests of all hosts.
+	Running int
+}
+
+// Holdings lists the engines whose state is known.
+func (s *Swapper) Holdings() []Holding {
+	out := make([]Holding, 0, len(s.replicas))
+	for _, r := range s.replicas {
+		if r.known {
+			out = append(out, Holding{Upstream: r.up.Incarnation, Held: r.usable(), Running: r.running})
+		}
+	}
+	return out
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -89,6 +89,9 @@
 	Stream bool
 	// Deadline ends the call.
 	Deadline time.Time
+	// Allowed is asked when the connection stands, just before the first byte is written; the
+	// call is not made when it returns false. May be nil.
+	Allowed func() bool
 }
 
 // Do sends the request and reads the answer, or its header if it is streamed. When ctx ends,
@@ -116,6 +119,9 @@
 
 func (call *Call) exchange(req *fasthttp.Request, o Options) error {
 	cn := call.conn
+	if o.Allowed != nil && !o.Allowed() {
+		return &Failure{Outcome: entity.AttemptNotRun, Reason: "no_longer_allowed"}
+	}
 	err := req.Write(cn.w)
 	if err == nil {
 		err = cn.w.Flush()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -19,6 +19,8 @@
 	idleTimeout = 15 * time.Second
 	// dialTimeout bounds the time until a connection stands.
 	dialTimeout = time.Second
+	// connBuffer is the size of the read and of the write buffer of a connection.
+	connBuffer = 4096
 )
 
 // conn is one connection to an upstream. It is used by one call at a time.
@@ -28,6 +30,24 @@
 	w       *bufio.Writer
 	idled   time.Time
 	written int64
+	// idleFor is how long the connection may stay idle; zero means idleTimeout.
+	idleFor time.Duration
+}
+
+func newConn(nc net.Conn) *conn {
+	c := &conn{Conn: nc}
+	c.r = bufio.NewReaderSize(nc, connBuffer)
+	c.w = bufio.NewWriterSize(c, connBuffer)
+	return c
+}
+
+// keepable says whether an idle connection may be used again.
+func (c *conn) keepable() bool {
+	limit := idleTimeout
+	if c.idleFor > 0 {
+		limit = c.idleFor
+	}
+	return time.Since(c.idled) < limit && c.r.Buffered() == 0 && !closedByPeer(c.Conn)
 }
 
 // Write counts the bytes that were handed to the kernel; the request may have run once there
@@ -59,10 +79,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: nc}
-	c.r = bufio.NewReaderSize(nc, 4096)
-	c.w = bufio.NewWriterSize(c, 4096)
-	return c, nil
+	return newConn(nc), nil
 }
 
 func (p *connPool) takeIdle(addr string) *conn {
@@ -73,7 +90,7 @@
 		c := list[len(list)-1]
 		list = list[:len(list)-1]
 		p.idle[addr] = list
-		if time.Since(c.idled) < idleTimeout && c.r.Buffered() == 0 && !closedByPeer(c.Conn) {
+		if c.keepable() {
 			c.written = 0
 			return c
 		}
@@ -89,6 +106,11 @@
 		return
 	}
 	c.idled = time.Now()
+	p.giveBack(addr, c)
+}
+
+// giveBack keeps an idle connection without renewing its age.
+func (p *connPool) giveBack(addr string, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[addr]) >= maxIdlePerUpstream {
--- /dev/null
+++ b/internal/wire/coordination.go
@@ -0,0 +1,82 @@
+package wire
+
+import (
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+)
+
+// PoolNeed is what one host wants of one model and adapter.
+type PoolNeed struct {
+	Service string           `msgpack:"s"`
+	Model   entity.ModelID   `msgpack:"m"`
+	Adapter entity.AdapterID `msgpack:"a,omitempty"`
+	// Waiting counts the requests without an upstream.
+	Waiting int `msgpack:"w,omitempty"`
+	// Arrived counts the requests since the last report of the host.
+	Arrived int `msgpack:"n,omitempty"`
+	// Left is the longest time that a waiting request still has.
+	Left time.Duration `msgpack:"l,omitempty"`
+}
+
+// PoolUse is the number of requests of one model and adapter that one host has at one upstream.
+type PoolUse struct {
+	Upstream entity.UpstreamID `msgpack:"u"`
+	Model    entity.ModelID    `msgpack:"m,omitempty"`
+	Adapter  entity.AdapterID  `msgpack:"a,omitempty"`
+	Count    int               `msgpack:"n"`
+}
+
+// HostReport is what a host tells the coordinator about its requests. It is complete: what it
+// does not list is zero.
+type HostReport struct {
+	Host entity.HostID `msgpack:"h"`
+	// SentAt is the sender's clock; the coordinator returns it, so that loans count from the
+	// borrower's own clock.
+	SentAt int64      `msgpack:"t"`
+	Needs  []PoolNeed `msgpack:"n"`
+	Uses   []PoolUse  `msgpack:"u"`
+	// Demand is in tokens a second by workspace.
+	Demand map[entity.WorkspaceID]float64 `msgpack:"d"`
+}
+
+// Kind implements Message.
+func (*HostReport) Kind() Kind { return KindHostReport }
+
+// HeldModel is a model that an upstream holds with its ready adapters.
+type HeldModel struct {
+	Model    entity.ModelID     `msgpack:"m"`
+	Adapters []entity.AdapterID `msgpack:"a,omitempty"`
+}
+
+// UpstreamState is what the coordinator knows of one upstream.
+type UpstreamState struct {
+	Upstream   entity.UpstreamID `msgpack:"u"`
+	BornMillis int64             `msgpack:"b"`
+	// Held lists what can be used now.
+	Held []HeldModel `msgpack:"h"`
+	// Running counts the requests of all hosts.
+	Running int `msgpack:"r"`
+}
+
+// ModelEstimate says when a model can be used that no upstream serves now.
+type ModelEstimate struct {
+	Service string         `msgpack:"s"`
+	Model   entity.ModelID `msgpack:"m"`
+	ReadyIn time.Duration  `msgpack:"r"`
+}
+
+// FleetState is what the coordinator tells a host. Upstreams lists only those that have changed
+// since the last message on the same connection.
+type FleetState struct {
+	Coordinator entity.HostID   `msgpack:"c"`
+	Upstreams   []UpstreamState `msgpack:"u,omitempty"`
+	Estimates   []ModelEstimate `msgpack:"e,omitempty"`
+	// AnswerTo is SentAt of the report that this state answers, zero if none.
+	AnswerTo int64 `msgpack:"t,omitempty"`
+	// Parts is the part of each workspace's rate that the host may use for a term from AnswerTo.
+	Parts map[entity.WorkspaceID]float64 `msgpack:"p,omitempty"`
+}
+
+// Kind implements Message.
+func (*FleetState) Kind() Kind { return KindFleetState }
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -30,6 +30,8 @@
 	KindReports
 	KindLoanReturn
 	KindLoads
+	KindHostReport
+	KindFleetState
 	// kindEnd is one above the newest kind.
 	kindEnd
 )
@@ -58,6 +60,8 @@
 	KindReports:         "reports",
 	KindLoanReturn:      "loan_return",
 	KindLoads:           "loads",
+	KindHostReport:      "host_report",
+	KindFleetState:      "fleet_state",
 }
 
 // String returns the metric label of the kind.
