--- a/internal/swap/decide.go
+++ b/internal/swap/decide.go
@@ -378,7 +378,6 @@
 	return best, bestCost, found
 }
 
-
 // evictable lists the models of an engine that no request uses, with what their removal costs.
 func (s *Swapper) evictable(r *replica, now time.Time) ([]entity.ModelID, []float64) {
 	var ids []entity.ModelID
