quota: hand out tokens of a reserve instead of lending rates

Now the coordinator keeps 0.6 of each rate as a bucket and grants tokens for the waiting requests of a host within milliseconds; half of the tolerated overshoot makes up for tokens stranded at other hosts.

--- a/internal/edge/coordination.go
+++ b/internal/edge/coordination.go
@@ -20,7 +20,7 @@
 	urgentReport = 3 * time.Millisecond
 	// changedReport is the least time between two reports whose only news are running requests.
 	changedReport = 150 * time.Millisecond
-	// idleReport is the time between two reports without news. It renews the loans.
+	// idleReport is the time between two reports without news. It shows that the session lives.
 	idleReport = 500 * time.Millisecond
 	// publishInterval is the least time between two messages of the coordinator to one host that
 	// only tell how many requests run.
@@ -38,9 +38,8 @@
 type lead struct {
 	right   election.Right
 	swapper *swap.Swapper
-	lender  *quota.Lender
+	reserve *quota.Reserve
 	hosts   map[entity.HostID]*hostSession
-	demands map[entity.HostID]map[entity.WorkspaceID]float64
 	version uint64
 	// states is the newest word on the engines.
 	states map[entity.UpstreamID]wire.UpstreamState
@@ -55,6 +54,7 @@
 	// answer is the clock of the report that was not answered yet.
 	answer  int64
 	pending bool
+	lack    map[entity.WorkspaceID]float64
 }
 
 // lost forgets a host whose session has ended.
@@ -92,13 +92,13 @@
 	c.lead = &lead{
 		right:   *right,
 		swapper: swap.New(right.From),
-		lender:  quota.NewLender(now),
+		reserve: quota.NewReserve(c.bounds.quotaSlack()),
 		hosts:   make(map[entity.HostID]*hostSession),
-		demands: make(map[entity.HostID]map[entity.WorkspaceID]float64),
 		states:  make(map[entity.UpstreamID]wire.UpstreamState),
 	}
 	if c.catalog != nil {
 		c.lead.swapper.SetCatalog(c.catalog)
+		c.lead.reserve.SetCatalog(c.catalog, now)
 	}
 	for _, u := range c.fleet.Rows() {
 		c.run(c.lead.swapper.SetUpstream(u, now))
@@ -129,7 +129,8 @@
 		return
 	}
 	waiting := c.scheduler.Waiting(now)
-	if since < changedReport && !c.newWaiting(waiting) {
+	urgent := c.newWaiting(waiting) || c.lacksTokens()
+	if since < changedReport && !urgent {
 		return
 	}
 	running := c.scheduler.Running()
@@ -137,7 +138,7 @@
 	for _, u := range running {
 		total += u.Count
 	}
-	if since < idleReport && !c.newWaiting(waiting) && total == c.reporter.running && len(c.arrivals) == 0 {
+	if since < idleReport && !urgent && total == c.reporter.running && len(c.arrivals) == 0 {
 		return
 	}
 	r := c.compose(waiting, running, now)
@@ -171,7 +172,7 @@
 }
 
 func (c *core) compose(waiting []dispatch.Waiting, running []dispatch.Running, now time.Time) *wire.HostReport {
-	r := &wire.HostReport{Host: c.self, SentAt: now.UnixNano(), Demand: c.limiter.Demand(now)}
+	r := &wire.HostReport{Host: c.self, SentAt: now.UnixNano(), Lack: c.lack()}
 	needs := make(map[dispatch.Pool]*wire.PoolNeed)
 	need := func(p dispatch.Pool) *wire.PoolNeed {
 		if n := needs[p]; n != nil {
@@ -217,7 +218,7 @@
 	}
 	h.answer = e.report.SentAt
 	h.pending = true
-	l.demands[e.report.Host] = e.report.Demand
+	h.lack = e.report.Lack
 	c.run(l.swapper.HandleHost(*e.report, now))
 }
 
@@ -307,7 +308,7 @@
 	if h.pending {
 		h.pending = false
 		m.AnswerTo = h.answer
-		m.Parts = l.lender.Lend(h.host, l.demands, c.limiter.Hosts(), c.catalog, now)
+		m.Grants = c.grant(h, now)
 	}
 	if len(m.Upstreams) == 0 && m.AnswerTo == 0 && !changed {
 		return
@@ -330,8 +331,7 @@
 		c.estimates[p] = readyEstimate{at: now.Add(e.ReadyIn)}
 	}
 	if m.AnswerTo != 0 {
-		until := time.Unix(0, m.AnswerTo).Add(quota.LoanTerm)
-		c.limiter.SetLoan(quota.Loan{Parts: m.Parts, Until: until}, now)
+		c.granted(m, now)
 	}
 	own := make(map[entity.UpstreamID]int)
 	for _, u := range c.scheduler.Running() {
--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -26,8 +26,6 @@
 	// unknownSwap and unknownLoad are added to the known load times when there is no estimate.
 	unknownSwap = 600 * time.Millisecond
 	unknownLoad = 2 * time.Second
-	// parkPart is the part of its target for which a request waits for tokens.
-	parkPart = 0.4
 )
 
 // effects carries out what the control state decides. Its methods must not block.
@@ -43,14 +41,15 @@
 	domain  string
 	log     *log.Logger
 	effects effects
+	bounds  Bounds
 
 	catalog   *catalog.Catalog
 	scheduler *dispatch.Scheduler
 	limiter   *quota.Limiter
 	fleet     *fleet.Table
 	tickets   map[entity.RequestID]*ticket
-	// parked requests wait for the tokens of their workspace.
-	parked   []parkedRequest
+	// parked requests wait for the tokens of their workspace, in the order of their arrival.
+	parked   []*parkedRequest
 	stopping bool
 
 	// holder has the right to give orders.
@@ -70,11 +69,6 @@
 	lead *lead
 }
 
-type parkedRequest struct {
-	request *dispatch.Request
-	until   time.Time
-}
-
 type readyEstimate struct{ at time.Time }
 
 func newCore(self entity.HostID, domain string, b Bounds, l *log.Logger, e effects) *core {
@@ -83,7 +77,8 @@
 		domain:    domain,
 		log:       l,
 		effects:   e,
-		limiter:   quota.New(b.QuotaTolerance),
+		bounds:    b,
+		limiter:   quota.New(b.quotaSlack()),
 		fleet:     fleet.NewTable(),
 		tickets:   make(map[entity.RequestID]*ticket),
 		states:    make(map[entity.UpstreamID]wire.UpstreamState),
@@ -177,36 +172,6 @@
 	c.admit(r, now)
 }
 
-// admit charges a request and queues it. A request whose tokens will be there soon waits for them.
-func (c *core) admit(r *dispatch.Request, now time.Time) {
-	wait, ok := c.limiter.Admit(r.Workspace, r.Tokens, now)
-	if ok {
-		c.carryOut(c.scheduler.Enqueue(r, now), now)
-		return
-	}
-	limit := r.Arrived.Add(time.Duration(parkPart * float64(r.Route.Target)))
-	if at := now.Add(wait); at.Before(limit) {
-		c.parked = append(c.parked, parkedRequest{request: r, until: at})
-		return
-	}
-	c.finish(r, step{
-		reason:  dispatch.ReasonRateLimited,
-		refusal: &entity.Refusal{Status: 429, Code: string(dispatch.ReasonRateLimited), Ran: entity.NotRun, RetryAfter: wait},
-	})
-}
-
-func (c *core) unpark(now time.Time) {
-	waiting := c.parked
-	c.parked = nil
-	for _, p := range waiting {
-		if now.Before(p.until) {
-			c.parked = append(c.parked, p)
-			continue
-		}
-		c.admit(p.request, now)
-	}
-}
-
 // finish gives a request its final answer.
 func (c *core) finish(r *dispatch.Request, s step) {
 	t := c.tickets[r.ID]
@@ -256,6 +221,9 @@
 func (c *core) catalogChanged(cat *catalog.Catalog, now time.Time) {
 	c.catalog = cat
 	c.limiter.SetCatalog(cat, now)
+	if c.lead != nil {
+		c.lead.reserve.SetCatalog(cat, now)
+	}
 	withdrawn := func(r *dispatch.Request) bool {
 		w := cat.Key(r.Key)
 		return r.Key != "" && (w == nil || w.ID != r.Workspace)
--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -273,7 +273,7 @@
 	f := s.front
 	f.metrics.refused(r.Code)
 	f.log.Info("Refused.", "request", s.ask.ID, "status", r.Status, "reason", r.Code, "ran", r.Ran, "retry_after", r.RetryAfter,
-		"after", boottime.Now().Sub(s.arrived), "attempts", s.attempt, "route", routeName(s.route), "model", s.ask.Model, "adapter", s.ask.Adapter)
+		"after", boottime.Now().Sub(s.arrived), "attempts", s.attempt, "route", routeName(s.route), "workspace", s.workspace(), "tokens", s.ask.PromptTokens+s.ask.OutputTokens, "model", s.ask.Model, "adapter", s.ask.Adapter)
 	resp := &s.ctx.Response
 	resp.SetStatusCode(r.Status)
 	resp.Header.SetContentType("application/json")
@@ -289,3 +289,11 @@
 	}
 	return r.Name
 }
+
+// workspace returns the workspace of the request, empty before its key was checked.
+func (s *session) workspace() entity.WorkspaceID {
+	if s.request == nil {
+		return ""
+	}
+	return s.request.Workspace
+}
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/quota"
 	"github.com/foxtailpass/foxtailpass/internal/settings"
 )
 
@@ -51,6 +52,8 @@
 	RetryWindowSeconds float64 `json:"retry_window_s" default:"10" validate:"gt=0"`
 	// QuotaTolerance is the number of tokens by which the hosts together may overdraw a workspace.
 	QuotaTolerance float64 `json:"quota_tolerance" default:"0" validate:"min=0"`
+	// QuotaOvershoot is the part of its rate and burst by which they may exceed them.
+	QuotaOvershoot float64 `json:"quota_overshoot" default:"0" validate:"min=0,max=1"`
 	// OrderGapMillis must lie between the orders of two hosts.
 	OrderGapMillis int64 `json:"order_gap_ms" default:"3000" validate:"min=0"`
 	// GraceSeconds is the time from the request to stop to the end of the process.
@@ -59,6 +62,12 @@
 	Hosts int `json:"hosts" default:"12" validate:"min=1"`
 }
 
+// quotaSlack leaves half of the tolerated overshoot unused: a bound that holds on every host by its
+// own clock may still be exceeded a little where clocks differ.
+func (b Bounds) quotaSlack() quota.Slack {
+	return quota.Slack{Factor: b.QuotaOvershoot / 2, Tokens: b.QuotaTolerance}
+}
+
 // LogSettings is the level of the log.
 type LogSettings struct {
 	Level string `json:"level" default:"\"info\"" validate:"oneof=debug info warn error"`
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -1,7 +1,7 @@
-// Package quota keeps each workspace within its rate over all hosts. Every host holds a part of
-// the rate: a fixed part that needs no message, and a part that the coordinator lends for a short
-// term to the hosts with more demand than their fixed part covers. The parts sum to the rate at
-// most, whatever a host knows of the others, because a loan ends by the borrower's own clock.
+// Package quota keeps each workspace within its rate over all hosts. A fixed part of every rate
+// is split evenly over the hosts and needs no message. The rest is a reserve that the coordinator
+// hands out in tokens to hosts with requests that their own part does not cover. Rate and burst of
+// the parts sum to those of the workspace, whatever a host knows of the others.
 //
 // The package is pure; its types belong to the goroutine that owns the control state.
 package quota
@@ -14,67 +14,100 @@
 )
 
 const (
-	// FixedPart is the part of a rate that is split evenly over the hosts; the coordinator lends
-	// the rest.
-	FixedPart = 0.5
-	// demandTime is the time over which the demand of a workspace is averaged.
-	demandTime = 1500 * time.Millisecond
+	// fixedPart is the part of a rate that is split evenly over the hosts.
+	fixedPart = 0.4
 	// membershipMemory is how long a host that is no longer registered still counts: it may go on
 	// admitting until it notices that its registration is gone.
 	membershipMemory = 8 * time.Second
+	// GrantTerm is how long after the host asked for them granted tokens may be used.
+	GrantTerm = time.Second
+	// longestWait bounds the waits that are told, also for workspaces with a tiny rate.
+	longestWait = time.Minute
 )
 
-// Loan is a part of the rates of workspaces that this host may use until its term ends.
-type Loan struct {
-	Parts map[entity.WorkspaceID]float64
-	Until time.Time
-}
-
-// bucket is the level of one workspace at this host.
+// bucket is a level of tokens that rises with time.
 type bucket struct {
 	level   float64
 	updated time.Time
-	// demand is the smoothed number of tokens a second that callers ask for here.
-	demand   float64
-	demandAt time.Time
 }
 
-// Limiter admits the requests of one host.
+// refill adds what has accrued; a level above the capacity is kept but does not grow.
+func (b *bucket) refill(rate, capacity float64, now time.Time) {
+	dt := now.Sub(b.updated).Seconds()
+	b.updated = now
+	if dt > 0 && b.level < capacity {
+		b.level = min(b.level+rate*dt, capacity)
+	}
+}
+
+// take charges tokens when level and overdraft cover them, or says after which time they will.
+func (b *bucket) take(tokens, overdraft, rate float64) (time.Duration, bool) {
+	lack := tokens - b.level - overdraft
+	if lack <= 0 {
+		b.level -= tokens
+		return 0, true
+	}
+	return waitFor(lack, rate), false
+}
+
+func waitFor(lack, rate float64) time.Duration {
+	if rate <= 0 {
+		return longestWait
+	}
+	return time.Duration(min(lack/rate, longestWait.Seconds()) * float64(time.Second))
+}
+
+// Slack is by how much the hosts together may exceed the rate and burst of a workspace.
+type Slack struct {
+	// Factor is a part of rate and burst. It makes up for tokens that are stranded at hosts without
+	// requests.
+	Factor float64
+	// Tokens is a number of tokens, half of it for the hosts and half for the reserve.
+	Tokens float64
+}
+
+// limits returns the rate and burst that are divided.
+func (s Slack) limits(w *catalog.Workspace) (rate, burst float64) {
+	return w.Rate * (1 + s.Factor), w.Burst * (1 + s.Factor)
+}
+
+// Limiter admits the requests of one host out of its fixed part and of granted tokens.
 type Limiter struct {
-	// tolerance is the number of tokens by which this host may overdraw a workspace.
-	tolerance float64
-	buckets   map[entity.WorkspaceID]*bucket
-	catalog   *catalog.Catalog
-	loan      Loan
-	members   map[entity.HostID]time.Time
-	hosts     int
+	slack   Slack
+	catalog *catalog.Catalog
+	buckets map[entity.WorkspaceID]*bucket
+	// emptyUntil is when the reserve is expected to have tokens again.
+	emptyUntil map[entity.WorkspaceID]time.Time
+	members    map[entity.HostID]time.Time
+	hosts      int
 }
 
-// New returns a Limiter. The tolerance of the fleet, in tokens, is divided by the hosts.
-func New(tolerance float64) *Limiter {
+// New returns a Limiter.
+func New(slack Slack) *Limiter {
 	return &Limiter{
-		tolerance: tolerance,
-		buckets:   make(map[entity.WorkspaceID]*bucket),
-		members:   make(map[entity.HostID]time.Time),
-		hosts:     1,
+		slack:      slack,
+		buckets:    make(map[entity.WorkspaceID]*bucket),
+		emptyUntil: make(map[entity.WorkspaceID]time.Time),
+		members:    make(map[entity.HostID]time.Time),
+		hosts:      1,
 	}
 }
 
 // SetCatalog puts a configuration in force. A changed rate counts from now and refills nothing.
 func (l *Limiter) SetCatalog(c *catalog.Catalog, now time.Time) {
-	for id, b := range l.buckets {
-		l.refill(id, b, now)
-	}
+	l.refillAll(now)
 	l.catalog = c
-	for id, b := range l.buckets {
-		if w := c.Workspace(id); w != nil {
-			b.level = min(b.level, l.capacity(w, now))
-		}
+	clear(l.emptyUntil)
+	for id, w := range c.Workspaces() {
+		b := l.bucket(id, now)
+		_, capacity := l.share(w)
+		b.level = min(b.level, capacity)
 	}
 }
 
 // SetMembers takes over the registered hosts. Hosts that are gone count for some time longer.
 func (l *Limiter) SetMembers(ids []entity.HostID, now time.Time) {
+	l.refillAll(now)
 	for _, id := range ids {
 		l.members[id] = now
 	}
@@ -86,53 +119,35 @@
 	l.hosts = max(len(l.members), 1)
 }
 
-// Hosts returns the number of hosts among which the fixed parts are divided.
-func (l *Limiter) Hosts() int { return l.hosts }
-
-// SetLoan takes over a loan of the coordinator.
-func (l *Limiter) SetLoan(loan Loan, now time.Time) {
+func (l *Limiter) refillAll(now time.Time) {
 	for id, b := range l.buckets {
-		l.refill(id, b, now)
+		if w := l.workspace(id); w != nil {
+			rate, capacity := l.share(w)
+			b.refill(rate, capacity, now)
+		}
 	}
-	l.loan = loan
 }
 
-// part returns the part of a workspace's rate that this host holds.
-func (l *Limiter) part(id entity.WorkspaceID, now time.Time) float64 {
-	part := FixedPart / float64(l.hosts)
-	if now.Before(l.loan.Until) {
-		part += l.loan.Parts[id]
-	}
-	return part
+// share returns this host's fixed part of a workspace's rate and burst.
+func (l *Limiter) share(w *catalog.Workspace) (rate, capacity float64) {
+	part := fixedPart / float64(l.hosts)
+	rate, burst := l.slack.limits(w)
+	return rate * part, burst * part
 }
 
-func (l *Limiter) capacity(w *catalog.Workspace, now time.Time) float64 {
-	return w.Burst * l.part(w.ID, now)
-}
+func (l *Limiter) hostOverdraft() float64 { return l.slack.Tokens / 2 / float64(l.hosts) }
 
+// bucket returns the level of a workspace. A new process starts below zero by its overdraft, because
+// its predecessor may have spent burst and overdraft just now.
 func (l *Limiter) bucket(id entity.WorkspaceID, now time.Time) *bucket {
 	b := l.buckets[id]
 	if b == nil {
-		// A new process starts without burst: its predecessor may have spent it just now.
-		b = &bucket{updated: now, demandAt: now}
+		b = &bucket{level: -l.hostOverdraft(), updated: now}
 		l.buckets[id] = b
 	}
 	return b
 }
 
-func (l *Limiter) refill(id entity.WorkspaceID, b *bucket, now time.Time) {
-	w := l.workspace(id)
-	if w == nil {
-		return
-	}
-	dt := now.Sub(b.updated).Seconds()
-	b.updated = now
-	if dt <= 0 {
-		return
-	}
-	b.level = min(b.level+w.Rate*l.part(id, now)*dt, max(l.capacity(w, now), b.level))
-}
-
 func (l *Limiter) workspace(id entity.WorkspaceID) *catalog.Workspace {
 	if l.catalog == nil {
 		return nil
@@ -140,55 +155,53 @@
 	return l.catalog.Workspace(id)
 }
 
-// Admit charges a request, or says after which time its tokens will be there.
-func (l *Limiter) Admit(id entity.WorkspaceID, tokens float64, now time.Time) (wait time.Duration, ok bool) {
+// Admit charges a request, or says how many tokens it lacks and after which time they will be there
+// without a grant.
+func (l *Limiter) Admit(id entity.WorkspaceID, tokens float64, now time.Time) (lack float64, wait time.Duration, ok bool) {
 	w := l.workspace(id)
 	if w == nil || w.Rate <= 0 {
-		return 0, true
+		return 0, 0, true
 	}
 	b := l.bucket(id, now)
-	l.refill(id, b, now)
-	b.observe(tokens, now)
-	allowed := b.level + l.tolerance/float64(l.hosts)
-	if tokens <= allowed {
-		b.level -= tokens
-		return 0, true
-	}
-	return time.Duration((tokens - allowed) / (w.Rate * l.part(id, now)) * float64(time.Second)), false
+	rate, capacity := l.share(w)
+	b.refill(rate, capacity, now)
+	lack = tokens - b.level - l.hostOverdraft()
+	wait, ok = b.take(tokens, l.hostOverdraft(), rate)
+	return lack, wait, ok
 }
 
-// Refund returns the tokens of a request that never ran.
-func (l *Limiter) Refund(id entity.WorkspaceID, tokens float64, now time.Time) {
-	w := l.workspace(id)
-	if w == nil || w.Rate <= 0 {
-		return
+// Grant adds tokens that the coordinator has granted.
+func (l *Limiter) Grant(id entity.WorkspaceID, tokens float64, now time.Time) {
+	if w := l.workspace(id); w != nil {
+		b := l.bucket(id, now)
+		rate, capacity := l.share(w)
+		b.refill(rate, capacity, now)
+		b.level += tokens
 	}
-	b := l.bucket(id, now)
-	l.refill(id, b, now)
-	b.level = min(b.level+tokens, max(l.capacity(w, now), b.level))
 }
 
-func (b *bucket) observe(tokens float64, now time.Time) {
-	b.decay(now)
-	b.demand += tokens / demandTime.Seconds()
+// SetEmpty takes over after which time the reserve will have tokens; zero means it has some.
+func (l *Limiter) SetEmpty(id entity.WorkspaceID, wait time.Duration, now time.Time) {
+	if wait <= 0 {
+		delete(l.emptyUntil, id)
+		return
+	}
+	l.emptyUntil[id] = now.Add(wait)
 }
 
-func (b *bucket) decay(now time.Time) {
-	dt := now.Sub(b.demandAt)
-	b.demandAt = now
-	if dt > 0 {
-		b.demand *= max(0, 1-dt.Seconds()/demandTime.Seconds())
-	}
+// ReserveWait returns the time until the reserve is expected to have tokens.
+func (l *Limiter) ReserveWait(id entity.WorkspaceID, now time.Time) time.Duration {
+	return max(l.emptyUntil[id].Sub(now), 0)
 }
 
-// Demand returns the tokens a second that callers ask for at this host, by workspace.
-func (l *Limiter) Demand(now time.Time) map[entity.WorkspaceID]float64 {
-	out := make(map[entity.WorkspaceID]float64, len(l.buckets))
-	for id, b := range l.buckets {
-		b.decay(now)
-		if b.demand > 1 {
-			out[id] = b.demand
-		}
+// Refund returns the tokens of a request that never ran.
+func (l *Limiter) Refund(id entity.WorkspaceID, tokens float64, now time.Time) {
+	w := l.workspace(id)
+	if w == nil || w.Rate <= 0 {
+		return
 	}
-	return out
+	b := l.bucket(id, now)
+	rate, capacity := l.share(w)
+	b.refill(rate, capacity, now)
+	b.level = min(b.level+tokens, max(capacity, b.level))
 }
--- /dev/null
+++ b/internal/quota/reserve.go
@@ -0,0 +1,75 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/catalog"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+)
+
+// Reserve hands out the part of every rate that is not split over the hosts. It belongs to the
+// coordinator, of which there is one at a time.
+type Reserve struct {
+	slack   Slack
+	catalog *catalog.Catalog
+	buckets map[entity.WorkspaceID]*bucket
+}
+
+// NewReserve returns the reserve of a coordinator that has just taken over. It starts without burst,
+// and below zero by its overdraft, because its predecessor may have spent both just now.
+func NewReserve(slack Slack) *Reserve {
+	return &Reserve{slack: slack, buckets: make(map[entity.WorkspaceID]*bucket)}
+}
+
+func (r *Reserve) overdraft() float64 { return r.slack.Tokens / 2 }
+
+// share returns the reserve's part of a workspace's rate and burst.
+func (r *Reserve) share(w *catalog.Workspace) (rate, capacity float64) {
+	rate, burst := r.slack.limits(w)
+	return rate * (1 - fixedPart), burst * (1 - fixedPart)
+}
+
+// SetCatalog puts a configuration in force. A changed rate counts from now and refills nothing.
+func (r *Reserve) SetCatalog(c *catalog.Catalog, now time.Time) {
+	for id, b := range r.buckets {
+		if w := r.workspace(id); w != nil {
+			rate, capacity := r.share(w)
+			b.refill(rate, capacity, now)
+		}
+	}
+	r.catalog = c
+	for id, w := range c.Workspaces() {
+		b := r.buckets[id]
+		if b == nil {
+			b = &bucket{level: -r.overdraft(), updated: now}
+			r.buckets[id] = b
+		}
+		_, capacity := r.share(w)
+		b.level = min(b.level, capacity)
+	}
+}
+
+func (r *Reserve) workspace(id entity.WorkspaceID) *catalog.Workspace {
+	if r.catalog == nil {
+		return nil
+	}
+	return r.catalog.Workspace(id)
+}
+
+// Take grants tokens to a host that lacks some, as many as there are. wait is the time until there
+// will be enough for what is missing, zero when all was granted.
+func (r *Reserve) Take(id entity.WorkspaceID, tokens float64, now time.Time) (granted float64, wait time.Duration) {
+	w := r.workspace(id)
+	b := r.buckets[id]
+	if w == nil || b == nil || tokens <= 0 {
+		return 0, 0
+	}
+	rate, capacity := r.share(w)
+	b.refill(rate, capacity, now)
+	granted = max(min(tokens, b.level+r.overdraft()), 0)
+	b.level -= granted
+	if missing := tokens - granted; missing > 0 {
+		wait = waitFor(missing, rate)
+	}
+	return granted, wait
+}
--- a/internal/wire/coordination.go
+++ b/internal/wire/coordination.go
@@ -31,13 +31,13 @@
 // does not list is zero.
 type HostReport struct {
 	Host entity.HostID `msgpack:"h"`
-	// SentAt is the sender's clock; the coordinator returns it, so that loans count from the
-	// borrower's own clock.
+	// SentAt is the sender's clock; the coordinator returns it, so that the term of granted tokens
+	// counts from the host's own clock.
 	SentAt int64      `msgpack:"t"`
 	Needs  []PoolNeed `msgpack:"n"`
 	Uses   []PoolUse  `msgpack:"u"`
-	// Demand is in tokens a second by workspace.
-	Demand map[entity.WorkspaceID]float64 `msgpack:"d"`
+	// Lack is the number of tokens that waiting requests lack, by workspace.
+	Lack map[entity.WorkspaceID]float64 `msgpack:"d,omitempty"`
 }
 
 // Kind implements Message.
@@ -74,9 +74,17 @@
 	Estimates   []ModelEstimate `msgpack:"e,omitempty"`
 	// AnswerTo is SentAt of the report that this state answers, zero if none.
 	AnswerTo int64 `msgpack:"t,omitempty"`
-	// Parts is the part of each workspace's rate that the host may use for a term from AnswerTo.
-	Parts map[entity.WorkspaceID]float64 `msgpack:"p,omitempty"`
+	// Grants answers the lack of tokens of that report.
+	Grants []TokenGrant `msgpack:"g,omitempty"`
 }
 
 // Kind implements Message.
 func (*FleetState) Kind() Kind { return KindFleetState }
+
+// TokenGrant is what the coordinator grants a host out of the reserve of a workspace.
+type TokenGrant struct {
+	Workspace entity.WorkspaceID `msgpack:"w"`
+	Tokens    float64            `msgpack:"n"`
+	// Wait is the time until the reserve can cover what was not granted.
+	Wait time.Duration `msgpack:"t,omitempty"`
+}
