--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -40,8 +40,6 @@
 	freshMargin = 700 * time.Millisecond
 	// readyAge is the age of this host's knowledge at which it reports not ready.
 	readyAge = 2500 * time.Millisecond
-	// balancerLag is the time after which a host that is not ready gets no new connections.
-	balancerLag = 2500 * time.Millisecond
 	// exitMargin is how long before the end of the grace period the process ends by itself.
 	exitMargin = 400 * time.Millisecond
 	// stopPoll is the time between two looks at whether the last request has its answer.
@@ -95,7 +93,7 @@
 	if err := h.listen(); err != nil {
 		return nil, err
 	}
-	self := election.Holder{Host: s.Host, Incarnation: h.incarnation, Addr: s.PeerAddr}
+	self := election.Holder{Host: s.Host, Incarnation: h.incarnation, Addr: h.peers.Addr().String()}
 	value, err := json.Marshal(self)
 	if err != nil {
 		return nil, fmt.Errorf("edge: registration: %w", err)
@@ -135,6 +133,15 @@
 	return h, nil
 }
 
+// CallerAddr returns where callers are served.
+func (h *Host) CallerAddr() string { return h.callers.Addr().String() }
+
+// ReadyAddr returns where the balancer asks for readiness.
+func (h *Host) ReadyAddr() string { return h.ready.Addr().String() }
+
+// Coordinates says whether this host has the right to give orders.
+func (h *Host) Coordinates() bool { return h.candidate.Holds() }
+
 func (h *Host) listen() error {
 	s := h.opts.Settings
 	for _, l := range []struct {
@@ -170,7 +177,8 @@
 	if h.stopping.Load() || at.IsZero() || h.front.catalog.Load() == nil {
 		return false
 	}
-	return boottime.Now().Sub(at) < readyAge
+	keyed, _ := h.fresh()
+	return keyed && boottime.Now().Sub(at) < readyAge
 }
 
 // Run serves until ctx ends and then stops gracefully.
@@ -227,7 +235,7 @@
 	h.send(stopRequested{})
 	h.log.Info("Stopping.", "active", h.front.active.Load())
 	for time.Now().Before(end) {
-		if time.Since(began) > balancerLag && h.front.active.Load() == 0 {
+		if time.Since(began) > h.opts.Settings.BalancerLag.Std() && h.front.active.Load() == 0 {
 			break
 		}
 		time.Sleep(stopPoll)
@@ -300,3 +308,6 @@
 	h.log.Debug("Session of a host ended.", "err", err)
 	h.send(hostLost{session: s})
 }
+
+// Active returns the number of requests without a final answer.
+func (h *Host) Active() int64 { return h.front.active.Load() }
--- a/internal/edge/register.go
+++ b/internal/edge/register.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -25,7 +26,8 @@
 	key   string
 	value []byte
 	log   *log.Logger
-	lease kvstore.LeaseID
+	// lease is zero while the host is not registered.
+	lease atomic.Int64
 }
 
 func (r *registrar) run(ctx context.Context) {
@@ -43,12 +45,12 @@
 }
 
 func (r *registrar) keep(ctx context.Context) error {
-	if r.lease != 0 {
-		_, err := r.store.KeepAlive(ctx, r.lease)
+	if id := r.lease.Load(); id != 0 {
+		_, err := r.store.KeepAlive(ctx, kvstore.LeaseID(id))
 		if !errors.Is(err, kvstore.ErrLeaseNotFound) {
 			return err
 		}
-		r.lease = 0
+		r.lease.Store(0)
 	}
 	lease, err := r.store.Grant(ctx, memberTTL)
 	if err != nil {
@@ -57,17 +59,18 @@
 	if _, err := r.store.Txn(ctx, kvstore.Txn{Success: []kvstore.Op{kvstore.PutLeased(r.key, r.value, lease)}}); err != nil {
 		return err
 	}
-	r.lease = lease
+	r.lease.Store(int64(lease))
 	r.log.Info("Host registered.", "lease", lease)
 	return nil
 }
 
 // leave ends the registration.
 func (r *registrar) leave(ctx context.Context) {
-	if r.lease == 0 {
+	id := r.lease.Load()
+	if id == 0 {
 		return
 	}
-	if err := r.store.Revoke(ctx, r.lease); err != nil {
+	if err := r.store.Revoke(ctx, kvstore.LeaseID(id)); err != nil {
 		r.log.Warn("Registration not ended.", "err", err)
 	}
 }
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -26,6 +26,9 @@
 	Bounds Bounds `json:"bounds"`
 	// MemoryMB bounds the process; the runtime collects garbage more often near it.
 	MemoryMB int64 `json:"memory_mb" default:"256" validate:"min=32"`
+	// BalancerLag is the time after which a host that is not ready gets no new connections; a
+	// stopping host serves them for so long. The balancer asks once a second and needs two misses.
+	BalancerLag settings.Duration `json:"balancer_lag" default:"\"2500ms\""`
 	// Log is the level of the log.
 	Log LogSettings `json:"log"`
 }
