--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -54,7 +54,7 @@
 	prefix   string
 	log      *log.Logger
 	send     func(event)
-	observe  func(holder *election.Holder, revision, term int64, rank int)
+	observe  func(election.Observation)
 	self     entity.HostID
 	publish  func(*catalog.Catalog)
 
@@ -69,9 +69,7 @@
 	rows     map[entity.UpstreamID]bool
 	missing  map[entity.UpstreamID]time.Time
 	members  map[entity.HostID]bool
-	holder   *election.Holder
-	holderAt int64
-	termAt   int64
+	election election.Observation
 	version  int64
 	changed  bool
 }
@@ -108,7 +106,7 @@
 }
 
 func (w *watcher) pause() time.Duration {
-	if w.holder == nil || w.searching.Load() {
+	if w.election.Holder == nil || w.searching.Load() {
 		return searchPause
 	}
 	return pollPause
@@ -173,7 +171,7 @@
 			events = append(events, kvstore.Event{Deleted: true, Pair: kvstore.Pair{Key: key}})
 		}
 	}
-	if key := w.prefix + election.HolderKey; w.holder != nil && !present[key] {
+	if key := w.prefix + election.HolderKey; w.election.Holder != nil && !present[key] {
 		events = append(events, kvstore.Event{Deleted: true, Pair: kvstore.Pair{Key: key}})
 	}
 	w.apply(events)
@@ -199,7 +197,7 @@
 			holder = true
 			w.applyHolder(e)
 		case key == w.prefix+election.TermKey && !e.Deleted:
-			w.termAt = e.Pair.ModRevision
+			w.applyTerm(e)
 		}
 	}
 	if len(ups.put)+len(ups.removed) > 0 {
@@ -210,9 +208,10 @@
 	}
 	if holder || !w.changed {
 		w.changed = true
-		w.send(holderChanged{holder: w.holder})
+		w.send(holderChanged{holder: w.election.Holder})
 	}
-	w.observe(w.holder, w.holderAt, w.termAt, w.rank())
+	w.election.Rank = w.rank()
+	w.observe(w.election)
 }
 
 func (w *watcher) applyConfig(e kvstore.Event) {
@@ -297,16 +296,30 @@
 }
 
 func (w *watcher) applyHolder(e kvstore.Event) {
-	w.holder, w.holderAt = nil, 0
+	w.election.Holder, w.election.Revision = nil, 0
 	if e.Deleted {
 		return
 	}
+	if h, ok := w.decodeHolder(e.Pair); ok {
+		w.election.Holder, w.election.Revision = h, e.Pair.ModRevision
+	}
+}
+
+func (w *watcher) applyTerm(e kvstore.Event) {
+	w.election.LastRevision = e.Pair.ModRevision
+	w.election.Last = ""
+	if h, ok := w.decodeHolder(e.Pair); ok {
+		w.election.Last = h.Host
+	}
+}
+
+func (w *watcher) decodeHolder(p kvstore.Pair) (*election.Holder, bool) {
 	var h election.Holder
-	if err := json.Unmarshal(e.Pair.Value, &h); err != nil {
-		w.log.Error("Holder of the right to give orders cannot be read.", "err", err)
-		return
+	if err := json.Unmarshal(p.Value, &h); err != nil {
+		w.log.Error("Holder of the right to give orders cannot be read.", "key", p.Key, "err", err)
+		return nil, false
 	}
-	w.holder, w.holderAt = &h, e.Pair.ModRevision
+	return &h, true
 }
 
 func (w *watcher) sortedMembers() []entity.HostID {
@@ -321,10 +334,10 @@
 // rank is this host's place among the candidates. The order differs between terms, so that one
 // unreachable host does not stay first.
 func (w *watcher) rank() int {
-	own := hashHost(w.self, w.termAt)
+	own := hashHost(w.self, w.election.LastRevision)
 	rank := 0
 	for id := range w.members {
-		if id != w.self && hashHost(id, w.termAt) < own {
+		if id != w.self && hashHost(id, w.election.LastRevision) < own {
 			rank++
 		}
 	}
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -77,10 +77,7 @@
 
 	mu       sync.Mutex
 	observed bool
-	holder   *Holder
-	revision int64
-	termRev  int64
-	rank     int
+	seen     Observation
 	stopped  bool
 	// until is when the own right ends; zero without it.
 	until time.Time
@@ -89,16 +86,30 @@
 // New returns a Candidate that does nothing before Observe is called.
 func New(o Options) *Candidate { return &Candidate{opts: o, wake: make(chan struct{}, 1)} }
 
-// Observe takes over what the service holds: the holder, nil if none, with the revision of its
-// key, the revision of the term key, and this host's place among the candidates.
-func (c *Candidate) Observe(holder *Holder, revision, termRevision int64, rank int) {
+// Observation is what the service holds.
+type Observation struct {
+	// Holder is nil when nobody has the right; Revision is that of its key.
+	Holder   *Holder
+	Revision int64
+	// Last is the newest holder, also when it has lost the right, and LastRevision that of the term
+	// key; they are zero when no host ever had the right.
+	Last         entity.HostID
+	LastRevision int64
+	// Rank is this host's place among the candidates.
+	Rank int
+}
+
+// Observe takes over what the service holds.
+func (c *Candidate) Observe(o Observation) {
 	c.mu.Lock()
 	c.observed = true
-	c.holder = holder
-	c.revision = revision
-	c.termRev = termRevision
-	c.rank = rank
+	c.seen = o
 	c.mu.Unlock()
+	c.notify()
+}
+
+// notify ends a wait for news.
+func (c *Candidate) notify() {
 	select {
 	case c.wake <- struct{}{}:
 	default:
@@ -118,46 +129,44 @@
 	c.mu.Lock()
 	c.stopped = true
 	c.mu.Unlock()
-	select {
-	case c.wake <- struct{}{}:
-	default:
-	}
+	c.notify()
 }
 
-// vacancy says whether to campaign, and against which revisions.
-func (c *Candidate) vacancy() (revision, term int64, rank int, own, ok bool) {
+// vacancy returns what to campaign against, and whether to campaign at all.
+func (c *Candidate) vacancy() (Observation, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	o := c.seen
 	if !c.observed || c.stopped {
-		return 0, 0, 0, false, false
+		return o, false
 	}
-	if c.holder == nil {
-		return 0, c.termRev, c.rank, false, true
+	if o.Holder == nil {
+		return o, true
 	}
 	// A former process of this host has ended, so its right can be taken over at once.
-	own = c.holder.Host == c.opts.Self.Host && c.holder.Incarnation != c.opts.Self.Incarnation
-	return c.revision, c.termRev, 0, own, own
+	o.Rank = 0
+	return o, o.Holder.Host == c.opts.Self.Host && o.Holder.Incarnation != c.opts.Self.Incarnation
 }
 
 // Run campaigns until ctx ends.
 func (c *Candidate) Run(ctx context.Context) error {
 	for {
-		revision, term, rank, own, ok := c.vacancy()
+		o, ok := c.vacancy()
 		if !ok {
 			if !c.sleep(ctx, time.Hour, true) {
 				return ctx.Err()
 			}
 			continue
 		}
-		if rank > 0 {
-			if !c.sleep(ctx, time.Duration(rank)*campaignStep, false) {
+		if o.Rank > 0 {
+			if !c.sleep(ctx, time.Duration(o.Rank)*campaignStep, false) {
 				return ctx.Err()
 			}
-			if r, _, _, _, still := c.vacancy(); !still || r != revision {
+			if now, still := c.vacancy(); !still || now.Revision != o.Revision {
 				continue
 			}
 		}
-		if right, lease, sent := c.campaign(ctx, revision, term, own); right != nil {
+		if right, lease, sent := c.campaign(ctx, o); right != nil {
 			c.hold(ctx, *right, lease, sent)
 		}
 		if !c.sleep(ctx, retryPause, false) {
@@ -184,7 +193,7 @@
 }
 
 // campaign tries to win the right once. sent is the time from which the lease counts.
-func (c *Candidate) campaign(ctx context.Context, revision, term int64, own bool) (*Right, kvstore.LeaseID, time.Time) {
+func (c *Candidate) campaign(ctx context.Context, o Observation) (*Right, kvstore.LeaseID, time.Time) {
 	sent := c.opts.Now()
 	cctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -199,8 +208,8 @@
 	}
 	res, err := c.opts.KV.Txn(cctx, kvstore.Txn{
 		Compares: []kvstore.Compare{
-			kvstore.Unchanged(c.opts.Prefix+HolderKey, revision),
-			kvstore.Unchanged(c.opts.Prefix+TermKey, term),
+			kvstore.Unchanged(c.opts.Prefix+HolderKey, o.Revision),
+			kvstore.Unchanged(c.opts.Prefix+TermKey, o.LastRevision),
 		},
 		Success: []kvstore.Op{
 			kvstore.PutLeased(c.opts.Prefix+HolderKey, value, lease),
@@ -218,7 +227,7 @@
 		return nil, 0, sent
 	}
 	from := c.opts.Now()
-	if term > 0 && !own {
+	if o.LastRevision > 0 && o.Last != c.opts.Self.Host {
 		from = from.Add(c.opts.Gap)
 	}
 	return &Right{Token: token, From: from}, lease, sent
--- /dev/null
+++ b/internal/election/election_test.go
@@ -0,0 +1,255 @@
+package election
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
+	"github.com/foxtailpass/foxtailpass/internal/standin/kv"
+)
+
+const testGap = 3 * time.Second
+
+// testNode is a candidate with a view of the service, a network that can be cut, and a clock that
+// can be ahead of its timers, as after a suspension.
+type testNode struct {
+	*Candidate
+	cut    atomic.Bool
+	ahead  atomic.Int64
+	mu     sync.Mutex
+	rights []Right
+}
+
+// cutKV fails the calls of a node that is cut off.
+type cutKV struct {
+	*kv.Store
+	node *testNode
+}
+
+func (c cutKV) fail() error {
+	if c.node.cut.Load() {
+		return kvstore.ErrUnavailable
+	}
+	return nil
+}
+
+func (c cutKV) Grant(ctx context.Context, ttl time.Duration) (kvstore.LeaseID, error) {
+	if err := c.fail(); err != nil {
+		return 0, err
+	}
+	return c.Store.Grant(ctx, ttl)
+}
+
+func (c cutKV) KeepAlive(ctx context.Context, id kvstore.LeaseID) (time.Duration, error) {
+	if err := c.fail(); err != nil {
+		return 0, err
+	}
+	return c.Store.KeepAlive(ctx, id)
+}
+
+func (c cutKV) Txn(ctx context.Context, t kvstore.Txn) (kvstore.TxnResult, error) {
+	if err := c.fail(); err != nil {
+		return kvstore.TxnResult{}, err
+	}
+	return c.Store.Txn(ctx, t)
+}
+
+func newTestNode(ctx context.Context, store *kv.Store, host entity.HostID, incarnation entity.Incarnation, rank int) *testNode {
+	n := &testNode{}
+	n.Candidate = New(Options{
+		KV:   cutKV{Store: store, node: n},
+		Self: Holder{Host: host, Incarnation: incarnation, Addr: string(host)},
+		Gap:  testGap,
+		Now:  func() time.Time { return time.Now().Add(time.Duration(n.ahead.Load())) },
+		OnChange: func(r *Right) {
+			if r != nil {
+				n.mu.Lock()
+				n.rights = append(n.rights, *r)
+				n.mu.Unlock()
+			}
+		},
+		Log: log.New(io.Discard),
+	})
+	go func() { _ = n.Run(ctx) }()
+	go n.poll(ctx, store, rank)
+	return n
+}
+
+// poll tells the candidate what the service holds, as the watcher of a host does.
+func (n *testNode) poll(ctx context.Context, store *kv.Store, rank int) {
+	for ctx.Err() == nil {
+		time.Sleep(500 * time.Millisecond)
+		if n.cut.Load() {
+			continue
+		}
+		o := Observation{Rank: rank}
+		if p, _, err := store.Get(ctx, HolderKey); err == nil && p != nil {
+			o.Holder, o.Revision = decodeHolder(p), p.ModRevision
+		}
+		if p, _, err := store.Get(ctx, TermKey); err == nil && p != nil {
+			o.Last, o.LastRevision = decodeHolder(p).Host, p.ModRevision
+		}
+		n.Observe(o)
+	}
+}
+
+func decodeHolder(p *kvstore.Pair) *Holder {
+	var h Holder
+	if err := json.Unmarshal(p.Value, &h); err != nil {
+		panic(err)
+	}
+	return &h
+}
+
+func (n *testNode) right(i int) Right {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if i >= len(n.rights) {
+		return Right{}
+	}
+	return n.rights[i]
+}
+
+func run(t *testing.T, f func(ctx context.Context, store *kv.Store)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := kv.NewStore(kv.Options{})
+		go store.Run(ctx)
+		f(ctx, store)
+		cancel()
+		time.Sleep(5 * time.Second)
+	})
+}
+
+// Guards against two holders at once, and against a successor that gives orders too early, when a
+// holder is cut off from the service and comes back.
+func TestSuccessionAfterACut(t *testing.T) {
+	run(t, func(ctx context.Context, store *kv.Store) {
+		a := newTestNode(ctx, store, "a", "1", 0)
+		b := newTestNode(ctx, store, "b", "1", 1)
+		time.Sleep(2 * time.Second)
+		if !a.Holds() || b.Holds() {
+			t.Fatalf("a holds %v, b holds %v", a.Holds(), b.Holds())
+		}
+		if r := a.right(0); r.From.After(time.Now()) {
+			t.Errorf("the first holder ever waits until %v", r.From)
+		}
+		a.cut.Store(true)
+		var lastA, firstB time.Time
+		for range 1000 {
+			time.Sleep(10 * time.Millisecond)
+			if a.Holds() {
+				lastA = time.Now()
+			}
+			if a.Holds() && b.Holds() {
+				t.Fatal("two holders at once")
+			}
+			if b.Holds() && firstB.IsZero() {
+				firstB = b.right(0).From
+			}
+		}
+		if firstB.IsZero() {
+			t.Fatal("nobody succeeded")
+		}
+		if gap := firstB.Sub(lastA); gap < testGap {
+			t.Errorf("the successor may give orders %v after the last possible one", gap)
+		}
+		if a.right(0).Token >= b.right(0).Token {
+			t.Errorf("token %d after %d", b.right(0).Token, a.right(0).Token)
+		}
+		a.cut.Store(false)
+		time.Sleep(3 * time.Second)
+		if a.Holds() {
+			t.Error("the former holder holds again beside its successor")
+		}
+	})
+}
+
+// Guards against a holder that was suspended: its timers did not run, and its right must have
+// ended when it wakes, before any timer fires.
+func TestSuspendedHolderHasLostItsRight(t *testing.T) {
+	run(t, func(ctx context.Context, store *kv.Store) {
+		a := newTestNode(ctx, store, "a", "1", 0)
+		time.Sleep(2 * time.Second)
+		if !a.Holds() {
+			t.Fatal("nobody holds the right")
+		}
+		a.ahead.Store(int64(leaseTTL))
+		if a.Holds() {
+			t.Error("the right outlasted the suspension")
+		}
+	})
+}
+
+// Guards against a pause for orders when only the process of the holder was replaced: the former
+// process of the same host cannot give orders any more.
+func TestNewProcessOfTheHolderTakesOver(t *testing.T) {
+	run(t, func(ctx context.Context, store *kv.Store) {
+		first, kill := context.WithCancel(ctx)
+		a := newTestNode(first, store, "a", "1", 0)
+		time.Sleep(2 * time.Second)
+		a.cut.Store(true)
+		kill()
+		again := newTestNode(ctx, store, "a", "2", 0)
+		time.Sleep(1200 * time.Millisecond)
+		if !again.Holds() || again.right(0).From.After(time.Now()) {
+			t.Errorf("holds %v, from %v", again.Holds(), again.right(0).From)
+		}
+	})
+}
+
+// Guards against a right that is kept through a stop, so that the others wait for the lease.
+func TestStopGivesTheRightBack(t *testing.T) {
+	run(t, func(ctx context.Context, store *kv.Store) {
+		a := newTestNode(ctx, store, "a", "1", 0)
+		time.Sleep(2 * time.Second)
+		a.Stop()
+		time.Sleep(time.Second)
+		if p, _, err := store.Get(ctx, HolderKey); err != nil || p != nil {
+			t.Errorf("holder after the stop: %+v, %v", p, err)
+		}
+		time.Sleep(3 * time.Second)
+		if a.Holds() {
+			t.Error("a stopped host campaigned again")
+		}
+	})
+}
+
+// lossyKV carries out the next transaction and loses its answer.
+type lossyKV struct {
+	*kv.Store
+	lose atomic.Bool
+}
+
+func (l *lossyKV) Txn(ctx context.Context, t kvstore.Txn) (kvstore.TxnResult, error) {
+	res, err := l.Store.Txn(ctx, t)
+	if l.lose.CompareAndSwap(true, false) {
+		return kvstore.TxnResult{}, errors.Join(kvstore.ErrUnknown, err)
+	}
+	return res, err
+}
+
+// Guards against a right that nobody uses because the answer to its write was lost.
+func TestLostAnswerIsReadBack(t *testing.T) {
+	run(t, func(ctx context.Context, store *kv.Store) {
+		l := &lossyKV{Store: store}
+		l.lose.Store(true)
+		c := New(Options{KV: l, Self: Holder{Host: "a", Incarnation: "1"}, Gap: testGap, Now: time.Now, OnChange: func(*Right) {}, Log: log.New(io.Discard)})
+		go func() { _ = c.Run(ctx) }()
+		c.Observe(Observation{})
+		time.Sleep(300 * time.Millisecond)
+		if !c.Holds() {
+			t.Error("the right was won and is not used")
+		}
+	})
+}
