--- a/cmd/foxtailedge/main.go
+++ b/cmd/foxtailedge/main.go
@@ -14,12 +14,15 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/urfave/cli/v3"
 	"go.uber.org/dig"
 
 	"github.com/foxtailpass/foxtailpass/internal/edge"
+	"github.com/foxtailpass/foxtailpass/internal/logsink"
+	"github.com/foxtailpass/foxtailpass/internal/metrics"
 	"github.com/foxtailpass/foxtailpass/internal/settings"
 	"github.com/foxtailpass/foxtailpass/platform"
 )
@@ -40,6 +43,9 @@
 // gcPercent keeps the heap small: the platform bills peak memory, and the live heap is a few MB.
 const gcPercent = 60
 
+// logFlush bounds the writing of the last log lines at the end of the process.
+const logFlush = 200 * time.Millisecond
+
 func main() {
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
@@ -96,7 +102,8 @@
 			return fmt.Errorf("wiring: %w", err)
 		}
 	}
-	return dig.RootCause(c.Invoke(func(h *edge.Host, l *log.Logger) error {
+	return dig.RootCause(c.Invoke(func(h *edge.Host, l *log.Logger, sink *logsink.Sink) error {
+		defer sink.Close(logFlush)
 		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 		defer stop()
 		go reload(ctx, path, l)
@@ -106,11 +113,13 @@
 
 func providers(s edge.Settings, stdout io.Writer) []any {
 	return []any{
-		func() (*log.Logger, error) { return edge.NewLogger(stdout, s.Log) },
+		func() *logsink.Sink { return logsink.New(stdout) },
+		func(sink *logsink.Sink) (*log.Logger, error) { return edge.NewLogger(sink, s.Log) },
+		metrics.New,
 		func() edge.Store { return platform.NewStore(s.Store.Addr, s.Store.Timeout.Std()) },
 		func() edge.Protocol { return platform.New() },
-		func(l *log.Logger, st edge.Store, p edge.Protocol) (*edge.Host, error) {
-			return edge.New(edge.Options{Settings: s, Store: st, Protocol: p, Log: l, Version: version})
+		func(l *log.Logger, sink *logsink.Sink, m *metrics.Metrics, st edge.Store, p edge.Protocol) (*edge.Host, error) {
+			return edge.New(edge.Options{Settings: s, Store: st, Protocol: p, Metrics: m, Log: l, LogDropped: sink.Dropped, Version: version})
 		},
 	}
 }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -79,9 +79,15 @@
 	Upstream *Target
 	// Attempt counts from 1.
 	Attempt int
+	// Load is the estimated number of requests of all hosts at the upstream, before this one, and
+	// OthersAge how old the word on the other hosts is.
+	Load      float64
+	OthersAge time.Duration
 	// Refusal is set for a final answer.
 	Refusal *entity.Refusal
 	Reason  Reason
+	// ReadyIn is the estimate that a refusal went by, zero if none.
+	ReadyIn time.Duration
 }
 
 // Result tells how an attempt ended.
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -224,7 +224,11 @@
 func (s *Scheduler) refuse(r *Request, reason Reason, retryAfter time.Duration) {
 	s.unwait(r)
 	delete(s.requests, r.ID)
-	s.out = append(s.out, Decision{Request: r, Reason: reason, Refusal: refusal(r, reason, retryAfter)})
+	d := Decision{Request: r, Reason: reason, Refusal: refusal(r, reason, retryAfter)}
+	if reason == ReasonNotReady {
+		d.ReadyIn = retryAfter
+	}
+	s.out = append(s.out, d)
 }
 
 // refusal returns the final answer: a promise that the request never ran and when to come back,
@@ -293,6 +297,10 @@
 }
 
 func (s *Scheduler) dispatch(r *Request, t *target, now time.Time) {
+	d := Decision{Request: r, Upstream: &t.Target, Attempt: r.sent + 1, Load: t.load(now)}
+	if !t.othersAt.IsZero() {
+		d.OthersAge = now.Sub(t.othersAt)
+	}
 	s.unwait(r)
 	r.running = true
 	r.target = t
@@ -301,7 +309,7 @@
 	t.inflight++
 	t.byPool[r.Pool]++
 	s.remember(r.Affinity, t.ID)
-	s.out = append(s.out, Decision{Request: r, Upstream: &t.Target, Attempt: r.sent})
+	s.out = append(s.out, d)
 }
 
 func (s *Scheduler) remember(part string, id entity.UpstreamID) {
@@ -417,6 +425,37 @@
 	return s.take()
 }
 
+// Queued describes where a waiting request stands.
+type Queued struct {
+	// Holders is the number of upstreams that serve its pool, Waiting that of the pool's requests.
+	Holders int
+	Waiting int
+	ReadyIn time.Duration
+	// Estimated says that ReadyIn is known.
+	Estimated bool
+}
+
+// Queued returns where a waiting request stands, and false when it does not wait.
+func (s *Scheduler) Queued(id entity.RequestID, now time.Time) (Queued, bool) {
+	r := s.requests[id]
+	if r == nil || r.running {
+		return Queued{}, false
+	}
+	var q Queued
+	for _, t := range s.byService[r.Pool.Service] {
+		if t.serves(r.Pool, now) {
+			q.Holders++
+		}
+	}
+	if waiting := s.queues[r.Pool]; waiting != nil {
+		q.Waiting = len(waiting.waiting)
+	}
+	if q.Holders == 0 {
+		q.ReadyIn, q.Estimated = s.readyIn(r.Pool, now)
+	}
+	return q, true
+}
+
 // Running is the number of this host's requests of one model at one upstream.
 type Running struct {
 	Upstream entity.UpstreamID
@@ -451,3 +490,12 @@
 	}
 	return out
 }
+
+// Budgets returns the retries that are left by service, as of the last request.
+func (s *Scheduler) Budgets() map[catalog.ServiceID]float64 {
+	out := make(map[catalog.ServiceID]float64, len(s.budgets))
+	for id, b := range s.budgets {
+		out[id] = b.level
+	}
+	return out
+}
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -39,6 +39,8 @@
 	Draining bool
 	// Held lists the models that are ready with their ready adapters.
 	Held map[entity.ModelID][]entity.AdapterID
+	// Source says who told what the target holds, for logs.
+	Source string
 }
 
 func (t *Target) holds(p Pool) bool {
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"strings"
 	"time"
 
@@ -84,8 +85,10 @@
 	case s.route.Repeatable():
 		o.HeadTimeout = firstEventLimit
 	}
-	s.front.log.Debug("Sent.", "request", s.ask.ID, "attempt", st.attempt, "upstream", st.target.ID, "left", left,
-		"model", s.request.Pool.Model, "adapter", s.request.Pool.Adapter, "last_event", lastEvent)
+	s.front.log.Info("Sent.", "request", s.ask.ID, "attempt", st.attempt, "upstream", st.target.ID, "after", boottime.Now().Sub(s.arrived),
+		"left", left, "route", s.route.Name, "workspace", s.request.Workspace, "model", s.request.Pool.Model, "adapter", s.request.Pool.Adapter,
+		"load", math.Round(st.seen.load*10)/10, "others_age", st.seen.othersAge, "source", st.target.Source, "config", st.seen.version,
+		"view_age", s.front.viewAge(), "last_event", lastEvent)
 	return s.front.upstreams.Exchange(ctx, o)
 }
 
@@ -108,7 +111,7 @@
 	case v.NotRun:
 		res.Outcome = entity.AttemptNotRun
 		res.Status = 0
-		res.Absent = v.Misdirected || status == fasthttp.StatusServiceUnavailable && s.request.Pool.Model != "" && s.loading(ex)
+		res.Absent = v.Misdirected
 		res.Full = !res.Absent
 		return res, true
 	case status >= fasthttp.StatusInternalServerError && s.route.Repeatable() && s.attempt < s.route.MaxAttempts:
@@ -121,10 +124,6 @@
 	return res, false
 }
 
-// loading says whether an engine turned the request away for an order under way. The answer does
-// not tell it apart from a full engine, so it counts as full.
-func (s *session) loading(*upstream.Exchange) bool { return false }
-
 // failedResult types an exchange without an answer.
 func failedResult(err error) dispatch.Result {
 	res := dispatch.Result{Outcome: entity.AttemptUnknown, Broken: true}
@@ -149,7 +148,7 @@
 	fields := append([]any{"request", s.ask.ID, "attempt", st.attempt, "upstream", st.target.ID, "outcome", res.Outcome,
 		"unreachable", res.Unreachable, "silent", res.Silent, "absent", res.Absent, "after", boottime.Now().Sub(began), "err", err}, more...)
 	s.front.log.Info("Attempt failed.", fields...)
-	s.front.metrics.attempts[res.Outcome].Add(1)
+	s.front.metrics.Attempt(res.Outcome.String())
 	if !s.allowed() && res.Outcome == entity.AttemptNotRun {
 		s.front.send(callerGone{id: s.request.ID})
 		s.refuse(*staleRefusal())
@@ -172,8 +171,8 @@
 	s.ctx.Response.SetBody(body)
 	ex.Close()
 	took := boottime.Now().Sub(began)
-	s.front.metrics.answered(status, boottime.Now().Sub(s.arrived))
-	s.front.log.Debug("Answered.", "request", s.ask.ID, "status", status, "upstream", st.target.ID, "after", boottime.Now().Sub(s.arrived))
+	s.front.metrics.Request(s.route.Name, status, "", boottime.Now().Sub(s.arrived))
+	s.front.log.Info("Answered.", "request", s.ask.ID, "status", status, "upstream", st.target.ID, "after", boottime.Now().Sub(s.arrived))
 	s.front.send(attemptEnded{result: dispatch.Result{Request: s.request.ID, Outcome: entity.Completed, Status: status, FirstAfter: took}})
 	s.end()
 	return true
--- a/internal/edge/coordination.go
+++ b/internal/edge/coordination.go
@@ -237,6 +237,7 @@
 func (c *core) orderAnswered(e orderAnswered, now time.Time) {
 	c.log.Info("Order answered.", "upstream", e.order.Upstream.ID, "action", e.order.Action, "model", e.order.Model,
 		"adapter", e.order.Adapter, "expected", e.order.Expected, "answer", e.answer, "took", e.took)
+	c.orders[orderKey{action: e.order.Action, answer: e.answer}]++
 	if c.lead != nil {
 		c.run(c.lead.swapper.HandleAnswer(e.order.ID, e.answer, now))
 	}
--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -64,11 +64,19 @@
 	// arrivals counts requests since the last report to the coordinator.
 	arrivals map[dispatch.Pool]int
 	reporter reporter
+	// orders counts the orders that this process gave.
+	orders map[orderKey]int64
 
 	// lead is set while this host is the coordinator.
 	lead *lead
 }
 
+// orderKey labels counted orders.
+type orderKey struct {
+	action swap.Action
+	answer swap.Answer
+}
+
 type readyEstimate struct{ at time.Time }
 
 func newCore(self entity.HostID, domain string, b Bounds, l *log.Logger, e effects) *core {
@@ -84,6 +92,7 @@
 		states:    make(map[entity.UpstreamID]wire.UpstreamState),
 		estimates: make(map[dispatch.Pool]readyEstimate),
 		arrivals:  make(map[dispatch.Pool]int),
+		orders:    make(map[orderKey]int64),
 	}
 	hosts := float64(max(b.Hosts, 1))
 	c.scheduler = dispatch.New(dispatch.Options{
@@ -189,16 +198,34 @@
 			if d.Refusal.Ran == entity.NotRun {
 				c.limiter.Refund(r.Workspace, r.Tokens, now)
 			}
-			c.finish(r, step{refusal: d.Refusal, reason: d.Reason})
+			c.finish(r, step{refusal: d.Refusal, reason: d.Reason, seen: c.seen(d)})
 			continue
 		}
 		if t := c.tickets[r.ID]; t != nil {
 			target := *d.Upstream
-			t.steps <- step{target: &target, attempt: d.Attempt}
+			t.steps <- step{target: &target, attempt: d.Attempt, seen: c.seen(d)}
 		}
 	}
 }
 
+// seen returns what a decision went by.
+func (c *core) seen(d dispatch.Decision) seen {
+	s := seen{load: d.Load, othersAge: d.OthersAge, readyIn: d.ReadyIn}
+	if c.catalog != nil {
+		s.version = c.catalog.Version
+	}
+	return s
+}
+
+// enqueue queues an admitted request and logs why it waits.
+func (c *core) enqueue(r *dispatch.Request, now time.Time) {
+	c.carryOut(c.scheduler.Enqueue(r, now), now)
+	if q, waits := c.scheduler.Queued(r.ID, now); waits {
+		c.log.Info("Queued.", "request", r.ID, "model", r.Pool.Model, "adapter", r.Pool.Adapter, "holders", q.Holders,
+			"waiting", q.Waiting, "ready_in", q.ReadyIn, "estimated", q.Estimated, "coordinated", c.link != nil || c.lead != nil)
+	}
+}
+
 func (c *core) attemptEnded(res dispatch.Result, now time.Time) {
 	decisions := c.scheduler.AttemptEnded(res, now)
 	if res.Outcome == entity.Completed || res.Outcome == entity.Canceled {
@@ -283,8 +310,10 @@
 		Draining: u.Draining,
 		Held:     make(map[entity.ModelID][]entity.AdapterID),
 	}
+	t.Source = "list"
 	state, told := c.states[id]
 	if told && state.BornMillis == u.BornMillis && c.linkCounts(now) {
+		t.Source = "coordinator"
 		for _, h := range state.Held {
 			t.Held[h.Model] = h.Adapters
 		}
--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -111,6 +111,17 @@
 	attempt int
 	refusal *entity.Refusal
 	reason  dispatch.Reason
+	// seen is what the decision went by, for the log.
+	seen seen
+}
+
+// seen is the knowledge that a decision went by.
+type seen struct {
+	load      float64
+	othersAge time.Duration
+	readyIn   time.Duration
+	// version is the configuration in force.
+	version int64
 }
 
 // ticket connects the goroutine of a request with the control state.
--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -14,6 +14,7 @@
 	"github.com/foxtailpass/foxtailpass/internal/catalog"
 	"github.com/foxtailpass/foxtailpass/internal/dispatch"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/metrics"
 	"github.com/foxtailpass/foxtailpass/internal/upstream"
 )
 
@@ -37,12 +38,16 @@
 	startingRetryAfter = 400 * time.Millisecond
 )
 
+// statusCallerGone is the label of requests whose caller left before their answer.
+const statusCallerGone = 499
+
 // front serves callers.
 type front struct {
 	protocol  Protocol
 	upstreams *upstream.Client
 	send      func(event)
 	fresh     func() (keyed, known bool)
+	viewAge   func() time.Duration
 	log       *log.Logger
 	catalog   atomic.Pointer[catalog.Catalog]
 	server    *fasthttp.Server
@@ -50,7 +55,7 @@
 	// stopping is the boot time in nanoseconds at which the stop began, zero before.
 	stopping atomic.Int64
 	grace    time.Duration
-	metrics  *counters
+	metrics  *metrics.Metrics
 }
 
 func newFront(f *front) *front {
@@ -105,6 +110,8 @@
 	cancel    context.CancelFunc
 	stopWatch func()
 	attempt   int
+	// seen is what the decision to refuse went by.
+	seen seen
 }
 
 func (f *front) newSession(ctx *fasthttp.RequestCtx) *session {
@@ -245,6 +252,7 @@
 		select {
 		case st := <-s.ticket.steps:
 			if st.refusal != nil {
+				s.seen = st.seen
 				s.refuse(*st.refusal)
 				s.end()
 				return
@@ -262,7 +270,7 @@
 // leave ends the session of a caller that has closed its connection.
 func (s *session) leave() {
 	s.front.log.Info("Caller left.", "request", s.request.ID, "after", boottime.Now().Sub(s.arrived), "attempt", s.attempt)
-	s.front.metrics.left.Add(1)
+	s.front.metrics.Request(s.route.Name, statusCallerGone, "caller_left", boottime.Now().Sub(s.arrived))
 	s.front.send(callerGone{id: s.request.ID})
 	s.ctx.SetConnectionClose()
 	s.end()
@@ -271,9 +279,9 @@
 // refuse writes a final answer of this host's own.
 func (s *session) refuse(r entity.Refusal) {
 	f := s.front
-	f.metrics.refused(r.Code)
+	f.metrics.Request(routeName(s.route), r.Status, r.Code, boottime.Now().Sub(s.arrived))
 	f.log.Info("Refused.", "request", s.ask.ID, "status", r.Status, "reason", r.Code, "ran", r.Ran, "retry_after", r.RetryAfter,
-		"after", boottime.Now().Sub(s.arrived), "attempts", s.attempt, "route", routeName(s.route), "workspace", s.workspace(), "tokens", s.ask.PromptTokens+s.ask.OutputTokens, "model", s.ask.Model, "adapter", s.ask.Adapter)
+		"after", boottime.Now().Sub(s.arrived), "attempts", s.attempt, "route", routeName(s.route), "workspace", s.workspace(), "tokens", s.ask.PromptTokens+s.ask.OutputTokens, "ready_in", s.seen.readyIn, "config", f.version(), "view_age", f.viewAge(), "model", s.ask.Model, "adapter", s.ask.Adapter)
 	resp := &s.ctx.Response
 	resp.SetStatusCode(r.Status)
 	resp.Header.SetContentType("application/json")
@@ -290,6 +298,14 @@
 	return r.Name
 }
 
+// version returns the configuration in force, zero before there is one.
+func (f *front) version() int64 {
+	if c := f.catalog.Load(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
 // workspace returns the workspace of the request, empty before its key was checked.
 func (s *session) workspace() entity.WorkspaceID {
 	if s.request == nil {
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -23,6 +23,7 @@
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/fleet"
 	"github.com/foxtailpass/foxtailpass/internal/kvstore"
+	"github.com/foxtailpass/foxtailpass/internal/metrics"
 	"github.com/foxtailpass/foxtailpass/internal/peer"
 	"github.com/foxtailpass/foxtailpass/internal/swap"
 	"github.com/foxtailpass/foxtailpass/internal/upstream"
@@ -52,6 +53,8 @@
 type Store interface {
 	kvstore.KV
 	kvstore.Poller
+	// Counts returns the calls made, by kind.
+	Counts() map[string]int64
 }
 
 // Options configures a Host.
@@ -59,8 +62,11 @@
 	Settings Settings
 	Store    Store
 	Protocol Protocol
+	Metrics  *metrics.Metrics
 	Log      *log.Logger
-	Version  string
+	// LogDropped returns the number of log lines that were dropped. May be nil.
+	LogDropped func() int64
+	Version    string
 }
 
 // Host is one entry host.
@@ -76,9 +82,11 @@
 	candidate   *election.Candidate
 	dialer      *dialer
 
-	callers, ready, peers net.Listener
-	stopping              atomic.Bool
-	background            context.Context
+	callers, ready, peers, operators net.Listener
+	stopping                         atomic.Bool
+	// ended is closed when the control state has stopped.
+	ended      chan struct{}
+	background context.Context
 }
 
 // New builds a host and opens its listeners.
@@ -89,6 +97,7 @@
 		log:         o.Log.WithPrefix("host"),
 		incarnation: entity.NewIncarnation(),
 		events:      make(chan event, eventQueue),
+		ended:       make(chan struct{}),
 	}
 	if err := h.listen(); err != nil {
 		return nil, err
@@ -117,7 +126,8 @@
 		fresh:     h.fresh,
 		log:       o.Log.WithPrefix("request"),
 		grace:     time.Duration(s.Bounds.GraceSeconds * float64(time.Second)),
-		metrics:   newCounters(),
+		metrics:   o.Metrics,
+		viewAge:   h.viewAge,
 	})
 	h.watcher = &watcher{
 		store:    o.Store,
@@ -130,6 +140,9 @@
 		publish:  func(c *catalog.Catalog) { h.front.catalog.Store(c) },
 	}
 	h.dialer.searching = &h.watcher.searching
+	if err := h.registerMetrics(); err != nil {
+		return nil, err
+	}
 	return h, nil
 }
 
@@ -147,7 +160,7 @@
 	for _, l := range []struct {
 		name, addr string
 		to         *net.Listener
-	}{{"caller", s.CallerAddr, &h.callers}, {"ready", s.ReadyAddr, &h.ready}, {"peer", s.PeerAddr, &h.peers}} {
+	}{{"caller", s.CallerAddr, &h.callers}, {"ready", s.ReadyAddr, &h.ready}, {"peer", s.PeerAddr, &h.peers}, {"operator", s.OperatorAddr, &h.operators}} {
 		ln, err := net.Listen("tcp", l.addr)
 		if err != nil {
 			return fmt.Errorf("edge: %s port: %w", l.name, err)
@@ -157,8 +170,13 @@
 	return nil
 }
 
-// send takes an event to the control state.
-func (h *Host) send(e event) { h.events <- e }
+// send takes an event to the control state, unless that has stopped.
+func (h *Host) send(e event) {
+	select {
+	case h.events <- e:
+	case <-h.ended:
+	}
+}
 
 // fresh says whether requests with keys may be served, and whether the list has been read at all.
 func (h *Host) fresh() (keyed, known bool) {
@@ -171,6 +189,15 @@
 	return !b.FailClosed || boottime.Now().Sub(at) < limit, h.watcher.listed.Load()
 }
 
+// viewAge returns how old this host's knowledge of the key-value service is; -1 before it has any.
+func (h *Host) viewAge() time.Duration {
+	at := h.watcher.freshAt()
+	if at.IsZero() {
+		return -1
+	}
+	return boottime.Now().Sub(at)
+}
+
 // isReady says whether the balancer should send callers here.
 func (h *Host) isReady() bool {
 	at := h.watcher.freshAt()
@@ -189,7 +216,7 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	h.log.Info("Host started.", "host", h.opts.Settings.Host, "incarnation", h.incarnation, "version", h.opts.Version,
-		"callers", h.opts.Settings.CallerAddr, "domain", h.opts.Settings.FailureDomain)
+		"operator", h.opts.Settings.OperatorAddr, "callers", h.opts.Settings.CallerAddr, "domain", h.opts.Settings.FailureDomain)
 	fatal := make(chan error, 4)
 	start := func(f func(context.Context) error) {
 		wg.Go(func() {
@@ -198,13 +225,19 @@
 			}
 		})
 	}
-	start(func(ctx context.Context) error { h.loop(ctx); return nil })
+	start(func(ctx context.Context) error {
+		defer close(h.ended)
+		h.loop(ctx)
+		return nil
+	})
 	start(func(ctx context.Context) error { h.watcher.run(ctx); return nil })
 	start(func(ctx context.Context) error { h.registrar.run(ctx); return nil })
 	start(func(ctx context.Context) error { h.dialer.run(ctx); return nil })
 	start(h.candidate.Run)
 	start(func(context.Context) error { return peer.Accept(h.peers, h.serveHost) })
 	start(func(context.Context) error { return h.front.server.Serve(callerListener{h.callers}) })
+	operator := h.newOperatorServer()
+	start(func(context.Context) error { return operator.Serve(h.operators) })
 	readiness := &fasthttp.Server{Handler: h.answerReady, NoDefaultServerHeader: true, Concurrency: 64, ReadBufferSize: 2048}
 	start(func(context.Context) error { return readiness.Serve(h.ready) })
 	select {
@@ -216,6 +249,7 @@
 	cancel()
 	_ = h.peers.Close()
 	_ = readiness.Shutdown()
+	_ = operator.Shutdown()
 	return nil
 }
 
--- /dev/null
+++ b/internal/edge/operator.go
@@ -0,0 +1,187 @@
+package edge
+
+import (
+	"encoding/json"
+	"runtime"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+	"go.opentelemetry.io/otel/attribute"
+
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/metrics"
+)
+
+// operatorTimeout bounds reading a request on the operator port.
+const operatorTimeout = 5 * time.Second
+
+// Status is the answer of GET /status on the operator port.
+type Status struct {
+	Host          entity.HostID      `json:"host"`
+	Incarnation   entity.Incarnation `json:"incarnation"`
+	Version       string             `json:"version"`
+	Ready         bool               `json:"ready"`
+	Stopping      bool               `json:"stopping"`
+	ConfigVersion int64              `json:"config_version"`
+	// ViewAgeMillis is how old this host's knowledge of the key-value service is; -1 before it has any.
+	ViewAgeMillis int64         `json:"view_age_ms"`
+	Coordinator   entity.HostID `json:"coordinator"`
+	Coordinates   bool          `json:"coordinates"`
+	Active        int64         `json:"active_requests"`
+	Upstreams     int           `json:"upstreams"`
+	Hosts         int           `json:"hosts"`
+}
+
+// newOperatorServer serves metrics and status.
+func (h *Host) newOperatorServer() *fasthttp.Server {
+	r := router.New()
+	r.GET("/metrics", fasthttpadaptor.NewFastHTTPHandler(h.opts.Metrics.Handler()))
+	r.GET("/status", h.serveStatus)
+	return &fasthttp.Server{Handler: r.Handler, NoDefaultServerHeader: true, ReadTimeout: operatorTimeout, ReadBufferSize: 4 << 10}
+}
+
+func (h *Host) serveStatus(ctx *fasthttp.RequestCtx) {
+	b, err := json.Marshal(h.Status())
+	if err != nil {
+		panic("edge: status cannot be encoded: " + err.Error())
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(b)
+}
+
+// Status returns the operators' view of this host.
+func (h *Host) Status() Status {
+	s := Status{
+		Host:          h.opts.Settings.Host,
+		Incarnation:   h.incarnation,
+		Version:       h.opts.Version,
+		Ready:         h.isReady(),
+		Stopping:      h.stopping.Load(),
+		ConfigVersion: h.front.version(),
+		ViewAgeMillis: h.viewAge().Milliseconds(),
+		Coordinates:   h.candidate.Holds(),
+		Active:        h.front.active.Load(),
+	}
+	h.ask(func(c *core) {
+		s.Coordinator = holderName(c.holder)
+		s.Upstreams = len(c.fleet.Rows())
+		s.Hosts = c.limiter.Hosts()
+	})
+	return s
+}
+
+// ask runs a function with the control state and waits for it, unless the host has stopped.
+func (h *Host) ask(run func(c *core)) {
+	q := query{run: func(c *core, _ time.Time) { run(c) }, done: make(chan struct{})}
+	select {
+	case h.events <- q:
+	case <-h.ended:
+		return
+	}
+	select {
+	case <-q.done:
+	case <-h.ended:
+	}
+}
+
+// registerMetrics defines the values that are read when metrics are collected.
+func (h *Host) registerMetrics() error {
+	m := h.opts.Metrics
+	one := func(v func() float64) func() []metrics.Observation {
+		return func() []metrics.Observation { return []metrics.Observation{{Value: v()}} }
+	}
+	gauges := []struct {
+		name, description string
+		read              func() []metrics.Observation
+	}{
+		{"foxtailpass_active_requests", "Requests without a final answer.", one(func() float64 { return float64(h.front.active.Load()) })},
+		{"foxtailpass_ready", "1 when the balancer should send callers here.", one(func() float64 { return asNumber(h.isReady()) })},
+		{"foxtailpass_coordinates", "1 on the host that has the right to give orders.", one(func() float64 { return asNumber(h.candidate.Holds()) })},
+		{"foxtailpass_view_age_seconds", "Age of this host's knowledge of the key-value service.", one(func() float64 { return h.viewAge().Seconds() })},
+		{"foxtailpass_config_version", "Version of the configuration in force.", one(func() float64 { return float64(h.front.version()) })},
+		{"foxtailpass_goroutines", "Goroutines of the process.", one(func() float64 { return float64(runtime.NumGoroutine()) })},
+		{"foxtailpass_heap_bytes", "Heap memory in use.", one(heapBytes)},
+		{"foxtailpass_retry_budget", "Retries that this host may still make, by service.", h.readBudgets},
+		{"foxtailpass_workspace_tokens", "Tokens that this host may admit now, by workspace.", h.readLevels},
+	}
+	counters := []struct {
+		name, description string
+		read              func() []metrics.Observation
+	}{
+		{"foxtailpass_orders", "Orders to engines by action and answer.", h.readOrders},
+		{"foxtailpass_store_calls", "Calls to the key-value service by kind.", h.readStoreCalls},
+		{"foxtailpass_log_lines_dropped", "Log lines that were dropped because nobody read the output.", one(h.logDropped)},
+	}
+	for _, g := range gauges {
+		if err := m.Gauge(g.name, g.description, g.read); err != nil {
+			return err
+		}
+	}
+	for _, c := range counters {
+		if err := m.Counter(c.name, c.description, c.read); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func asNumber(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func heapBytes() float64 {
+	var ms runtime.MemStats
+	runtime.ReadMemStats(&ms)
+	return float64(ms.HeapInuse)
+}
+
+func (h *Host) logDropped() float64 {
+	if h.opts.LogDropped == nil {
+		return 0
+	}
+	return float64(h.opts.LogDropped())
+}
+
+func (h *Host) readBudgets() []metrics.Observation {
+	var out []metrics.Observation
+	h.ask(func(c *core) {
+		for id, level := range c.scheduler.Budgets() {
+			out = append(out, metrics.Observation{Value: level, Attributes: []attribute.KeyValue{attribute.String("service", string(id))}})
+		}
+	})
+	return out
+}
+
+func (h *Host) readLevels() []metrics.Observation {
+	var out []metrics.Observation
+	h.ask(func(c *core) {
+		for id, level := range c.limiter.Levels() {
+			out = append(out, metrics.Observation{Value: level, Attributes: []attribute.KeyValue{attribute.String("workspace", string(id))}})
+		}
+	})
+	return out
+}
+
+func (h *Host) readOrders() []metrics.Observation {
+	var out []metrics.Observation
+	h.ask(func(c *core) {
+		for key, n := range c.orders {
+			out = append(out, metrics.Observation{Value: float64(n), Attributes: []attribute.KeyValue{
+				attribute.String("action", key.action.String()), attribute.String("answer", key.answer.String())}})
+		}
+	})
+	return out
+}
+
+func (h *Host) readStoreCalls() []metrics.Observation {
+	var out []metrics.Observation
+	for kind, n := range h.opts.Store.Counts() {
+		out = append(out, metrics.Observation{Value: float64(n), Attributes: []attribute.KeyValue{attribute.String("kind", kind)}})
+	}
+	return out
+}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -48,8 +48,8 @@
 		ex.Close()
 		return s.attemptFailed(st, e.result(err), err, began)
 	}
-	s.front.metrics.firstEvent(boottime.Now().Sub(s.arrived))
-	s.front.log.Debug("Stream begun.", "request", s.ask.ID, "upstream", st.target.ID, "after", boottime.Now().Sub(s.arrived))
+	s.front.metrics.FirstPart(boottime.Now().Sub(s.arrived))
+	s.front.log.Info("Stream begun.", "request", s.ask.ID, "upstream", st.target.ID, "after", boottime.Now().Sub(s.arrived))
 	s.copyHeader(ex)
 	s.ctx.Response.ImmediateHeaderFlush = true
 	s.ctx.Response.SetBodyStream(e, -1)
@@ -223,7 +223,7 @@
 	}
 	s.front.log.Info("Stream broken.", "request", s.ask.ID, "upstream", e.step.target.ID, "last_event", e.lastID,
 		"after", boottime.Now().Sub(s.arrived), "err", cause)
-	s.front.metrics.attempts[entity.AttemptUnknown].Add(1)
+	s.front.metrics.Attempt(entity.AttemptUnknown.String())
 	s.front.send(attemptEnded{result: e.result(cause)})
 }
 
@@ -235,9 +235,9 @@
 	e.closed = true
 	s := e.session
 	e.ex.Close()
-	s.front.metrics.answered(s.ctx.Response.StatusCode(), boottime.Now().Sub(s.arrived))
+	s.front.metrics.Request(s.route.Name, s.ctx.Response.StatusCode(), "", boottime.Now().Sub(s.arrived))
 	s.front.send(attemptEnded{result: dispatch.Result{Request: s.request.ID, Outcome: entity.Completed}})
-	s.front.log.Debug("Stream ended.", "request", s.ask.ID, "upstream", e.step.target.ID, "after", boottime.Now().Sub(s.arrived))
+	s.front.log.Info("Stream ended.", "request", s.ask.ID, "upstream", e.step.target.ID, "after", boottime.Now().Sub(s.arrived))
 }
 
 // Close implements io.Closer; the HTTP server calls it in every case.
@@ -246,7 +246,7 @@
 	if !e.closed && !e.failed {
 		// The caller has left or takes nothing; closing the connection stops the upstream.
 		s.front.log.Info("Caller left.", "request", s.request.ID, "after", boottime.Now().Sub(s.arrived), "last_event", e.lastID)
-		s.front.metrics.left.Add(1)
+		s.front.metrics.Request(s.route.Name, statusCallerGone, "caller_left", boottime.Now().Sub(s.arrived))
 		s.front.send(callerGone{id: s.request.ID})
 	}
 	if !e.closed {
--- a/internal/edge/tokens.go
+++ b/internal/edge/tokens.go
@@ -31,10 +31,12 @@
 func (c *core) admit(r *dispatch.Request, now time.Time) {
 	lack, wait, ok := c.limiter.Admit(r.Workspace, r.Tokens, now)
 	if ok {
-		c.carryOut(c.scheduler.Enqueue(r, now), now)
+		c.enqueue(r, now)
 		return
 	}
 	p := &parkedRequest{request: r, lack: lack}
+	c.log.Info("Lacks tokens.", "request", r.ID, "workspace", r.Workspace, "tokens", r.Tokens, "lack", lack, "wait", wait,
+		"reserve_wait", c.limiter.ReserveWait(r.Workspace, now), "hosts", c.limiter.Hosts(), "coordinated", c.link != nil || c.lead != nil)
 	if c.link != nil || c.lead != nil {
 		reserve := c.limiter.ReserveWait(r.Workspace, now)
 		if reserve == 0 {
@@ -82,7 +84,7 @@
 	r := p.request
 	lack, wait, ok := c.limiter.Admit(r.Workspace, r.Tokens, now)
 	if ok {
-		c.carryOut(c.scheduler.Enqueue(r, now), now)
+		c.enqueue(r, now)
 		return
 	}
 	p.lack = lack
--- /dev/null
+++ b/internal/logsink/logsink_test.go
@@ -0,0 +1,95 @@
+package logsink
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// slowWriter blocks until it is released.
+type slowWriter struct {
+	mu      sync.Mutex
+	out     bytes.Buffer
+	release chan struct{}
+}
+
+func (w *slowWriter) Write(p []byte) (int, error) {
+	<-w.release
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.out.Write(p)
+}
+
+func (w *slowWriter) String() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.out.String()
+}
+
+// Guards against a program that stands still because nobody reads its output, against a buffer that
+// grows without bound, and against lines that are lost without a word.
+func TestBlockedOutputStopsNothing(t *testing.T) {
+	w := &slowWriter{release: make(chan struct{})}
+	s := New(w)
+	line := []byte(strings.Repeat("x", 999) + "\n")
+	began := time.Now()
+	for range 2000 {
+		if _, err := s.Write(line); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("writing took %v", took)
+	}
+	if s.Dropped() == 0 {
+		t.Error("nothing was dropped")
+	}
+	s.mu.Lock()
+	buffered := len(s.buffer)
+	s.mu.Unlock()
+	if buffered > maxBuffered {
+		t.Errorf("%d bytes wait", buffered)
+	}
+	close(w.release)
+	time.Sleep(2 * flushInterval)
+	_, _ = s.Write([]byte("after\n"))
+	time.Sleep(3 * flushInterval)
+	if out := w.String(); !strings.Contains(out, "Log lines dropped.") || !strings.Contains(out, "after\n") {
+		t.Errorf("the drops were not said: %d bytes", len(out))
+	}
+	s.Close(time.Second)
+}
+
+// Guards against lines that are lost at the end of the program, or mixed into each other.
+func TestCloseWritesWhatWaits(t *testing.T) {
+	var out bytes.Buffer
+	s := New(&out)
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for range 100 {
+				_, _ = s.Write([]byte("one whole line\n"))
+			}
+		})
+	}
+	wg.Wait()
+	s.Close(time.Second)
+	if got := strings.Count(out.String(), "one whole line\n"); got != 800 || out.Len() != 800*15 {
+		t.Errorf("%d whole lines in %d bytes", got, out.Len())
+	}
+	if _, err := s.Write([]byte("late\n")); err != nil || s.Dropped() != 1 {
+		t.Errorf("a line after the end: %v, %d dropped", err, s.Dropped())
+	}
+}
+
+// BenchmarkWrite measures what a line costs the goroutine that writes it.
+func BenchmarkWrite(b *testing.B) {
+	s := New(&bytes.Buffer{})
+	line := []byte(strings.Repeat("x", 250) + "\n")
+	b.ReportAllocs()
+	for range b.N {
+		_, _ = s.Write(line)
+	}
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -157,6 +157,9 @@
 	return l.catalog.Workspace(id)
 }
 
+// Hosts returns the number of hosts among which the fixed parts are divided.
+func (l *Limiter) Hosts() int { return l.hosts }
+
 // Admit charges a request, or says how many tokens it lacks and after which time they will be there
 // without a grant.
 func (l *Limiter) Admit(id entity.WorkspaceID, tokens float64, now time.Time) (lack float64, wait time.Duration, ok bool) {
@@ -207,3 +210,12 @@
 	b.refill(rate, capacity, now)
 	b.level = min(b.level+tokens, max(capacity, b.level))
 }
+
+// Levels returns the tokens that this host may admit by workspace, as of the last request.
+func (l *Limiter) Levels() map[entity.WorkspaceID]float64 {
+	out := make(map[entity.WorkspaceID]float64, len(l.buckets))
+	for id, b := range l.buckets {
+		out[id] = b.level + l.hostOverdraft()
+	}
+	return out
+}
