--- a/cmd/foxtailctl/main.go
+++ b/cmd/foxtailctl/main.go
@@ -166,6 +166,7 @@
 			{Name: "status", Usage: "show the revision in force and what each host reports", Action: a.action(0, a.status)},
 			a.keysCommand(),
 			a.hostsCommand(),
+			a.explainCommand(),
 		},
 	}
 }
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -33,6 +33,8 @@
 	buf    []byte
 	ready  int
 	lastID string
+	// firstAfter is the time from the request's arrival to its first event.
+	firstAfter time.Duration
 	ended  bool
 	// sent says that events have been passed on.
 	sent   bool
@@ -48,8 +50,8 @@
 		ex.Close()
 		return s.attemptFailed(st, e.result(err), err, began)
 	}
-	s.front.metrics.FirstPart(boottime.Now().Sub(s.arrived))
-	s.front.log.Info("Stream begun.", "request", s.ask.ID, "upstream", st.target.ID, "after", boottime.Now().Sub(s.arrived))
+	e.firstAfter = boottime.Now().Sub(s.arrived)
+	s.front.metrics.FirstPart(e.firstAfter)
 	s.copyHeader(ex)
 	s.ctx.Response.ImmediateHeaderFlush = true
 	s.ctx.Response.SetBodyStream(e, -1)
@@ -222,7 +224,7 @@
 		return
 	}
 	s.front.log.Info("Stream broken.", "request", s.ask.ID, "upstream", e.step.target.ID, "last_event", e.lastID,
-		"after", boottime.Now().Sub(s.arrived), "err", cause)
+		"first_after", e.firstAfter, "after", boottime.Now().Sub(s.arrived), "err", cause)
 	s.front.metrics.Attempt(entity.AttemptUnknown.String())
 	s.front.send(attemptEnded{result: e.result(cause)})
 }
@@ -237,7 +239,7 @@
 	e.ex.Close()
 	s.front.metrics.Request(s.route.Name, s.ctx.Response.StatusCode(), "", boottime.Now().Sub(s.arrived))
 	s.front.send(attemptEnded{result: dispatch.Result{Request: s.request.ID, Outcome: entity.Completed}})
-	s.front.log.Info("Stream ended.", "request", s.ask.ID, "upstream", e.step.target.ID, "after", boottime.Now().Sub(s.arrived))
+	s.front.log.Info("Stream ended.", "request", s.ask.ID, "upstream", e.step.target.ID, "last_event", e.lastID, "first_after", e.firstAfter, "after", boottime.Now().Sub(s.arrived))
 }
 
 // Close implements io.Closer; the HTTP server calls it in every case.
@@ -245,7 +247,7 @@
 	s := e.session
 	if !e.closed && !e.failed {
 		// The caller has left or takes nothing; closing the connection stops the upstream.
-		s.front.log.Info("Caller left.", "request", s.request.ID, "after", boottime.Now().Sub(s.arrived), "last_event", e.lastID)
+		s.front.log.Info("Caller left.", "request", s.request.ID, "first_after", e.firstAfter, "after", boottime.Now().Sub(s.arrived), "last_event", e.lastID)
 		s.front.metrics.Request(s.route.Name, statusCallerGone, "caller_left", boottime.Now().Sub(s.arrived))
 		s.front.send(callerGone{id: s.request.ID})
 	}
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,68 @@
+package explain
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+)
+
+// played holds lines that two hosts wrote on a played day.
+func played(t *testing.T) []Line {
+	t.Helper()
+	f, err := os.Open("testdata/played.log")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	lines, err := Read(f, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return lines
+}
+
+// Guards against a story that lacks a decision about the request, mixes in other requests, or is
+// out of order.
+func TestTell(t *testing.T) {
+	s, err := Tell(played(t), "3f1c")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var b strings.Builder
+	if err := s.Write(&b); err != nil {
+		t.Fatal(err)
+	}
+	out := b.String()
+	var at int
+	for _, want := range []string{"Upstream seen.", "* ", "Queued.", "Order answered.", "Sent.", "Attempt failed.", "Refused."} {
+		i := strings.Index(out[at:], want)
+		if i < 0 {
+			t.Fatalf("%q is missing or out of order in:\n%s", want, out)
+		}
+		at += i
+	}
+	if strings.Contains(out, "77aa") || strings.Contains(out, "i-other") {
+		t.Errorf("lines of others are in the story:\n%s", out)
+	}
+}
+
+// Guards against an empty story for a request that no host has seen.
+func TestUnknownRequest(t *testing.T) {
+	if _, err := Tell(played(t), "nobody"); !errors.Is(err, ErrNotFound) {
+		t.Errorf("%v", err)
+	}
+}
+
+// Guards against lines that a collector has prefixed, quoted values, and lines of other formats.
+func TestParse(t *testing.T) {
+	l, ok := Parse(`   3.5 edge-1 time=2026-10-12T10:24:44.0180Z level=warn prefix=view msg="Service \"x\" lost." err="a b" n=3`, "")
+	if !ok || l.Host != "edge-1" || l.Msg != `Service "x" lost.` || l.Get("err") != "a b" || l.Get("n") != "3" || l.Prefix != "view" {
+		t.Errorf("%+v, %v", l, ok)
+	}
+	for _, bad := range []string{"", "panic: x", "time=yesterday msg=x"} {
+		if _, ok := Parse(bad, "h"); ok {
+			t.Errorf("%q was taken", bad)
+		}
+	}
+}
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -15,7 +15,7 @@
 	// maxBuffered bounds the lines that wait to be written.
 	maxBuffered = 256 << 10
 	// flushInterval is the time for which lines are collected into one write.
-	flushInterval = 50 * time.Millisecond
+	flushInterval = 200 * time.Millisecond
 	// reportInterval is the least time between two lines about dropped ones.
 	reportInterval = time.Second
 	// keepBuffer bounds the buffer that is kept between two writes.
