Hosts without a coordinator use their whole share; the right to give orders outlasts a kept lease

A host without a session now uses its whole share after 1.2 s; the coordinator's reserve shrinks 0.8 s after a host's last report. A holder whose lease was only paused renews it after the outage instead of campaigning behind the gap of 3 s.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -86,7 +86,7 @@
 		o.HeadTimeout = firstEventLimit
 	}
 	s.front.log.Info("Sent.", "request", s.ask.ID, "attempt", st.attempt, "upstream", st.target.ID, "after", boottime.Now().Sub(s.arrived),
-		"left", left, "route", s.route.Name, "workspace", s.request.Workspace, "model", s.request.Pool.Model, "adapter", s.request.Pool.Adapter,
+		"left", left, "route", s.route.Name, "workspace", s.request.Workspace, "tokens", s.request.Tokens, "model", s.request.Pool.Model, "adapter", s.request.Pool.Adapter,
 		"load", math.Round(st.seen.load*10)/10, "others_age", st.seen.othersAge, "source", st.target.Source, "config", st.seen.version,
 		"view_age", s.front.viewAge(), "last_event", lastEvent)
 	return s.front.upstreams.Exchange(ctx, o)
--- a/internal/edge/coordination.go
+++ b/internal/edge/coordination.go
@@ -54,6 +54,8 @@
 	// answer is the clock of the report that was not answered yet.
 	answer  int64
 	pending bool
+	// heardAt is when the last report came.
+	heardAt time.Time
 	lack    map[entity.WorkspaceID]float64
 }
 
@@ -87,11 +89,12 @@
 	if right == nil {
 		c.lead = nil
 		c.linkLostAt = now
+		c.limiter.SetCoordinated(c.coordinated(), now)
 		return
 	}
 	c.lead = &lead{
 		right:   *right,
-		swapper: swap.New(right.From),
+		swapper: swap.New(right.From, right.Token),
 		reserve: quota.NewReserve(c.bounds.quotaSlack()),
 		hosts:   make(map[entity.HostID]*hostSession),
 		states:  make(map[entity.UpstreamID]wire.UpstreamState),
@@ -104,6 +107,7 @@
 		c.run(c.lead.swapper.SetUpstream(u, now))
 	}
 	c.reporter = reporter{}
+	c.limiter.SetCoordinated(true, now)
 }
 
 func (c *core) linkChanged(e coordinatorLink, now time.Time) {
@@ -111,12 +115,11 @@
 		c.link = e.session
 		c.reporter = reporter{}
 		clear(c.states)
-		return
-	}
-	if c.link == e.session {
+	} else if c.link == e.session {
 		c.link = nil
 		c.linkLostAt = now
 	}
+	c.limiter.SetCoordinated(c.coordinated(), now)
 }
 
 // report tells the coordinator what this host wants and uses, when there is news.
@@ -204,10 +207,8 @@
 // reportReceived takes over the report of a host as coordinator.
 func (c *core) reportReceived(e reportReceived, now time.Time) {
 	if c.lead == nil {
-		if e.session != nil {
-			// The host believes that this one still coordinates.
-			e.session.Close()
-		}
+		// The host is ahead of this one in knowing who coordinates, or behind; its next report
+		// comes soon.
 		return
 	}
 	l := c.lead
@@ -217,11 +218,25 @@
 		l.hosts[e.report.Host] = h
 	}
 	h.answer = e.report.SentAt
+	h.heardAt = now
 	h.pending = true
 	h.lack = e.report.Lack
+	c.countHosts(now)
+	l.swapper.SetPaused(!c.effects.holds())
 	c.run(l.swapper.HandleHost(*e.report, now))
 }
 
+// countHosts tells the reserve on how many hosts it can count.
+func (c *core) countHosts(now time.Time) {
+	connected := 0
+	for _, h := range c.lead.hosts {
+		if now.Sub(h.heardAt) < quota.ReportTerm {
+			connected++
+		}
+	}
+	c.lead.reserve.SetConnected(connected, c.limiter.Hosts(), now)
+}
+
 // run carries out the commands of the swapper.
 func (c *core) run(commands []swap.Command) {
 	for _, cmd := range commands {
--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -6,6 +6,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/foxtailpass/foxtailpass/internal/boottime"
 	"github.com/foxtailpass/foxtailpass/internal/catalog"
 	"github.com/foxtailpass/foxtailpass/internal/dispatch"
 	"github.com/foxtailpass/foxtailpass/internal/election"
@@ -25,6 +26,8 @@
 	estimateTerm = 2 * time.Second
 	// unknownSwap and unknownLoad are added to the known load times when there is no estimate.
 	unknownSwap = 600 * time.Millisecond
+	// adapterWait is the time for an adapter of a model that is there, with a coordinator.
+	adapterWait = 80 * time.Millisecond
 	unknownLoad = 2 * time.Second
 )
 
@@ -33,6 +36,8 @@
 	order(o swap.Order, token int64)
 	read(u *fleet.Upstream)
 	connect(holder *election.Holder)
+	// holds says whether this host has the right to give orders now.
+	holds() bool
 }
 
 // core is the control state of one host. It belongs to one goroutine.
@@ -86,7 +91,7 @@
 		log:       l,
 		effects:   e,
 		bounds:    b,
-		limiter:   quota.New(b.quotaSlack()),
+		limiter:   quota.New(b.quotaSlack(), boottime.Now()),
 		fleet:     fleet.NewTable(),
 		tickets:   make(map[entity.RequestID]*ticket),
 		states:    make(map[entity.UpstreamID]wire.UpstreamState),
@@ -157,7 +162,9 @@
 	c.unpark(now)
 	c.carryOut(c.scheduler.Tick(now), now)
 	if c.lead != nil {
+		c.lead.swapper.SetPaused(!c.effects.holds())
 		c.run(c.lead.swapper.Tick(now))
+		c.countHosts(now)
 	}
 	c.afterEvent(now)
 }
@@ -222,7 +229,7 @@
 	c.carryOut(c.scheduler.Enqueue(r, now), now)
 	if q, waits := c.scheduler.Queued(r.ID, now); waits {
 		c.log.Info("Queued.", "request", r.ID, "model", r.Pool.Model, "adapter", r.Pool.Adapter, "holders", q.Holders,
-			"waiting", q.Waiting, "ready_in", q.ReadyIn, "estimated", q.Estimated, "coordinated", c.link != nil || c.lead != nil)
+			"waiting", q.Waiting, "ready_in", q.ReadyIn, "estimated", q.Estimated, "coordinated", c.coordinated())
 	}
 }
 
@@ -245,7 +252,21 @@
 	c.carryOut(c.scheduler.Cancel(id, now), now)
 }
 
+// logLimits logs the limits that a configuration changes.
+func (c *core) logLimits(cat *catalog.Catalog) {
+	for id, w := range cat.Workspaces() {
+		var former *catalog.Workspace
+		if c.catalog != nil {
+			former = c.catalog.Workspace(id)
+		}
+		if former == nil || former.Rate != w.Rate || former.Burst != w.Burst {
+			c.log.Info("Limit in force.", "workspace", id, "rate", w.Rate, "burst", w.Burst, "config", cat.Version)
+		}
+	}
+}
+
 func (c *core) catalogChanged(cat *catalog.Catalog, now time.Time) {
+	c.logLimits(cat)
 	c.catalog = cat
 	c.limiter.SetCatalog(cat, now)
 	if c.lead != nil {
@@ -330,6 +351,9 @@
 	return c.link != nil || c.lead != nil || now.Sub(c.linkLostAt) < linkMemory
 }
 
+// coordinated says whether a coordinator can be asked for anything.
+func (c *core) coordinated() bool { return c.link != nil || c.lead != nil }
+
 // readyIn estimates when a pool that no upstream serves will have one.
 func (c *core) readyIn(p dispatch.Pool, now time.Time) (time.Duration, bool) {
 	model := dispatch.Pool{Service: p.Service, Model: p.Model}
@@ -355,6 +379,9 @@
 			continue
 		}
 		for _, h := range u.Models {
+			if h.Model == p.Model && c.coordinated() {
+				return adapterWait, true
+			}
 			if h.Model == p.Model {
 				return unknownSwap, true
 			}
--- a/internal/edge/dialer.go
+++ b/internal/edge/dialer.go
@@ -25,12 +25,13 @@
 	session *peer.Session
 }
 
-// connect names the coordinator, nil for none. A session with another process ends.
+// connect names the coordinator, nil for none. A session with another address ends; one with a former
+// process at the same address has ended by itself.
 func (d *dialer) connect(h *election.Holder) {
 	d.mu.Lock()
-	changed := d.holder == nil || h == nil || *d.holder != *h
+	moved := h == nil || d.holder == nil || d.holder.Addr != h.Addr
 	d.holder = h
-	if changed && d.session != nil {
+	if moved && d.session != nil {
 		d.session.Close()
 	}
 	d.mu.Unlock()
@@ -73,7 +74,7 @@
 		return
 	}
 	d.mu.Lock()
-	current := d.holder != nil && *d.holder == h
+	current := d.holder != nil && d.holder.Addr == h.Addr
 	if current {
 		d.session = s
 	}
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -329,6 +329,9 @@
 	}()
 }
 
+// holds implements effects.
+func (h *Host) holds() bool { return h.candidate.Holds() }
+
 // connect implements effects.
 func (h *Host) connect(holder *election.Holder) { h.dialer.connect(holder) }
 
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -35,7 +35,7 @@
 	lastID string
 	// firstAfter is the time from the request's arrival to its first event.
 	firstAfter time.Duration
-	ended  bool
+	ended      bool
 	// sent says that events have been passed on.
 	sent   bool
 	failed bool
--- a/internal/edge/tokens.go
+++ b/internal/edge/tokens.go
@@ -36,8 +36,8 @@
 	}
 	p := &parkedRequest{request: r, lack: lack}
 	c.log.Info("Lacks tokens.", "request", r.ID, "workspace", r.Workspace, "tokens", r.Tokens, "lack", lack, "wait", wait,
-		"reserve_wait", c.limiter.ReserveWait(r.Workspace, now), "hosts", c.limiter.Hosts(), "coordinated", c.link != nil || c.lead != nil)
-	if c.link != nil || c.lead != nil {
+		"reserve_wait", c.limiter.ReserveWait(r.Workspace, now), "hosts", c.limiter.Hosts(), "coordinated", c.coordinated())
+	if c.coordinated() {
 		reserve := c.limiter.ReserveWait(r.Workspace, now)
 		if reserve == 0 {
 			p.until = now.Add(askPatience)
@@ -90,7 +90,7 @@
 	p.lack = lack
 	if reserve := c.limiter.ReserveWait(r.Workspace, now); reserve > 0 {
 		wait = min(wait, reserve)
-	} else if p.asked && (c.link != nil || c.lead != nil) && now.Sub(r.Arrived) < time.Duration(parkPart*float64(r.Route.Target)) {
+	} else if p.asked && c.coordinated() && now.Sub(r.Arrived) < time.Duration(parkPart*float64(r.Route.Target)) {
 		p.asked = false
 		p.until = now.Add(askPatience)
 		c.parked = append(c.parked, p)
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -273,36 +273,38 @@
 
 const reasonStopped = "stopping"
 
-// renewAll renews the lease until that fails for too long. It returns why it ended.
+// renewAll renews the lease until the service says that it has ended, or the host stops. While the
+// service does not answer, the right ends by this host's clock; a renewal that succeeds afterwards
+// shows that the lease, and with it the key, was kept, so that nobody else can have had the right.
 func (c *Candidate) renewAll(ctx context.Context, lease kvstore.LeaseID) string {
+	held := true
 	for {
-		if !c.sleep(ctx, renewInterval, false) {
+		if !c.sleep(ctx, renewInterval, false) || c.isStopped() {
 			return reasonStopped
 		}
-		c.mu.Lock()
-		stopped := c.stopped
-		c.mu.Unlock()
-		if stopped {
-			return reasonStopped
-		}
-		if !c.Holds() {
-			return "lease ran out"
-		}
 		sent := c.opts.Now()
 		cctx, cancel := context.WithTimeout(ctx, callTimeout)
 		_, err := c.opts.KV.KeepAlive(cctx, lease)
 		cancel()
-		switch {
-		case errors.Is(err, kvstore.ErrLeaseNotFound):
+		if errors.Is(err, kvstore.ErrLeaseNotFound) {
 			return "lease not found"
-		case err != nil:
-			c.opts.Log.Warn("Renewal failed.", "err", err)
-		case !c.extend(sent):
-			return "renewal came too late"
+		}
+		if err == nil {
+			c.extend(sent)
+		}
+		if holds := c.Holds(); holds != held {
+			held = holds
+			c.opts.Log.Warn("Right to give orders changed.", "holds", held, "err", err)
 		}
 	}
 }
 
+func (c *Candidate) isStopped() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stopped
+}
+
 // extend moves the end of the right to a lease that counts from sent. It returns false when that
 // has passed already, as after a suspension.
 func (c *Candidate) extend(sent time.Time) bool {
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -253,3 +253,27 @@
 		}
 	})
 }
+
+// Guards against seconds without orders after an outage in which leases were paused: the former
+// holder's key is still there, so it goes on under its token, and not before it knows.
+func TestRightOutlastsAnOutageThatKeepsTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		start := time.Now()
+		store := kv.NewStore(kv.Options{Now: func() time.Time { return start }})
+		a := newTestNode(ctx, store, "a", "1", 0)
+		time.Sleep(2 * time.Second)
+		a.cut.Store(true)
+		time.Sleep(4 * time.Second)
+		if a.Holds() {
+			t.Error("the right is held without proof")
+		}
+		a.cut.Store(false)
+		time.Sleep(time.Second)
+		if !a.Holds() || a.right(1).Token != 0 {
+			t.Errorf("holds %v, won again with %+v", a.Holds(), a.right(1))
+		}
+		cancel()
+		time.Sleep(5 * time.Second)
+	})
+}
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -4,6 +4,7 @@
 package logsink
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -18,6 +19,9 @@
 	flushInterval = 200 * time.Millisecond
 	// reportInterval is the least time between two lines about dropped ones.
 	reportInterval = time.Second
+	// maxWrite is what a pipe takes in one piece, so that lines of several processes on one pipe
+	// are not mixed.
+	maxWrite = 4096
 	// keepBuffer bounds the buffer that is kept between two writes.
 	keepBuffer = 32 << 10
 )
@@ -110,16 +114,33 @@
 	}
 }
 
+// wholeLines returns the length of the whole lines at the start of b that fit into one write, or of
+// the first line when that alone does not fit.
+func wholeLines(b []byte) int {
+	if len(b) <= maxWrite {
+		return len(b)
+	}
+	if i := bytes.LastIndexByte(b[:maxWrite], '\n'); i >= 0 {
+		return i + 1
+	}
+	if i := bytes.IndexByte(b, '\n'); i >= 0 {
+		return i + 1
+	}
+	return len(b)
+}
+
 // flush writes what waits and returns the buffer for the next time.
 func (s *Sink) flush(spare []byte) []byte {
 	s.mu.Lock()
 	lines := s.buffer
 	s.buffer = spare[:0]
 	s.mu.Unlock()
-	if len(lines) > 0 {
+	for rest := lines; len(rest) > 0; {
+		n := wholeLines(rest)
 		// A failed write cannot be reported anywhere else.
-		n, _ := s.out.Write(lines)
-		s.written.Add(int64(n))
+		written, _ := s.out.Write(rest[:n])
+		s.written.Add(int64(written))
+		rest = rest[n:]
 	}
 	if cap(lines) > keepBuffer {
 		return nil
--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -93,3 +93,27 @@
 		_, _ = s.Write(line)
 	}
 }
+
+// pieces keeps every write apart.
+type pieces struct{ writes [][]byte }
+
+func (p *pieces) Write(b []byte) (int, error) {
+	p.writes = append(p.writes, bytes.Clone(b))
+	return len(b), nil
+}
+
+// Guards against lines that are cut between two writes, where another process on the same pipe can
+// come in between.
+func TestWritesEndWithLines(t *testing.T) {
+	var out pieces
+	s := New(&out)
+	for i := range 300 {
+		_, _ = s.Write([]byte(strings.Repeat("y", 20+i) + "\n"))
+	}
+	s.Close(time.Second)
+	for i, w := range out.writes {
+		if w[len(w)-1] != '\n' || len(w) > maxWrite {
+			t.Errorf("write %d of %d bytes ends with %q", i, len(w), w[len(w)-1])
+		}
+	}
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -1,7 +1,9 @@
-// Package quota keeps each workspace within its rate over all hosts. A fixed part of every rate
-// is split evenly over the hosts and needs no message. The rest is a reserve that the coordinator
-// hands out in tokens to hosts with requests that their own part does not cover. Rate and burst of
-// the parts sum to those of the workspace, whatever a host knows of the others.
+// Package quota keeps each workspace within its rate over all hosts. Every rate is split evenly
+// over the hosts. A host that has a session with the coordinator keeps a fixed part of its share and
+// leaves the rest to a reserve, which the coordinator hands out in tokens to hosts with requests that
+// their own part does not cover. A host without a session uses its whole share, after a time in
+// which the coordinator has stopped to count on it. So rate and burst of the parts sum to those of
+// the workspace, whatever a host knows of the others.
 //
 // The package is pure; its types belong to the goroutine that owns the control state.
 package quota
@@ -14,8 +16,12 @@
 )
 
 const (
-	// fixedPart is the part of a rate that is split evenly over the hosts.
+	// fixedPart is the part of its share that a host with a session keeps.
 	fixedPart = 0.4
+	// aloneAfter is how long a host must have been without a session before it uses its whole share;
+	// ReportTerm is how long the coordinator counts on a host after its last report.
+	aloneAfter = 1200 * time.Millisecond
+	ReportTerm = 800 * time.Millisecond
 	// membershipMemory is how long a host that is no longer registered still counts: it may go on
 	// admitting until it notices that its registration is gone.
 	membershipMemory = 8 * time.Second
@@ -82,16 +88,21 @@
 	emptyUntil map[entity.WorkspaceID]time.Time
 	members    map[entity.HostID]time.Time
 	hosts      int
+	// coordinated says that there is a session with the coordinator, since or until coordinatedAt.
+	coordinated   bool
+	coordinatedAt time.Time
 }
 
-// New returns a Limiter.
-func New(slack Slack) *Limiter {
+// New returns a Limiter of a process that has just started. Its predecessor may have had a session
+// until now.
+func New(slack Slack, now time.Time) *Limiter {
 	return &Limiter{
-		slack:      slack,
-		buckets:    make(map[entity.WorkspaceID]*bucket),
-		emptyUntil: make(map[entity.WorkspaceID]time.Time),
-		members:    make(map[entity.HostID]time.Time),
-		hosts:      1,
+		coordinatedAt: now,
+		slack:         slack,
+		buckets:       make(map[entity.WorkspaceID]*bucket),
+		emptyUntil:    make(map[entity.WorkspaceID]time.Time),
+		members:       make(map[entity.HostID]time.Time),
+		hosts:         1,
 	}
 }
 
@@ -102,11 +113,28 @@
 	clear(l.emptyUntil)
 	for id, w := range c.Workspaces() {
 		b := l.bucket(id, now)
-		_, capacity := l.share(w)
+		_, capacity := l.share(w, now)
 		b.level = min(b.level, capacity)
 	}
 }
 
+// SetCoordinated says whether there is a session with the coordinator.
+func (l *Limiter) SetCoordinated(yes bool, now time.Time) {
+	if yes == l.coordinated {
+		return
+	}
+	l.refillAll(now)
+	l.coordinated = yes
+	l.coordinatedAt = now
+	clear(l.emptyUntil)
+	for id, b := range l.buckets {
+		if w := l.workspace(id); w != nil && yes {
+			_, capacity := l.share(w, now)
+			b.level = min(b.level, capacity)
+		}
+	}
+}
+
 // SetMembers takes over the registered hosts. Hosts that are gone count for some time longer.
 func (l *Limiter) SetMembers(ids []entity.HostID, now time.Time) {
 	l.refillAll(now)
@@ -124,15 +152,18 @@
 func (l *Limiter) refillAll(now time.Time) {
 	for id, b := range l.buckets {
 		if w := l.workspace(id); w != nil {
-			rate, capacity := l.share(w)
+			rate, capacity := l.share(w, now)
 			b.refill(rate, capacity, now)
 		}
 	}
 }
 
-// share returns this host's fixed part of a workspace's rate and burst.
-func (l *Limiter) share(w *catalog.Workspace) (rate, capacity float64) {
-	part := fixedPart / float64(l.hosts)
+// share returns this host's own part of a workspace's rate and burst.
+func (l *Limiter) share(w *catalog.Workspace, now time.Time) (rate, capacity float64) {
+	part := 1 / float64(l.hosts)
+	if l.coordinated || now.Sub(l.coordinatedAt) < aloneAfter {
+		part *= fixedPart
+	}
 	rate, burst := l.slack.limits(w)
 	return rate * part, burst * part
 }
@@ -168,7 +199,7 @@
 		return 0, 0, true
 	}
 	b := l.bucket(id, now)
-	rate, capacity := l.share(w)
+	rate, capacity := l.share(w, now)
 	b.refill(rate, capacity, now)
 	lack = tokens - b.level - l.hostOverdraft()
 	wait, ok = b.take(tokens, l.hostOverdraft(), rate)
@@ -179,7 +210,7 @@
 func (l *Limiter) Grant(id entity.WorkspaceID, tokens float64, now time.Time) {
 	if w := l.workspace(id); w != nil {
 		b := l.bucket(id, now)
-		rate, capacity := l.share(w)
+		rate, capacity := l.share(w, now)
 		b.refill(rate, capacity, now)
 		b.level += tokens
 	}
@@ -206,7 +237,7 @@
 		return
 	}
 	b := l.bucket(id, now)
-	rate, capacity := l.share(w)
+	rate, capacity := l.share(w, now)
 	b.refill(rate, capacity, now)
 	b.level = min(b.level+tokens, max(capacity, b.level))
 }
--- a/internal/quota/reserve.go
+++ b/internal/quota/reserve.go
@@ -13,6 +13,8 @@
 	slack   Slack
 	catalog *catalog.Catalog
 	buckets map[entity.WorkspaceID]*bucket
+	// part is the part of every rate that hosts leave to the reserve.
+	part float64
 }
 
 // NewReserve returns the reserve of a coordinator that has just taken over. It starts without burst,
@@ -26,17 +28,38 @@
 // share returns the reserve's part of a workspace's rate and burst.
 func (r *Reserve) share(w *catalog.Workspace) (rate, capacity float64) {
 	rate, burst := r.slack.limits(w)
-	return rate * (1 - fixedPart), burst * (1 - fixedPart)
+	return rate * r.part, burst * r.part
 }
 
-// SetCatalog puts a configuration in force. A changed rate counts from now and refills nothing.
-func (r *Reserve) SetCatalog(c *catalog.Catalog, now time.Time) {
+// SetConnected says how many of the hosts have reported within ReportTerm. The others use the whole
+// of their shares.
+func (r *Reserve) SetConnected(connected, hosts int, now time.Time) {
+	part := (1 - fixedPart) * float64(min(connected, hosts)) / float64(max(hosts, 1))
+	if part == r.part {
+		return
+	}
+	r.refillAll(now)
+	r.part = part
+	for id, b := range r.buckets {
+		if w := r.workspace(id); w != nil {
+			_, capacity := r.share(w)
+			b.level = min(b.level, capacity)
+		}
+	}
+}
+
+func (r *Reserve) refillAll(now time.Time) {
 	for id, b := range r.buckets {
 		if w := r.workspace(id); w != nil {
 			rate, capacity := r.share(w)
 			b.refill(rate, capacity, now)
 		}
 	}
+}
+
+// SetCatalog puts a configuration in force. A changed rate counts from now and refills nothing.
+func (r *Reserve) SetCatalog(c *catalog.Catalog, now time.Time) {
+	r.refillAll(now)
 	r.catalog = c
 	for id, w := range c.Workspaces() {
 		b := r.buckets[id]
--- a/internal/swap/decide.go
+++ b/internal/swap/decide.go
@@ -43,7 +43,7 @@
 }
 
 func (s *Swapper) decide(now time.Time) {
-	if s.catalog == nil {
+	if s.catalog == nil || s.paused {
 		return
 	}
 	rows := s.sortedReplicas()
--- a/internal/swap/swap.go
+++ b/internal/swap/swap.go
@@ -127,9 +127,10 @@
 	// orders maps the last sending to its replica.
 	orders map[uint64]*replica
 	nextID uint64
-	// from is when the first order may be given.
-	from time.Time
-	out  []Command
+	// from is when the first order may be given; paused while the right is in doubt.
+	from   time.Time
+	paused bool
+	out    []Command
 	// version rises with every change of what replicas hold.
 	version uint64
 }
@@ -157,9 +158,14 @@
 	adapters map[entity.AdapterID]int
 }
 
-// New returns the Swapper of a coordinator that may give orders from a time on.
-func New(from time.Time) *Swapper {
+// orderIDBits is the room for the IDs of one term: an answer to an order of a former term must not
+// be taken for the answer to one of this term.
+const orderIDBits = 24
+
+// New returns the Swapper of a coordinator that may give orders from a time on under a token.
+func New(from time.Time, token int64) *Swapper {
 	return &Swapper{
+		nextID:   uint64(token) << orderIDBits,
 		replicas: make(map[entity.UpstreamID]*replica),
 		hosts:    make(map[entity.HostID]hostRow),
 		models:   make(map[modelKey]*modelRow),
@@ -177,6 +183,9 @@
 	return out
 }
 
+// SetPaused says whether the right to give orders is in doubt, so that none are given.
+func (s *Swapper) SetPaused(paused bool) { s.paused = paused }
+
 // SetCatalog puts a configuration in force.
 func (s *Swapper) SetCatalog(c *catalog.Catalog) { s.catalog = c }
 
