swap: add replicas of a hot model also when the only copy is where it runs

Cause: bring() looked only at engines with a copy as soon as any engine had one, also when that engine was the one that holds the model. A model whose only copy was on its only engine stayed there whatever its load; 127 of the requests after 36 s ended when their callers gave up. Ruled out: lost sessions, suspended rights, lost answers.

--- a/internal/swap/decide.go
+++ b/internal/swap/decide.go
@@ -202,6 +202,16 @@
 	return false
 }
 
+// hasSpareCopy says whether an engine that stays and does not hold the model has a copy.
+func (s *Swapper) hasSpareCopy(key modelKey) bool {
+	for _, r := range s.replicas {
+		if r.up.Service == key.service && !r.up.Draining && r.copies[key.model] != 0 && r.held[key.model] == nil {
+			return true
+		}
+	}
+	return false
+}
+
 // swapIn starts a task for every wanted model that no engine serves or loads.
 func (s *Swapper) swapIn(wanted []*modelRow, rows []*replica, now time.Time) {
 	for _, m := range wanted {
@@ -282,7 +292,7 @@
 // bring starts a task that loads a model on the engine where it costs least. It returns false
 // when no engine can take it now.
 func (s *Swapper) bring(key modelKey, rows []*replica, parallel int, now time.Time) bool {
-	copied := s.hasCopy(key)
+	copied := s.hasSpareCopy(key)
 	if !copied && s.storeLoads() >= parallel {
 		return false
 	}
--- a/internal/swap/sim_test.go
+++ b/internal/swap/sim_test.go
@@ -500,3 +500,27 @@
 		t.Error("two terms number their orders alike")
 	}
 }
+
+// Guards against a hot model that stays on one engine because the only copy of its weights is there:
+// its requests waited until their callers gave up (scale-1 of Reykjavik, once in three plays).
+func TestHotModelWithOneCopyGetsMoreReplicas(t *testing.T) {
+	s := newSim(t, 6, 6, 6, simFaults{})
+	s.runFor(time.Second, 0, false)
+	for range 10 {
+		r := wire.HostReport{Host: "h", Needs: []wire.PoolNeed{{Service: simService, Model: "m01", Waiting: 20, Arrived: 5, Left: 2 * time.Second}},
+			Uses: []wire.PoolUse{{Upstream: "e01", Model: "m01", Count: 8}}}
+		s.carryOut(s.swapper.HandleHost(r, s.now))
+		for range 200 {
+			s.step()
+		}
+	}
+	n := 0
+	for _, id := range s.ids() {
+		if s.engines[id].models["m01"] != nil {
+			n++
+		}
+	}
+	if n < 4 {
+		t.Errorf("%d engines hold a model with 28 requests at 8 slots each", n)
+	}
+}
