--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -35,7 +35,10 @@
 	lastID string
 	// firstAfter is the time from the request's arrival to its first event.
 	firstAfter time.Duration
-	ended      bool
+	// lastAt is when the last events were read, and longestPause the longest time between two reads.
+	lastAt       time.Time
+	longestPause time.Duration
+	ended        bool
 	// sent says that events have been passed on.
 	sent   bool
 	failed bool
@@ -89,6 +92,7 @@
 		e.buf = e.buf[:len(e.buf)+n]
 		whole := wholeEvents(e.buf)
 		if whole > e.ready {
+			e.notePause()
 			e.noteID(e.buf[e.ready:whole])
 			e.ready = whole
 		}
@@ -111,6 +115,15 @@
 	}
 }
 
+// notePause measures the time since the last events.
+func (e *eventStream) notePause() {
+	now := boottime.Now()
+	if !e.lastAt.IsZero() {
+		e.longestPause = max(e.longestPause, now.Sub(e.lastAt))
+	}
+	e.lastAt = now
+}
+
 // limitSilence bounds the next read of a stream that can go on elsewhere.
 func (e *eventStream) limitSilence() {
 	if !e.session.route.Resumable {
@@ -239,7 +252,7 @@
 	e.ex.Close()
 	s.front.metrics.Request(s.route.Name, s.ctx.Response.StatusCode(), "", boottime.Now().Sub(s.arrived))
 	s.front.send(attemptEnded{result: dispatch.Result{Request: s.request.ID, Outcome: entity.Completed}})
-	s.front.log.Info("Stream ended.", "request", s.ask.ID, "upstream", e.step.target.ID, "last_event", e.lastID, "first_after", e.firstAfter, "after", boottime.Now().Sub(s.arrived))
+	s.front.log.Info("Stream ended.", "request", s.ask.ID, "upstream", e.step.target.ID, "last_event", e.lastID, "first_after", e.firstAfter, "longest_pause", e.longestPause, "after", boottime.Now().Sub(s.arrived))
 }
 
 // Close implements io.Closer; the HTTP server calls it in every case.
--- a/internal/swap/decide.go
+++ b/internal/swap/decide.go
@@ -10,8 +10,9 @@
 
 const (
 	// targetLoad is the share of its slots up to which the replicas of a model are filled before
-	// another one is added.
-	targetLoad = 0.6
+	// another one is added. Prompts are read between the tokens of running requests, so the pauses
+	// in streams grow long before the slots are full.
+	targetLoad = 0.3
 	// evictionSeconds weighs a lost replica: the time that a request loses when its model has to
 	// be swapped in again.
 	evictionSeconds = 5.0
