swap: take the end of a load from the report, and give no adapter orders to loading engines

Cause: half of the orders of a burst were refused: unloads take 10 to 55 ms, loads from copies take longer while others run, and an engine that loads refuses adapters; the refusal of an adapter then gave up the load as well.

--- a/internal/swap/adapters.go
+++ b/internal/swap/adapters.go
@@ -10,7 +10,8 @@
 // maxAdapterTransit is the number of adapters that may be on their way to one engine.
 const maxAdapterTransit = 4
 
-// loadAdapters orders the adapters that requests wait for on an engine that holds their model.
+// loadAdapters orders the adapters that requests wait for on an engine that holds their model. An
+// engine that carries out an order for a model refuses them.
 func (s *Swapper) loadAdapters(wanted []*modelRow, now time.Time) {
 	for _, m := range wanted {
 		ids := make([]entity.AdapterID, 0, len(m.adapters))
@@ -36,7 +37,7 @@
 			// It is there, or it is on its way.
 			return
 		}
-		if r.sending != nil || !r.known || now.Before(r.pausedTo) || r.transit() >= maxAdapterTransit {
+		if !r.free(now) || r.transit() >= maxAdapterTransit {
 			continue
 		}
 		if best == nil || r.adapterCount()+r.running < best.adapterCount()+best.running {
--- a/internal/swap/decide.go
+++ b/internal/swap/decide.go
@@ -18,6 +18,9 @@
 	evictionSeconds = 5.0
 	// priorRate is assumed for every model, in requests a second: an unused model may be asked for.
 	priorRate = 0.05
+	// unusedTime is how long no host must have had a request for a model that is unloaded: the hosts'
+	// reports are behind, and an unload waits for requests that run.
+	unusedTime = 250 * time.Millisecond
 	// maxModels bounds the models of one engine that are looked at for eviction.
 	maxModels = 8
 )
@@ -101,10 +104,7 @@
 	case stageLoad:
 		s.send(r, Load, t.model, "", now)
 	case stageLoading:
-		if !t.fromStore {
-			// A load from a copy takes a known time; a request that comes too early is told so.
-			s.loaded(r, now)
-		}
+		// The report tells the end: loads take longer while others run.
 	}
 }
 
@@ -393,7 +393,8 @@
 func (s *Swapper) evictable(r *replica, now time.Time) ([]entity.ModelID, []float64) {
 	var ids []entity.ModelID
 	for id, h := range r.held {
-		if h.running == 0 && !h.unloading && now.Sub(h.loadedAt) >= settleTime || s.stranger(r, id) {
+		unused := h.running == 0 && now.Sub(h.usedAt) >= unusedTime && now.Sub(h.loadedAt) >= settleTime
+		if unused && !h.unloading || s.stranger(r, id) {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/swap/estimate.go
+++ b/internal/swap/estimate.go
@@ -9,7 +9,7 @@
 
 const (
 	// swapOverhead is the time around a load from a copy: demand, unload and news.
-	swapOverhead = 150 * time.Millisecond
+	swapOverhead = 300 * time.Millisecond
 	// storeOverhead is the same around a load from the weight store, whose end is read from a
 	// report.
 	storeOverhead = 400 * time.Millisecond
--- a/internal/swap/orders.go
+++ b/internal/swap/orders.go
@@ -10,13 +10,12 @@
 const (
 	// adapterTime is how long an accepted adapter needs until requests can use it.
 	adapterTime = 15 * time.Millisecond
-	// unloadTime is how long an engine needs to drop a model that no request uses.
-	unloadTime = 10 * time.Millisecond
+	// unloadTime is how long an engine needs to drop a model that no request uses; a load that comes
+	// earlier is refused.
+	unloadTime = 55 * time.Millisecond
 	// conflictRetry is the time after which a load is tried again that came before the end of the
 	// unload that makes room for it.
 	conflictRetry = 40 * time.Millisecond
-	// loadMargin is added to the known time of a load from a copy.
-	loadMargin = 20 * time.Millisecond
 	// conflictPause keeps changes away from an engine whose state has just been read anew.
 	conflictPause = 100 * time.Millisecond
 )
@@ -167,7 +166,8 @@
 	t.accepted = true
 	t.started = now
 	t.readyAt = now.Add(s.loadTime(r, t))
-	r.readAt = t.readyAt
+	// The report that shows the end of the load is behind by its lag.
+	r.readAt = t.readyAt.Add(reportLag)
 }
 
 // loadTime estimates a load that starts now.
@@ -179,9 +179,9 @@
 	m := e.Models[t.model]
 	switch t.from {
 	case inMemory:
-		return m.MemoryLoad + loadMargin
+		return m.MemoryLoad
 	case onDisk:
-		return m.DiskLoad + loadMargin
+		return m.DiskLoad
 	}
 	return m.StoreLoad * time.Duration(max(s.storeLoads(), storeParallel)) / storeParallel
 }
@@ -201,6 +201,12 @@
 // conflict handles an order that the engine did not take because of another one or of its count.
 func (s *Swapper) conflict(r *replica, now time.Time) {
 	t := r.task
+	if o := r.sending; o.Adapter != "" && t != nil && !r.doubtful {
+		// The order of the task is being carried out; the adapter is tried again after it.
+		s.forgetAdapter(r, o)
+		s.settle(r)
+		return
+	}
 	early := t != nil && t.stage == stageLoad && !r.doubtful && r.sending.Adapter == "" && now.Sub(t.started) < time.Second
 	if early {
 		// The unload before is not over yet.
@@ -218,10 +224,8 @@
 
 // abandon gives up the order and the task of an engine; its report tells what it holds.
 func (s *Swapper) abandon(r *replica, now time.Time) {
-	if o := r.sending; o != nil && o.Adapter != "" && o.Action == Load {
-		if h := r.held[o.Model]; h != nil {
-			delete(h.adapters, o.Adapter)
-		}
+	if r.sending != nil {
+		s.forgetAdapter(r, r.sending)
 	}
 	s.settle(r)
 	r.task = nil
@@ -238,6 +242,20 @@
 	s.version++
 }
 
+// forgetAdapter undoes what was noted when an order for an adapter was sent.
+func (s *Swapper) forgetAdapter(r *replica, o *Order) {
+	h := r.held[o.Model]
+	if h == nil || h.adapters[o.Adapter] == nil {
+		return
+	}
+	if o.Action == Load {
+		delete(h.adapters, o.Adapter)
+		return
+	}
+	h.adapters[o.Adapter].unloading = false
+	s.version++
+}
+
 // ReportFailed says that the report of an engine could not be read.
 func (s *Swapper) ReportFailed(id entity.UpstreamID, now time.Time) {
 	if r := s.replicas[id]; r != nil {
