The coordinator reads the list every 0.4 s and tells the hosts who leaves; they read it every 1.2 s

A host that reads the list once in 1.2 s learns of a replica that is gone in 1.7 s too late to keep requests from it, and one that reads it more often pays for calls.

--- a/internal/edge/coordination.go
+++ b/internal/edge/coordination.go
@@ -8,6 +8,7 @@
 	"github.com/foxtailpass/foxtailpass/internal/dispatch"
 	"github.com/foxtailpass/foxtailpass/internal/election"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/fleet"
 	"github.com/foxtailpass/foxtailpass/internal/peer"
 	"github.com/foxtailpass/foxtailpass/internal/quota"
 	"github.com/foxtailpass/foxtailpass/internal/swap"
@@ -22,6 +23,8 @@
 	changedReport = 150 * time.Millisecond
 	// idleReport is the time between two reports without news. It shows that the session lives.
 	idleReport = 500 * time.Millisecond
+	// leftMemory is how long an upstream that has left is told to the hosts.
+	leftMemory = 10 * time.Second
 	// publishInterval is the least time between two messages of the coordinator to one host that
 	// only tell how many requests run.
 	publishInterval = 200 * time.Millisecond
@@ -43,6 +46,34 @@
 	version uint64
 	// states is the newest word on the engines.
 	states map[entity.UpstreamID]wire.UpstreamState
+	// leaving holds the upstreams that drain, and those that have left with the time of that.
+	leaving        map[entity.UpstreamID]time.Time
+	leavingChanged bool
+}
+
+// noteUpstream keeps the list of leaving upstreams.
+func (l *lead) noteUpstream(u *fleet.Upstream) {
+	_, listed := l.leaving[u.ID]
+	switch {
+	case u.Draining && !listed:
+		l.leaving[u.ID] = time.Time{}
+	case !u.Draining && listed:
+		delete(l.leaving, u.ID)
+	default:
+		return
+	}
+	l.leavingChanged = true
+}
+
+// noteRemoved lists an upstream for as long as a host may not have read the list.
+func (l *lead) noteRemoved(id entity.UpstreamID, now time.Time) {
+	l.leaving[id] = now
+	l.leavingChanged = true
+	for other, at := range l.leaving {
+		if !at.IsZero() && now.Sub(at) > leftMemory {
+			delete(l.leaving, other)
+		}
+	}
 }
 
 // hostSession is what the coordinator has told one host.
@@ -98,12 +129,14 @@
 		reserve: quota.NewReserve(c.bounds.quotaSlack()),
 		hosts:   make(map[entity.HostID]*hostSession),
 		states:  make(map[entity.UpstreamID]wire.UpstreamState),
+		leaving: make(map[entity.UpstreamID]time.Time),
 	}
 	if c.catalog != nil {
 		c.lead.swapper.SetCatalog(c.catalog)
 		c.lead.reserve.SetCatalog(c.catalog, now)
 	}
 	for _, u := range c.fleet.Rows() {
+		c.lead.noteUpstream(u)
 		c.run(c.lead.swapper.SetUpstream(u, now))
 	}
 	c.reporter = reporter{}
@@ -273,7 +306,8 @@
 // publish tells every host what has changed.
 func (c *core) publish(now time.Time) {
 	l := c.lead
-	changed := l.swapper.Version() != l.version
+	changed := l.swapper.Version() != l.version || l.leavingChanged
+	l.leavingChanged = false
 	l.version = l.swapper.Version()
 	due := changed
 	for _, h := range l.hosts {
@@ -309,6 +343,9 @@
 func (c *core) publishTo(h *hostSession, estimates []wire.ModelEstimate, changed bool, now time.Time) {
 	l := c.lead
 	m := &wire.FleetState{Coordinator: c.self, Estimates: estimates}
+	for id := range l.leaving {
+		m.Leaving = append(m.Leaving, id)
+	}
 	counts := now.Sub(h.toldAt) >= publishInterval
 	for id, s := range l.states {
 		told, known := h.told[id]
@@ -349,6 +386,7 @@
 	if m.AnswerTo != 0 {
 		c.granted(m, now)
 	}
+	c.noteLeaving(m.Leaving, now)
 	own := make(map[entity.UpstreamID]int)
 	for _, u := range c.scheduler.Running() {
 		own[u.Upstream] += u.Count
@@ -362,3 +400,21 @@
 		}
 	}
 }
+
+// noteLeaving takes over which upstreams the coordinator knows to leave.
+func (c *core) noteLeaving(ids []entity.UpstreamID, now time.Time) {
+	former := c.leaving
+	c.leaving = make(map[entity.UpstreamID]bool, len(ids))
+	for _, id := range ids {
+		c.leaving[id] = true
+		if !former[id] {
+			c.log.Info("Upstream leaving, told by the coordinator.", "upstream", id)
+			c.refreshTarget(id, now)
+		}
+	}
+	for id := range former {
+		if !c.leaving[id] {
+			c.refreshTarget(id, now)
+		}
+	}
+}
--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -65,6 +65,8 @@
 	// states is the coordinator's word on the engines.
 	states    map[entity.UpstreamID]wire.UpstreamState
 	estimates map[dispatch.Pool]readyEstimate
+	// leaving holds the upstreams that the coordinator knows to leave.
+	leaving   map[entity.UpstreamID]bool
 	estimated time.Time
 	// arrivals counts requests since the last report to the coordinator.
 	arrivals map[dispatch.Pool]int
@@ -291,6 +293,7 @@
 		ch := c.fleet.Put(u)
 		c.logUpstream(ch)
 		if c.lead != nil {
+			c.lead.noteUpstream(u)
 			c.run(c.lead.swapper.SetUpstream(u, now))
 		}
 		c.refreshTarget(u.ID, now)
@@ -299,6 +302,7 @@
 		c.logUpstream(c.fleet.Remove(id))
 		c.scheduler.RemoveTarget(id)
 		if c.lead != nil {
+			c.lead.noteRemoved(id, now)
 			c.lead.swapper.RemoveUpstream(id)
 		}
 	}
@@ -328,7 +332,7 @@
 		Addr:     u.Addr,
 		Domain:   u.Domain,
 		Slots:    u.Slots,
-		Draining: u.Draining,
+		Draining: u.Draining || c.leaving[id],
 		Held:     make(map[entity.ModelID][]entity.AdapterID),
 	}
 	t.Source = "list"
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -21,9 +21,11 @@
 )
 
 const (
-	// pollPause is the pause between two reads of the changes. It keeps the delay of a leaving
-	// upstream or a withdrawn key near a second at one call a second and host.
-	pollPause = 800 * time.Millisecond
+	// pollPause is the pause between two reads of the changes. It keeps what this host learns by
+	// itself within the 2 s in which a leaving upstream must get no more work. The coordinator reads
+	// more often and tells the others which upstreams leave.
+	pollPause = 1200 * time.Millisecond
+	leadPause = 400 * time.Millisecond
 	// searchPause is the pause while the coordinator is unknown.
 	searchPause = 300 * time.Millisecond
 	// failurePause is the pause after a failed read.
@@ -106,8 +108,11 @@
 }
 
 func (w *watcher) pause() time.Duration {
-	if w.election.Holder == nil || w.searching.Load() {
+	switch {
+	case w.election.Holder == nil || w.searching.Load():
 		return searchPause
+	case w.election.Holder.Host == w.self:
+		return leadPause
 	}
 	return pollPause
 }
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -18,7 +18,7 @@
 const (
 	// sessionSilence ends a session on which nothing has arrived for so long. Both sides send at
 	// least once a second.
-	sessionSilence = 3 * time.Second
+	sessionSilence = 1600 * time.Millisecond
 	// sessionDialTimeout bounds the time until a connection stands.
 	sessionDialTimeout = 500 * time.Millisecond
 	// sessionQueue bounds the messages that wait to be written. A session that cannot keep up is
--- a/internal/wire/coordination.go
+++ b/internal/wire/coordination.go
@@ -72,6 +72,9 @@
 	Coordinator entity.HostID   `msgpack:"c"`
 	Upstreams   []UpstreamState `msgpack:"u,omitempty"`
 	Estimates   []ModelEstimate `msgpack:"e,omitempty"`
+	// Leaving lists all upstreams that drain or have just left; the coordinator reads the list more
+	// often than the other hosts.
+	Leaving []entity.UpstreamID `msgpack:"x,omitempty"`
 	// AnswerTo is SentAt of the report that this state answers, zero if none.
 	AnswerTo int64 `msgpack:"t,omitempty"`
 	// Grants answers the lack of tokens of that report.
