Give up engines that hosts cannot reach, and start processes without a fleet's debt

Two hosts that cannot reach an engine now take it out until its report is read again. The number of hosts no longer changes what a host may admit now. - swap: no load from the weight store for a model that is being dropped at the engine with its copy, nor for a second replica before 0.7 of the slots are taken.

--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -491,6 +491,17 @@
 	return out
 }
 
+// Down lists the upstreams that are left out because they could not be reached.
+func (s *Scheduler) Down(now time.Time) []entity.UpstreamID {
+	var out []entity.UpstreamID
+	for id, t := range s.targets {
+		if t.unreachable && now.Before(t.ejected) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // Budgets returns the retries that are left by service, as of the last request.
 func (s *Scheduler) Budgets() map[catalog.ServiceID]float64 {
 	out := make(map[catalog.ServiceID]float64, len(s.budgets))
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -71,8 +71,10 @@
 	broken   int
 	// errors is the smoothed share of attempts that failed.
 	errors float64
-	absent map[Pool]time.Time
-	fullTo time.Time
+	// unreachable says that the last attempt found no connection, or no answer in time.
+	unreachable bool
+	absent      map[Pool]time.Time
+	fullTo      time.Time
 }
 
 // load estimates the requests of all hosts at the upstream.
@@ -104,6 +106,9 @@
 // note takes over how an attempt ended.
 func (t *target) note(res Result, p Pool, now time.Time) {
 	failed := res.Unreachable || res.Broken || res.Silent || res.Status >= 500
+	if res.Outcome != entity.Canceled {
+		t.unreachable = res.Unreachable || res.Silent
+	}
 	switch {
 	case res.Outcome == entity.Canceled:
 		return
--- a/internal/edge/coordination.go
+++ b/internal/edge/coordination.go
@@ -35,6 +35,7 @@
 	sentAt  time.Time
 	waiting map[dispatch.Pool]int
 	running int
+	down    int
 }
 
 // lead is the state of the coordinator.
@@ -165,7 +166,8 @@
 		return
 	}
 	waiting := c.scheduler.Waiting(now)
-	urgent := c.newWaiting(waiting) || c.lacksTokens()
+	down := len(c.scheduler.Down(now))
+	urgent := c.newWaiting(waiting) || c.lacksTokens() || down > c.reporter.down
 	if since < changedReport && !urgent {
 		return
 	}
@@ -180,6 +182,7 @@
 	r := c.compose(waiting, running, now)
 	c.reporter.sentAt = now
 	c.reporter.running = total
+	c.reporter.down = down
 	c.reporter.waiting = make(map[dispatch.Pool]int, len(waiting))
 	for _, w := range waiting {
 		c.reporter.waiting[w.Pool] = w.Count
@@ -208,7 +211,7 @@
 }
 
 func (c *core) compose(waiting []dispatch.Waiting, running []dispatch.Running, now time.Time) *wire.HostReport {
-	r := &wire.HostReport{Host: c.self, SentAt: now.UnixNano(), Lack: c.lack()}
+	r := &wire.HostReport{Host: c.self, SentAt: now.UnixNano(), Lack: c.lack(), Down: c.scheduler.Down(now)}
 	needs := make(map[dispatch.Pool]*wire.PoolNeed)
 	need := func(p dispatch.Pool) *wire.PoolNeed {
 		if n := needs[p]; n != nil {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -146,7 +146,12 @@
 			delete(l.members, id)
 		}
 	}
+	former := l.hostOverdraft()
 	l.hosts = max(len(l.members), 1)
+	// What this host may admit now does not depend on how many others there are.
+	for _, b := range l.buckets {
+		b.level += former - l.hostOverdraft()
+	}
 }
 
 func (l *Limiter) refillAll(now time.Time) {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -284,3 +284,23 @@
 		t.Errorf("%.0f of %.0f tokens were refused within the rate", s.refused, s.asked)
 	}
 }
+
+// Guards against a process that starts with the debt of a whole fleet because it reads the
+// configuration before it knows how many hosts there are: it refused for seconds after each
+// restart of all hosts (trouble-3 of Thessaly, request 637ef1b34c1fdfe7).
+func TestOrderOfFirstNewsDoesNotMatter(t *testing.T) {
+	ids := []entity.HostID{"a", "b", "c", "d", "e", "f", "g", "h"}
+	lack := func(membersFirst bool) float64 {
+		l := New(testSlack, testStart)
+		if membersFirst {
+			l.SetMembers(ids, testStart)
+		}
+		l.SetCatalog(testCatalog(testRate, testBurst), testStart)
+		l.SetMembers(ids, testStart)
+		lack, _, _ := l.Admit("w", 1000, testStart)
+		return lack
+	}
+	if a, b := lack(true), lack(false); a != b || a > 1000 {
+		t.Errorf("a request of 1000 tokens lacks %.0f or %.0f", a, b)
+	}
+}
--- a/internal/swap/decide.go
+++ b/internal/swap/decide.go
@@ -13,6 +13,8 @@
 	// another one is added. Prompts are read between the tokens of running requests, so the pauses
 	// in streams grow long before the slots are full.
 	targetLoad = 0.3
+	// storeLoad is that share where the replica must be loaded from the weight store.
+	storeLoad = 0.7
 	// evictionSeconds weighs a lost replica: the time that a request loses when its model has to
 	// be swapped in again.
 	evictionSeconds = 5.0
@@ -160,7 +162,7 @@
 func (s *Swapper) ready(key modelKey) []*replica {
 	var out []*replica
 	for _, r := range s.replicas {
-		if r.up.Service != key.service || r.up.Draining {
+		if r.up.Service != key.service || !r.serves() {
 			continue
 		}
 		if h := r.held[key.model]; h != nil && !h.unloading {
@@ -175,7 +177,7 @@
 func (s *Swapper) loading(key modelKey) int {
 	n := 0
 	for _, r := range s.replicas {
-		if r.up.Service == key.service && r.task != nil && r.task.model == key.model && !r.up.Draining {
+		if r.up.Service == key.service && r.task != nil && r.task.model == key.model && r.serves() {
 			n++
 		}
 	}
@@ -196,17 +198,19 @@
 // hasCopy says whether an engine that stays has a copy of the weights.
 func (s *Swapper) hasCopy(key modelKey) bool {
 	for _, r := range s.replicas {
-		if r.up.Service == key.service && !r.up.Draining && r.copies[key.model] != 0 {
+		if r.up.Service == key.service && r.serves() && r.copies[key.model] != 0 {
 			return true
 		}
 	}
 	return false
 }
 
-// hasSpareCopy says whether an engine that stays and does not hold the model has a copy.
+// hasSpareCopy says whether an engine that stays and does not hold the model, or is about to drop it,
+// has a copy.
 func (s *Swapper) hasSpareCopy(key modelKey) bool {
 	for _, r := range s.replicas {
-		if r.up.Service == key.service && !r.up.Draining && r.copies[key.model] != 0 && r.held[key.model] == nil {
+		h := r.held[key.model]
+		if r.up.Service == key.service && r.serves() && r.copies[key.model] != 0 && (h == nil || h.unloading) {
 			return true
 		}
 	}
@@ -231,7 +235,12 @@
 			continue
 		}
 		have := len(s.ready(m.key)) + s.loading(m.key)
-		want := int(float64(m.running+m.waiting)/(targetLoad*float64(max(e.Slots, 1)))) + 1
+		fill := targetLoad
+		if !s.hasSpareCopy(m.key) {
+			// The weight store is for models that would otherwise have no place at all.
+			fill = storeLoad
+		}
+		want := int(float64(m.running+m.waiting)/(fill*float64(max(e.Slots, 1)))) + 1
 		if have > 0 && have < want {
 			s.bring(m.key, rows, storeParallel, now)
 		}
@@ -343,7 +352,7 @@
 
 // free says whether an engine can be given a new task.
 func (r *replica) free(now time.Time) bool {
-	return r.known && !r.up.Draining && r.task == nil && r.sending == nil && !now.Before(r.pausedTo)
+	return r.known && r.serves() && r.task == nil && r.sending == nil && !now.Before(r.pausedTo)
 }
 
 // start begins a task.
--- a/internal/swap/orders.go
+++ b/internal/swap/orders.go
@@ -16,6 +16,8 @@
 	// conflictRetry is the time after which a load is tried again that came before the end of the
 	// unload that makes room for it.
 	conflictRetry = 40 * time.Millisecond
+	// failedPoll is the time until the report of an engine that did not answer is read again.
+	failedPoll = 250 * time.Millisecond
 	// conflictPause keeps changes away from an engine whose state has just been read anew.
 	conflictPause = 100 * time.Millisecond
 )
@@ -260,7 +262,7 @@
 func (s *Swapper) ReportFailed(id entity.UpstreamID, now time.Time) {
 	if r := s.replicas[id]; r != nil {
 		r.reading = false
-		r.readAt = now.Add(4 * pollInterval)
+		r.readAt = now.Add(failedPoll)
 	}
 }
 
@@ -271,6 +273,7 @@
 		return nil
 	}
 	r.reading = false
+	s.up(r)
 	s.useReport(r, rep, now)
 	s.decide(now)
 	return s.take()
--- a/internal/swap/replica.go
+++ b/internal/swap/replica.go
@@ -14,6 +14,8 @@
 	up *fleet.Upstream
 	// known says that a report or an own order has told what the engine holds.
 	known bool
+	// down says that hosts cannot reach the engine.
+	down bool
 	// sequence is the number of orders that the engine has accepted.
 	sequence int64
 	held     map[entity.ModelID]*held
@@ -117,6 +119,9 @@
 	}
 }
 
+// serves says whether requests can be given to the engine.
+func (r *replica) serves() bool { return !r.up.Draining && !r.down }
+
 func (r *replica) clearUse() {
 	r.running = 0
 	for _, h := range r.held {
--- a/internal/swap/sim_test.go
+++ b/internal/swap/sim_test.go
@@ -34,7 +34,9 @@
 	doneAt    time.Time
 	running   map[entity.ModelID]int
 	crashes   int
-	late      []lateOrder
+	// dark engines answer nothing.
+	dark bool
+	late []lateOrder
 	// past holds former reports, because reports lag.
 	past []pastReport
 }
@@ -176,7 +178,7 @@
 		return
 	}
 	x := s.engines[id]
-	if x.born != born || len(x.past) == 0 {
+	if x.dark || x.born != born || len(x.past) == 0 {
 		swapper.ReportFailed(id, s.now)
 		return
 	}
@@ -198,6 +200,8 @@
 	}
 	silent := func() { s.after(500*time.Millisecond, func() { answer(Unknown) }) }
 	switch p := s.rand.Float64(); {
+	case x.dark:
+		s.after(time.Millisecond, func() { answer(NotSent) })
 	case p < s.faults.drop:
 		silent()
 	case p < s.faults.drop+s.faults.late:
@@ -524,3 +528,47 @@
 		t.Errorf("%d engines hold a model with 28 requests at 8 slots each", n)
 	}
 }
+
+// Guards against requests that wait until the list shows that the only engine with their model has
+// crashed: they were tried four times at a dead engine for 4.8 s (scale-2 of Reykjavik, request
+// cfac759b01769a48).
+func TestModelOfAnUnreachableEngineGoesElsewhere(t *testing.T) {
+	s := newSim(t, 8, 4, 4, simFaults{})
+	s.runFor(time.Second, 0, false)
+	s.engines["e03"].copies["m01"] = true
+	s.list(s.engines["e03"])
+	s.engines["e01"].dark = true
+	need := []wire.PoolNeed{{Service: simService, Model: "m01", Waiting: 1, Left: 10 * time.Second}}
+	for _, host := range []entity.HostID{"h1", "h2"} {
+		s.carryOut(s.swapper.HandleHost(wire.HostReport{Host: host, Needs: need, Down: []entity.UpstreamID{"e01"}}, s.now))
+	}
+	for range 400 {
+		s.step()
+	}
+	if s.engines["e03"].models["m01"] == nil {
+		t.Error("the model was not loaded where its other copy lies")
+	}
+	for _, h := range s.swapper.Holdings() {
+		if h.Upstream.ID == "e01" && len(h.Held) > 0 {
+			t.Error("the unreachable engine is told to hold models")
+		}
+	}
+	s.engines["e01"].dark = false
+	for range 200 {
+		s.step()
+	}
+	if s.swapper.replicas["e01"].down {
+		t.Error("the engine answers again and is still left out")
+	}
+}
+
+// Guards against an engine that is left out because one host is cut off from it.
+func TestOneHostAloneDoesNotTakeAnEngineOut(t *testing.T) {
+	s := newSim(t, 8, 4, 4, simFaults{})
+	s.runFor(time.Second, 0, false)
+	s.carryOut(s.swapper.HandleHost(wire.HostReport{Host: "h1"}, s.now))
+	s.carryOut(s.swapper.HandleHost(wire.HostReport{Host: "h2", Down: []entity.UpstreamID{"e01"}}, s.now))
+	if s.swapper.replicas["e01"].down {
+		t.Error("one host took an engine out")
+	}
+}
--- a/internal/swap/swap.go
+++ b/internal/swap/swap.go
@@ -35,6 +35,9 @@
 	lateOrders = 13 * time.Second
 	// usedMemory is the time over which the use of models is averaged.
 	usedMemory = 15 * time.Second
+	// downHosts is the number of hosts that must not reach an engine, within downTerm.
+	downHosts = 2
+	downTerm  = time.Second
 	// hostSilence is how long the report of a silent host still counts.
 	hostSilence = 3 * time.Second
 	// settleTime keeps a model that was just loaded, so that those who waited for it can use it.
@@ -253,10 +256,41 @@
 		row.rate += float64(n.Arrived) / usedMemory.Seconds()
 	}
 	s.sumUp(now)
+	s.noteDown(now)
 	s.decide(now)
 	return s.take()
 }
 
+// noteDown finds the engines that several hosts cannot reach. One host may be cut off itself. The
+// list shows a crashed engine only after some seconds, in which its models are needed elsewhere.
+func (s *Swapper) noteDown(now time.Time) {
+	count := make(map[entity.UpstreamID]int)
+	for _, h := range s.hosts {
+		if now.Sub(h.at) > downTerm {
+			continue
+		}
+		for _, id := range h.report.Down {
+			count[id]++
+		}
+	}
+	needed := min(downHosts, len(s.hosts))
+	for id, n := range count {
+		if r := s.replicas[id]; r != nil && n >= needed && !r.down {
+			r.down = true
+			s.version++
+			s.read(r, now)
+		}
+	}
+}
+
+// up says that an engine answers again.
+func (s *Swapper) up(r *replica) {
+	if r.down {
+		r.down = false
+		s.version++
+	}
+}
+
 // row returns the row of a model with its rate decayed to now.
 func (s *Swapper) row(service catalog.ServiceID, model entity.ModelID, now time.Time) *modelRow {
 	key := modelKey{service: service, model: model}
@@ -330,7 +364,8 @@
 // Holding is what the coordinator knows of one engine.
 type Holding struct {
 	Upstream fleet.Incarnation
-	// Held lists what can be used; a model that is being unloaded is not in it.
+	// Held lists what can be used; a model that is being unloaded is not in it, and nothing is while
+	// the engine cannot be reached.
 	Held []fleet.Held
 	// Running counts the requests of all hosts.
 	Running int
@@ -340,7 +375,10 @@
 func (s *Swapper) Holdings() []Holding {
 	out := make([]Holding, 0, len(s.replicas))
 	for _, r := range s.replicas {
-		if r.known {
+		switch {
+		case r.down:
+			out = append(out, Holding{Upstream: r.up.Incarnation, Running: r.running})
+		case r.known:
 			out = append(out, Holding{Upstream: r.up.Incarnation, Held: r.usable(), Running: r.running})
 		}
 	}
--- a/internal/wire/coordination.go
+++ b/internal/wire/coordination.go
@@ -36,6 +36,8 @@
 	SentAt int64      `msgpack:"t"`
 	Needs  []PoolNeed `msgpack:"n"`
 	Uses   []PoolUse  `msgpack:"u"`
+	// Down lists the upstreams that this host could not reach just now.
+	Down []entity.UpstreamID `msgpack:"o,omitempty"`
 	// Lack is the number of tokens that waiting requests lack, by workspace.
 	Lack map[entity.WorkspaceID]float64 `msgpack:"d,omitempty"`
 }
