--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -1,5 +1,5 @@
 // Package metrics defines the OpenTelemetry instruments of a host and serves them in the
-// Prometheus text format. Every instrument is documented in docs/operations.md.
+// Prometheus text format. Every instrument is documented in docs/OPERATIONS.md.
 package metrics
 
 import (
--- a/test/faults/control_long_test.go
+++ b/test/faults/control_long_test.go
@@ -10,7 +10,7 @@
 )
 
 // TestLongRandomRun runs pairs of failures for FOXTAILPASS_FAULTS_DURATION (default 10m) from
-// FOXTAILPASS_FAULTS_SEED (default the time). It guards against rare combinations; see docs/operations.md.
+// FOXTAILPASS_FAULTS_SEED (default the time). It guards against rare combinations; see docs/OPERATIONS.md.
 func TestLongRandomRun(t *testing.T) {
 	d, seed := 10*time.Minute, uint64(time.Now().UnixNano())
 	if v := os.Getenv("FOXTAILPASS_FAULTS_DURATION"); v != "" {
