--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -49,6 +49,9 @@
 	Timeout time.Duration
 	// Target is the time to the answer, or to the first event, that earns full credit.
 	Target time.Duration
+	// Patience is how long callers wait for the first event of a stream; zero means until their
+	// deadline.
+	Patience time.Duration
 	// Priority ranks the route; 0 is the most urgent.
 	Priority int
 	Split    []Share
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -53,6 +53,18 @@
 // repeatable says whether another attempt may follow one that may have run.
 func (r *Request) repeatable() bool { return r.Route.Repeatable() }
 
+// patienceMargin is how long before a caller gives up on a stream it gets its final answer.
+const patienceMargin = 150 * time.Millisecond
+
+// left returns the time in which the request must begin to be answered.
+func (r *Request) left(now time.Time) time.Duration {
+	left := r.Deadline.Sub(now)
+	if r.Route.Patience > 0 && !r.mayHaveRun {
+		left = min(left, r.Arrived.Add(r.Route.Patience-patienceMargin).Sub(now))
+	}
+	return left
+}
+
 // Reason says why a request was refused; it appears in logs and metrics.
 type Reason string
 
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -184,7 +184,7 @@
 
 // refuseHopeless gives a waiting request its final answer when it cannot be served in time.
 func (s *Scheduler) refuseHopeless(r *Request, now time.Time) {
-	left := r.Deadline.Sub(now)
+	left := r.left(now)
 	if left <= runMargin {
 		s.refuse(r, ReasonDeadline, shortestRetryAfter)
 		return
--- a/internal/dispatch/scheduler_test.go
+++ b/internal/dispatch/scheduler_test.go
@@ -262,3 +262,29 @@
 		t.Errorf("went to %s", d.Upstream.ID)
 	}
 }
+
+// Guards against callers of streams who wait for a first event until they give up, while it is known
+// that it cannot come before: they leave after 2 s, long before their deadline, and were never told
+// when to come back (trouble-2 of both sites: 113 and 168 requests).
+func TestPatienceOfCallersCounts(t *testing.T) {
+	for _, c := range []struct {
+		ready   time.Duration
+		refused bool
+	}{{time.Second, false}, {2500 * time.Millisecond, true}} {
+		s := newTestScheduler(func(Pool, time.Time) (time.Duration, bool) { return c.ready, true })
+		r := newRequest(catalog.Streaming, Pool{Service: "s", Model: "m"}, testStart)
+		r.Route.Patience = 2 * time.Second
+		r.Deadline = testStart.Add(12 * time.Second)
+		ds := s.Enqueue(r, testStart)
+		if refused := len(ds) == 1 && ds[0].Refusal != nil; refused != c.refused {
+			t.Errorf("ready in %v: %+v", c.ready, ds)
+		}
+		if c.refused {
+			continue
+		}
+		d := onlyDecision(t, s.Tick(testStart.Add(1900*time.Millisecond)))
+		if d.Refusal == nil || d.Refusal.Status != 503 || d.Refusal.RetryAfter <= 0 {
+			t.Errorf("shortly before the caller gives up: %+v", d)
+		}
+	}
+}
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -27,6 +27,8 @@
 	callTimeout = 800 * time.Millisecond
 	// campaignStep delays the campaign of every host behind those that rank before it.
 	campaignStep = 200 * time.Millisecond
+	// restartTime is the time in which a stopped process is usually started again.
+	restartTime = time.Second
 	// retryPause is the pause after a failed campaign.
 	retryPause = 300 * time.Millisecond
 )
@@ -124,7 +126,8 @@
 	return c.opts.Now().Before(c.until)
 }
 
-// Stop keeps the candidate from campaigning again and gives the right back.
+// Stop keeps the candidate from campaigning again. A right that it has is kept until Run ends: the
+// next process of this host can then take it over at once, while another host would have to wait.
 func (c *Candidate) Stop() {
 	c.mu.Lock()
 	c.stopped = true
@@ -158,8 +161,8 @@
 			}
 			continue
 		}
-		if o.Rank > 0 {
-			if !c.sleep(ctx, time.Duration(o.Rank)*campaignStep, false) {
+		if delay := c.delay(o); delay > 0 {
+			if !c.sleep(ctx, delay, false) {
 				return ctx.Err()
 			}
 			if now, still := c.vacancy(); !still || now.Revision != o.Revision {
@@ -175,6 +178,19 @@
 	}
 }
 
+// delay is how long to wait before campaigning: behind the candidates of a lower rank, and behind
+// a restart of the last holder, which need not wait before its first order.
+func (c *Candidate) delay(o Observation) time.Duration {
+	if o.Last == c.opts.Self.Host {
+		return 0
+	}
+	delay := time.Duration(o.Rank) * campaignStep
+	if o.LastRevision > 0 {
+		delay += restartTime
+	}
+	return delay
+}
+
 // sleep waits, or ends early at a new observation when asked to. It returns false at the end of ctx.
 func (c *Candidate) sleep(ctx context.Context, d time.Duration, wakeable bool) bool {
 	t := time.NewTimer(d)
@@ -266,7 +282,7 @@
 	c.mu.Unlock()
 	c.opts.OnChange(nil)
 	c.opts.Log.Warn("Right to give orders lost.", "token", right.Token, "reason", reason)
-	if ctx.Err() != nil || reason == reasonStopped {
+	if reason == reasonStopped {
 		c.release(lease)
 	}
 }
@@ -279,7 +295,7 @@
 func (c *Candidate) renewAll(ctx context.Context, lease kvstore.LeaseID) string {
 	held := true
 	for {
-		if !c.sleep(ctx, renewInterval, false) || c.isStopped() {
+		if !c.sleep(ctx, renewInterval, false) {
 			return reasonStopped
 		}
 		sent := c.opts.Now()
@@ -299,12 +315,6 @@
 	}
 }
 
-func (c *Candidate) isStopped() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.stopped
-}
-
 // extend moves the end of the right to a lease that counts from sent. It returns false when that
 // has passed already, as after a suspension.
 func (c *Candidate) extend(sent time.Time) bool {
--- a/internal/swap/replica.go
+++ b/internal/swap/replica.go
@@ -141,7 +141,7 @@
 	for _, m := range rep.Models {
 		h := former[m.Model]
 		if h == nil {
-			h = &held{model: m.Model, loadedAt: now, usedAt: now}
+			h = &held{model: m.Model}
 		}
 		h.version = m.Version
 		h.adapters = adoptAdapters(h.adapters, m.Adapters, now)
