--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -237,7 +237,7 @@
 	run(t, func(ctx context.Context, store *kv.Store) {
 		first, end := context.WithCancel(ctx)
 		newTestNode(first, store, "a", "1", 0)
-		b := newTestNode(ctx, store, "b", "1", 0)
+		b := newTestNode(ctx, store, "b", "1", 1)
 		time.Sleep(2 * time.Second)
 		end()
 		// The test's view of the service is half a second behind; that of a started process is not.
