election: count the gap from when the right was seen to be vacant

The last order of the former holder is older than the moment at which its key was seen to be gone; the time until a successor wins need not be waited for once more.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -80,7 +80,9 @@
 	mu       sync.Mutex
 	observed bool
 	seen     Observation
-	stopped  bool
+	// vacantSince is when this host first saw that the last holder has lost the right.
+	vacantSince time.Time
+	stopped     bool
 	// until is when the own right ends; zero without it.
 	until time.Time
 }
@@ -104,6 +106,9 @@
 // Observe takes over what the service holds.
 func (c *Candidate) Observe(o Observation) {
 	c.mu.Lock()
+	if o.Holder == nil && (!c.observed || c.seen.Holder != nil || c.seen.LastRevision != o.LastRevision) {
+		c.vacantSince = c.opts.Now()
+	}
 	c.observed = true
 	c.seen = o
 	c.mu.Unlock()
@@ -244,11 +249,23 @@
 	}
 	from := c.opts.Now()
 	if o.LastRevision > 0 && o.Last != c.opts.Self.Host {
-		from = from.Add(c.opts.Gap)
+		// The write has shown that nobody has held the right since it was seen to be vacant.
+		from = c.firstOrder(from)
 	}
 	return &Right{Token: token, From: from}, lease, sent
 }
 
+// firstOrder returns when a successor may give its first order.
+func (c *Candidate) firstOrder(now time.Time) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	from := c.vacantSince.Add(c.opts.Gap)
+	if from.Before(now) {
+		return now
+	}
+	return from
+}
+
 // readBack returns the revision of the holder key when it names this process, else 0.
 func (c *Candidate) readBack(ctx context.Context) (int64, error) {
 	cctx, cancel := context.WithTimeout(ctx, callTimeout)
