--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -314,7 +314,7 @@
 		c.log.Info("Upstream gone.", "upstream", ch.Before.ID, "service", ch.Before.Service)
 	case ch.After == nil:
 	case ch.Before == nil || ch.Before.Incarnation != ch.After.Incarnation:
-		c.log.Info("Upstream seen.", "upstream", ch.After.ID, "service", ch.After.Service, "addr", ch.After.Addr, "draining", ch.After.Draining, "models", len(ch.After.Models))
+		c.log.Info("Upstream seen.", "upstream", ch.After.ID, "service", ch.After.Service, "addr", ch.After.Addr, "draining", ch.After.Draining, "models", len(ch.After.Models), "on_disk", len(ch.After.OnDisk), "in_memory", len(ch.After.InMemory))
 	case ch.After.Draining != ch.Before.Draining:
 		c.log.Info("Upstream draining.", "upstream", ch.After.ID, "remaining", ch.After.Remaining)
 	}
