--- a/internal/swap/decide.go
+++ b/internal/swap/decide.go
@@ -14,7 +14,7 @@
 	// in streams grow long before the slots are full.
 	targetLoad = 0.3
 	// storeLoad is that share where the replica must be loaded from the weight store.
-	storeLoad = 0.7
+	storeLoad = 0.45
 	// evictionSeconds weighs a lost replica: the time that a request loses when its model has to
 	// be swapped in again.
 	evictionSeconds = 5.0
@@ -223,7 +223,12 @@
 		if len(s.ready(m.key)) > 0 || s.loading(m.key) > 0 {
 			continue
 		}
-		s.bring(m.key, rows, storeParallel, now)
+		switch {
+		case s.hasSpareCopy(m.key):
+			s.bring(m.key, rows, fromCopy, now)
+		case s.storeLoads() < storeParallel:
+			s.bring(m.key, rows, fromStore, now)
+		}
 	}
 }
 
@@ -235,14 +240,12 @@
 			continue
 		}
 		have := len(s.ready(m.key)) + s.loading(m.key)
-		fill := targetLoad
-		if !s.hasSpareCopy(m.key) {
-			// The weight store is for models that would otherwise have no place at all.
-			fill = storeLoad
-		}
-		want := int(float64(m.running+m.waiting)/(fill*float64(max(e.Slots, 1)))) + 1
-		if have > 0 && have < want {
-			s.bring(m.key, rows, storeParallel, now)
+		load := float64(m.running+m.waiting) / float64(max(e.Slots, 1))
+		switch {
+		case have == 0 || float64(have) >= load/targetLoad:
+		case s.bring(m.key, rows, fromCopy, now):
+		case float64(have) < load/storeLoad && s.storeLoads() < storeParallel:
+			s.bring(m.key, rows, fromStore, now)
 		}
 	}
 }
@@ -272,7 +275,7 @@
 		}
 		for s.storeLoads() < prefetchParallel {
 			key, ok := s.nextPrefetch(id, svc.Engine)
-			if !ok || !s.bring(key, rows, prefetchParallel, now) {
+			if !ok || !s.bring(key, rows, fromStore, now) {
 				break
 			}
 		}
@@ -299,13 +302,19 @@
 	return best, bestRate >= 0
 }
 
+// source says where the weights of a load come from.
+type source uint8
+
+const (
+	// fromCopy loads use a copy on the machine of the engine.
+	fromCopy source = iota
+	// fromStore loads use the weight store, on engines without a copy.
+	fromStore
+)
+
 // bring starts a task that loads a model on the engine where it costs least. It returns false
 // when no engine can take it now.
-func (s *Swapper) bring(key modelKey, rows []*replica, parallel int, now time.Time) bool {
-	copied := s.hasSpareCopy(key)
-	if !copied && s.storeLoads() >= parallel {
-		return false
-	}
+func (s *Swapper) bring(key modelKey, rows []*replica, src source, now time.Time) bool {
 	e := s.engine(key.service)
 	if e == nil || e.Models[key.model] == nil {
 		return false
@@ -318,7 +327,7 @@
 			continue
 		}
 		from := r.copies[key.model]
-		if copied && from == 0 {
+		if (from != 0) != (src == fromCopy) {
 			continue
 		}
 		evict, cost, ok := s.eviction(r, e, e.Models[key.model].SizeMB, now)
