One accept loop; a test of the watcher and the fault that it found

The last change of each upstream counts now. - The loop that retries an accept stood four times; it is internal/accept.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -85,6 +85,9 @@
 	case s.route.Repeatable():
 		o.HeadTimeout = firstEventLimit
 	}
+	if st.attempt == 1 {
+		s.front.metrics.DispatchWait(boottime.Now().Sub(s.arrived))
+	}
 	s.front.log.Info("Sent.", "request", s.ask.ID, "attempt", st.attempt, "upstream", st.target.ID, "after", boottime.Now().Sub(s.arrived),
 		"left", left, "route", s.route.Name, "workspace", s.request.Workspace, "tokens", s.request.Tokens, "model", s.request.Pool.Model, "adapter", s.request.Pool.Adapter,
 		"load", math.Round(st.seen.load*10)/10, "others_age", st.seen.othersAge, "source", st.target.Source, "config", st.seen.version,
--- a/internal/edge/caller.go
+++ b/internal/edge/caller.go
@@ -4,42 +4,24 @@
 	"errors"
 	"net"
 	"os"
-	"syscall"
 	"time"
-)
 
-// acceptRetry is the pause after an accept that failed for lack of resources. The kernel's backlog
-// holds the callers meanwhile.
-const acceptRetry = 10 * time.Millisecond
+	"github.com/foxtailpass/foxtailpass/internal/accept"
+)
 
 // writeLimit ends a connection whose caller takes nothing for so long.
 const writeLimit = 10 * time.Second
 
-// callerListener wraps accepted connections, and retries an accept that failed for lack of
-// resources, because the HTTP server ends for good at the first error.
+// callerListener wraps the connections of a listener.
 type callerListener struct{ net.Listener }
 
 // Accept implements net.Listener.
 func (l callerListener) Accept() (net.Conn, error) {
-	for {
-		conn, err := l.Listener.Accept()
-		if err == nil {
-			return &callerConn{Conn: conn}, nil
-		}
-		if !shortOfResources(err) {
-			return nil, err
-		}
-		time.Sleep(acceptRetry)
-	}
-}
-
-func shortOfResources(err error) bool {
-	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ECONNABORTED, syscall.ENOBUFS, syscall.ENOMEM} {
-		if errors.Is(err, e) {
-			return true
-		}
+	conn, err := accept.Next(l.Listener)
+	if err != nil {
+		return nil, err
 	}
-	return false
+	return &callerConn{Conn: conn}, nil
 }
 
 // callerConn is a caller's connection that can be watched while its request is served. The HTTP
--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"slices"
 	"time"
 
 	"github.com/foxtailpass/foxtailpass/internal/catalog"
@@ -37,6 +38,18 @@
 	removed []entity.UpstreamID
 }
 
+// addPut and addRemoved keep the last change of each upstream: an entry may go and come back between
+// two reads.
+func (e *upstreamsChanged) addPut(u *fleet.Upstream) {
+	e.removed = slices.DeleteFunc(e.removed, func(id entity.UpstreamID) bool { return id == u.ID })
+	e.put = append(e.put, u)
+}
+
+func (e *upstreamsChanged) addRemoved(id entity.UpstreamID) {
+	e.put = slices.DeleteFunc(e.put, func(u *fleet.Upstream) bool { return u.ID == id })
+	e.removed = append(e.removed, id)
+}
+
 // membersChanged are the registered hosts.
 type membersChanged struct{ hosts []entity.HostID }
 
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -255,7 +255,7 @@
 		u.SeenAt = boottime.Now()
 		w.rows[id] = true
 		delete(w.missing, id)
-		out.put = append(out.put, u)
+		out.addPut(u)
 		return
 	}
 	if !w.rows[id] {
@@ -266,7 +266,7 @@
 		return
 	}
 	delete(w.rows, id)
-	out.removed = append(out.removed, id)
+	out.addRemoved(id)
 }
 
 // afterOutage says whether the read under way ends an outage, in which entries of live upstreams
--- /dev/null
+++ b/internal/edge/watch_test.go
@@ -0,0 +1,221 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/valyala/fasthttp"
+
+	"github.com/foxtailpass/foxtailpass/internal/catalog"
+	"github.com/foxtailpass/foxtailpass/internal/election"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/fleet"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
+	"github.com/foxtailpass/foxtailpass/internal/swap"
+)
+
+// testProtocol reads documents of the test's own format.
+type testProtocol struct{}
+
+func (testProtocol) Describe(*fasthttp.RequestHeader) Description { return Description{} }
+func (testProtocol) AppendHead(dst []byte, _ *fasthttp.Request, _ Instruction) []byte {
+	return dst
+}
+func (testProtocol) Judge(*fasthttp.ResponseHeader) Judgement { return Judgement{} }
+func (testProtocol) ConfigKey() string                        { return "config" }
+func (testProtocol) UpstreamsPrefix() string                  { return "up/" }
+func (testProtocol) Order(context.Context, swap.Order, Authority) swap.Answer {
+	return swap.NotSent
+}
+func (testProtocol) Report(context.Context, *fleet.Upstream) (swap.Report, error) {
+	return swap.Report{}, errors.New("no report")
+}
+
+func (testProtocol) DecodeCatalog(value []byte) (*catalog.Catalog, []Notice, error) {
+	var version int64
+	if err := json.Unmarshal(value, &version); err != nil {
+		return nil, nil, err
+	}
+	return catalog.New(catalog.Document{Version: version}), nil, nil
+}
+
+func (testProtocol) DecodeUpstream(key string, value []byte) (*fleet.Upstream, error) {
+	if len(value) == 0 {
+		return nil, errors.New("empty entry")
+	}
+	return &fleet.Upstream{Incarnation: fleet.Incarnation{ID: entity.UpstreamID(key[len("up/"):])}}, nil
+}
+
+// testStore is a key-value service whose history can be lost and that can be down.
+type testStore struct {
+	store
+	items    map[string]kvstore.Pair
+	events   []kvstore.Event
+	revision int64
+	oldest   int64
+	down     bool
+}
+
+func (s *testStore) put(key, value string) {
+	s.revision++
+	p := kvstore.Pair{Key: key, Value: []byte(value), ModRevision: s.revision}
+	s.items[key] = p
+	s.events = append(s.events, kvstore.Event{Pair: p})
+}
+
+func (s *testStore) remove(key string) {
+	if _, ok := s.items[key]; !ok {
+		return
+	}
+	s.revision++
+	delete(s.items, key)
+	s.events = append(s.events, kvstore.Event{Deleted: true, Pair: kvstore.Pair{Key: key, ModRevision: s.revision}})
+}
+
+func (s *testStore) Poll(_ context.Context, _ string, after int64, _ time.Duration) (kvstore.WatchBatch, error) {
+	switch {
+	case s.down:
+		return kvstore.WatchBatch{}, kvstore.ErrUnavailable
+	case after < s.oldest:
+		return kvstore.WatchBatch{}, kvstore.ErrCompacted
+	}
+	out := kvstore.WatchBatch{Revision: s.revision}
+	for _, e := range s.events {
+		if e.Pair.ModRevision > after {
+			out.Events = append(out.Events, e)
+		}
+	}
+	return out, nil
+}
+
+func (s *testStore) Range(context.Context, kvstore.RangeRequest) (kvstore.RangeResult, error) {
+	if s.down {
+		return kvstore.RangeResult{}, kvstore.ErrUnavailable
+	}
+	out := kvstore.RangeResult{Revision: s.revision}
+	for _, p := range s.items {
+		out.Pairs = append(out.Pairs, p)
+	}
+	return out, nil
+}
+
+// seenState is what the control state of a host was told.
+type seenState struct {
+	upstreams map[entity.UpstreamID]bool
+	versions  []int64
+}
+
+func newTestWatcher(s *testStore, seen *seenState) *watcher {
+	return &watcher{
+		store:    s,
+		protocol: testProtocol{},
+		prefix:   "own/",
+		log:      log.New(io.Discard),
+		self:     "h",
+		rows:     make(map[entity.UpstreamID]bool),
+		missing:  make(map[entity.UpstreamID]time.Time),
+		members:  make(map[entity.HostID]bool),
+		observe:  func(election.Observation) {},
+		publish:  func(c *catalog.Catalog) { seen.versions = append(seen.versions, c.Version) },
+		send: func(e event) {
+			if u, ok := e.(upstreamsChanged); ok {
+				for _, row := range u.put {
+					seen.upstreams[row.ID] = true
+				}
+				for _, id := range u.removed {
+					delete(seen.upstreams, id)
+				}
+			}
+		},
+	}
+}
+
+// Guards against a host that goes back to an older configuration, keeps upstreams that are gone or
+// misses new ones, whatever is lost: the history, single reads, readable documents.
+func TestCopyFollowsTheStore(t *testing.T) {
+	for seed := range uint64(200) {
+		r := rand.New(rand.NewPCG(seed, 3))
+		s := &testStore{items: make(map[string]kvstore.Pair), revision: 1}
+		seen := &seenState{upstreams: make(map[entity.UpstreamID]bool)}
+		w := newTestWatcher(s, seen)
+		version := int64(1)
+		for range 60 {
+			switch r.IntN(8) {
+			case 0:
+				version += int64(1 + r.IntN(5))
+				s.put("config", fmt.Sprint(version))
+			case 1:
+				s.put("config", "{")
+			case 2, 3:
+				s.put(fmt.Sprintf("up/%d", r.IntN(6)), "x")
+			case 4:
+				s.put(fmt.Sprintf("up/%d", r.IntN(6)), "")
+			case 5:
+				s.remove(fmt.Sprintf("up/%d", r.IntN(6)))
+			case 6:
+				s.oldest, s.events = s.revision, nil
+			}
+			s.down = r.IntN(5) == 0
+			if err := w.read(t.Context()); (err != nil) != s.down {
+				t.Fatalf("seed %d: read: %v while down is %v", seed, err, s.down)
+			}
+		}
+		s.down = false
+		if err := w.read(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		for i := 1; i < len(seen.versions); i++ {
+			if seen.versions[i] < seen.versions[i-1] {
+				t.Fatalf("seed %d: version %d after %d", seed, seen.versions[i], seen.versions[i-1])
+			}
+		}
+		for i := range 6 {
+			id := entity.UpstreamID(fmt.Sprint(i))
+			want := len(s.items["up/"+string(id)].Value) > 0
+			if seen.upstreams[id] != want {
+				t.Fatalf("seed %d: upstream %s is listed %v, the host holds %v", seed, id, want, seen.upstreams[id])
+			}
+		}
+	}
+}
+
+// Guards against upstreams that are given up because their entries lapsed while the service was away,
+// and against ones that are kept though their entries don't come back.
+func TestEntriesMayReturnAfterAnOutage(t *testing.T) {
+	s := &testStore{items: make(map[string]kvstore.Pair), revision: 1}
+	seen := &seenState{upstreams: make(map[entity.UpstreamID]bool)}
+	w := newTestWatcher(s, seen)
+	s.put("up/1", "x")
+	s.put("up/2", "x")
+	now := time.Unix(1000, 0)
+	if err := w.read(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	w.outage = now.Add(-time.Hour)
+	s.remove("up/1")
+	s.remove("up/2")
+	if err := w.read(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if len(seen.upstreams) != 2 {
+		t.Errorf("%d upstreams right after the outage", len(seen.upstreams))
+	}
+	w.outage = time.Time{}
+	s.put("up/1", "x")
+	if err := w.read(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	for id := range w.missing {
+		w.expireMissing(w.missing[id])
+	}
+	if !seen.upstreams["1"] || seen.upstreams["2"] {
+		t.Errorf("after the return: %v", seen.upstreams)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/fasthttp/router"
 	"github.com/valyala/fasthttp"
 
+	"github.com/foxtailpass/foxtailpass/internal/accept"
 	"github.com/foxtailpass/foxtailpass/internal/claims"
 	"github.com/foxtailpass/foxtailpass/internal/config"
 	"github.com/foxtailpass/foxtailpass/internal/control"
@@ -149,7 +150,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go g.watcher.run(ctx)
-	if err := g.server.Serve(retryingListener{ln}); err != nil {
+	if err := g.server.Serve(accept.Retrying{Listener: ln}); err != nil {
 		return fmt.Errorf("gateway: %w", err)
 	}
 	return nil
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -12,6 +12,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/foxtailpass/foxtailpass/internal/accept"
 	"github.com/foxtailpass/foxtailpass/internal/wire"
 )
 
@@ -146,18 +147,13 @@
 // Accept serves sessions from a listener until it is closed.
 func Accept(ln net.Listener, serve func(*Session)) error {
 	for {
-		conn, err := ln.Accept()
+		conn, err := accept.Next(ln)
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if err != nil {
-			// Out of descriptors or memory for a moment; the backlog holds the hosts meanwhile.
-			time.Sleep(acceptPause)
-			continue
+			return err
 		}
 		go serve(newSession(conn))
 	}
 }
-
-// acceptPause is the pause after an accept that failed.
-const acceptPause = 20 * time.Millisecond
--- a/internal/standin/listener/listener.go
+++ b/internal/standin/listener/listener.go
@@ -3,15 +3,11 @@
 package listener
 
 import (
-	"errors"
 	"net"
 	"sync"
-	"syscall"
-	"time"
-)
 
-// acceptRetry is the pause after an accept that failed for lack of resources.
-const acceptRetry = 10 * time.Millisecond
+	"github.com/foxtailpass/foxtailpass/internal/accept"
+)
 
 // Tracking is a net.Listener that remembers its open connections. It is safe for concurrent use.
 type Tracking struct {
@@ -31,28 +27,13 @@
 	return &Tracking{Listener: ln, conns: map[*conn]struct{}{}}
 }
 
-// Accept implements net.Listener. It retries after errors that pass: fasthttp's Serve ends for
-// good at the first error, also when the process is out of file descriptors for a moment.
+// Accept implements net.Listener.
 func (l *Tracking) Accept() (net.Conn, error) {
-	for {
-		c, err := l.Listener.Accept()
-		if err == nil {
-			return l.track(c)
-		}
-		if !passes(err) {
-			return nil, err
-		}
-		time.Sleep(acceptRetry)
-	}
-}
-
-func passes(err error) bool {
-	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ECONNABORTED, syscall.ENOBUFS, syscall.ENOMEM} {
-		if errors.Is(err, e) {
-			return true
-		}
+	c, err := accept.Next(l.Listener)
+	if err != nil {
+		return nil, err
 	}
-	return false
+	return l.track(c)
 }
 
 func (l *Tracking) track(c net.Conn) (net.Conn, error) {
