--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -152,6 +152,9 @@
 // ReadyAddr returns where the balancer asks for readiness.
 func (h *Host) ReadyAddr() string { return h.ready.Addr().String() }
 
+// OperatorAddr returns where metrics and status are served.
+func (h *Host) OperatorAddr() string { return h.operators.Addr().String() }
+
 // Coordinates says whether this host has the right to give orders.
 func (h *Host) Coordinates() bool { return h.candidate.Holds() }
 
