Log of the entry host through log/slog: half the cost of a line

Ruled out: the sink (29 ns a line) and fewer fields, which the way from a request's id to its cause needs.

--- a/cmd/foxtailedge/main.go
+++ b/cmd/foxtailedge/main.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -102,11 +103,11 @@
 			return fmt.Errorf("wiring: %w", err)
 		}
 	}
-	return dig.RootCause(c.Invoke(func(h *edge.Host, l *log.Logger, sink *logsink.Sink) error {
+	return dig.RootCause(c.Invoke(func(h *edge.Host, l *slog.Logger, level *slog.LevelVar, sink *logsink.Sink) error {
 		defer sink.Close(logFlush)
 		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 		defer stop()
-		go reload(ctx, path, l)
+		go reload(ctx, path, l, level)
 		return h.Run(ctx)
 	}))
 }
@@ -114,11 +115,11 @@
 func providers(s edge.Settings, stdout io.Writer) []any {
 	return []any{
 		func() *logsink.Sink { return logsink.New(stdout) },
-		func(sink *logsink.Sink) (*log.Logger, error) { return edge.NewLogger(sink, s.Log) },
+		func(sink *logsink.Sink) (*slog.Logger, *slog.LevelVar, error) { return edge.NewLogger(sink, s.Log) },
 		metrics.New,
 		func() edge.Store { return platform.NewStore(s.Store.Addr, s.Store.Timeout.Std()) },
 		func() edge.Protocol { return platform.New() },
-		func(l *log.Logger, sink *logsink.Sink, m *metrics.Metrics, st edge.Store, p edge.Protocol) (*edge.Host, error) {
+		func(l *slog.Logger, sink *logsink.Sink, m *metrics.Metrics, st edge.Store, p edge.Protocol) (*edge.Host, error) {
 			return edge.New(edge.Options{Settings: s, Store: st, Protocol: p, Metrics: m, Log: l, LogDropped: sink.Dropped, Version: version})
 		},
 	}
@@ -126,7 +127,7 @@
 
 // reload reads the settings again at SIGHUP. Only the level of the log can change while the
 // process runs; the rest is taken up by the next start.
-func reload(ctx context.Context, path string, l *log.Logger) {
+func reload(ctx context.Context, path string, l *slog.Logger, level *slog.LevelVar) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	for {
@@ -140,8 +141,9 @@
 			l.Error("Settings not reloaded.", "err", err)
 			continue
 		}
-		if level, err := log.ParseLevel(s.Log.Level); err == nil {
-			l.SetLevel(level)
+		if err := edge.SetLevel(level, s.Log); err != nil {
+			l.Error("Settings not reloaded.", "err", err)
+			continue
 		}
 		l.Info("Settings reloaded.", "level", s.Log.Level)
 	}
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -53,7 +53,8 @@
 
 // open sends the request to the upstream of a step.
 func (s *session) open(ctx context.Context, st step, lastEvent string) (*upstream.Exchange, error) {
-	left := s.request.Deadline.Sub(boottime.Now())
+	now := boottime.Now()
+	left := s.request.Deadline.Sub(now)
 	if lastEvent == "" {
 		lastEvent = s.ask.LastEvent
 	}
@@ -86,12 +87,12 @@
 		o.HeadTimeout = firstEventLimit
 	}
 	if st.attempt == 1 {
-		s.front.metrics.DispatchWait(boottime.Now().Sub(s.arrived))
+		s.front.metrics.DispatchWait(now.Sub(s.arrived))
 	}
-	s.front.log.Info("Sent.", "request", s.ask.ID, "attempt", st.attempt, "upstream", st.target.ID, "after", boottime.Now().Sub(s.arrived),
+	s.front.log.Info("Sent.", "request", s.ask.ID, "attempt", st.attempt, "upstream", st.target.ID, "after", now.Sub(s.arrived),
 		"left", left, "route", s.route.Name, "workspace", s.request.Workspace, "tokens", s.request.Tokens, "model", s.request.Pool.Model, "adapter", s.request.Pool.Adapter,
 		"load", math.Round(st.seen.load*10)/10, "others_age", st.seen.othersAge, "source", st.target.Source, "config", st.seen.version,
-		"view_age", s.front.viewAge(), "last_event", lastEvent)
+		"view_age", s.front.viewAge(now), "last_event", lastEvent)
 	return s.front.upstreams.Exchange(ctx, o)
 }
 
--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -1,11 +1,10 @@
 package edge
 
 import (
+	"log/slog"
 	"math/rand/v2"
 	"time"
 
-	"github.com/charmbracelet/log"
-
 	"github.com/foxtailpass/foxtailpass/internal/boottime"
 	"github.com/foxtailpass/foxtailpass/internal/catalog"
 	"github.com/foxtailpass/foxtailpass/internal/dispatch"
@@ -44,7 +43,7 @@
 type core struct {
 	self    entity.HostID
 	domain  string
-	log     *log.Logger
+	log     *slog.Logger
 	effects effects
 	bounds  Bounds
 
@@ -86,7 +85,7 @@
 
 type readyEstimate struct{ at time.Time }
 
-func newCore(self entity.HostID, domain string, b Bounds, l *log.Logger, e effects) *core {
+func newCore(self entity.HostID, domain string, b Bounds, l *slog.Logger, e effects) *core {
 	c := &core{
 		self:      self,
 		domain:    domain,
--- a/internal/edge/dialer.go
+++ b/internal/edge/dialer.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/charmbracelet/log"
-
 	"github.com/foxtailpass/foxtailpass/internal/election"
 	"github.com/foxtailpass/foxtailpass/internal/peer"
 	"github.com/foxtailpass/foxtailpass/internal/wire"
@@ -15,7 +14,7 @@
 
 // dialer keeps a session with the coordinator.
 type dialer struct {
-	log       *log.Logger
+	log       *slog.Logger
 	send      func(event)
 	wake      chan struct{}
 	searching *atomic.Bool
--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
+	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"strconv"
 	"sync/atomic"
 	"time"
 
-	"github.com/charmbracelet/log"
 	"github.com/valyala/fasthttp"
 
 	"github.com/foxtailpass/foxtailpass/internal/boottime"
@@ -47,8 +48,8 @@
 	upstreams *upstream.Client
 	send      func(event)
 	fresh     func() (keyed, known bool)
-	viewAge   func() time.Duration
-	log       *log.Logger
+	viewAge   func(now time.Time) time.Duration
+	log       *slog.Logger
 	catalog   atomic.Pointer[catalog.Catalog]
 	server    *fasthttp.Server
 	active    atomic.Int64
@@ -77,10 +78,12 @@
 }
 
 // quietLogger sends the HTTP library's messages about single connections to the debug level.
-type quietLogger struct{ log *log.Logger }
+type quietLogger struct{ log *slog.Logger }
 
 // Printf implements fasthttp.Logger.
-func (q quietLogger) Printf(format string, args ...any) { q.log.Debugf(format, args...) }
+func (q quietLogger) Printf(format string, args ...any) {
+	q.log.Debug("Connection ended early.", "reason", fmt.Sprintf(format, args...))
+}
 
 // handle serves one request.
 func (f *front) handle(ctx *fasthttp.RequestCtx) {
@@ -279,9 +282,10 @@
 // refuse writes a final answer of this host's own.
 func (s *session) refuse(r entity.Refusal) {
 	f := s.front
-	f.metrics.Request(routeName(s.route), r.Status, r.Code, boottime.Now().Sub(s.arrived))
+	now := boottime.Now()
+	f.metrics.Request(routeName(s.route), r.Status, r.Code, now.Sub(s.arrived))
 	f.log.Info("Refused.", "request", s.ask.ID, "status", r.Status, "reason", r.Code, "ran", r.Ran, "retry_after", r.RetryAfter,
-		"after", boottime.Now().Sub(s.arrived), "attempts", s.attempt, "route", routeName(s.route), "workspace", s.workspace(), "tokens", s.ask.PromptTokens+s.ask.OutputTokens, "ready_in", s.seen.readyIn, "config", f.version(), "view_age", f.viewAge(), "model", s.ask.Model, "adapter", s.ask.Adapter)
+		"after", now.Sub(s.arrived), "attempts", s.attempt, "route", routeName(s.route), "workspace", s.workspace(), "tokens", s.ask.PromptTokens+s.ask.OutputTokens, "ready_in", s.seen.readyIn, "config", f.version(), "view_age", f.viewAge(now), "model", s.ask.Model, "adapter", s.ask.Adapter)
 	resp := &s.ctx.Response
 	resp.SetStatusCode(r.Status)
 	resp.Header.SetContentType("application/json")
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -9,12 +9,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/charmbracelet/log"
 	"github.com/valyala/fasthttp"
 
 	"github.com/foxtailpass/foxtailpass/internal/boottime"
@@ -63,7 +63,7 @@
 	Store    Store
 	Protocol Protocol
 	Metrics  *metrics.Metrics
-	Log      *log.Logger
+	Log      *slog.Logger
 	// LogDropped returns the number of log lines that were dropped. May be nil.
 	LogDropped func() int64
 	Version    string
@@ -72,7 +72,7 @@
 // Host is one entry host.
 type Host struct {
 	opts        Options
-	log         *log.Logger
+	log         *slog.Logger
 	incarnation entity.Incarnation
 	events      chan event
 	core        *core
@@ -94,7 +94,7 @@
 	s := o.Settings
 	h := &Host{
 		opts:        o,
-		log:         o.Log.WithPrefix("host"),
+		log:         o.Log.With("prefix", "host"),
 		incarnation: entity.NewIncarnation(),
 		events:      make(chan event, eventQueue),
 		ended:       make(chan struct{}),
@@ -107,9 +107,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("edge: registration: %w", err)
 	}
-	h.registrar = &registrar{store: o.Store, key: s.Store.Prefix + membersPrefix + string(s.Host), value: value, log: o.Log.WithPrefix("lease")}
-	h.core = newCore(s.Host, s.FailureDomain, s.Bounds, o.Log.WithPrefix("control"), h)
-	h.dialer = &dialer{log: o.Log.WithPrefix("peer"), send: h.send, wake: make(chan struct{}, 1)}
+	h.registrar = &registrar{store: o.Store, key: s.Store.Prefix + membersPrefix + string(s.Host), value: value, log: o.Log.With("prefix", "lease")}
+	h.core = newCore(s.Host, s.FailureDomain, s.Bounds, o.Log.With("prefix", "control"), h)
+	h.dialer = &dialer{log: o.Log.With("prefix", "peer"), send: h.send, wake: make(chan struct{}, 1)}
 	h.candidate = election.New(election.Options{
 		KV:       o.Store,
 		Prefix:   s.Store.Prefix,
@@ -117,14 +117,14 @@
 		Gap:      time.Duration(s.Bounds.OrderGapMillis) * time.Millisecond,
 		Now:      boottime.Now,
 		OnChange: func(r *election.Right) { h.send(rightChanged{right: r}) },
-		Log:      o.Log.WithPrefix("lease"),
+		Log:      o.Log.With("prefix", "lease"),
 	})
 	h.front = newFront(&front{
 		protocol:  o.Protocol,
 		upstreams: upstream.NewClient(),
 		send:      h.send,
 		fresh:     h.fresh,
-		log:       o.Log.WithPrefix("request"),
+		log:       o.Log.With("prefix", "request"),
 		grace:     time.Duration(s.Bounds.GraceSeconds * float64(time.Second)),
 		metrics:   o.Metrics,
 		viewAge:   h.viewAge,
@@ -133,7 +133,7 @@
 		store:    o.Store,
 		protocol: o.Protocol,
 		prefix:   s.Store.Prefix,
-		log:      o.Log.WithPrefix("view"),
+		log:      o.Log.With("prefix", "view"),
 		send:     h.send,
 		observe:  h.candidate.Observe,
 		self:     s.Host,
@@ -193,12 +193,12 @@
 }
 
 // viewAge returns how old this host's knowledge of the key-value service is; -1 before it has any.
-func (h *Host) viewAge() time.Duration {
+func (h *Host) viewAge(now time.Time) time.Duration {
 	at := h.watcher.freshAt()
 	if at.IsZero() {
 		return -1
 	}
-	return boottime.Now().Sub(at)
+	return now.Sub(at)
 }
 
 // isReady says whether the balancer should send callers here.
--- a/internal/edge/logs.go
+++ b/internal/edge/logs.go
@@ -3,18 +3,27 @@
 import (
 	"fmt"
 	"io"
-	"time"
-
-	"github.com/charmbracelet/log"
+	"log/slog"
+	"strings"
 )
 
-// NewLogger returns the program's logger. It writes one logfmt line for each entry.
-func NewLogger(w io.Writer, s LogSettings) (*log.Logger, error) {
-	level, err := log.ParseLevel(s.Level)
-	if err != nil {
-		return nil, fmt.Errorf("edge: log level: %w", err)
+// NewLogger returns the program's logger and its level, which may be changed while the program runs.
+// It writes one logfmt line for each entry. The standard library's handler is used instead of
+// charmbracelet/log because a line on the path of requests costs half of the processor time with it.
+func NewLogger(w io.Writer, s LogSettings) (*slog.Logger, *slog.LevelVar, error) {
+	level := new(slog.LevelVar)
+	if err := SetLevel(level, s); err != nil {
+		return nil, nil, err
+	}
+	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: level})), level, nil
+}
+
+// SetLevel puts the level of the settings in force.
+func SetLevel(level *slog.LevelVar, s LogSettings) error {
+	var l slog.Level
+	if err := l.UnmarshalText([]byte(strings.ToUpper(s.Level))); err != nil {
+		return fmt.Errorf("edge: log level: %w", err)
 	}
-	l := log.NewWithOptions(w, log.Options{Level: level, ReportTimestamp: true, TimeFormat: time.RFC3339Nano})
-	l.SetFormatter(log.LogfmtFormatter)
-	return l, nil
+	level.Set(l)
+	return nil
 }
--- a/internal/edge/operator.go
+++ b/internal/edge/operator.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 	"go.opentelemetry.io/otel/attribute"
 
+	"github.com/foxtailpass/foxtailpass/internal/boottime"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/metrics"
 )
@@ -60,7 +61,7 @@
 		Ready:         h.isReady(),
 		Stopping:      h.stopping.Load(),
 		ConfigVersion: h.front.version(),
-		ViewAgeMillis: h.viewAge().Milliseconds(),
+		ViewAgeMillis: h.viewAge(boottime.Now()).Milliseconds(),
 		Coordinates:   h.candidate.Holds(),
 		Active:        h.front.active.Load(),
 	}
@@ -99,7 +100,7 @@
 		{"foxtailpass_active_requests", "Requests without a final answer.", one(func() float64 { return float64(h.front.active.Load()) })},
 		{"foxtailpass_ready", "1 when the balancer should send callers here.", one(func() float64 { return asNumber(h.isReady()) })},
 		{"foxtailpass_coordinates", "1 on the host that has the right to give orders.", one(func() float64 { return asNumber(h.candidate.Holds()) })},
-		{"foxtailpass_view_age_seconds", "Age of this host's knowledge of the key-value service.", one(func() float64 { return h.viewAge().Seconds() })},
+		{"foxtailpass_view_age_seconds", "Age of this host's knowledge of the key-value service.", one(func() float64 { return h.viewAge(boottime.Now()).Seconds() })},
 		{"foxtailpass_config_version", "Version of the configuration in force.", one(func() float64 { return float64(h.front.version()) })},
 		{"foxtailpass_goroutines", "Goroutines of the process.", one(func() float64 { return float64(runtime.NumGoroutine()) })},
 		{"foxtailpass_heap_bytes", "Heap memory in use.", one(heapBytes)},
--- a/internal/edge/register.go
+++ b/internal/edge/register.go
@@ -3,11 +3,10 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"sync/atomic"
 	"time"
 
-	"github.com/charmbracelet/log"
-
 	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 )
 
@@ -25,7 +24,7 @@
 	store kvstore.KV
 	key   string
 	value []byte
-	log   *log.Logger
+	log   *slog.Logger
 	// lease is zero while the host is not registered.
 	lease atomic.Int64
 }
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -5,13 +5,12 @@
 	"encoding/json"
 	"errors"
 	"hash/fnv"
+	"log/slog"
 	"sort"
 	"strings"
 	"sync/atomic"
 	"time"
 
-	"github.com/charmbracelet/log"
-
 	"github.com/foxtailpass/foxtailpass/internal/boottime"
 	"github.com/foxtailpass/foxtailpass/internal/catalog"
 	"github.com/foxtailpass/foxtailpass/internal/election"
@@ -54,7 +53,7 @@
 	store    store
 	protocol Protocol
 	prefix   string
-	log      *log.Logger
+	log      *slog.Logger
 	send     func(event)
 	observe  func(election.Observation)
 	self     entity.HostID
--- a/internal/edge/watch_test.go
+++ b/internal/edge/watch_test.go
@@ -5,12 +5,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
+	"log/slog"
 	"math/rand/v2"
 	"testing"
 	"time"
 
-	"github.com/charmbracelet/log"
 	"github.com/valyala/fasthttp"
 
 	"github.com/foxtailpass/foxtailpass/internal/catalog"
@@ -117,7 +116,7 @@
 		store:    s,
 		protocol: testProtocol{},
 		prefix:   "own/",
-		log:      log.New(io.Discard),
+		log:      slog.New(slog.DiscardHandler),
 		self:     "h",
 		rows:     make(map[entity.UpstreamID]bool),
 		missing:  make(map[entity.UpstreamID]time.Time),
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -8,11 +8,10 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"log/slog"
 	"sync"
 	"time"
 
-	"github.com/charmbracelet/log"
-
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 )
@@ -69,7 +68,7 @@
 	Now func() time.Time
 	// OnChange is told when the right is won, and with nil when it is lost. It must not block.
 	OnChange func(*Right)
-	Log      *log.Logger
+	Log      *slog.Logger
 }
 
 // Candidate campaigns for the right and keeps it. Its methods are safe for concurrent use.
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -4,15 +4,13 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
+	"log/slog"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/charmbracelet/log"
-
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/standin/kv"
@@ -78,7 +76,7 @@
 				n.mu.Unlock()
 			}
 		},
-		Log: log.New(io.Discard),
+		Log: slog.New(slog.DiscardHandler),
 	})
 	go func() { _ = n.Run(ctx) }()
 	go n.poll(ctx, store, rank)
@@ -269,7 +267,7 @@
 	run(t, func(ctx context.Context, store *kv.Store) {
 		l := &lossyKV{Store: store}
 		l.lose.Store(true)
-		c := New(Options{KV: l, Self: Holder{Host: "a", Incarnation: "1"}, Gap: testGap, Now: time.Now, OnChange: func(*Right) {}, Log: log.New(io.Discard)})
+		c := New(Options{KV: l, Self: Holder{Host: "a", Incarnation: "1"}, Gap: testGap, Now: time.Now, OnChange: func(*Right) {}, Log: slog.New(slog.DiscardHandler)})
 		go func() { _ = c.Run(ctx) }()
 		c.Observe(Observation{})
 		time.Sleep(300 * time.Millisecond)
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -182,7 +182,7 @@
 	if u := l.Get("upstream"); u != "" {
 		return upstreams[u] && (hosts[l.Host] || l.Msg == "Order answered.")
 	}
-	return hosts[l.Host] && l.Level != "debug"
+	return hosts[l.Host] && !strings.EqualFold(l.Level, "debug")
 }
 
 // Write prints the story: the request's own lines are marked with an asterisk.
