edge: free the place of a caller who leaves a stream that may not be repeated

Cause: the stream's read ends when its caller leaves, and the stream was marked as failed before the caller's leaving was looked at, so that neither the failure nor the leaving was reported. Its request counted as running at its engine for ever. TestCallerLeaves fails without the change.

--- a/internal/edge/operator.go
+++ b/internal/edge/operator.go
@@ -31,8 +31,10 @@
 	Coordinator   entity.HostID `json:"coordinator"`
 	Coordinates   bool          `json:"coordinates"`
 	Active        int64         `json:"active_requests"`
-	Upstreams     int           `json:"upstreams"`
-	Hosts         int           `json:"hosts"`
+	// Scheduled counts the requests that the control state holds.
+	Scheduled int `json:"scheduled_requests"`
+	Upstreams int `json:"upstreams"`
+	Hosts     int `json:"hosts"`
 }
 
 // newOperatorServer serves metrics and status.
@@ -68,6 +70,7 @@
 	h.ask(func(c *core) {
 		s.Coordinator = holderName(c.holder)
 		s.Upstreams = len(c.fleet.Rows())
+		s.Scheduled = c.scheduler.Active() + len(c.parked)
 		s.Hosts = c.limiter.Hosts()
 	})
 	return s
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -231,11 +231,12 @@
 
 // fail ends the request whose stream broke for good.
 func (e *eventStream) fail(cause error) {
-	e.failed = true
 	s := e.session
 	if s.alive.Err() != nil {
+		// The read ended because the caller has left; Close reports that.
 		return
 	}
+	e.failed = true
 	s.front.log.Info("Stream broken.", "request", s.ask.ID, "upstream", e.step.target.ID, "last_event", e.lastID,
 		"first_after", e.firstAfter, "after", boottime.Now().Sub(s.arrived), "err", cause)
 	s.front.metrics.Attempt(entity.AttemptUnknown.String())
