swap: keep to the weight store's rate; drop fields that nothing reads

Loads were bounded by four at once only. A bucket of two loads at the store's rate bounds them now; a new coordinator starts with one. TestLoadsStayBelowTheRateOfTheStore fails without it. Also: the fields of catalog and dispatch that no code reads are gone, and the shares of the slots are called fills.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -76,10 +76,7 @@
 
 // Service is a set of interchangeable upstreams.
 type Service struct {
-	ID         ServiceID
-	HealthPath string
-	// MaxConnections bounds the connections of all hosts to one upstream.
-	MaxConnections int
+	ID ServiceID
 	// Engine is nil for a plain service.
 	Engine *Engine
 }
@@ -87,14 +84,9 @@
 // Engine describes the model engines of a service.
 type Engine struct {
 	Slots int
-	// CacheTokens is the memory of one replica for running and cached prompts.
-	CacheTokens int
 	// WeightsMB is the memory of one replica for weights and adapters.
 	WeightsMB     float64
 	AdapterPlaces int
-	// DiskMB and HostMemoryMB bound the copies of weights that a replica keeps.
-	DiskMB       float64
-	HostMemoryMB float64
 	// LoadsPerSecond bounds the loads that start at the weight store over all replicas.
 	LoadsPerSecond float64
 	Models         map[entity.ModelID]*Model
@@ -123,14 +115,6 @@
 	DefaultTokens int
 }
 
-// Limits bounds what callers may send.
-type Limits struct {
-	MaxHeaderBytes int
-	MaxBodyBytes   int
-	HeaderTimeout  time.Duration
-	IdleTimeout    time.Duration
-}
-
 // Document is the input of New.
 type Document struct {
 	Version    int64
@@ -138,14 +122,12 @@
 	Services   []*Service
 	Workspaces []*Workspace
 	// Keys maps caller keys to workspaces.
-	Keys   map[string]entity.WorkspaceID
-	Limits Limits
+	Keys map[string]entity.WorkspaceID
 }
 
 // Catalog is one version of what the site offers.
 type Catalog struct {
 	Version    int64
-	Limits     Limits
 	services   map[ServiceID]*Service
 	workspaces map[entity.WorkspaceID]*Workspace
 	keys       map[string]*Workspace
@@ -157,7 +139,6 @@
 func New(d Document) *Catalog {
 	c := &Catalog{
 		Version:    d.Version,
-		Limits:     d.Limits,
 		services:   make(map[ServiceID]*Service, len(d.Services)),
 		workspaces: make(map[entity.WorkspaceID]*Workspace, len(d.Workspaces)),
 		keys:       make(map[string]*Workspace, len(d.Keys)),
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -5,8 +5,7 @@
 	"time"
 )
 
-// requestHeap orders the waiting requests of a pool by rank, then by deadline of the aim, then by
-// arrival.
+// requestHeap orders the waiting requests of a pool by rank, then by arrival.
 type requestHeap []*Request
 
 func (h requestHeap) Len() int { return len(h) }
@@ -66,10 +65,6 @@
 type Waiting struct {
 	Pool  Pool
 	Count int
-	// Rank is that of the most urgent request.
-	Rank int
 	// Left is the longest time that a waiting request still has.
 	Left time.Duration
-	// Oldest is how long the oldest request has waited.
-	Oldest time.Duration
 }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -118,8 +118,4 @@
 	Silent bool
 	// Status is the status of a failed answer, zero if none.
 	Status int
-	// Started says that events have reached the caller; only a resumed attempt may follow.
-	Started bool
-	// FirstAfter is the time from the attempt's start to its answer or first event.
-	FirstAfter time.Duration
 }
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -63,10 +63,9 @@
 		if p.Model == "" {
 			continue
 		}
-		w := Waiting{Pool: p, Count: len(q.waiting), Rank: q.waiting[0].Rank}
+		w := Waiting{Pool: p, Count: len(q.waiting)}
 		for _, r := range q.waiting {
 			w.Left = max(w.Left, r.Deadline.Sub(now))
-			w.Oldest = max(w.Oldest, now.Sub(r.Arrived))
 		}
 		out = append(out, w)
 	}
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -174,10 +174,9 @@
 	s.copyHeader(ex)
 	s.ctx.Response.SetBody(body)
 	ex.Close()
-	took := boottime.Now().Sub(began)
 	s.front.metrics.Request(s.route.Name, status, "", boottime.Now().Sub(s.arrived))
 	s.front.log.Info("Answered.", "request", s.ask.ID, "status", status, "upstream", st.target.ID, "after", boottime.Now().Sub(s.arrived))
-	s.front.send(attemptEnded{result: dispatch.Result{Request: s.request.ID, Outcome: entity.Completed, Status: status, FirstAfter: took}})
+	s.front.send(attemptEnded{result: dispatch.Result{Request: s.request.ID, Outcome: entity.Completed, Status: status}})
 	s.end()
 	return true
 }
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -175,7 +175,6 @@
 		Outcome: entity.AttemptUnknown,
 		Silent:  silent,
 		Broken:  !silent,
-		Started: e.sent,
 	}
 }
 
@@ -211,13 +210,13 @@
 		ex, err := s.open(s.alive, st, e.lastID)
 		if err != nil {
 			cause, res = err, failedResult(err)
-			res.Request, res.Started = s.request.ID, true
+			res.Request = s.request.ID
 			continue
 		}
 		if bad, isBad := s.judge(ex, s.front.protocol.Judge(&ex.Header)); isBad || ex.Header.StatusCode() != 200 {
 			ex.Close()
 			cause, res = errStreamBroken, bad
-			res.Request, res.Started = s.request.ID, true
+			res.Request = s.request.ID
 			if !isBad {
 				res.Outcome, res.Broken = entity.AttemptFailed, true
 			}
--- a/internal/swap/decide.go
+++ b/internal/swap/decide.go
@@ -9,12 +9,12 @@
 )
 
 const (
-	// targetLoad is the share of its slots up to which the replicas of a model are filled before
+	// targetFill is the share of its slots up to which the replicas of a model are filled before
 	// another one is added. Prompts are read between the tokens of running requests, so the pauses
 	// in streams grow long before the slots are full.
-	targetLoad = 0.3
-	// storeLoad is that share where the replica must be loaded from the weight store.
-	storeLoad = 0.45
+	targetFill = 0.3
+	// storeFill is that share where the replica must be loaded from the weight store.
+	storeFill = 0.45
 	// evictionSeconds weighs a lost replica: the time that a request loses when its model has to
 	// be swapped in again.
 	evictionSeconds = 5.0
@@ -226,7 +226,7 @@
 		switch {
 		case s.hasSpareCopy(m.key):
 			s.bring(m.key, rows, fromCopy, now)
-		case s.storeLoads() < storeParallel:
+		case s.storeMayLoad(m.key.service, now):
 			s.bring(m.key, rows, fromStore, now)
 		}
 	}
@@ -242,9 +242,9 @@
 		have := len(s.ready(m.key)) + s.loading(m.key)
 		load := float64(m.running+m.waiting) / float64(max(e.Slots, 1))
 		switch {
-		case have == 0 || float64(have) >= load/targetLoad:
+		case have == 0 || float64(have) >= load/targetFill:
 		case s.bring(m.key, rows, fromCopy, now):
-		case float64(have) < load/storeLoad && s.storeLoads() < storeParallel:
+		case float64(have) < load/storeFill && s.storeMayLoad(m.key.service, now):
 			s.bring(m.key, rows, fromStore, now)
 		}
 	}
@@ -273,7 +273,7 @@
 		if svc.Engine == nil {
 			continue
 		}
-		for s.storeLoads() < prefetchParallel {
+		for s.storeLoads() < prefetchParallel && s.storeMayLoad(id, now) {
 			key, ok := s.nextPrefetch(id, svc.Engine)
 			if !ok || !s.bring(key, rows, fromStore, now) {
 				break
@@ -368,6 +368,9 @@
 func (s *Swapper) start(r *replica, model entity.ModelID, evict []entity.ModelID, now time.Time) {
 	from := r.copies[model]
 	r.task = &task{model: model, evict: evict, from: from, fromStore: from == 0, started: now}
+	if r.task.fromStore {
+		s.countStoreLoad(r.up.Service, now)
+	}
 	for _, id := range evict {
 		r.held[id].unloading = true
 	}
--- a/internal/swap/sim_test.go
+++ b/internal/swap/sim_test.go
@@ -572,3 +572,27 @@
 		t.Error("one host took an engine out")
 	}
 }
+
+// Guards against more loads than the weight store allows, where it allows few and they are short.
+func TestLoadsStayBelowTheRateOfTheStore(t *testing.T) {
+	s := newSim(t, 11, 6, 18, simFaults{})
+	s.engine.LoadsPerSecond = 0.3
+	s.runFor(40*time.Second, 2, false)
+	s.elect(0)
+	s.runFor(40*time.Second, 2, false)
+	const window = 5 * time.Second
+	for i, at := range s.loads {
+		n := 0
+		for _, other := range s.loads[:i+1] {
+			if at.Sub(other) < window {
+				n++
+			}
+		}
+		if allowed := 0.3*window.Seconds()*1.1 + 3; float64(n) > allowed {
+			t.Fatalf("%d loads in %v, allowed %.1f", n, window, allowed)
+		}
+	}
+	if len(s.loads) < 8 {
+		t.Errorf("%d loads in 80 s", len(s.loads))
+	}
+}
--- a/internal/swap/swap.go
+++ b/internal/swap/swap.go
@@ -134,6 +134,8 @@
 	from   time.Time
 	paused bool
 	out    []Command
+	// storeBudgets bound how many loads start at the weight store, by service.
+	storeBudgets map[catalog.ServiceID]*storeBudget
 	// version rises with every change of what replicas hold.
 	version uint64
 }
@@ -168,12 +170,13 @@
 // New returns the Swapper of a coordinator that may give orders from a time on under a token.
 func New(from time.Time, token int64) *Swapper {
 	return &Swapper{
-		nextID:   uint64(token) << orderIDBits,
-		replicas: make(map[entity.UpstreamID]*replica),
-		hosts:    make(map[entity.HostID]hostRow),
-		models:   make(map[modelKey]*modelRow),
-		orders:   make(map[uint64]*replica),
-		from:     from,
+		nextID:       uint64(token) << orderIDBits,
+		replicas:     make(map[entity.UpstreamID]*replica),
+		hosts:        make(map[entity.HostID]hostRow),
+		models:       make(map[modelKey]*modelRow),
+		orders:       make(map[uint64]*replica),
+		storeBudgets: make(map[catalog.ServiceID]*storeBudget),
+		from:         from,
 	}
 }
 
