--- a/internal/boottime/boottime.go
+++ b/internal/boottime/boottime.go
@@ -1,5 +1,5 @@
 // Package boottime reads the clock that goes on while a host is suspended. The monotonic clock
-// of the runtime stands still during a suspension, so a lease or a proof of freshness that it
+// of the runtime stops during a suspension, so a lease or a proof of freshness that it
 // measures would seem younger than it is.
 package boottime
 
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -92,7 +92,7 @@
 	// Attempt counts from 1.
 	Attempt int
 	// Load is the estimated number of requests of all hosts at the upstream, before this one, and
-	// OthersAge how old the word on the other hosts is.
+	// OthersAge how old the report about the other hosts is.
 	Load      float64
 	OthersAge time.Duration
 	// Refusal is set for a final answer.
@@ -112,7 +112,7 @@
 	Absent bool
 	// Full says that the upstream had no room.
 	Full bool
-	// Broken says that the attempt ended without an answer, which speaks against the upstream.
+	// Broken says that the attempt ended without an answer, which counts as a failure of the upstream.
 	Broken bool
 	// Silent says that the upstream did not answer in the expected time.
 	Silent bool
--- a/internal/edge/coordination.go
+++ b/internal/edge/coordination.go
@@ -19,9 +19,9 @@
 	// urgentReport delays a report with new waiting requests a little, so that a burst is one
 	// message.
 	urgentReport = 3 * time.Millisecond
-	// changedReport is the least time between two reports whose only news are running requests.
+	// changedReport is the least time between two reports that differ only in running requests.
 	changedReport = 150 * time.Millisecond
-	// idleReport is the time between two reports without news. It shows that the session lives.
+	// idleReport is the time between two unchanged reports. They keep the session alive.
 	idleReport = 500 * time.Millisecond
 	// leftMemory is how long an upstream that has left is told to the hosts.
 	leftMemory = 10 * time.Second
@@ -45,7 +45,7 @@
 	reserve *quota.Reserve
 	hosts   map[entity.HostID]*hostSession
 	version uint64
-	// states is the newest word on the engines.
+	// states is what the hosts are told about the engines.
 	states map[entity.UpstreamID]wire.UpstreamState
 	// leaving holds the upstreams that drain, and those that have left with the time of that.
 	leaving        map[entity.UpstreamID]time.Time
@@ -156,7 +156,7 @@
 	c.limiter.SetCoordinated(c.coordinated(), now)
 }
 
-// report tells the coordinator what this host wants and uses, when there is news.
+// report tells the coordinator what this host wants and uses, when that has changed.
 func (c *core) report(now time.Time) {
 	if c.link == nil && c.lead == nil {
 		return
--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	// linkMemory is how long the coordinator's word on the engines outlasts the session with it;
+	// linkMemory is how long the coordinator's report about the engines is used after its session;
 	// afterwards the list says what they hold.
 	linkMemory = 3 * time.Second
 	// estimateTerm is how long the coordinator's estimates are used.
@@ -61,7 +61,7 @@
 	// link is the session with the coordinator, nil without one.
 	link       *peer.Session
 	linkLostAt time.Time
-	// states is the coordinator's word on the engines.
+	// states is what the coordinator reported about the engines.
 	states    map[entity.UpstreamID]wire.UpstreamState
 	estimates map[dispatch.Pool]readyEstimate
 	// leaving holds the upstreams that the coordinator knows to leave.
@@ -349,7 +349,7 @@
 	c.carryOut(c.scheduler.SetTarget(t, now), now)
 }
 
-// linkCounts says whether the coordinator's word is newer than the list.
+// linkCounts says whether the coordinator's report is newer than the list.
 func (c *core) linkCounts(now time.Time) bool {
 	return c.link != nil || c.lead != nil || now.Sub(c.linkLostAt) < linkMemory
 }
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -114,7 +114,7 @@
 	c.notify()
 }
 
-// notify ends a wait for news.
+// notify ends a wait for an observation.
 func (c *Candidate) notify() {
 	select {
 	case c.wake <- struct{}{}:
--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -28,7 +28,7 @@
 	return w.out.String()
 }
 
-// Guards against a program that stands still because nobody reads its output, against a buffer that
+// Guards against a program that blocks because nobody reads its output, against a buffer that
 // grows without bound, and against lines that are lost without a word.
 func TestBlockedOutputStopsNothing(t *testing.T) {
 	w := &slowWriter{release: make(chan struct{})}
--- a/internal/swap/estimate.go
+++ b/internal/swap/estimate.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// swapOverhead is the time around a load from a copy: demand, unload and news.
+	// swapOverhead is the time around a load from a copy: demand, unload and notification.
 	swapOverhead = 300 * time.Millisecond
 	// storeOverhead is the same around a load from the weight store, whose end is read from a
 	// report.
