placement: complete lists of demand end the demand of models that are not listed

TestOldOrderOfPausedDecider/fence=false failed in 4 of 36 runs (each beside 12 busy processes): all requests for the second model got 503 not_ready_in_time.

Cause: a host reports a model that became idle once. When that message is lost (the receiving decider was paused, or another host decided just then), the decider keeps the old row for as long as it hears the host, because the repetition of all demand each second lists only models with work. In the traced run the resumed decider saw one waiting request for m0 for the rest of the test while every host counted none, so m0 kept its memory and m1 was never loaded. Ruled out: the reservation by the late order (the record had no unsettled order from 11.2 s on; requests waited until 15.4 s) and the estimate of the load.

wire.Demand says whether it is complete; the placer then drops the rows of the models that it lacks.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -524,13 +524,13 @@
 	if all {
 		c.demandAll = now.Add(demandInterval)
 	}
-	d := c.scheduler.Demand(all, now)
-	if len(d) == 0 && !all {
+	d := wire.Demand{Models: c.scheduler.Demand(all, now), All: all}
+	if len(d.Models) == 0 && !all {
 		return
 	}
 	// Every host knows its own sums, so that any of them can take over as the decider.
 	c.placer.HandleDemand(c.opts.Self, d, now)
 	if decider != "" && decider != c.opts.Self {
-		c.out = append(c.out, command.SendPeer{To: decider, Message: &wire.Demand{Models: d}})
+		c.out = append(c.out, command.SendPeer{To: decider, Message: &d})
 	}
 }
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -104,7 +104,7 @@
 	case *wire.LoanAsk, *wire.LoanGrant, *wire.LoanReturn, *wire.FenceRequest, *wire.FenceGrant:
 		c.run(systemLimits, c.throttler.HandleMessage(e.From, e.Incarnation, m, now), now)
 	case *wire.Demand:
-		c.placer.HandleDemand(e.From, m.Models, now)
+		c.placer.HandleDemand(e.From, *m, now)
 	case *wire.Reports:
 		for i := range m.Reports {
 			c.report(&m.Reports[i], e.ReceivedAt, now)
--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -47,7 +47,7 @@
 		x.record(config.PlaceModels+string(id), rec)
 	}
 	for id, rec := range models {
-		x.p.HandleDemand("h", []wire.ModelDemand{{Model: id, Running: len(rec.Replicas)}}, x.now)
+		x.p.HandleDemand("h", wire.Demand{Models: []wire.ModelDemand{{Model: id, Running: len(rec.Replicas)}}}, x.now)
 	}
 	for range 5 {
 		x.tick()
@@ -89,7 +89,7 @@
 // tick confirms every write at once, as the key-value service would.
 func (x *bench) tick() int {
 	x.now = x.now.Add(100 * time.Millisecond)
-	x.p.HandleDemand("h", nil, x.now)
+	x.p.HandleDemand("h", wire.Demand{}, x.now)
 	writes := 0
 	for _, c := range x.p.Tick(x.now) {
 		if w, ok := c.(command.WriteRecords); ok {
@@ -112,7 +112,7 @@
 	m := modelName(i % benchModels)
 	adapter := entity.AdapterID(fmt.Sprint("a", i%benchModels))
 	waiting := len(x.p.models[m].rec.Replicas)
-	x.p.HandleDemand("h", []wire.ModelDemand{{Model: m, Running: waiting}, {Model: m, Adapter: adapter, WaitingInteractive: i % 3, OldestDeadline: time.Second}}, x.now)
+	x.p.HandleDemand("h", wire.Demand{Models: []wire.ModelDemand{{Model: m, Running: waiting}, {Model: m, Adapter: adapter, WaitingInteractive: i % 3, OldestDeadline: time.Second}}}, x.now)
 }
 
 func benchmarkTick(b *testing.B, adapters, replicas, changes int) {
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -33,21 +33,41 @@
 	adapter entity.AdapterID
 }
 
-// HandleDemand replaces the host's sums for the listed models. A list without models only says
-// that the host is alive and its former sums still hold.
-func (p *Placer) HandleDemand(from entity.HostID, d []wire.ModelDemand, now time.Time) {
-	p.heard[from] = now
+// hostDemand says when a host was last heard and for which models it has work.
+type hostDemand struct {
+	heardAt time.Time
+	models  map[entity.ModelID]struct{}
+}
+
+// HandleDemand replaces the host's sums for the listed models. A list without models says that the
+// host is alive; its former sums still hold unless the list is complete. The report of a model that
+// became idle can be lost, so only a complete list ends sums for certain.
+func (p *Placer) HandleDemand(from entity.HostID, d wire.Demand, now time.Time) {
 	p.now = now
-	byModel := make(map[entity.ModelID][]demandRow, len(d))
-	for i := range d {
-		r := demandRow{adapter: d[i].Adapter}
-		r.interactive = max(0, d[i].WaitingInteractive)
-		r.patient = max(0, d[i].WaitingPatient)
-		r.running = max(0, d[i].Running)
+	h := p.demand[from]
+	if h == nil {
+		h = &hostDemand{models: map[entity.ModelID]struct{}{}}
+		p.demand[from] = h
+	}
+	h.heardAt = now
+	byModel := make(map[entity.ModelID][]demandRow, len(d.Models))
+	for i := range d.Models {
+		x := &d.Models[i]
+		r := demandRow{adapter: x.Adapter}
+		r.interactive = max(0, x.WaitingInteractive)
+		r.patient = max(0, x.WaitingPatient)
+		r.running = max(0, x.Running)
 		if r.waiting() > 0 {
-			r.deadline = now.Add(d[i].OldestDeadline)
+			r.deadline = now.Add(x.OldestDeadline)
+		}
+		byModel[x.Model] = append(byModel[x.Model], r)
+	}
+	if d.All {
+		for id := range h.models {
+			if _, listed := byModel[id]; !listed {
+				p.replaceDemand(p.model(id), from, nil)
+			}
 		}
-		byModel[d[i].Model] = append(byModel[d[i].Model], r)
 	}
 	for id, rows := range byModel {
 		p.replaceDemand(p.model(id), from, rows)
@@ -66,8 +86,10 @@
 	p.addRows(m, kept, 1)
 	if len(kept) == 0 {
 		delete(m.demand, from)
+		delete(p.demand[from].models, m.id)
 	} else {
 		m.demand[from] = kept
+		p.demand[from].models[m.id] = struct{}{}
 	}
 	if before.total() == 0 && m.sum.total() > 0 {
 		p.noteArrival(m)
@@ -106,16 +128,14 @@
 // dropSilent forgets the sums of hosts that were not heard for demandTTL. A host that is still
 // registered but silent sends its sums again when it is back.
 func (p *Placer) dropSilent() {
-	for host, at := range p.heard {
-		if p.now.Sub(at) < demandTTL {
+	for host, h := range p.demand {
+		if p.now.Sub(h.heardAt) < demandTTL {
 			continue
 		}
-		delete(p.heard, host)
-		for _, m := range p.models {
-			if _, ok := m.demand[host]; ok {
-				p.replaceDemand(m, host, nil)
-			}
+		for id := range h.models {
+			p.replaceDemand(p.model(id), host, nil)
 		}
+		delete(p.demand, host)
 	}
 }
 
--- a/internal/placement/fence_test.go
+++ b/internal/placement/fence_test.go
@@ -47,7 +47,7 @@
 func (x *script) pass(d time.Duration) {
 	for end := x.now.Add(d); x.now.Before(end); {
 		x.now = x.now.Add(100 * time.Millisecond)
-		x.p.HandleDemand("h", nil, x.now)
+		x.p.HandleDemand("h", wire.Demand{}, x.now)
 		x.run(x.p.Tick(x.now))
 	}
 }
@@ -85,7 +85,7 @@
 }
 
 func (x *script) demand(model entity.ModelID, interactive int) {
-	x.p.HandleDemand("h", []wire.ModelDemand{{Model: model, WaitingInteractive: interactive, OldestDeadline: time.Minute}}, x.now)
+	x.p.HandleDemand("h", wire.Demand{Models: []wire.ModelDemand{{Model: model, WaitingInteractive: interactive, OldestDeadline: time.Minute}}}, x.now)
 }
 
 func (x *script) lists(id string) bool {
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -93,7 +93,7 @@
 
 	models    map[entity.ModelID]*model
 	upstreams map[entity.UpstreamID]*upstream
-	heard     map[entity.HostID]time.Time
+	demand    map[entity.HostID]*hostDemand
 
 	dirtyModels    map[entity.ModelID]struct{}
 	dirtyUpstreams map[entity.UpstreamID]struct{}
@@ -274,7 +274,7 @@
 		replacedSince:  map[entity.Incarnation]time.Time{},
 		models:         map[entity.ModelID]*model{},
 		upstreams:      map[entity.UpstreamID]*upstream{},
-		heard:          map[entity.HostID]time.Time{},
+		demand:         map[entity.HostID]*hostDemand{},
 		dirtyModels:    map[entity.ModelID]struct{}{},
 		dirtyUpstreams: map[entity.UpstreamID]struct{}{},
 		pending:        map[entity.ModelID]struct{}{},
--- a/internal/placement/sim_test.go
+++ b/internal/placement/sim_test.go
@@ -221,7 +221,7 @@
 		if to.rec.ID != h.p.Decider() || !to.up || to.paused || (to != h && (to.cut || h.cut)) {
 			continue
 		}
-		to.p.HandleDemand(h.rec.ID, h.demand, h.s.now)
+		to.p.HandleDemand(h.rec.ID, wire.Demand{Models: h.demand}, h.s.now)
 	}
 }
 
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -194,6 +194,8 @@
 // former sums for the listed models.
 type Demand struct {
 	Models []ModelDemand `msgpack:"m"`
+	// All says that the sender has no work for any model that is not listed.
+	All bool `msgpack:"all,omitempty"`
 }
 
 // ModelDemand is one host's demand for one model or one adapter of it.
