--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"time"
 )
 
 // requestHeap orders the waiting requests of a pool by rank, then by arrival.
@@ -65,6 +64,4 @@
 type Waiting struct {
 	Pool  Pool
 	Count int
-	// Left is the longest time that a waiting request still has.
-	Left time.Duration
 }
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -57,17 +57,13 @@
 }
 
 // Waiting lists the pools with waiting requests that no upstream serves.
-func (s *Scheduler) Waiting(now time.Time) []Waiting {
+func (s *Scheduler) Waiting() []Waiting {
 	var out []Waiting
 	for p, q := range s.queues {
 		if p.Model == "" {
 			continue
 		}
-		w := Waiting{Pool: p, Count: len(q.waiting)}
-		for _, r := range q.waiting {
-			w.Left = max(w.Left, r.Deadline.Sub(now))
-		}
-		out = append(out, w)
+		out = append(out, Waiting{Pool: p, Count: len(q.waiting)})
 	}
 	return out
 }
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -48,7 +48,7 @@
 	if s.route.Kind == catalog.Streaming && ex.Header.StatusCode() == fasthttp.StatusOK {
 		return s.beginStream(ex, st, began)
 	}
-	return s.whole(ex, st, v, began)
+	return s.whole(ex, st, began)
 }
 
 // open sends the request to the upstream of a step.
@@ -164,7 +164,7 @@
 }
 
 // whole reads an answer and passes it on.
-func (s *session) whole(ex *upstream.Exchange, st step, v Judgement, began time.Time) bool {
+func (s *session) whole(ex *upstream.Exchange, st step, began time.Time) bool {
 	body, err := ex.Whole()
 	if err != nil {
 		ex.Close()
--- a/internal/edge/coordination.go
+++ b/internal/edge/coordination.go
@@ -165,9 +165,9 @@
 	if since < urgentReport {
 		return
 	}
-	waiting := c.scheduler.Waiting(now)
-	down := len(c.scheduler.Down(now))
-	urgent := c.newWaiting(waiting) || c.lacksTokens() || down > c.reporter.down
+	waiting := c.scheduler.Waiting()
+	down := c.scheduler.Down(now)
+	urgent := c.newWaiting(waiting) || c.lacksTokens() || len(down) > c.reporter.down
 	if since < changedReport && !urgent {
 		return
 	}
@@ -180,9 +180,10 @@
 		return
 	}
 	r := c.compose(waiting, running, now)
+	r.Down = down
 	c.reporter.sentAt = now
 	c.reporter.running = total
-	c.reporter.down = down
+	c.reporter.down = len(down)
 	c.reporter.waiting = make(map[dispatch.Pool]int, len(waiting))
 	for _, w := range waiting {
 		c.reporter.waiting[w.Pool] = w.Count
@@ -211,7 +212,7 @@
 }
 
 func (c *core) compose(waiting []dispatch.Waiting, running []dispatch.Running, now time.Time) *wire.HostReport {
-	r := &wire.HostReport{Host: c.self, SentAt: now.UnixNano(), Lack: c.lack(), Down: c.scheduler.Down(now)}
+	r := &wire.HostReport{Host: c.self, SentAt: now.UnixNano(), Lack: c.lack()}
 	needs := make(map[dispatch.Pool]*wire.PoolNeed)
 	need := func(p dispatch.Pool) *wire.PoolNeed {
 		if n := needs[p]; n != nil {
@@ -224,7 +225,6 @@
 	for _, w := range waiting {
 		n := need(w.Pool)
 		n.Waiting = w.Count
-		n.Left = w.Left
 	}
 	for p, count := range c.arrivals {
 		if p.Model != "" {
@@ -326,7 +326,7 @@
 	}
 	for _, h := range l.hosts {
 		if changed || h.pending {
-			c.publishTo(h, estimates, changed, now)
+			c.publishTo(h, estimates, now)
 		}
 	}
 }
@@ -343,7 +343,7 @@
 	}
 }
 
-func (c *core) publishTo(h *hostSession, estimates []wire.ModelEstimate, changed bool, now time.Time) {
+func (c *core) publishTo(h *hostSession, estimates []wire.ModelEstimate, now time.Time) {
 	l := c.lead
 	m := &wire.FleetState{Coordinator: c.self, Estimates: estimates}
 	for id := range l.leaving {
@@ -366,9 +366,6 @@
 		m.AnswerTo = h.answer
 		m.Grants = c.grant(h, now)
 	}
-	if len(m.Upstreams) == 0 && m.AnswerTo == 0 && !changed {
-		return
-	}
 	if h.session == nil {
 		c.stateReceived(m, now)
 		return
--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -42,7 +42,6 @@
 // core is the control state of one host. It belongs to one goroutine.
 type core struct {
 	self    entity.HostID
-	domain  string
 	log     *slog.Logger
 	effects effects
 	bounds  Bounds
@@ -88,7 +87,6 @@
 func newCore(self entity.HostID, domain string, b Bounds, l *slog.Logger, e effects) *core {
 	c := &core{
 		self:      self,
-		domain:    domain,
 		log:       l,
 		effects:   e,
 		bounds:    b,
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -41,16 +41,10 @@
 // membersPrefix holds the registrations of hosts, each under its host's lease.
 const membersPrefix = "hosts/"
 
-// store is what the watcher needs of the key-value service.
-type store interface {
-	kvstore.KV
-	kvstore.Poller
-}
-
 // watcher keeps this host's copy of the key-value service: one read a second brings the changes of
 // all keys, and proves that nothing older was missed.
 type watcher struct {
-	store    store
+	store    Store
 	protocol Protocol
 	prefix   string
 	log      *slog.Logger
--- a/internal/edge/watch_test.go
+++ b/internal/edge/watch_test.go
@@ -54,7 +54,7 @@
 
 // testStore is a key-value service whose history can be lost and that can be down.
 type testStore struct {
-	store
+	Store
 	items    map[string]kvstore.Pair
 	events   []kvstore.Event
 	revision int64
--- a/internal/swap/sim_test.go
+++ b/internal/swap/sim_test.go
@@ -362,7 +362,7 @@
 		s.waiting[key] += n
 	}
 	for key, n := range s.waiting {
-		r.Needs = append(r.Needs, wire.PoolNeed{Service: simService, Model: key.model, Adapter: key.adapter, Waiting: n, Arrived: arrived[key], Left: 15 * time.Second})
+		r.Needs = append(r.Needs, wire.PoolNeed{Service: simService, Model: key.model, Adapter: key.adapter, Waiting: n, Arrived: arrived[key]})
 	}
 	s.carryOut(s.swapper.HandleHost(r, s.now))
 }
@@ -511,7 +511,7 @@
 	s := newSim(t, 6, 6, 6, simFaults{})
 	s.runFor(time.Second, 0, false)
 	for range 10 {
-		r := wire.HostReport{Host: "h", Needs: []wire.PoolNeed{{Service: simService, Model: "m01", Waiting: 20, Arrived: 5, Left: 2 * time.Second}},
+		r := wire.HostReport{Host: "h", Needs: []wire.PoolNeed{{Service: simService, Model: "m01", Waiting: 20, Arrived: 5}},
 			Uses: []wire.PoolUse{{Upstream: "e01", Model: "m01", Count: 8}}}
 		s.carryOut(s.swapper.HandleHost(r, s.now))
 		for range 200 {
@@ -538,7 +538,7 @@
 	s.engines["e03"].copies["m01"] = true
 	s.list(s.engines["e03"])
 	s.engines["e01"].dark = true
-	need := []wire.PoolNeed{{Service: simService, Model: "m01", Waiting: 1, Left: 10 * time.Second}}
+	need := []wire.PoolNeed{{Service: simService, Model: "m01", Waiting: 1}}
 	for _, host := range []entity.HostID{"h1", "h2"} {
 		s.carryOut(s.swapper.HandleHost(wire.HostReport{Host: host, Needs: need, Down: []entity.UpstreamID{"e01"}}, s.now))
 	}
--- a/internal/swap/swap.go
+++ b/internal/swap/swap.go
@@ -157,7 +157,6 @@
 	rate    float64
 	rateAt  time.Time
 	waiting int
-	left    time.Duration
 	running int
 	// adapters counts the waiting requests by adapter.
 	adapters map[entity.AdapterID]int
@@ -312,7 +311,7 @@
 // sumUp adds up what the hosts want and use.
 func (s *Swapper) sumUp(now time.Time) {
 	for _, m := range s.models {
-		m.waiting, m.running, m.left = 0, 0, 0
+		m.waiting, m.running = 0, 0
 		clear(m.adapters)
 	}
 	for _, r := range s.replicas {
@@ -337,7 +336,6 @@
 		}
 		m := s.row(catalog.ServiceID(n.Service), n.Model, now)
 		m.waiting += n.Waiting
-		m.left = max(m.left, n.Left-now.Sub(h.at))
 		if n.Adapter != "" {
 			if m.adapters == nil {
 				m.adapters = make(map[entity.AdapterID]int)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http/httputil"
 	"os"
 	"strconv"
@@ -295,22 +294,3 @@
 	}
 	return idleTimeout
 }
-
-// take returns a kept connection that is young enough, or a new one.
-func (p *connPool) take(ctx context.Context, addr string, once bool, timeout time.Duration) (*conn, error) {
-	if c := p.takeIdle(addr); c != nil {
-		if !once || time.Since(c.idled) < freshFor {
-			return c, nil
-		}
-		p.giveBack(addr, c)
-	}
-	if timeout <= 0 {
-		timeout = dialTimeout
-	}
-	d := net.Dialer{Timeout: timeout}
-	nc, err := d.DialContext(ctx, "tcp", addr)
-	if err != nil {
-		return nil, err
-	}
-	return newConn(nc), nil
-}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -74,7 +74,26 @@
 			return c, nil
 		}
 	}
-	d := net.Dialer{Timeout: dialTimeout}
+	return dial(ctx, addr, dialTimeout)
+}
+
+// take returns an idle connection, or dials one within the timeout, where zero means dialTimeout.
+// A request that must be sent only once gets an idle connection only if it was used just now.
+func (p *connPool) take(ctx context.Context, addr string, once bool, timeout time.Duration) (*conn, error) {
+	if c := p.takeIdle(addr); c != nil {
+		if !once || time.Since(c.idled) < freshFor {
+			return c, nil
+		}
+		p.giveBack(addr, c)
+	}
+	if timeout <= 0 {
+		timeout = dialTimeout
+	}
+	return dial(ctx, addr, timeout)
+}
+
+func dial(ctx context.Context, addr string, timeout time.Duration) (*conn, error) {
+	d := net.Dialer{Timeout: timeout}
 	nc, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
--- a/internal/wire/coordination.go
+++ b/internal/wire/coordination.go
@@ -15,8 +15,6 @@
 	Waiting int `msgpack:"w,omitempty"`
 	// Arrived counts the requests since the last report of the host.
 	Arrived int `msgpack:"n,omitempty"`
-	// Left is the longest time that a waiting request still has.
-	Left time.Duration `msgpack:"l,omitempty"`
 }
 
 // PoolUse is the number of requests of one model and adapter that one host has at one upstream.
