dispatch: long prompts of a model go to one replica, and prompts sent lately count

An engine reads prompts between the tokens of all running requests. Every replica of a hot model got long prompts now and then, and the prompts of one moment went to the replica with the session's prefix together.

Now a model with three replicas or more has one that all hosts choose for prompts of 2,000 tokens and more, and the prompt tokens that this host sent in the last 250 ms count against an upstream (10,000 like a full one).

--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -34,6 +34,8 @@
 	Deadline time.Time
 	// Tokens is the cost against the rate of the workspace.
 	Tokens float64
+	// Prompt is the length of the prompt in tokens, zero when it is not stated.
+	Prompt int
 	// Affinity names the part of the prompt that the request shares with its session.
 	Affinity string
 
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -269,11 +269,15 @@
 	var best *target
 	var bestScore float64
 	cached := s.affinity[r.Affinity]
+	reader := s.longReader(r.Pool)
 	for _, t := range s.byService[r.Pool.Service] {
 		if !t.serves(r.Pool, now) || !t.accepts(now) {
 			continue
 		}
 		score := s.score(t, r, cached, now)
+		if reader != nil && (t == reader) != (r.Prompt >= longPrompt) {
+			score += otherReaderPenalty
+		}
 		if best == nil || score < bestScore {
 			best, bestScore = t, score
 		}
@@ -283,7 +287,7 @@
 
 // score rates an upstream for a request; lower is better.
 func (s *Scheduler) score(t *target, r *Request, cached entity.UpstreamID, now time.Time) float64 {
-	score := t.load(now)/float64(max(t.Slots, 1)) + errorPenalty*t.errors + 0.02*s.opts.Rand.Float64()
+	score := t.load(now)/float64(max(t.Slots, 1)) + t.unread(now)/readingScale + errorPenalty*t.errors + 0.02*s.opts.Rand.Float64()
 	if t.Domain == s.opts.Domain {
 		score -= sameDomainBonus
 	}
@@ -307,6 +311,7 @@
 	r.dispatched = now
 	r.sent++
 	t.inflight++
+	t.addUnread(r.Prompt, now)
 	t.byPool[r.Pool]++
 	s.remember(r.Affinity, t.ID)
 	s.out = append(s.out, d)
--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -216,6 +216,7 @@
 	}
 	if s.ask.Sized {
 		r.Tokens = float64(s.ask.PromptTokens + s.ask.OutputTokens)
+		r.Prompt = s.ask.PromptTokens
 	}
 	s.request = r
 	svc := cat.Service(r.Pool.Service)
