swap: see the end of a load at once; bring models first whose requests can be in time

In bursts the engines' order channels are busy (a swap takes 0.9 s, 16 are asked for a second) and (1) the end of a load was seen only in a report that lags, 150 ms later; (2) models were brought by the number of waiting requests and then by name, so some waited 6 to 10 s while half waited 1.2 s.

(1) The load order is sent again when the load should be over; an engine that holds the model says so. (2) The hosts tell how long the requests of a model can still be in time; models with such requests go first, then the longest wait; requests that are late by 5 s get their turn, and so does a model that three requests wait for.

A held model that a report shows for the first time counts as used just then: its hosts may not have reported yet. The new tests fail without the changes (160 ms after the load; name order).

--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"container/heap"
 )
 
@@ -64,4 +66,6 @@
 type Waiting struct {
 	Pool  Pool
 	Count int
+	// Slack is the longest time left until a request passes the target of its route.
+	Slack time.Duration
 }
--- a/internal/dispatch/scheduler_test.go
+++ b/internal/dispatch/scheduler_test.go
@@ -128,7 +128,7 @@
 	if ds := s.Enqueue(newRequest(catalog.Streaming, Pool{Service: "s", Model: "m2", Adapter: "a2"}, testStart), testStart); len(ds) != 0 {
 		t.Errorf("an absent adapter: %+v", ds)
 	}
-	w := s.Waiting()
+	w := s.Waiting(testStart)
 	if len(w) != 1 || w[0].Pool.Adapter != "a2" || w[0].Count != 1 {
 		t.Errorf("waiting: %+v", w)
 	}
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -57,13 +57,19 @@
 }
 
 // Waiting lists the pools with waiting requests that no upstream serves.
-func (s *Scheduler) Waiting() []Waiting {
+func (s *Scheduler) Waiting(now time.Time) []Waiting {
 	var out []Waiting
 	for p, q := range s.queues {
 		if p.Model == "" {
 			continue
 		}
-		out = append(out, Waiting{Pool: p, Count: len(q.waiting)})
+		w := Waiting{Pool: p, Count: len(q.waiting)}
+		for i, r := range q.waiting {
+			if slack := r.Arrived.Add(r.Route.Target).Sub(now); i == 0 || slack > w.Slack {
+				w.Slack = slack
+			}
+		}
+		out = append(out, w)
 	}
 	return out
 }
--- a/internal/edge/coordination.go
+++ b/internal/edge/coordination.go
@@ -165,7 +165,7 @@
 	if since < urgentReport {
 		return
 	}
-	waiting := c.scheduler.Waiting()
+	waiting := c.scheduler.Waiting(now)
 	down := c.scheduler.Down(now)
 	urgent := c.newWaiting(waiting) || c.lacksTokens() || len(down) > c.reporter.down
 	if since < changedReport && !urgent {
@@ -225,6 +225,7 @@
 	for _, w := range waiting {
 		n := need(w.Pool)
 		n.Waiting = w.Count
+		n.Slack = w.Slack
 	}
 	for p, count := range c.arrivals {
 		if p.Model != "" {
--- a/internal/swap/decide.go
+++ b/internal/swap/decide.go
@@ -62,7 +62,7 @@
 	for _, r := range rows {
 		s.advance(r, now)
 	}
-	wanted := s.wantedModels()
+	wanted := s.wantedModels(now)
 	s.loadAdapters(wanted, now)
 	s.swapIn(wanted, rows, now)
 	s.addReplicas(rows, now)
@@ -106,7 +106,7 @@
 	case stageLoad:
 		s.send(r, Load, t.model, "", now)
 	case stageLoading:
-		// The report tells the end: loads take longer while others run.
+		s.probe(r, t, now)
 	}
 }
 
@@ -141,23 +141,6 @@
 	}
 }
 
-// wantedModels returns the models that requests wait for, the most wanted first.
-func (s *Swapper) wantedModels() []*modelRow {
-	var out []*modelRow
-	for _, m := range s.models {
-		if m.waiting > 0 {
-			out = append(out, m)
-		}
-	}
-	sort.Slice(out, func(i, j int) bool {
-		if out[i].waiting != out[j].waiting {
-			return out[i].waiting > out[j].waiting
-		}
-		return out[i].key.model < out[j].key.model
-	})
-	return out
-}
-
 // ready lists the engines that can be given requests for a model.
 func (s *Swapper) ready(key modelKey) []*replica {
 	var out []*replica
--- a/internal/swap/estimate.go
+++ b/internal/swap/estimate.go
@@ -26,7 +26,7 @@
 func (s *Swapper) Estimates(now time.Time) []Estimate {
 	var out []Estimate
 	position := 0
-	for _, m := range s.wantedModels() {
+	for _, m := range s.wantedModels(now) {
 		if len(s.ready(m.key)) > 0 {
 			continue
 		}
--- a/internal/swap/orders.go
+++ b/internal/swap/orders.go
@@ -66,6 +66,11 @@
 
 // HandleAnswer takes over the answer to an order.
 func (s *Swapper) HandleAnswer(id uint64, a Answer, now time.Time) []Command {
+	if s.probes[id] != nil {
+		s.probeAnswered(id, a, now)
+		s.decide(now)
+		return s.take()
+	}
 	r := s.orders[id]
 	delete(s.orders, id)
 	if r == nil || r.sending == nil || r.sending.ID != id {
@@ -168,6 +173,8 @@
 	t.accepted = true
 	t.started = now
 	t.readyAt = now.Add(s.loadTime(r, t))
+	t.probeAt = t.readyAt
+	t.probes = 0
 	// The report that shows the end of the load is behind by its lag.
 	r.readAt = t.readyAt.Add(reportLag)
 }
--- a/internal/swap/replica.go
+++ b/internal/swap/replica.go
@@ -93,6 +93,10 @@
 	fromStore bool
 	started   time.Time
 	readyAt   time.Time
+	// probe is the last probe of the load, probeAt the time of the next one.
+	probe   uint64
+	probeAt time.Time
+	probes  int
 }
 
 func newReplica(u *fleet.Upstream) *replica {
@@ -141,7 +145,8 @@
 	for _, m := range rep.Models {
 		h := former[m.Model]
 		if h == nil {
-			h = &held{model: m.Model}
+			// The hosts may use it, and have not told this coordinator yet.
+			h = &held{model: m.Model, usedAt: now}
 		}
 		h.version = m.Version
 		h.adapters = adoptAdapters(h.adapters, m.Adapters, now)
--- a/internal/swap/sim_test.go
+++ b/internal/swap/sim_test.go
@@ -73,7 +73,10 @@
 	queue   []simEvent
 	loads   []time.Time
 	waiting map[poolKey]int
-	served  map[entity.ModelID]int
+	// slowLoads is added to the time of every load.
+	slowLoads  time.Duration
+	ordersSent int
+	served     map[entity.ModelID]int
 }
 
 type poolKey struct {
@@ -192,6 +195,7 @@
 }
 
 func (s *sim) deliver(swapper *Swapper, o Order) {
+	s.ordersSent++
 	x := s.engines[o.Upstream.ID]
 	answer := func(a Answer) {
 		if swapper == s.swapper {
@@ -251,7 +255,7 @@
 			return AlreadyHolds
 		}
 		x.loading = o.Model
-		took := 800 * time.Millisecond
+		took := 800*time.Millisecond + s.slowLoads
 		if !x.copies[o.Model] {
 			took = 6 * time.Second
 			s.loads = append(s.loads, s.now)
@@ -301,7 +305,7 @@
 		x.born++
 		s.list(x)
 	}
-	if (x.loading != "" || x.unloading != "") && !s.now.Before(x.doneAt) {
+	if (x.loading != "" || x.unloading != "" && x.running[x.unloading] == 0) && !s.now.Before(x.doneAt) {
 		if x.unloading != "" {
 			delete(x.models, x.unloading)
 		} else {
--- a/internal/swap/swap.go
+++ b/internal/swap/swap.go
@@ -129,6 +129,8 @@
 	models   map[modelKey]*modelRow
 	// orders maps the last sending to its replica.
 	orders map[uint64]*replica
+	// probes maps the probes without an answer to their replicas.
+	probes map[uint64]*replica
 	nextID uint64
 	// from is when the first order may be given; paused while the right is in doubt.
 	from   time.Time
@@ -157,6 +159,10 @@
 	rate    float64
 	rateAt  time.Time
 	waiting int
+	// waitingSince is when the first of the waiting requests was reported.
+	waitingSince time.Time
+	// due is the latest time at which a waiting request passes the target of its route.
+	due     time.Time
 	running int
 	// adapters counts the waiting requests by adapter.
 	adapters map[entity.AdapterID]int
@@ -174,6 +180,7 @@
 		hosts:        make(map[entity.HostID]hostRow),
 		models:       make(map[modelKey]*modelRow),
 		orders:       make(map[uint64]*replica),
+		probes:       make(map[uint64]*replica),
 		storeBudgets: make(map[catalog.ServiceID]*storeBudget),
 		from:         from,
 	}
@@ -327,6 +334,11 @@
 			s.addUse(u, now)
 		}
 	}
+	for _, m := range s.models {
+		if m.waiting == 0 {
+			m.waitingSince = time.Time{}
+		}
+	}
 }
 
 func (s *Swapper) addNeeds(h hostRow, now time.Time) {
@@ -335,6 +347,12 @@
 			continue
 		}
 		m := s.row(catalog.ServiceID(n.Service), n.Model, now)
+		if m.waitingSince.IsZero() {
+			m.waitingSince = now
+		}
+		if due := h.at.Add(n.Slack); m.waiting == 0 || due.After(m.due) {
+			m.due = due
+		}
 		m.waiting += n.Waiting
 		if n.Adapter != "" {
 			if m.adapters == nil {
--- /dev/null
+++ b/internal/swap/wanted_test.go
@@ -0,0 +1,70 @@
+package swap
+
+import (
+	"testing"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/catalog"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/wire"
+)
+
+// wantedAfter reports needs one after the other, 100 ms apart, and returns the order of the models.
+func wantedAfter(t *testing.T, needs ...wire.PoolNeed) []entity.ModelID {
+	t.Helper()
+	s := New(testStart, 1)
+	e := &catalog.Engine{Slots: 8, WeightsMB: 100, Models: make(map[entity.ModelID]*catalog.Model)}
+	for _, n := range needs {
+		e.Models[n.Model] = &catalog.Model{ID: n.Model, SizeMB: 60, DiskLoad: 800 * time.Millisecond}
+	}
+	s.SetCatalog(catalog.New(catalog.Document{Version: 1, Services: []*catalog.Service{{ID: simService, Engine: e}}}))
+	now := testStart
+	for i := range needs {
+		now = now.Add(100 * time.Millisecond)
+		needs[i].Service = simService
+		r := wire.HostReport{Host: "h", Needs: append([]wire.PoolNeed(nil), needs[:i+1]...)}
+		s.HandleHost(r, now)
+	}
+	var out []entity.ModelID
+	for _, m := range s.wantedModels(now) {
+		out = append(out, m.key.model)
+	}
+	return out
+}
+
+// TestRequestsInTimeGoFirst guards against a burst in which every request is a little late, because
+// those that cannot be in time any more go before those that can (scale-1 of Reykjavik).
+func TestRequestsInTimeGoFirst(t *testing.T) {
+	got := wantedAfter(t,
+		wire.PoolNeed{Model: "late", Waiting: 1, Slack: 500 * time.Millisecond},
+		wire.PoolNeed{Model: "older", Waiting: 1, Slack: 2 * time.Second},
+		wire.PoolNeed{Model: "newer", Waiting: 1, Slack: 1500 * time.Millisecond},
+	)
+	if got[0] != "older" || got[1] != "newer" || got[2] != "late" {
+		t.Errorf("order %v, want older, newer, late", got)
+	}
+}
+
+// TestOverdueRequestsGetTheirTurn guards against requests that stay behind all later ones until their
+// callers give up.
+func TestOverdueRequestsGetTheirTurn(t *testing.T) {
+	got := wantedAfter(t,
+		wire.PoolNeed{Model: "overdue", Waiting: 1, Slack: -overdueTime},
+		wire.PoolNeed{Model: "fresh", Waiting: 1, Slack: 2 * time.Second},
+	)
+	if got[0] != "overdue" {
+		t.Errorf("order %v, want the overdue one first", got)
+	}
+}
+
+// TestManyWaitingAreNotPutBack guards against a new hot model, whose first requests are late by its
+// load, behind every single request for a rare one.
+func TestManyWaitingAreNotPutBack(t *testing.T) {
+	got := wantedAfter(t,
+		wire.PoolNeed{Model: "hot", Waiting: manyWaiting, Slack: -time.Second},
+		wire.PoolNeed{Model: "rare", Waiting: 1, Slack: 2 * time.Second},
+	)
+	if got[0] != "hot" {
+		t.Errorf("order %v, want the hot one first", got)
+	}
+}
--- a/internal/wire/coordination.go
+++ b/internal/wire/coordination.go
@@ -13,6 +13,9 @@
 	Adapter entity.AdapterID `msgpack:"a,omitempty"`
 	// Waiting counts the requests without an upstream.
 	Waiting int `msgpack:"w,omitempty"`
+	// Slack is the longest time left until a waiting request passes the target of its route;
+	// negative when all have passed it.
+	Slack time.Duration `msgpack:"l,omitempty"`
 	// Arrived counts the requests since the last report of the host.
 	Arrived int `msgpack:"n,omitempty"`
 }
