--- a/cmd/foxtailload/main.go
+++ b/cmd/foxtailload/main.go
@@ -30,7 +30,7 @@
 		Version: program.Version(),
 		Commands: []*cli.Command{
 			runCommand(logger), benchCommand(logger), compareCommand(),
-			experimentCommand(), experimentsCommand(logger), summarizeCommand(),
+			experimentCommand(), experimentsCommand(logger), summarizeCommand(), simulateCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/internal/daysim/world.go
@@ -0,0 +1,306 @@
+package daysim
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/catalog"
+	"github.com/foxtailpass/foxtailpass/internal/dispatch"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/fleet"
+	"github.com/foxtailpass/foxtailpass/internal/swap"
+)
+
+const (
+	// hop is the time of a message between two processes.
+	hop = time.Millisecond
+	// tickTime is the time between two ticks of hosts and coordinator.
+	tickTime = 15 * time.Millisecond
+	// reportTime is the time between two reports of a host, urgentTime that after which new waiting
+	// requests are reported.
+	reportTime = 150 * time.Millisecond
+	urgentTime = 3 * time.Millisecond
+	// lapseTime is how long the list still names an engine that has crashed.
+	lapseTime = 1500 * time.Millisecond
+	// storeParallel is the number of loads that the weight store carries at full speed.
+	storeParallel = 4
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+type event struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+type events []event
+
+func (h events) Len() int { return len(h) }
+func (h events) Less(i, j int) bool {
+	return h[i].at.Before(h[j].at) || h[i].at.Equal(h[j].at) && h[i].seq < h[j].seq
+}
+func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *events) Push(x any) { *h = append(*h, x.(event)) }
+
+// Pop implements heap.Interface.
+func (h *events) Pop() any {
+	last := len(*h) - 1
+	x := (*h)[last]
+	*h = (*h)[:last]
+	return x
+}
+
+// request is one request of the load with what became of it.
+type request struct {
+	dispatch.Request
+	arrival arrival
+	host    *host
+	firstAt time.Time
+	pause   time.Duration
+	// tries counts the requests of the caller: one comes back after a refusal that says when.
+	tries int
+}
+
+// world is one run.
+type world struct {
+	site    *Site
+	day     Day
+	policy  Policy
+	now     time.Time
+	seq     int
+	queue   events
+	rng     *rand.Rand
+	catalog *catalog.Catalog
+	hosts   []*host
+	engines []*engine
+	byID    map[entity.UpstreamID]*engine
+	swapper *swap.Swapper
+	version uint64
+	// storeLoads counts the loads under way from the weight store.
+	storeLoads int
+	buckets    []bucket
+	result     *Result
+}
+
+// bucket is the limit of one workspace, here for all hosts together.
+type bucket struct {
+	level   float64
+	updated time.Time
+}
+
+func newWorld(site *Site, day Day, policy Policy, seed uint64) *world {
+	w := &world{
+		site: site, day: day, policy: policy, now: epoch,
+		rng: rand.New(rand.NewPCG(seed, 2)), catalog: site.catalog(),
+		byID: make(map[entity.UpstreamID]*engine), buckets: make([]bucket, site.Workspaces),
+		swapper: swap.New(epoch, 1),
+		result:  newResult(site, day, policy, seed),
+	}
+	w.swapper.SetPolicy(policy.Swap)
+	w.swapper.SetCatalog(w.catalog)
+	for i := range w.buckets {
+		w.buckets[i] = bucket{level: site.WorkspaceRate, updated: epoch}
+	}
+	for i := range site.Hosts {
+		w.hosts = append(w.hosts, newHost(w, i, seed))
+	}
+	w.addEngines()
+	return w
+}
+
+// addEngines gives the engines their first models, the hot ones more often, and random copies.
+func (w *world) addEngines() {
+	for i := range w.site.Engines {
+		e := &engine{
+			world: w, id: entity.UpstreamID(fmt.Sprintf("e%02d", i)), domain: fmt.Sprint("d", i%w.site.Domains),
+			born: 1, up: true, held: make(map[entity.ModelID]bool),
+		}
+		for _, m := range w.rng.Perm(w.site.Models)[:w.site.CopiesOnDisk] {
+			e.disk = append(e.disk, modelID(m))
+		}
+		for _, m := range []int{i % w.site.HotModels, w.site.HotModels + i} {
+			e.held[modelID(m)] = true
+			e.disk = touch(e.disk, modelID(m), w.site.CopiesOnDisk)
+			e.memory = touch(e.memory, modelID(m), w.site.CopiesInMemory)
+		}
+		if w.policy.AllModels {
+			for m := range w.site.Models {
+				e.held[modelID(m)] = true
+			}
+		}
+		w.engines = append(w.engines, e)
+		w.byID[e.id] = e
+		e.note()
+	}
+}
+
+// after runs a function later; functions of one moment run in the order in which they were planned.
+func (w *world) after(d time.Duration, run func()) {
+	w.seq++
+	heap.Push(&w.queue, event{at: w.now.Add(d), seq: w.seq, run: run})
+}
+
+// run plays the day and what is left of its requests.
+func (w *world) run() *Result {
+	for _, e := range w.engines {
+		w.list(e)
+	}
+	for _, a := range w.site.arrivals(w.day, w.rng.Uint64()) {
+		w.after(a.at, func() { w.hosts[a.host].arrive(a) })
+	}
+	if w.day.CrashShare > 0 {
+		w.after(w.day.CrashAt, w.crash)
+	}
+	w.after(0, w.tick)
+	end := epoch.Add(w.day.Length + w.site.longestDeadline())
+	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.run()
+	}
+	return w.result
+}
+
+func (s *Site) longestDeadline() time.Duration {
+	longest := time.Duration(0)
+	for _, c := range s.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	return longest
+}
+
+func (w *world) tick() {
+	for _, h := range w.hosts {
+		if !h.scheduler.Idle() {
+			h.carryOut(h.scheduler.Tick(w.now))
+		}
+	}
+	w.command(w.swapper.Tick(w.now))
+	w.after(tickTime, w.tick)
+}
+
+// crash takes a share of the engines down.
+func (w *world) crash() {
+	for _, i := range w.rng.Perm(len(w.engines))[:int(w.day.CrashShare*float64(len(w.engines)))] {
+		e := w.engines[i]
+		born := e.born
+		e.crash(w.day.CrashTime)
+		w.after(lapseTime, func() {
+			if e.born != born {
+				return
+			}
+			w.swapper.RemoveUpstream(e.id)
+			for _, h := range w.hosts {
+				h.scheduler.RemoveTarget(e.id)
+			}
+		})
+	}
+}
+
+// list shows the state of an engine to the coordinator and the hosts.
+func (w *world) list(e *engine) {
+	u := e.entry()
+	if !w.policy.AllModels {
+		w.command(w.swapper.SetUpstream(u, w.now))
+	}
+	held := u.Models
+	for _, h := range w.hosts {
+		h.setTarget(u.ID, held, 0, w.now)
+	}
+}
+
+// command carries out what the coordinator decides, and tells the hosts what has changed.
+func (w *world) command(commands []swap.Command) {
+	if w.policy.AllModels {
+		return
+	}
+	for _, c := range commands {
+		if c.Order != nil {
+			w.giveOrder(*c.Order)
+		}
+		if c.Read != nil {
+			w.readReport(c.Read)
+		}
+	}
+	if v := w.swapper.Version(); v != w.version {
+		w.version = v
+		w.publish()
+	}
+}
+
+func (w *world) giveOrder(o swap.Order) {
+	w.result.Orders++
+	w.after(2*hop, func() {
+		answer := w.byID[o.Upstream.ID].order(o)
+		w.after(hop, func() { w.command(w.swapper.HandleAnswer(o.ID, answer, w.now)) })
+	})
+}
+
+func (w *world) readReport(u *fleet.Upstream) {
+	w.after(2*hop, func() {
+		e := w.byID[u.ID]
+		if !e.up || e.born != u.BornMillis {
+			w.after(hop, func() { w.swapper.ReportFailed(u.ID, w.now) })
+			return
+		}
+		report := e.report()
+		w.after(hop, func() { w.command(w.swapper.HandleReport(u.ID, report, w.now)) })
+	})
+}
+
+func (w *world) publish() {
+	for _, holding := range w.swapper.Holdings() {
+		w.after(hop, func() {
+			for _, h := range w.hosts {
+				h.setTarget(holding.Upstream.ID, holding.Held, holding.Running, w.now)
+			}
+		})
+	}
+}
+
+// loadTime returns how long a load takes that starts now, and what to call at its end.
+func (w *world) loadTime(e *engine, m entity.ModelID) (time.Duration, func()) {
+	model := w.model(m)
+	switch {
+	case contains(e.memory, m):
+		return model.MemoryLoad, func() {}
+	case contains(e.disk, m):
+		return model.DiskLoad, func() {}
+	}
+	w.result.StoreLoads++
+	w.storeLoads++
+	return model.StoreLoad * time.Duration(max(w.storeLoads, storeParallel)) / storeParallel, func() { w.storeLoads-- }
+}
+
+func contains(list []entity.ModelID, m entity.ModelID) bool {
+	for _, x := range list {
+		if x == m {
+			return true
+		}
+	}
+	return false
+}
+
+// admit takes the tokens of a request, or says how long its workspace must wait for them.
+func (w *world) admit(r *request) (wait time.Duration, ok bool) {
+	b := &w.buckets[r.arrival.workspace]
+	rate := w.site.WorkspaceRate
+	b.level = min(rate, b.level+rate*w.now.Sub(b.updated).Seconds())
+	b.updated = w.now
+	tokens := float64(r.arrival.prompt + r.arrival.output)
+	if b.level < tokens {
+		return time.Duration((tokens - b.level) / rate * float64(time.Second)), false
+	}
+	b.level -= tokens
+	return 0, true
+}
+
+// ended tells the host of a request how an attempt ended.
+func (w *world) ended(r *request, res dispatch.Result) {
+	w.after(hop, func() { r.host.ended(r, res) })
+}
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -36,6 +36,15 @@
 	// ReadyIn estimates when a pool that no upstream serves will have one. It returns false when
 	// nothing is known.
 	ReadyIn func(p Pool, now time.Time) (time.Duration, bool)
+	Policy  Policy
+}
+
+// Policy switches to simpler behavior for measurements. The zero value is the product's policy.
+type Policy struct {
+	// RandomReplica picks any upstream that accepts a request.
+	RandomReplica bool
+	// MixPrompts ignores the length of prompts in the choice of an upstream.
+	MixPrompts bool
 }
 
 // Scheduler holds the request and upstream tables of one host.
@@ -269,7 +278,10 @@
 	var best *target
 	var bestScore float64
 	cached := s.affinity[r.Affinity]
-	reader := s.longReader(r.Pool)
+	var reader *target
+	if !s.opts.Policy.MixPrompts {
+		reader = s.longReader(r.Pool)
+	}
 	for _, t := range s.byService[r.Pool.Service] {
 		if !t.serves(r.Pool, now) || !t.accepts(now) {
 			continue
@@ -287,6 +299,9 @@
 
 // score rates an upstream for a request; lower is better.
 func (s *Scheduler) score(t *target, r *Request, cached entity.UpstreamID, now time.Time) float64 {
+	if s.opts.Policy.RandomReplica {
+		return s.opts.Rand.Float64()
+	}
 	score := t.load(now)/float64(max(t.Slots, 1)) + t.unread(now)/readingScale + errorPenalty*t.errors + 0.02*s.opts.Rand.Float64()
 	if t.Domain == s.opts.Domain {
 		score -= sameDomainBonus
@@ -311,7 +326,9 @@
 	r.dispatched = now
 	r.sent++
 	t.inflight++
-	t.addUnread(r.Prompt, now)
+	if !s.opts.Policy.MixPrompts {
+		t.addUnread(r.Prompt, now)
+	}
 	t.byPool[r.Pool]++
 	s.remember(r.Affinity, t.ID)
 	s.out = append(s.out, d)
--- a/internal/swap/swap.go
+++ b/internal/swap/swap.go
@@ -121,8 +121,17 @@
 	Read *fleet.Upstream
 }
 
+// Policy switches to simpler behavior for measurements. The zero value is the product's policy.
+type Policy struct {
+	// ReportsOnly waits for a report to see the end of a load.
+	ReportsOnly bool
+	// CountFirst brings the model first that most requests wait for, in time or not.
+	CountFirst bool
+}
+
 // Swapper holds the state of the coordinator.
 type Swapper struct {
+	policy   Policy
 	catalog  *catalog.Catalog
 	replicas map[entity.UpstreamID]*replica
 	hosts    map[entity.HostID]hostRow
@@ -186,6 +195,9 @@
 	}
 }
 
+// SetPolicy replaces the policy.
+func (s *Swapper) SetPolicy(p Policy) { s.policy = p }
+
 // Version changes whenever Holdings would return something else.
 func (s *Swapper) Version() uint64 { return s.version }
 
--- a/internal/swap/wanted.go
+++ b/internal/swap/wanted.go
@@ -24,6 +24,9 @@
 	}
 	sort.Slice(out, func(i, j int) bool {
 		a, b := out[i], out[j]
+		if s.policy.CountFirst {
+			return a.waiting > b.waiting || a.waiting == b.waiting && a.key.model < b.key.model
+		}
 		if late := s.late(a, now); late != s.late(b, now) {
 			return !late
 		}
