--- a/internal/dispatch/prompts.go
+++ b/internal/dispatch/prompts.go
@@ -1,8 +1,10 @@
 package dispatch
 
 import (
+	"cmp"
 	"hash/fnv"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -16,6 +18,8 @@
 	longPrompt = 2000
 	// longReplicas is the least number of replicas of a model of which one reads the long prompts.
 	longReplicas = 3
+	// replicasPerReader is the number of replicas of which one reads the long prompts.
+	replicasPerReader = 4
 	// otherReaderPenalty is in parts of a full upstream. It keeps prompts on their kind of replica until
 	// that is busier by this part.
 	otherReaderPenalty = 0.2
@@ -38,28 +42,33 @@
 	t.promptsAt = now
 }
 
-// longReader returns the upstream to which all hosts send the long prompts of a model, or nil when too
+// longReaders returns the upstreams to which all hosts send the long prompts of a model, or nil when too
 // few serve the model.
-func (s *Scheduler) longReader(p Pool) *target {
+func (s *Scheduler) longReaders(p Pool) map[*target]bool {
 	if p.Model == "" {
 		return nil
 	}
-	replicas := 0
-	var reader *target
-	var lowest uint64
+	var ranked []rankedTarget
 	for _, t := range s.byService[p.Service] {
 		if _, held := t.Held[p.Model]; !held || t.Draining {
 			continue
 		}
-		replicas++
 		h := fnv.New64a()
 		_, _ = h.Write([]byte(string(p.Model) + "/" + string(t.ID)))
-		if v := h.Sum64(); reader == nil || v < lowest {
-			reader, lowest = t, v
-		}
+		ranked = append(ranked, rankedTarget{target: t, hash: h.Sum64()})
 	}
-	if replicas < longReplicas {
+	if len(ranked) < longReplicas {
 		return nil
 	}
-	return reader
+	slices.SortFunc(ranked, func(a, b rankedTarget) int { return cmp.Compare(a.hash, b.hash) })
+	readers := make(map[*target]bool)
+	for _, r := range ranked[:max(1, len(ranked)/replicasPerReader)] {
+		readers[r.target] = true
+	}
+	return readers
+}
+
+type rankedTarget struct {
+	target *target
+	hash   uint64
 }
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -278,16 +278,16 @@
 	var best *target
 	var bestScore float64
 	cached := s.affinity[r.Affinity]
-	var reader *target
+	var readers map[*target]bool
 	if !s.opts.Policy.MixPrompts {
-		reader = s.longReader(r.Pool)
+		readers = s.longReaders(r.Pool)
 	}
 	for _, t := range s.byService[r.Pool.Service] {
 		if !t.serves(r.Pool, now) || !t.accepts(now) {
 			continue
 		}
 		score := s.score(t, r, cached, now)
-		if reader != nil && (t == reader) != (r.Prompt >= longPrompt) {
+		if readers != nil && readers[t] != (r.Prompt >= longPrompt) {
 			score += otherReaderPenalty
 		}
 		if best == nil || score < bestScore {
