--- a/internal/dispatch/prompts.go
+++ b/internal/dispatch/prompts.go
@@ -15,14 +15,14 @@
 const (
 	// longPrompt is the number of tokens from which a prompt is long: reading it takes about as long
 	// as ten tokens of running requests.
-	longPrompt = 2000
+	longPrompt = 3000
 	// longReplicas is the least number of replicas of a model of which one reads the long prompts.
 	longReplicas = 3
 	// replicasPerReader is the number of replicas of which one reads the long prompts.
 	replicasPerReader = 4
 	// otherReaderPenalty is in parts of a full upstream. It keeps prompts on their kind of replica until
 	// that is busier by this part.
-	otherReaderPenalty = 0.2
+	otherReaderPenalty = 0.35
 	// readingScale is the number of unread prompt tokens that count like a full upstream.
 	readingScale = 10000.0
 	// readingTime is the time in which an upstream reads most of what it was sent.
