explain: name the restart behind a request without an outcome

A story that ended with Sent. or Queued. said nothing when the host had lost its process: its start is later than the beliefs that a story shows. The next start of that host is now part of the story. The test fails without it (0 starts).

placement.Options.Domain was stored and never read; it is gone.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -17,6 +17,8 @@
 	beliefBefore = 10 * time.Second
 	// beliefAfter is how long after its last line.
 	beliefAfter = time.Second
+	// hostStarted is the message of a process that has started.
+	hostStarted = "Host started."
 	// maxLine bounds one line of a log.
 	maxLine = 1 << 20
 )
@@ -169,6 +171,9 @@
 		}
 		s.Lines = append(s.Lines, l)
 	}
+	if l, ok := restartAfter(lines, request, to); ok {
+		s.Lines = append(s.Lines, l)
+	}
 	sort.SliceStable(s.Lines, func(i, j int) bool { return s.Lines[i].Time.Before(s.Lines[j].Time) })
 	for _, l := range s.Lines {
 		s.own = append(s.own, l.Get("request") == request)
@@ -176,6 +181,29 @@
 	return s, nil
 }
 
+// unfinished are the messages after which a request has no outcome yet.
+var unfinished = map[string]bool{"Sent.": true, "Queued.": true, "Lacks tokens.": true, "Attempt failed.": true, "Stream resumed.": true}
+
+// restartAfter returns the next start of the host at which a request was left without an outcome, when
+// that is later than the other lines of the story.
+func restartAfter(lines []Line, request string, after time.Time) (Line, bool) {
+	var last, restart Line
+	for _, l := range lines {
+		if l.Get("request") == request && !l.Time.Before(last.Time) {
+			last = l
+		}
+	}
+	if !unfinished[last.Msg] {
+		return restart, false
+	}
+	for _, l := range lines {
+		if l.Msg == hostStarted && l.Host == last.Host && l.Time.After(after) && (restart.Msg == "" || l.Time.Before(restart.Time)) {
+			restart = l
+		}
+	}
+	return restart, restart.Msg != ""
+}
+
 // relevant says whether a line without a request belongs to the story: orders to its upstreams on
 // any host, and on its own hosts beliefs about these upstreams and about the whole site.
 func relevant(l Line, hosts, upstreams map[string]bool) bool {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -66,3 +66,33 @@
 		}
 	}
 }
+
+// Guards against a story that stops at "Sent." without saying that the host lost its process: its
+// start is later than the beliefs that a story shows.
+func TestRestartEndsAnOpenStory(t *testing.T) {
+	const log = `
+time=2026-10-12T10:00:01Z level=INFO msg=Sent. prefix=request request=aa upstream=i-1
+time=2026-10-12T10:00:02Z level=INFO msg=Answered. prefix=request request=bb upstream=i-1
+time=2026-10-12T10:00:09Z level=INFO msg="Host started." prefix=host host=edge-1
+time=2026-10-12T10:00:30Z level=INFO msg="Host started." prefix=host host=edge-1
+`
+	lines, err := Read(strings.NewReader(log), "edge-1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for request, want := range map[string]int{"aa": 1, "bb": 0} {
+		s, err := Tell(lines, request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		starts := 0
+		for _, l := range s.Lines {
+			if l.Msg == hostStarted {
+				starts++
+			}
+		}
+		if starts != want {
+			t.Errorf("request %s: %d starts of the host in the story, want %d", request, starts, want)
+		}
+	}
+}
--- a/internal/host/wiring.go
+++ b/internal/host/wiring.go
@@ -120,7 +120,6 @@
 		Placer: placement.New(placement.Options{
 			Self:        id.host,
 			Incarnation: id.incarnation,
-			Domain:      s.FailureDomain,
 			Rand:        seeded(),
 			Policy: placement.Policy{
 				RandomUpstream: s.Policies.Placement == "random",
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -65,8 +65,6 @@
 type Options struct {
 	Self        entity.HostID
 	Incarnation entity.Incarnation
-	// Domain is the failure domain of this host.
-	Domain string
 	Rand   *rand.Rand
 	Policy Policy
 }
