--- a/cmd/foxtailload/simulate.go
+++ b/cmd/foxtailload/simulate.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"os"
 	"runtime"
-	"slices"
 	"strconv"
 	"sync"
 
@@ -56,23 +55,24 @@
 	seed   uint64
 }
 
+// simulateRuns lists the runs, those of one site, day and policy together.
 func simulateRuns(c *cli.Command) ([]simulation, error) {
+	seeds, err := simulateSeeds(c.StringSlice("seeds"))
+	if err != nil {
+		return nil, err
+	}
 	var runs []simulation
-	for _, site := range c.StringSlice("sites") {
-		s := slices.IndexFunc(daysim.Sites, func(x daysim.Site) bool { return x.Name == site })
-		for _, day := range c.StringSlice("days") {
-			d := slices.IndexFunc(daysim.Days, func(x daysim.Day) bool { return x.Name == day })
-			for _, policy := range c.StringSlice("policies") {
-				p := slices.IndexFunc(daysim.Policies, func(x daysim.Policy) bool { return x.Name == policy })
-				if s < 0 || d < 0 || p < 0 {
-					return nil, fmt.Errorf("%w: no site %q, day %q or policy %q", errUsage, site, day, policy)
+	for _, siteName := range c.StringSlice("sites") {
+		site, siteOK := daysim.SiteNamed(siteName)
+		for _, dayName := range c.StringSlice("days") {
+			day, dayOK := daysim.DayNamed(dayName)
+			for _, policyName := range c.StringSlice("policies") {
+				policy, policyOK := daysim.PolicyNamed(policyName)
+				if !siteOK || !dayOK || !policyOK {
+					return nil, fmt.Errorf("%w: no site %q, day %q or policy %q", errUsage, siteName, dayName, policyName)
 				}
-				for _, text := range c.StringSlice("seeds") {
-					seed, err := strconv.ParseUint(text, 10, 64)
-					if err != nil {
-						return nil, fmt.Errorf("%w: seed %q", errUsage, text)
-					}
-					runs = append(runs, simulation{site: daysim.Sites[s], day: daysim.Days[d], policy: daysim.Policies[p], seed: seed})
+				for _, seed := range seeds {
+					runs = append(runs, simulation{site: site, day: day, policy: policy, seed: seed})
 				}
 			}
 		}
@@ -80,6 +80,18 @@
 	return runs, nil
 }
 
+func simulateSeeds(texts []string) ([]uint64, error) {
+	seeds := make([]uint64, 0, len(texts))
+	for _, text := range texts {
+		seed, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			return nil, fmt.Errorf("%w: seed %q", errUsage, text)
+		}
+		seeds = append(seeds, seed)
+	}
+	return seeds, nil
+}
+
 // simulateAll plays the runs, several at a time, and returns the results in their order.
 func simulateAll(runs []simulation, parallel int) []*daysim.Result {
 	results := make([]*daysim.Result, len(runs))
--- a/internal/daysim/daysim_test.go
+++ b/internal/daysim/daysim_test.go
@@ -5,27 +5,15 @@
 	"testing"
 )
 
-// dayNamed returns a day that exists.
-func dayNamed(t *testing.T, name string) Day {
+// play plays a day and a policy that exist.
+func play(t *testing.T, site Site, day, policy string, seed uint64) *Result {
 	t.Helper()
-	for _, d := range Days {
-		if d.Name == name {
-			return d
-		}
-	}
-	t.Fatalf("no day %q", name)
-	return Day{}
-}
-
-func policyNamed(t *testing.T, name string) Policy {
-	t.Helper()
-	for _, p := range Policies {
-		if p.Name == name {
-			return p
-		}
+	d, dayOK := DayNamed(day)
+	p, policyOK := PolicyNamed(policy)
+	if !dayOK || !policyOK {
+		t.Fatalf("no day %q or policy %q", day, policy)
 	}
-	t.Fatalf("no policy %q", name)
-	return Policy{}
+	return Run(site, d, p, seed)
 }
 
 // meanWorth plays a day of the smaller site with five seeds.
@@ -33,16 +21,15 @@
 	t.Helper()
 	mean := 0.0
 	for seed := range uint64(5) {
-		mean += Run(thessaly(), dayNamed(t, day), policyNamed(t, policy), seed+1).Worth() / 5
+		mean += play(t, thessaly(), day, policy, seed+1).Worth() / 5
 	}
 	return mean
 }
 
 // TestSeedRepeats guards against runs whose difference comes from chance and not from the policy.
 func TestSeedRepeats(t *testing.T) {
-	day := dayNamed(t, "crash")
-	a := Run(thessaly(), day, policyNamed(t, "product"), 3)
-	b := Run(thessaly(), day, policyNamed(t, "product"), 3)
+	a := play(t, thessaly(), "crash", "product", 3)
+	b := play(t, thessaly(), "crash", "product", 3)
 	if !reflect.DeepEqual(a.Counts, b.Counts) || a.Orders != b.Orders {
 		t.Errorf("two runs with one seed differ: %+v and %+v", a, b)
 	}
@@ -52,7 +39,7 @@
 // against loads beyond the memory of an engine.
 func TestEveryRequestHasOneOutcome(t *testing.T) {
 	for _, policy := range []string{"product", "random-replica"} {
-		r := Run(reykjavik(), dayNamed(t, "crash"), policyNamed(t, policy), 1)
+		r := play(t, reykjavik(), "crash", policy, 1)
 		for class, n := range r.Counts {
 			if sum := n.InTime + n.Late + n.Limited + n.Refused + n.Failed; sum != n.Asked || n.Asked == 0 {
 				t.Errorf("%s, %s: %d asked, %d with an outcome: %+v", policy, class, n.Asked, sum, *n)
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -65,8 +65,8 @@
 type Options struct {
 	Self        entity.HostID
 	Incarnation entity.Incarnation
-	Rand   *rand.Rand
-	Policy Policy
+	Rand        *rand.Rand
+	Policy      Policy
 }
 
 // Placer decides placement for the whole site when it is the usual decider, and otherwise only
