--- a/internal/daysim/engine.go
+++ b/internal/daysim/engine.go
@@ -274,7 +274,7 @@
 	return u
 }
 
-// sizes of models come from the catalog.
+// size returns the memory that a model needs.
 func (w *world) size(m entity.ModelID) float64 { return w.model(m).SizeMB }
 
 func (w *world) model(m entity.ModelID) *catalog.Model {
--- a/internal/dispatch/prompts.go
+++ b/internal/dispatch/prompts.go
@@ -13,15 +13,15 @@
 // this host sent lately counts against an upstream.
 
 const (
-	// longPrompt is the number of tokens from which a prompt is long: reading it takes about as long
-	// as ten tokens of running requests.
+	// longPrompt is the number of tokens from which a prompt is long: at 38 tokens a millisecond, reading
+	// it holds up the streams of an engine for 80 ms, a third of the longest pause that callers accept.
 	longPrompt = 3000
 	// longReplicas is the least number of replicas of a model of which one reads the long prompts.
 	longReplicas = 3
 	// replicasPerReader is the number of replicas of which one reads the long prompts.
 	replicasPerReader = 4
-	// otherReaderPenalty is in parts of a full upstream. It keeps prompts on their kind of replica until
-	// that is busier by this part.
+	// otherReaderPenalty keeps prompts on their kind of replica until that is busier by this part of
+	// its slots.
 	otherReaderPenalty = 0.35
 	// readingScale is the number of unread prompt tokens that count like a full upstream.
 	readingScale = 10000.0
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -1,9 +1,8 @@
 package dispatch
 
 import (
-	"time"
-
 	"container/heap"
+	"time"
 )
 
 // requestHeap orders the waiting requests of a pool by rank, then by arrival.
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -36,7 +36,8 @@
 	// ReadyIn estimates when a pool that no upstream serves will have one. It returns false when
 	// nothing is known.
 	ReadyIn func(p Pool, now time.Time) (time.Duration, bool)
-	Policy  Policy
+	// Policy is for measurements.
+	Policy Policy
 }
 
 // Policy switches to simpler behavior for measurements. The zero value is the product's policy.
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -74,10 +74,10 @@
 	// unreachable says that the last attempt found no connection, or no answer in time.
 	unreachable bool
 	absent      map[Pool]time.Time
+	fullTo      time.Time
 	// promptTokens is what this host sent lately, as of promptsAt.
 	promptTokens float64
 	promptsAt    time.Time
-	fullTo       time.Time
 }
 
 // load estimates the requests of all hosts at the upstream.
