edge: a stopping host refuses requests that it cannot send in time

Cause: waits of requests ended with their deadline alone; the stop was noted in the control state and never read.

A request that cannot be sent by then is refused at once, as not run and with a short Retry-After, so that its caller turns to another host. The new test fails without the check (no decision at the stop).

--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -58,7 +58,9 @@
 	queues    map[Pool]*queue
 	budgets   map[catalog.ServiceID]*Budget
 	affinity  map[string]entity.UpstreamID
-	out       []Decision
+	// stopBy is when the last request may be sent to an upstream, zero while the host does not stop.
+	stopBy time.Time
+	out    []Decision
 }
 
 // New returns an empty Scheduler.
@@ -189,6 +191,13 @@
 	return s.take()
 }
 
+// StopBy says that this host stops and that no request may be sent after a time. Requests that cannot be
+// sent by then are refused at once, so that their callers turn to another host.
+func (s *Scheduler) StopBy(at, now time.Time) []Decision {
+	s.stopBy = at
+	return s.Tick(now)
+}
+
 // Idle says whether a tick has nothing to do.
 func (s *Scheduler) Idle() bool { return len(s.queues) == 0 }
 
@@ -199,10 +208,18 @@
 		s.refuse(r, ReasonDeadline, shortestRetryAfter)
 		return
 	}
-	if s.served(r.Pool, now) {
+	wait, known := time.Duration(0), true
+	served := s.served(r.Pool, now)
+	if !served {
+		wait, known = s.readyIn(r.Pool, now)
+	}
+	if !s.stopBy.IsZero() && !now.Add(wait).Before(s.stopBy) {
+		s.refuse(r, ReasonStopping, shortestRetryAfter)
+		return
+	}
+	if served {
 		return
 	}
-	wait, known := s.readyIn(r.Pool, now)
 	if known && wait < left {
 		return
 	}
--- a/internal/dispatch/scheduler_test.go
+++ b/internal/dispatch/scheduler_test.go
@@ -288,3 +288,37 @@
 		}
 	}
 }
+
+// Guards against a host that stops while a request waits there for a model: it kept the request until
+// the process ended, and the caller got no answer (fresh-8146 of Reykjavik, request 057a25738c4e927e).
+func TestStopGivesUpWaits(t *testing.T) {
+	ready := map[entity.ModelID]time.Duration{"slow": 8 * time.Second, "soon": time.Second}
+	s := newTestScheduler(func(p Pool, _ time.Time) (time.Duration, bool) { return ready[p.Model], true })
+	waiting := make(map[entity.RequestID]entity.ModelID)
+	for m := range ready {
+		r := newRequest(catalog.Streaming, Pool{Service: "s", Model: m}, testStart)
+		r.Deadline = testStart.Add(20 * time.Second)
+		waiting[r.ID] = m
+		if ds := s.Enqueue(r, testStart); len(ds) != 0 {
+			t.Fatalf("%s: %+v", m, ds)
+		}
+	}
+	d := onlyDecision(t, s.StopBy(testStart.Add(4*time.Second), testStart))
+	if waiting[d.Request.ID] != "slow" || d.Refusal == nil || d.Reason != ReasonStopping {
+		t.Fatalf("the stop decided %+v", d)
+	}
+	if d.Refusal.Ran != entity.NotRun || d.Refusal.RetryAfter > time.Second {
+		t.Errorf("refusal %+v, want a promise that it did not run and a short time to come back", d.Refusal)
+	}
+	if ds := s.Tick(testStart.Add(2900 * time.Millisecond)); len(ds) != 0 {
+		t.Errorf("while the model may still be ready before the end of the stop: %+v", ds)
+	}
+	if d := onlyDecision(t, s.Tick(testStart.Add(3*time.Second))); waiting[d.Request.ID] != "soon" || d.Reason != ReasonStopping {
+		t.Errorf("when the model can no longer be ready: %+v", d)
+	}
+	late := newRequest(catalog.Streaming, Pool{Service: "s", Model: "slow"}, testStart.Add(time.Second))
+	late.Deadline = testStart.Add(20 * time.Second)
+	if d := onlyDecision(t, s.Enqueue(late, testStart.Add(time.Second))); d.Reason != ReasonStopping {
+		t.Errorf("a request that came during the stop: %+v", d)
+	}
+}
--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -52,8 +52,7 @@
 	fleet     *fleet.Table
 	tickets   map[entity.RequestID]*ticket
 	// parked requests wait for the tokens of their workspace, in the order of their arrival.
-	parked   []*parkedRequest
-	stopping bool
+	parked []*parkedRequest
 
 	// holder has the right to give orders.
 	holder *election.Holder
@@ -148,7 +147,7 @@
 	case reportRead:
 		c.reportRead(e, now)
 	case stopRequested:
-		c.stopping = true
+		c.carryOut(c.scheduler.StopBy(e.sendBy, now), now)
 	case query:
 		e.run(c, now)
 		close(e.done)
--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -92,7 +92,10 @@
 }
 
 // stopRequested begins the graceful stop.
-type stopRequested struct{}
+type stopRequested struct {
+	// sendBy is when the last request may be sent to an upstream.
+	sendBy time.Time
+}
 
 // query runs a function with the control state.
 type query struct {
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -43,6 +43,8 @@
 	readyAge = 2500 * time.Millisecond
 	// exitMargin is how long before the end of the grace period the process ends by itself.
 	exitMargin = 400 * time.Millisecond
+	// stopRunTime is the part of a stop that is left to requests that run: most streams end in it.
+	stopRunTime = 3500 * time.Millisecond
 	// stopPoll is the time between two looks at whether the last request has its answer.
 	stopPoll = 50 * time.Millisecond
 	// redialPause is the pause before the coordinator is dialed again.
@@ -269,7 +271,7 @@
 	h.stopping.Store(true)
 	h.front.stopping.Store(boottime.Now().UnixNano())
 	h.candidate.Stop()
-	h.send(stopRequested{})
+	h.send(stopRequested{sendBy: boottime.Now().Add(h.front.grace - exitMargin - stopRunTime)})
 	h.log.Info("Stopping.", "active", h.front.active.Load())
 	for time.Now().Before(end) {
 		if time.Since(began) > h.opts.Settings.BalancerLag.Std() && h.front.active.Load() == 0 {
