swap: a load that an engine takes once more is not asked for again

Cause: our stand-in took the repeated load of a model that it holds as a new load, and each accepted probe began a new series of probes, so the load never ended (12 loads in 1.2 s).

After an accepted probe only a report tells the end.

--- a/internal/swap/probe.go
+++ b/internal/swap/probe.go
@@ -50,10 +50,12 @@
 		r.ignoreBefore = now
 		s.loaded(r, now)
 	case Accepted:
-		// The load had ended without the model; this is a new one.
+		// The load had ended without the model, or the engine loads it once more. A report tells the
+		// end, because another probe could begin yet another load.
 		r.sequence++
 		r.ignoreBefore = now
 		s.loadAccepted(r, t, now)
+		t.probeAt = never
 	case Conflict:
 		t.probeAt = now.Add(probeInterval)
 	}
--- a/internal/swap/probe_test.go
+++ b/internal/swap/probe_test.go
@@ -64,3 +64,21 @@
 		t.Errorf("%d orders were sent for one load, want at most %d", sent, 2+maxProbes)
 	}
 }
+
+// TestEngineThatLoadsAgain guards against a load that never ends where an engine takes the repeated
+// order as a new one: every probe began the load anew (TestModelsAreSwappedIn on our stand-in).
+func TestEngineThatLoadsAgain(t *testing.T) {
+	s := newSim(t, 1, 2, 5, simFaults{})
+	s.loadsAgain = true
+	for _, id := range s.ids() {
+		s.engines[id].copies["m04"] = true
+		s.list(s.engines[id])
+	}
+	s.runFor(time.Second, 0, false)
+	before := s.ordersSent
+	s.report(map[poolKey]int{{model: "m04"}: 1})
+	s.usableAfter("m04")
+	if sent := s.ordersSent - before; sent > 4 {
+		t.Errorf("%d orders were sent for one load", sent)
+	}
+}
--- a/internal/swap/sim_test.go
+++ b/internal/swap/sim_test.go
@@ -76,6 +76,8 @@
 	// slowLoads is added to the time of every load.
 	slowLoads  time.Duration
 	ordersSent int
+	// loadsAgain engines take a load of a model that they hold as a new one.
+	loadsAgain bool
 	served     map[entity.ModelID]int
 }
 
@@ -251,7 +253,7 @@
 		x.unloading = o.Model
 		x.doneAt = s.now.Add(time.Millisecond)
 	default:
-		if x.models[o.Model] != nil {
+		if x.models[o.Model] != nil && !s.loadsAgain {
 			return AlreadyHolds
 		}
 		x.loading = o.Model
@@ -273,7 +275,7 @@
 		used += s.engine.Models[m].SizeMB + 66*float64(len(as))
 		adapters += len(as)
 	}
-	if x.loading != "" {
+	if x.loading != "" && x.models[x.loading] == nil {
 		used += s.engine.Models[x.loading].SizeMB
 	}
 	if used > s.engine.WeightsMB || adapters > s.engine.AdapterPlaces {
