Remove dead fields and repeated predicates from the entry host's packages

Found when the whole change was read again; behavior stays the same.

fleet.Upstream.SeenAt, dispatch.Request.dispatched and two reasons of refusals were written or declared and never read. Three loops that look for an element are slices.Contains. A task's fromStore repeated its from. Whether an engine has a copy of a model, and whether it brings one, stood in three and two places of swap and are methods of the row now. Three metrics readers share one loop, two places of daysim list held models with one function, refuseHopeless asks each question once, and explain finds the last line of a request in the story that it has built instead of in all lines again.

The tests of the packages and of the whole path pass.

--- a/internal/daysim/engine.go
+++ b/internal/daysim/engine.go
@@ -218,12 +218,9 @@
 // note keeps the state for reports, which lag.
 func (e *engine) note() {
 	r := swap.Report{
-		Busy: e.changing != "", Sequence: e.sequence,
+		Busy: e.changing != "", Sequence: e.sequence, Models: e.models(),
 		InMemory: slices.Clone(e.memory), OnDisk: slices.Clone(e.disk),
 	}
-	for m := range e.held {
-		r.Models = append(r.Models, fleet.Held{Model: m})
-	}
 	e.past = append(e.past, pastReport{at: e.world.now, report: r})
 }
 
@@ -263,15 +260,19 @@
 
 // entry is what the list says about the engine.
 func (e *engine) entry() *fleet.Upstream {
-	u := &fleet.Upstream{
+	return &fleet.Upstream{
 		Incarnation: fleet.Incarnation{ID: e.id, BornMillis: e.born},
 		Service:     service, Addr: string(e.id), Domain: e.domain, Slots: e.rates().Slots,
-		Sequence: e.sequence, OnDisk: slices.Clone(e.disk), InMemory: slices.Clone(e.memory),
+		Sequence: e.sequence, Models: e.models(), OnDisk: slices.Clone(e.disk), InMemory: slices.Clone(e.memory),
 	}
+}
+
+func (e *engine) models() []fleet.Held {
+	out := make([]fleet.Held, 0, len(e.held))
 	for m := range e.held {
-		u.Models = append(u.Models, fleet.Held{Model: m})
+		out = append(out, fleet.Held{Model: m})
 	}
-	return u
+	return out
 }
 
 // size returns the memory that a model needs.
--- a/internal/daysim/world.go
+++ b/internal/daysim/world.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/foxtailpass/foxtailpass/internal/catalog"
@@ -208,9 +209,8 @@
 	if !w.policy.AllModels {
 		w.command(w.swapper.SetUpstream(u, w.now))
 	}
-	held := u.Models
 	for _, h := range w.hosts {
-		h.setTarget(u.ID, held, 0, w.now)
+		h.setTarget(u.ID, u.Models, 0, w.now)
 	}
 }
 
@@ -267,9 +267,9 @@
 func (w *world) loadTime(e *engine, m entity.ModelID) (time.Duration, func()) {
 	model := w.model(m)
 	switch {
-	case contains(e.memory, m):
+	case slices.Contains(e.memory, m):
 		return model.MemoryLoad, func() {}
-	case contains(e.disk, m):
+	case slices.Contains(e.disk, m):
 		return model.DiskLoad, func() {}
 	}
 	w.result.StoreLoads++
@@ -277,15 +277,6 @@
 	return model.StoreLoad * time.Duration(max(w.storeLoads, storeParallel)) / storeParallel, func() { w.storeLoads-- }
 }
 
-func contains(list []entity.ModelID, m entity.ModelID) bool {
-	for _, x := range list {
-		if x == m {
-			return true
-		}
-	}
-	return false
-}
-
 // admit takes the tokens of a request, or says how long its workspace must wait for them.
 func (w *world) admit(r *request) (wait time.Duration, ok bool) {
 	b := &w.buckets[r.arrival.workspace]
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -45,11 +45,10 @@
 	// sent counts the upstreams that were given the request, proven not run ones included.
 	sent int
 	// ran counts the attempts that may have run.
-	ran        int
-	target     *target
-	dispatched time.Time
-	avoid      entity.UpstreamID
-	index      int
+	ran    int
+	target *target
+	avoid  entity.UpstreamID
+	index  int
 }
 
 // repeatable says whether another attempt may follow one that may have run.
@@ -74,7 +73,6 @@
 const (
 	ReasonDeadline    Reason = "deadline_exceeded"
 	ReasonNotReady    Reason = "not_ready_in_time"
-	ReasonOverloaded  Reason = "backlog_too_long"
 	ReasonNoUpstream  Reason = "no_upstream"
 	ReasonBudget      Reason = "retry_budget_exhausted"
 	ReasonFailed      Reason = "upstream_failed"
@@ -82,7 +80,6 @@
 	ReasonRateLimited Reason = "rate_limited"
 	ReasonStale       Reason = "stale_configuration"
 	ReasonKey         Reason = "key_withdrawn"
-	ReasonUnknownPart Reason = "model_not_offered"
 	ReasonStopping    Reason = "stopping"
 )
 
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -209,25 +209,18 @@
 		return
 	}
 	wait, known := time.Duration(0), true
-	served := s.served(r.Pool, now)
-	if !served {
+	if !s.served(r.Pool, now) {
 		wait, known = s.readyIn(r.Pool, now)
 	}
-	if !s.stopBy.IsZero() && !now.Add(wait).Before(s.stopBy) {
+	switch {
+	case !s.stopBy.IsZero() && !now.Add(wait).Before(s.stopBy):
 		s.refuse(r, ReasonStopping, shortestRetryAfter)
-		return
-	}
-	if served {
-		return
-	}
-	if known && wait < left {
-		return
-	}
-	if !known && now.Sub(r.Arrived) < r.Route.Target/2 {
+	case known && wait < left:
+	case !known && now.Sub(r.Arrived) < r.Route.Target/2:
 		// The coordinator may not have seen the demand yet.
-		return
+	default:
+		s.refuse(r, ReasonNotReady, wait)
 	}
-	s.refuse(r, ReasonNotReady, wait)
 }
 
 func (s *Scheduler) readyIn(p Pool, now time.Time) (time.Duration, bool) {
@@ -341,7 +334,6 @@
 	s.unwait(r)
 	r.running = true
 	r.target = t
-	r.dispatched = now
 	r.sent++
 	t.inflight++
 	if !s.opts.Policy.MixPrompts {
--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/foxtailpass/foxtailpass/internal/boottime"
@@ -386,19 +387,10 @@
 				return unknownSwap, true
 			}
 		}
-		copied = copied || contains(u.OnDisk, p.Model) || contains(u.InMemory, p.Model)
+		copied = copied || slices.Contains(u.OnDisk, p.Model) || slices.Contains(u.InMemory, p.Model)
 	}
 	if copied {
 		return m.DiskLoad + unknownSwap, true
 	}
 	return m.StoreLoad + unknownLoad, true
 }
-
-func contains(ids []entity.ModelID, id entity.ModelID) bool {
-	for _, m := range ids {
-		if m == id {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/edge/operator.go
+++ b/internal/edge/operator.go
@@ -151,23 +151,22 @@
 	return float64(h.opts.LogDropped())
 }
 
-func (h *Host) readBudgets() []metrics.Observation {
-	var out []metrics.Observation
-	h.ask(func(c *core) {
-		for id, level := range c.scheduler.Budgets() {
-			out = append(out, metrics.Observation{Value: level, Attributes: []attribute.KeyValue{attribute.String("service", string(id))}})
-		}
-	})
+// observations labels each value with its key.
+func observations[K ~string, V int64 | float64](label string, values map[K]V) []metrics.Observation {
+	out := make([]metrics.Observation, 0, len(values))
+	for key, v := range values {
+		out = append(out, metrics.Observation{Value: float64(v), Attributes: []attribute.KeyValue{attribute.String(label, string(key))}})
+	}
 	return out
 }
 
-func (h *Host) readLevels() []metrics.Observation {
-	var out []metrics.Observation
-	h.ask(func(c *core) {
-		for id, level := range c.limiter.Levels() {
-			out = append(out, metrics.Observation{Value: level, Attributes: []attribute.KeyValue{attribute.String("workspace", string(id))}})
-		}
-	})
+func (h *Host) readBudgets() (out []metrics.Observation) {
+	h.ask(func(c *core) { out = observations("service", c.scheduler.Budgets()) })
+	return out
+}
+
+func (h *Host) readLevels() (out []metrics.Observation) {
+	h.ask(func(c *core) { out = observations("workspace", c.limiter.Levels()) })
 	return out
 }
 
@@ -183,9 +182,5 @@
 }
 
 func (h *Host) readStoreCalls() []metrics.Observation {
-	var out []metrics.Observation
-	for kind, n := range h.opts.Store.Counts() {
-		out = append(out, metrics.Observation{Value: float64(n), Attributes: []attribute.KeyValue{attribute.String("kind", kind)}})
-	}
-	return out
+	return observations("kind", h.opts.Store.Counts())
 }
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -245,7 +245,6 @@
 		}
 	}
 	if u != nil {
-		u.SeenAt = boottime.Now()
 		w.rows[id] = true
 		delete(w.missing, id)
 		out.addPut(u)
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -171,37 +171,39 @@
 		}
 		s.Lines = append(s.Lines, l)
 	}
-	if l, ok := restartAfter(lines, request, to); ok {
-		s.Lines = append(s.Lines, l)
-	}
 	sort.SliceStable(s.Lines, func(i, j int) bool { return s.Lines[i].Time.Before(s.Lines[j].Time) })
 	for _, l := range s.Lines {
 		s.own = append(s.own, l.Get("request") == request)
 	}
+	s.addRestart(lines, to)
 	return s, nil
 }
 
 // unfinished are the messages after which a request has no outcome yet.
 var unfinished = map[string]bool{"Sent.": true, "Queued.": true, "Lacks tokens.": true, "Attempt failed.": true, "Stream resumed.": true}
 
-// restartAfter returns the next start of the host at which a request was left without an outcome, when
-// that is later than the other lines of the story.
-func restartAfter(lines []Line, request string, after time.Time) (Line, bool) {
-	var last, restart Line
-	for _, l := range lines {
-		if l.Get("request") == request && !l.Time.Before(last.Time) {
+// addRestart adds the next start of the host at which the request was left without an outcome, when that
+// is later than the other lines of the story.
+func (s *Story) addRestart(lines []Line, after time.Time) {
+	var last Line
+	for i, l := range s.Lines {
+		if s.own[i] {
 			last = l
 		}
 	}
 	if !unfinished[last.Msg] {
-		return restart, false
+		return
 	}
-	for _, l := range lines {
-		if l.Msg == hostStarted && l.Host == last.Host && l.Time.After(after) && (restart.Msg == "" || l.Time.Before(restart.Time)) {
-			restart = l
+	var restart *Line
+	for i, l := range lines {
+		if l.Msg == hostStarted && l.Host == last.Host && l.Time.After(after) && (restart == nil || l.Time.Before(restart.Time)) {
+			restart = &lines[i]
 		}
 	}
-	return restart, restart.Msg != ""
+	if restart != nil {
+		s.Lines = append(s.Lines, *restart)
+		s.own = append(s.own, false)
+	}
 }
 
 // relevant says whether a line without a request belongs to the story: orders to its upstreams on
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -41,8 +41,6 @@
 	// InMemory and OnDisk list the models of which the upstream keeps copies.
 	InMemory []entity.ModelID
 	OnDisk   []entity.ModelID
-	// SeenAt is when this host read the entry.
-	SeenAt time.Time
 }
 
 // Change is one change of the table.
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -92,9 +93,9 @@
 // SetFault sets a fault or carries out an action fault.
 func (e *Engine) SetFault(f Fault) error {
 	switch {
-	case contains(requestFaults, f.Kind):
+	case slices.Contains(requestFaults, f.Kind):
 		e.faults.set(f)
-	case contains(actionFaults, f.Kind):
+	case slices.Contains(actionFaults, f.Kind):
 		e.act(f)
 	default:
 		return fmt.Errorf("unknown fault %q: allowed are %s", f.Kind,
@@ -123,15 +124,6 @@
 	}
 }
 
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
-	}
-	return false
-}
-
 func (f *faults) set(x Fault) {
 	left := x.Count
 	if left == 0 {
--- a/internal/swap/decide.go
+++ b/internal/swap/decide.go
@@ -160,7 +160,7 @@
 func (s *Swapper) loading(key modelKey) int {
 	n := 0
 	for _, r := range s.replicas {
-		if r.up.Service == key.service && r.task != nil && r.task.model == key.model && r.serves() {
+		if r.loads(key) {
 			n++
 		}
 	}
@@ -171,7 +171,7 @@
 func (s *Swapper) storeLoads() int {
 	n := 0
 	for _, r := range s.replicas {
-		if r.task != nil && r.task.fromStore {
+		if r.task != nil && r.task.usesStore() {
 			n++
 		}
 	}
@@ -181,7 +181,7 @@
 // hasCopy says whether an engine that stays has a copy of the weights.
 func (s *Swapper) hasCopy(key modelKey) bool {
 	for _, r := range s.replicas {
-		if r.up.Service == key.service && r.serves() && r.copies[key.model] != 0 {
+		if r.hasCopy(key) {
 			return true
 		}
 	}
@@ -193,7 +193,7 @@
 func (s *Swapper) hasSpareCopy(key modelKey) bool {
 	for _, r := range s.replicas {
 		h := r.held[key.model]
-		if r.up.Service == key.service && r.serves() && r.copies[key.model] != 0 && (h == nil || h.unloading) {
+		if r.hasCopy(key) && (h == nil || h.unloading) {
 			return true
 		}
 	}
@@ -349,9 +349,8 @@
 
 // start begins a task.
 func (s *Swapper) start(r *replica, model entity.ModelID, evict []entity.ModelID, now time.Time) {
-	from := r.copies[model]
-	r.task = &task{model: model, evict: evict, from: from, fromStore: from == 0, started: now}
-	if r.task.fromStore {
+	r.task = &task{model: model, evict: evict, from: r.copies[model], started: now}
+	if r.task.usesStore() {
 		s.countStoreLoad(r.up.Service, now)
 	}
 	for _, id := range evict {
--- a/internal/swap/estimate.go
+++ b/internal/swap/estimate.go
@@ -59,7 +59,7 @@
 
 func (s *Swapper) loader(key modelKey) *replica {
 	for _, r := range s.replicas {
-		if r.up.Service == key.service && r.task != nil && r.task.model == key.model && r.serves() {
+		if r.loads(key) {
 			return r
 		}
 	}
@@ -73,7 +73,7 @@
 		return 0
 	}
 	overhead := swapOverhead
-	if t.fromStore {
+	if t.usesStore() {
 		overhead = storeOverhead
 	}
 	if t.stage == stageLoading {
@@ -86,7 +86,7 @@
 func (s *Swapper) soonestCopy(key modelKey, now time.Time) time.Duration {
 	soonest := time.Duration(-1)
 	for _, r := range s.replicas {
-		if r.up.Service != key.service || !r.serves() || r.copies[key.model] == 0 {
+		if !r.hasCopy(key) {
 			continue
 		}
 		if left := s.taskLeft(r, now); soonest < 0 || left < soonest {
--- a/internal/swap/probe.go
+++ b/internal/swap/probe.go
@@ -16,7 +16,7 @@
 
 // probe asks whether a load is over.
 func (s *Swapper) probe(r *replica, t *task, now time.Time) {
-	if s.policy.ReportsOnly || t.probes >= maxProbes || t.fromStore || now.Before(t.probeAt) {
+	if s.policy.ReportsOnly || t.probes >= maxProbes || t.usesStore() || now.Before(t.probeAt) {
 		return
 	}
 	t.probes++
--- a/internal/swap/replica.go
+++ b/internal/swap/replica.go
@@ -88,17 +88,19 @@
 	accepted bool
 	// awaitReport says that only a report can tell that the unload is over.
 	awaitReport bool
-	from        place
-	// fromStore tasks use the weight store.
-	fromStore bool
-	started   time.Time
-	readyAt   time.Time
+	// from is where the copy lies, zero for a load from the weight store.
+	from    place
+	started time.Time
+	readyAt time.Time
 	// probe is the last probe of the load, probeAt the time of the next one.
 	probe   uint64
 	probeAt time.Time
 	probes  int
 }
 
+// usesStore says whether the task loads from the weight store.
+func (t *task) usesStore() bool { return t.from == 0 }
+
 func newReplica(u *fleet.Upstream) *replica {
 	r := &replica{
 		up:       u,
@@ -126,6 +128,16 @@
 // serves says whether requests can be given to the engine.
 func (r *replica) serves() bool { return !r.up.Draining && !r.down }
 
+// hasCopy says whether the engine stays and has a copy of the weights.
+func (r *replica) hasCopy(key modelKey) bool {
+	return r.up.Service == key.service && r.serves() && r.copies[key.model] != 0
+}
+
+// loads says whether the engine stays and carries out a task that brings the model.
+func (r *replica) loads(key modelKey) bool {
+	return r.up.Service == key.service && r.serves() && r.task != nil && r.task.model == key.model
+}
+
 func (r *replica) clearUse() {
 	r.running = 0
 	for _, h := range r.held {
