Count mismatched answers in the metrics; split edge.New; share the set-up of old orders

foxtailpass_mismatched_answers_total shows how many answers carried the ID of another request; the list of metrics in TestLogsExplainRequestsAndKeepSecrets failed without it. The two tests of old orders shared 14 lines of set-up, now newOldOrder; what they check is unchanged.

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -112,40 +112,54 @@
 	h.registrar = &registrar{store: o.Store, key: s.Store.Prefix + membersPrefix + string(s.Host), value: value, log: o.Log.With("prefix", "lease")}
 	h.core = newCore(s.Host, s.FailureDomain, s.Bounds, o.Log.With("prefix", "control"), h)
 	h.dialer = &dialer{log: o.Log.With("prefix", "peer"), send: h.send, wake: make(chan struct{}, 1)}
-	h.candidate = election.New(election.Options{
-		KV:       o.Store,
+	h.candidate = h.newCandidate(self)
+	h.front = h.newFront()
+	h.watcher = h.newWatcher()
+	h.dialer.searching = &h.watcher.searching
+	if err := h.registerMetrics(); err != nil {
+		return nil, err
+	}
+	return h, nil
+}
+
+func (h *Host) newCandidate(self election.Holder) *election.Candidate {
+	s := h.opts.Settings
+	return election.New(election.Options{
+		KV:       h.opts.Store,
 		Prefix:   s.Store.Prefix,
 		Self:     self,
 		Gap:      time.Duration(s.Bounds.OrderGapMillis) * time.Millisecond,
 		Now:      boottime.Now,
 		OnChange: func(r *election.Right) { h.send(rightChanged{right: r}) },
-		Log:      o.Log.With("prefix", "lease"),
+		Log:      h.opts.Log.With("prefix", "lease"),
 	})
-	h.front = newFront(&front{
-		protocol:  o.Protocol,
+}
+
+func (h *Host) newFront() *front {
+	return newFront(&front{
+		protocol:  h.opts.Protocol,
 		upstreams: upstream.NewClient(),
 		send:      h.send,
 		fresh:     h.fresh,
-		log:       o.Log.With("prefix", "request"),
-		grace:     time.Duration(s.Bounds.GraceSeconds * float64(time.Second)),
-		metrics:   o.Metrics,
+		log:       h.opts.Log.With("prefix", "request"),
+		grace:     time.Duration(h.opts.Settings.Bounds.GraceSeconds * float64(time.Second)),
+		metrics:   h.opts.Metrics,
 		viewAge:   h.viewAge,
 	})
-	h.watcher = &watcher{
-		store:    o.Store,
-		protocol: o.Protocol,
+}
+
+func (h *Host) newWatcher() *watcher {
+	s := h.opts.Settings
+	return &watcher{
+		store:    h.opts.Store,
+		protocol: h.opts.Protocol,
 		prefix:   s.Store.Prefix,
-		log:      o.Log.With("prefix", "view"),
+		log:      h.opts.Log.With("prefix", "view"),
 		send:     h.send,
 		observe:  h.candidate.Observe,
 		self:     s.Host,
 		publish:  func(c *catalog.Catalog) { h.front.catalog.Store(c) },
 	}
-	h.dialer.searching = &h.watcher.searching
-	if err := h.registerMetrics(); err != nil {
-		return nil, err
-	}
-	return h, nil
 }
 
 // CallerAddr returns where callers are served.
--- a/internal/edge/operator.go
+++ b/internal/edge/operator.go
@@ -116,6 +116,7 @@
 	}{
 		{"foxtailpass_orders", "Orders to engines by action and answer.", h.readOrders},
 		{"foxtailpass_store_calls", "Calls to the key-value service by kind.", h.readStoreCalls},
+		{"foxtailpass_mismatched_answers", "Answers of upstreams that carried the ID of another request.", one(h.mismatched)},
 		{"foxtailpass_log_lines_dropped", "Log lines that were dropped because nobody read the output.", one(h.logDropped)},
 	}
 	for _, g := range gauges {
@@ -131,6 +132,8 @@
 	return nil
 }
 
+func (h *Host) mismatched() float64 { return float64(h.front.upstreams.Mismatched.Load()) }
+
 func asNumber(b bool) float64 {
 	if b {
 		return 1
--- a/test/faults/control_placement_test.go
+++ b/test/faults/control_placement_test.go
@@ -78,39 +78,57 @@
 	}
 }
 
+// oldOrder is a site with one engine, at which an order of the decider is under way and delayed.
+type oldOrder struct {
+	site      *harness.Site
+	decisions *decisions
+	store     *engine.WeightStore
+	key       string
+	decider   *harness.Host
+	// rest are the hosts besides the decider.
+	rest    []*harness.Host
+	answers answers
+}
+
+// newOldOrder sends a request for m0 with the given deadline and waits until its load is recorded.
+func newOldOrder(t *testing.T, fence bool, delayMS int64, limit time.Duration) *oldOrder {
+	t.Helper()
+	list, store := engines(1, 3000, fence)
+	// Two models of 2000 bytes do not fit into 3000.
+	s := parallelSite(t, harness.Options{Hosts: 3, Engines: list, Base: models(2, 2000), LeaseTTL: time.Second})
+	o := &oldOrder{site: s, decisions: followDecisions(s), store: store}
+	o.key, _ = s.Key("clerks")
+	if err := s.Engines[0].SetFault(engine.Fault{Kind: engine.FaultOrderDelay, Count: 1, DelayMS: delayMS}); err != nil {
+		t.Fatal(err)
+	}
+	o.decider = decider(s)
+	o.rest = others(s, o.decider)
+	o.answers.send(o.rest[0], deadline(harness.Chat(o.key, "m0", 5, false), limit))
+	s.Eventually(5*time.Second, "the order is under way", func() bool { return recorded(s, "m0") })
+	time.Sleep(100 * time.Millisecond)
+	return o
+}
+
 // The order of a paused decider arrives late, when another host has decided something else for
 // the same memory. It must be refused by its fence, or its memory must still be reserved.
 func TestOldOrderOfPausedDecider(t *testing.T) {
 	for _, fence := range []bool{true, false} {
 		t.Run(fmt.Sprintf("fence=%t", fence), func(t *testing.T) {
-			list, store := engines(1, 3000, fence)
-			// Two models of 2000 bytes do not fit into 3000.
-			s := parallelSite(t, harness.Options{Hosts: 3, Engines: list, Base: models(2, 2000), LeaseTTL: time.Second})
-			d := followDecisions(s)
-			key, _ := s.Key("clerks")
-			if err := s.Engines[0].SetFault(engine.Fault{Kind: engine.FaultOrderDelay, Count: 1, DelayMS: 4000}); err != nil {
-				t.Fatal(err)
-			}
-			paused := decider(s)
-			rest := others(s, paused)
-			var a answers
-			a.send(rest[0], deadline(harness.Chat(key, "m0", 5, false), 1500*time.Millisecond))
-			s.Eventually(5*time.Second, "the order is under way", func() bool { return recorded(s, "m0") })
-			time.Sleep(100 * time.Millisecond)
-			paused.Pause()
+			o := newOldOrder(t, fence, 4000, 1500*time.Millisecond)
+			o.decider.Pause()
 			time.Sleep(1500 * time.Millisecond)
 			for range 4 {
-				a.send(rest[1], deadline(harness.Chat(key, "m1", 5, false), 8*time.Second))
+				o.answers.send(o.rest[1], deadline(harness.Chat(o.key, "m1", 5, false), 8*time.Second))
 				time.Sleep(300 * time.Millisecond)
 			}
 			time.Sleep(1500 * time.Millisecond)
-			paused.Resume()
-			got := summary(a.wait())
+			o.decider.Resume()
+			got := summary(o.answers.wait())
 			t.Logf("answers: %v", got)
 			if got["200 "] < 4 {
 				t.Errorf("the other model was not served: %v", got)
 			}
-			checkPlacement(s, d, store, 1)
+			checkPlacement(o.site, o.decisions, o.store, 1)
 		})
 	}
 }
@@ -120,30 +138,18 @@
 func TestOldOrderOfRestartedDecider(t *testing.T) {
 	for _, fence := range []bool{true, false} {
 		t.Run(fmt.Sprintf("fence=%t", fence), func(t *testing.T) {
-			list, store := engines(1, 3000, fence)
-			s := parallelSite(t, harness.Options{Hosts: 3, Engines: list, Base: models(2, 2000), LeaseTTL: time.Second})
-			d := followDecisions(s)
-			key, _ := s.Key("clerks")
-			if err := s.Engines[0].SetFault(engine.Fault{Kind: engine.FaultOrderDelay, Count: 1, DelayMS: 2500}); err != nil {
-				t.Fatal(err)
-			}
-			killed := decider(s)
-			rest := others(s, killed)
-			var a answers
-			a.send(rest[0], deadline(harness.Chat(key, "m0", 5, false), time.Second))
-			s.Eventually(5*time.Second, "the order is under way", func() bool { return recorded(s, "m0") })
-			time.Sleep(100 * time.Millisecond)
-			killed.Kill()
-			killed.Start()
+			o := newOldOrder(t, fence, 2500, time.Second)
+			o.decider.Kill()
+			o.decider.Start()
 			time.Sleep(time.Second)
-			a.send(rest[1], deadline(harness.Chat(key, "m1", 5, false), 10*time.Second))
-			got := summary(a.wait())
+			o.answers.send(o.rest[1], deadline(harness.Chat(o.key, "m1", 5, false), 10*time.Second))
+			got := summary(o.answers.wait())
 			t.Logf("answers: %v", got)
 			time.Sleep(time.Second)
 			if got["200 "] < 1 {
 				t.Errorf("the other model was not served: %v", got)
 			}
-			checkPlacement(s, d, store, 1)
+			checkPlacement(o.site, o.decisions, o.store, 1)
 		})
 	}
 }
