quota: a host with many waiting requests is not told to wait longer

Cause: the coordinator told a host how long the reserve needs for all that the host's requests lack together. A host with many callers of a workspace therefore held back its next question the longer the more requests it had, while hosts with few callers asked again sooner and took what had accrued.

The report now says how many requests lack tokens, and the wait is that for one of them. TestBusyHostWaitsNoLonger failed first (79 ms for ten requests, 8 ms for one).

Ruled out: the fixed parts of hosts (equal, and used up everywhere), and callers that return too early, which would show at all hosts alike. A report of an older build counts as one request.

--- a/internal/edge/coordination.go
+++ b/internal/edge/coordination.go
@@ -89,6 +89,7 @@
 	// heardAt is when the last report came.
 	heardAt time.Time
 	lack    map[entity.WorkspaceID]float64
+	lacking map[entity.WorkspaceID]int
 }
 
 // lost forgets a host whose session has ended.
@@ -212,7 +213,8 @@
 }
 
 func (c *core) compose(waiting []dispatch.Waiting, running []dispatch.Running, now time.Time) *wire.HostReport {
-	r := &wire.HostReport{Host: c.self, SentAt: now.UnixNano(), Lack: c.lack()}
+	r := &wire.HostReport{Host: c.self, SentAt: now.UnixNano()}
+	r.Lack, r.Lacking = c.lack()
 	needs := make(map[dispatch.Pool]*wire.PoolNeed)
 	need := func(p dispatch.Pool) *wire.PoolNeed {
 		if n := needs[p]; n != nil {
@@ -257,7 +259,7 @@
 	h.answer = e.report.SentAt
 	h.heardAt = now
 	h.pending = true
-	h.lack = e.report.Lack
+	h.lack, h.lacking = e.report.Lack, e.report.Lacking
 	c.countHosts(now)
 	l.swapper.SetPaused(!c.effects.holds())
 	c.run(l.swapper.HandleHost(*e.report, now))
--- a/internal/edge/tokens.go
+++ b/internal/edge/tokens.go
@@ -109,36 +109,37 @@
 	return false
 }
 
-// lack sums what parked requests lack and marks them as asked for. The level of this host covers a
-// part of the first one only.
-func (c *core) lack() map[entity.WorkspaceID]float64 {
-	var out map[entity.WorkspaceID]float64
+// lack sums what parked requests lack, counts them, and marks them as asked for. The level of this
+// host covers a part of the first one only.
+func (c *core) lack() (tokens map[entity.WorkspaceID]float64, requests map[entity.WorkspaceID]int) {
 	for _, p := range c.parked {
 		if p.asked {
 			continue
 		}
 		p.asked = true
-		if out == nil {
-			out = make(map[entity.WorkspaceID]float64)
+		if tokens == nil {
+			tokens = make(map[entity.WorkspaceID]float64)
+			requests = make(map[entity.WorkspaceID]int)
 		}
 		id := p.request.Workspace
-		if out[id] == 0 {
-			out[id] = p.lack
+		if requests[id] == 0 {
+			tokens[id] = p.lack
 		} else {
-			out[id] += p.request.Tokens
+			tokens[id] += p.request.Tokens
 		}
+		requests[id]++
 	}
-	return out
+	return tokens, requests
 }
 
 // grant answers the lack of a host as coordinator.
 func (c *core) grant(h *hostSession, now time.Time) []wire.TokenGrant {
 	var out []wire.TokenGrant
 	for id, lack := range h.lack {
-		tokens, wait := c.lead.reserve.Take(id, lack, now)
+		tokens, wait := c.lead.reserve.Take(id, lack, h.lacking[id], now)
 		out = append(out, wire.TokenGrant{Workspace: id, Tokens: tokens, Wait: wait})
 	}
-	h.lack = nil
+	h.lack, h.lacking = nil, nil
 	return out
 }
 
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -103,7 +103,7 @@
 	s.asked += tokens
 	lack, _, ok := l.Admit("w", tokens, s.now)
 	if !ok && reached {
-		granted, _ := s.reserve.Take("w", lack, s.now)
+		granted, _ := s.reserve.Take("w", lack, 1, s.now)
 		l.Grant("w", granted, s.now)
 		_, _, ok = l.Admit("w", tokens, s.now)
 	}
@@ -206,6 +206,21 @@
 	}
 }
 
+// Guards against a host with many callers of a workspace that is told to wait longer the more of its
+// requests lack tokens, while hosts with fewer callers ask again sooner and get all the reserve has.
+func TestBusyHostWaitsNoLonger(t *testing.T) {
+	wait := func(requests int) time.Duration {
+		r := NewReserve(testSlack)
+		r.SetCatalog(testCatalog(testRate, testBurst), testStart)
+		r.SetConnected(7, 7, testStart)
+		_, w := r.Take("w", 100*float64(requests), requests, testStart)
+		return w
+	}
+	if one, ten := wait(1), wait(10); ten > 2*one {
+		t.Errorf("a host with one request waits %v, one with ten waits %v", one, ten)
+	}
+}
+
 // Guards against burst that a restart gives out once more.
 func TestNewProcessStartsWithoutBurst(t *testing.T) {
 	l := New(testSlack, testStart)
@@ -217,7 +232,7 @@
 		r := NewReserve(testSlack)
 		r.SetCatalog(testCatalog(testRate, testBurst), testStart)
 		r.SetConnected(7, 7, testStart)
-		return r.Take("w", 100, testStart)
+		return r.Take("w", 100, 1, testStart)
 	}(); granted > 0 {
 		t.Errorf("a new coordinator granted %.0f tokens at its start", granted)
 	}
--- a/internal/quota/reserve.go
+++ b/internal/quota/reserve.go
@@ -79,9 +79,10 @@
 	return r.catalog.Workspace(id)
 }
 
-// Take grants tokens to a host that lacks some, as many as there are. wait is the time until there
-// will be enough for what is missing, zero when all was granted.
-func (r *Reserve) Take(id entity.WorkspaceID, tokens float64, now time.Time) (granted float64, wait time.Duration) {
+// Take grants tokens to a host that lacks some for a number of requests, as many as there are. wait is
+// zero when all was granted, else the time until there will be enough for one more of the requests: a
+// host with many of them must not ask less often than the others.
+func (r *Reserve) Take(id entity.WorkspaceID, tokens float64, requests int, now time.Time) (granted float64, wait time.Duration) {
 	w := r.workspace(id)
 	b := r.buckets[id]
 	if w == nil || b == nil || tokens <= 0 {
@@ -92,7 +93,8 @@
 	granted = max(min(tokens, b.level+r.overdraft()), 0)
 	b.level -= granted
 	if missing := tokens - granted; missing > 0 {
-		wait = waitFor(missing, rate)
+		one := tokens / float64(max(requests, 1))
+		wait = waitFor(min(missing, one), rate)
 	}
 	return granted, wait
 }
--- a/internal/wire/coordination.go
+++ b/internal/wire/coordination.go
@@ -41,6 +41,8 @@
 	Down []entity.UpstreamID `msgpack:"o,omitempty"`
 	// Lack is the number of tokens that waiting requests lack, by workspace.
 	Lack map[entity.WorkspaceID]float64 `msgpack:"d,omitempty"`
+	// Lacking is the number of those requests, by workspace.
+	Lacking map[entity.WorkspaceID]int `msgpack:"e,omitempty"`
 }
 
 // Kind implements Message.
