--- a/internal/edge/coordination.go
+++ b/internal/edge/coordination.go
@@ -88,6 +88,7 @@
 	pending bool
 	// heardAt is when the last report came.
 	heardAt time.Time
+	// lack is the number of tokens that its requests lack, and lacking the number of those requests.
 	lack    map[entity.WorkspaceID]float64
 	lacking map[entity.WorkspaceID]int
 }
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -324,7 +324,7 @@
 	due := time.NewTimer(renewInterval)
 	defer due.Stop()
 	held := true
-	var err error
+	var lastErr error
 	for {
 		select {
 		case <-ctx.Done():
@@ -333,23 +333,23 @@
 			go c.renew(ctx, lease, answers)
 			due.Reset(renewHedge)
 		case a := <-answers:
-			err = a.err
-			if errors.Is(err, kvstore.ErrLeaseNotFound) {
+			lastErr = a.err
+			if errors.Is(a.err, kvstore.ErrLeaseNotFound) {
 				return "lease not found"
 			}
-			if err == nil {
+			if a.err == nil {
 				c.extend(a.sent)
 				due.Reset(renewInterval)
 			}
 		}
 		if holds := c.Holds(); holds != held {
 			held = holds
-			c.opts.Log.Warn("Right to give orders changed.", "holds", held, "err", err)
+			c.opts.Log.Warn("Right to give orders changed.", "holds", held, "err", lastErr)
 		}
 	}
 }
 
-// renew renews the lease once.
+// renew renews the lease once and passes the answer on.
 func (c *Candidate) renew(ctx context.Context, lease kvstore.LeaseID, answers chan<- renewal) {
 	sent := c.opts.Now()
 	cctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/wire/coordination.go
+++ b/internal/wire/coordination.go
@@ -93,6 +93,7 @@
 type TokenGrant struct {
 	Workspace entity.WorkspaceID `msgpack:"w"`
 	Tokens    float64            `msgpack:"n"`
-	// Wait is the time until the reserve can cover what was not granted.
+	// Wait is the time until the reserve can cover one more of the requests that lack tokens, zero when
+	// all was granted.
 	Wait time.Duration `msgpack:"t,omitempty"`
 }
