--- a/internal/daysim/host.go
+++ b/internal/daysim/host.go
@@ -194,5 +194,5 @@
 	for _, u := range h.scheduler.Running() {
 		r.Uses = append(r.Uses, wire.PoolUse{Upstream: u.Upstream, Model: u.Pool.Model, Count: u.Count})
 	}
-	w.after(hop, func() { w.command(w.swapper.HandleHost(r, w.now)) })
+	w.after(hop, func() { w.swapper.HandleHost(r, w.now) })
 }
--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -31,6 +31,23 @@
 	b.updated = now
 }
 
+// hostWindows is how many times its part a host may use of the fixed number in one window: what it
+// has saved, and half as much again that accrues meanwhile.
+const hostWindows = 1.5
+
+// HostExtra returns one host's part of the fixed number of retries that all hosts share.
+func HostExtra(extra float64, hosts int) float64 { return extra / hostWindows / float64(max(hosts, 1)) }
+
+// SetExtra replaces this host's part of the fixed number, as when the number of hosts has changed.
+func (b *Budget) SetExtra(extra float64, now time.Time) {
+	if extra == b.Extra {
+		return
+	}
+	b.refill(now)
+	b.Extra = extra
+	b.level = min(b.level, extra)
+}
+
 // Deposit counts one request.
 func (b *Budget) Deposit(now time.Time) {
 	b.refill(now)
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -58,9 +58,11 @@
 	byService map[catalog.ServiceID][]*target
 	queues    map[Pool]*queue
 	// ordered holds the queues in the order in which their pools began to wait, so that a seed repeats.
-	ordered  []*queue
-	budgets  map[catalog.ServiceID]*Budget
-	affinity map[string]entity.UpstreamID
+	ordered []*queue
+	budgets map[catalog.ServiceID]*Budget
+	// unreachable holds the targets whose last attempt found no connection or no answer.
+	unreachable map[entity.UpstreamID]*target
+	affinity    map[string]entity.UpstreamID
 	// stopBy is when the last request may be sent to an upstream, zero while the host does not stop.
 	stopBy time.Time
 	out    []Decision
@@ -69,19 +71,27 @@
 // New returns an empty Scheduler.
 func New(o Options) *Scheduler {
 	return &Scheduler{
-		opts:      o,
-		requests:  make(map[entity.RequestID]*Request),
-		targets:   make(map[entity.UpstreamID]*target),
-		byService: make(map[catalog.ServiceID][]*target),
-		queues:    make(map[Pool]*queue),
-		budgets:   make(map[catalog.ServiceID]*Budget),
-		affinity:  make(map[string]entity.UpstreamID),
+		opts:        o,
+		requests:    make(map[entity.RequestID]*Request),
+		targets:     make(map[entity.UpstreamID]*target),
+		byService:   make(map[catalog.ServiceID][]*target),
+		queues:      make(map[Pool]*queue),
+		budgets:     make(map[catalog.ServiceID]*Budget),
+		unreachable: make(map[entity.UpstreamID]*target),
+		affinity:    make(map[string]entity.UpstreamID),
 	}
 }
 
 // Active returns the number of requests without a final answer.
 func (s *Scheduler) Active() int { return len(s.requests) }
 
+// SetRetryExtra replaces this host's part of the fixed number of retries, at every service.
+func (s *Scheduler) SetRetryExtra(extra float64, now time.Time) {
+	for _, b := range s.budgets {
+		b.SetExtra(extra, now)
+	}
+}
+
 // take returns the decisions collected since the last call.
 func (s *Scheduler) take() []Decision {
 	out := s.out
@@ -99,10 +109,11 @@
 	if row == nil {
 		row = &target{byPool: make(map[Pool]int), absent: make(map[Pool]time.Time)}
 		s.targets[t.ID] = row
+		row.Target = t
 		s.byService[t.Service] = append(s.byService[t.Service], row)
+		s.sortService(t.Service)
 	}
 	row.Target = t
-	s.sortService(t.Service)
 	s.fillService(t.Service, now)
 	return s.take()
 }
@@ -383,6 +394,9 @@
 		delete(t.byPool, r.Pool)
 	}
 	t.note(res, r.Pool, now)
+	if t.unreachable {
+		s.unreachable[t.ID] = t
+	}
 	r.running = false
 	r.target = nil
 	r.avoid = t.ID
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -56,6 +56,17 @@
 	return out
 }
 
+// RunningAt counts this host's running requests by upstream.
+func (s *Scheduler) RunningAt() map[entity.UpstreamID]int {
+	out := make(map[entity.UpstreamID]int)
+	for id, t := range s.targets {
+		if t.inflight > 0 {
+			out[id] = t.inflight
+		}
+	}
+	return out
+}
+
 // Waiting lists the pools with waiting requests that no upstream serves.
 func (s *Scheduler) Waiting(now time.Time) []Waiting {
 	var out []Waiting
@@ -77,8 +88,11 @@
 // Down lists the upstreams that are left out because they could not be reached.
 func (s *Scheduler) Down(now time.Time) []entity.UpstreamID {
 	var out []entity.UpstreamID
-	for id, t := range s.targets {
-		if t.unreachable && now.Before(t.ejected) {
+	for id, t := range s.unreachable {
+		switch {
+		case s.targets[id] != t || !t.unreachable:
+			delete(s.unreachable, id)
+		case now.Before(t.ejected):
 			out = append(out, id)
 		}
 	}
--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/foxtailpass/foxtailpass/internal/boottime"
@@ -14,6 +15,7 @@
 	"github.com/foxtailpass/foxtailpass/internal/fleet"
 	"github.com/foxtailpass/foxtailpass/internal/peer"
 	"github.com/foxtailpass/foxtailpass/internal/quota"
+	"github.com/foxtailpass/foxtailpass/internal/relay"
 	"github.com/foxtailpass/foxtailpass/internal/swap"
 	"github.com/foxtailpass/foxtailpass/internal/wire"
 )
@@ -36,6 +38,8 @@
 	order(o swap.Order, token int64)
 	read(u *fleet.Upstream)
 	connect(holder *election.Holder)
+	// announce tells the hosts at some addresses that this one coordinates.
+	announce(addrs map[entity.HostID]string, right election.Right)
 	// holds says whether this host has the right to give orders now.
 	holds() bool
 }
@@ -61,11 +65,18 @@
 	link       *peer.Session
 	linkLostAt time.Time
 	// states is what the coordinator reported about the engines.
-	states    map[entity.UpstreamID]wire.UpstreamState
+	states map[entity.UpstreamID]wire.UpstreamState
+	// indexes names the upstreams by their index in messages of the coordinator.
+	indexes   map[int]entity.UpstreamID
 	estimates map[dispatch.Pool]readyEstimate
-	// leaving holds the upstreams that the coordinator knows to leave.
-	leaving   map[entity.UpstreamID]bool
 	estimated time.Time
+	// known is the revision up to which this host knows the key-value service, list the changes that it
+	// can pass on.
+	known *atomic.Int64
+	list  *relay.Log
+	// members are the registered hosts, addrs where they serve other hosts.
+	members []entity.HostID
+	addrs   map[entity.HostID]string
 	// arrivals counts requests since the last report to the coordinator.
 	arrivals map[dispatch.Pool]int
 	reporter reporter
@@ -74,6 +85,8 @@
 
 	// lead is set while this host is the coordinator.
 	lead *lead
+	// early holds first reports of hosts that came before this one was the coordinator.
+	early map[*peer.Session]*wire.HostReport
 }
 
 // orderKey labels counted orders.
@@ -94,18 +107,21 @@
 		fleet:     fleet.NewTable(),
 		tickets:   make(map[entity.RequestID]*ticket),
 		states:    make(map[entity.UpstreamID]wire.UpstreamState),
+		indexes:   make(map[int]entity.UpstreamID),
+		known:     new(atomic.Int64),
+		list:      relay.NewLog(),
+		early:     make(map[*peer.Session]*wire.HostReport),
 		estimates: make(map[dispatch.Pool]readyEstimate),
 		arrivals:  make(map[dispatch.Pool]int),
 		orders:    make(map[orderKey]int64),
 	}
-	hosts := float64(max(b.Hosts, 1))
 	c.scheduler = dispatch.New(dispatch.Options{
 		Domain: domain,
 		Rand:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Budget: func() *dispatch.Budget {
 			return &dispatch.Budget{
 				Ratio:  b.RetryRatio,
-				Extra:  b.RetryExtra / hosts,
+				Extra:  c.retryExtra(),
 				Window: time.Duration(b.RetryWindowSeconds * float64(time.Second)),
 			}
 		},
@@ -128,7 +144,13 @@
 	case upstreamsChanged:
 		c.upstreamsChanged(e, now)
 	case membersChanged:
-		c.limiter.SetMembers(e.hosts, now)
+		c.membersChanged(e, now)
+	case registered:
+		c.limiter.SetRegistered(e.until, now)
+	case registrationLost:
+		c.limiter.ForgetFallback(now)
+	case listAdvanced:
+		c.listAdvanced(e, now)
 	case holderChanged:
 		c.holderChanged(e.holder)
 	case rightChanged:
@@ -137,12 +159,16 @@
 		c.linkChanged(e, now)
 	case stateReceived:
 		c.stateReceived(e.state, now)
+	case hostStateReceived:
+		c.hostStateReceived(e.state, now)
+	case tokensAnswered:
+		c.tokensAnswered(e.answer, now)
+	case tokensAsked:
+		c.tokensAsked(e, now)
 	case reportReceived:
 		c.reportReceived(e, now)
 	case hostLost:
-		if c.lead != nil {
-			c.lead.lost(e.session)
-		}
+		c.hostLost(e.session)
 	case orderAnswered:
 		c.orderAnswered(e, now)
 	case reportRead:
@@ -161,23 +187,33 @@
 	c.unpark(now)
 	c.carryOut(c.scheduler.Tick(now), now)
 	if c.lead != nil {
-		c.lead.swapper.SetPaused(!c.effects.holds())
-		c.run(c.lead.swapper.Tick(now))
-		c.countHosts(now)
+		c.tickLead(now)
 	}
 	c.afterEvent(now)
 }
 
+// retryExtra is this host's part of the fixed number of retries.
+func (c *core) retryExtra() float64 {
+	return dispatch.HostExtra(c.bounds.RetryExtra, c.limiter.Hosts())
+}
+
+func (c *core) membersChanged(e membersChanged, now time.Time) {
+	c.members, c.addrs = e.hosts, e.addrs
+	c.limiter.SetMembers(e.hosts, now)
+	c.scheduler.SetRetryExtra(c.retryExtra(), now)
+	if c.lead != nil {
+		c.lead.shares.SetMembers(e.hosts)
+	}
+}
+
 // busy says whether ticks must come often.
 func (c *core) busy() bool {
 	return !c.scheduler.Idle() || len(c.parked) > 0 || c.lead != nil && c.lead.swapper.Active()
 }
 
 func (c *core) afterEvent(now time.Time) {
+	c.askTokens(now)
 	c.report(now)
-	if c.lead != nil {
-		c.publish(now)
-	}
 }
 
 func (c *core) arrived(e arrived, now time.Time) {
@@ -290,16 +326,16 @@
 		ch := c.fleet.Put(u)
 		c.logUpstream(ch)
 		if c.lead != nil {
-			c.lead.noteUpstream(u)
 			c.run(c.lead.swapper.SetUpstream(u, now))
 		}
-		c.refreshTarget(u.ID, now)
+		if !u.Same(ch.Before) {
+			c.refreshTarget(u.ID, now)
+		}
 	}
 	for _, id := range e.removed {
 		c.logUpstream(c.fleet.Remove(id))
 		c.scheduler.RemoveTarget(id)
 		if c.lead != nil {
-			c.lead.noteRemoved(id, now)
 			c.lead.swapper.RemoveUpstream(id)
 		}
 	}
@@ -329,7 +365,7 @@
 		Addr:     u.Addr,
 		Domain:   u.Domain,
 		Slots:    u.Slots,
-		Draining: u.Draining || c.leaving[id],
+		Draining: u.Draining,
 		Held:     make(map[entity.ModelID][]entity.AdapterID),
 	}
 	t.Source = "list"
--- a/internal/edge/dialer.go
+++ b/internal/edge/dialer.go
@@ -18,6 +18,8 @@
 	send      func(event)
 	wake      chan struct{}
 	searching *atomic.Bool
+	// relay passes on what the coordinator says of the key-value service.
+	relay func(relayed) bool
 
 	mu      sync.Mutex
 	holder  *election.Holder
@@ -86,13 +88,31 @@
 	d.log.Info("Session with the coordinator begun.", "host", h.Host)
 	d.send(coordinatorLink{session: s, up: true})
 	stop := context.AfterFunc(ctx, s.Close)
-	err = s.Run(func(m wire.Message) {
-		if st, ok := m.(*wire.FleetState); ok {
-			d.send(stateReceived{state: st})
-		}
-	})
+	err = s.Run(func(m wire.Message) { d.received(s, m) })
 	stop()
 	d.searching.Store(true)
 	d.log.Warn("Session with the coordinator lost.", "host", h.Host, "err", err)
 	d.send(coordinatorLink{session: s})
 }
+
+// received passes on a message of the coordinator.
+func (d *dialer) received(s *peer.Session, m wire.Message) {
+	told := true
+	switch m := m.(type) {
+	case *wire.FleetState:
+		d.send(stateReceived{state: m})
+	case *wire.TokenAnswer:
+		d.send(tokensAnswered{answer: m})
+	case *wire.ListUpdate:
+		told = d.relay(relayed{update: m})
+	case *wire.HostState:
+		if m.Confirmed != 0 {
+			told = d.relay(relayed{confirmed: m.Confirmed, revision: m.Revision})
+		}
+		d.send(hostStateReceived{state: m})
+	}
+	if !told {
+		d.log.Warn("Too many updates of the coordinator wait.")
+		s.Close()
+	}
+}
--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -9,6 +9,7 @@
 	"github.com/foxtailpass/foxtailpass/internal/election"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/fleet"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/peer"
 	"github.com/foxtailpass/foxtailpass/internal/swap"
 	"github.com/foxtailpass/foxtailpass/internal/wire"
@@ -50,8 +51,26 @@
 	e.removed = append(e.removed, id)
 }
 
-// membersChanged are the registered hosts.
-type membersChanged struct{ hosts []entity.HostID }
+// membersChanged are the registered hosts, and where they serve other hosts.
+type membersChanged struct {
+	hosts []entity.HostID
+	addrs map[entity.HostID]string
+}
+
+// listAdvanced is the knowledge of all changes of the key-value service up to a revision.
+type listAdvanced struct {
+	// changes are those that mean something to hosts.
+	changes  []kvstore.Event
+	revision int64
+	// began is when the own read began that found them, zero when the coordinator has told them.
+	began time.Time
+}
+
+// registered says until when the registration of this host is certain.
+type registered struct{ until time.Time }
+
+// registrationLost says that the registration of this host had ended.
+type registrationLost struct{}
 
 // holderChanged names the host that has the right to give orders, nil if none.
 type holderChanged struct{ holder *election.Holder }
@@ -59,9 +78,19 @@
 // rightChanged is the own right to give orders, nil when it is lost.
 type rightChanged struct{ right *election.Right }
 
-// stateReceived is a message of the coordinator.
+// stateReceived, hostStateReceived and tokensAnswered are messages of the coordinator.
 type stateReceived struct{ state *wire.FleetState }
 
+type hostStateReceived struct{ state *wire.HostState }
+
+type tokensAnswered struct{ answer *wire.TokenAnswer }
+
+// tokensAsked is a host's question for tokens to the coordinator.
+type tokensAsked struct {
+	ask     *wire.TokenAsk
+	session *peer.Session
+}
+
 // coordinatorLink is a session with the coordinator that has begun or ended.
 type coordinatorLink struct {
 	session *peer.Session
@@ -103,22 +132,28 @@
 	done chan struct{}
 }
 
-func (arrived) isEvent()          {}
-func (attemptEnded) isEvent()     {}
-func (callerGone) isEvent()       {}
-func (catalogChanged) isEvent()   {}
-func (upstreamsChanged) isEvent() {}
-func (membersChanged) isEvent()   {}
-func (holderChanged) isEvent()    {}
-func (rightChanged) isEvent()     {}
-func (stateReceived) isEvent()    {}
-func (coordinatorLink) isEvent()  {}
-func (reportReceived) isEvent()   {}
-func (hostLost) isEvent()         {}
-func (orderAnswered) isEvent()    {}
-func (reportRead) isEvent()       {}
-func (stopRequested) isEvent()    {}
-func (query) isEvent()            {}
+func (arrived) isEvent()           {}
+func (attemptEnded) isEvent()      {}
+func (callerGone) isEvent()        {}
+func (catalogChanged) isEvent()    {}
+func (upstreamsChanged) isEvent()  {}
+func (membersChanged) isEvent()    {}
+func (holderChanged) isEvent()     {}
+func (rightChanged) isEvent()      {}
+func (stateReceived) isEvent()     {}
+func (hostStateReceived) isEvent() {}
+func (tokensAnswered) isEvent()    {}
+func (tokensAsked) isEvent()       {}
+func (listAdvanced) isEvent()      {}
+func (registered) isEvent()        {}
+func (registrationLost) isEvent()  {}
+func (coordinatorLink) isEvent()   {}
+func (reportReceived) isEvent()    {}
+func (hostLost) isEvent()          {}
+func (orderAnswered) isEvent()     {}
+func (reportRead) isEvent()        {}
+func (stopRequested) isEvent()     {}
+func (query) isEvent()             {}
 
 // step is what the control state tells the goroutine of a request.
 type step struct {
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -47,6 +47,8 @@
 	stopRunTime = 3500 * time.Millisecond
 	// stopPoll is the time between two looks at whether the last request has its answer.
 	stopPoll = 50 * time.Millisecond
+	// relayQueue is the room for messages of the coordinator about the key-value service.
+	relayQueue = 64
 	// redialPause is the pause before the coordinator is dialed again.
 	redialPause = 200 * time.Millisecond
 )
@@ -104,18 +106,18 @@
 	if err := h.listen(); err != nil {
 		return nil, err
 	}
-	self := election.Holder{Host: s.Host, Incarnation: h.incarnation, Addr: h.peers.Addr().String()}
+	self := election.Holder{Host: s.Host, Incarnation: h.incarnation, Addr: h.peers.Addr().String(), Strength: s.strength()}
 	value, err := json.Marshal(self)
 	if err != nil {
 		return nil, fmt.Errorf("edge: registration: %w", err)
 	}
-	h.registrar = &registrar{store: o.Store, key: s.Store.Prefix + membersPrefix + string(s.Host), value: value, log: o.Log.With("prefix", "lease")}
-	h.core = newCore(s.Host, s.FailureDomain, s.Bounds, o.Log.With("prefix", "control"), h)
-	h.dialer = &dialer{log: o.Log.With("prefix", "peer"), send: h.send, wake: make(chan struct{}, 1)}
+	h.registrar = &registrar{store: o.Store, key: s.Store.Prefix + membersPrefix + string(s.Host), value: value, send: h.send, log: o.Log.With("prefix", "lease")}
 	h.candidate = h.newCandidate(self)
 	h.front = h.newFront()
-	h.watcher = h.newWatcher()
-	h.dialer.searching = &h.watcher.searching
+	h.watcher = h.newWatcher(self)
+	h.core = newCore(s.Host, s.FailureDomain, s.Bounds, o.Log.With("prefix", "control"), h)
+	h.core.known = &h.watcher.known
+	h.dialer = &dialer{log: o.Log.With("prefix", "peer"), send: h.send, wake: make(chan struct{}, 1), searching: &h.watcher.searching, relay: h.watcher.relay}
 	if err := h.registerMetrics(); err != nil {
 		return nil, err
 	}
@@ -148,7 +150,7 @@
 	})
 }
 
-func (h *Host) newWatcher() *watcher {
+func (h *Host) newWatcher(self election.Holder) *watcher {
 	s := h.opts.Settings
 	return &watcher{
 		store:    h.opts.Store,
@@ -157,7 +159,9 @@
 		log:      h.opts.Log.With("prefix", "view"),
 		send:     h.send,
 		observe:  h.candidate.Observe,
-		self:     s.Host,
+		self:     self,
+		patience: min(time.Duration(patiencePart*float64(s.Bounds.DrainMillis)*float64(time.Millisecond)), maxPatience),
+		relayed:  make(chan relayed, relayQueue),
 		publish:  func(c *catalog.Catalog) { h.front.catalog.Store(c) },
 	}
 }
@@ -354,11 +358,17 @@
 // connect implements effects.
 func (h *Host) connect(holder *election.Holder) { h.dialer.connect(holder) }
 
+// announce implements effects.
+func (h *Host) announce(map[entity.HostID]string, election.Right) {}
+
 // serveHost serves the session of another host that takes this one for the coordinator.
 func (h *Host) serveHost(s *peer.Session) {
 	err := s.Run(func(m wire.Message) {
-		if r, ok := m.(*wire.HostReport); ok {
-			h.send(reportReceived{report: r, session: s})
+		switch m := m.(type) {
+		case *wire.HostReport:
+			h.send(reportReceived{report: m, session: s})
+		case *wire.TokenAsk:
+			h.send(tokensAsked{ask: m, session: s})
 		}
 	})
 	h.log.Debug("Session of a host ended.", "err", err)
--- /dev/null
+++ b/internal/edge/lead.go
@@ -0,0 +1,265 @@
+package edge
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/election"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/peer"
+	"github.com/foxtailpass/foxtailpass/internal/quota"
+	"github.com/foxtailpass/foxtailpass/internal/swap"
+	"github.com/foxtailpass/foxtailpass/internal/wire"
+)
+
+const (
+	// recountInterval is the time between two looks at which hosts are heard.
+	recountInterval = 100 * time.Millisecond
+	// keptReports bounds the reports of a host that wait for a read of the key-value service.
+	keptReports = 8
+)
+
+// lead is the state of the coordinator.
+type lead struct {
+	right     election.Right
+	swapper   *swap.Swapper
+	reserve   *quota.Reserve
+	shares    *quota.Shares
+	hosts     map[entity.HostID]*hostSession
+	states    stateTable
+	countedAt time.Time
+}
+
+// hostSession is what the coordinator knows of one host, and has told it.
+type hostSession struct {
+	host entity.HostID
+	// session is nil for the coordinator's own host.
+	session *peer.Session
+	// told is how far the host has been told the states of the engines.
+	told stateMark
+	// revision is up to which the host knows the key-value service when it has read all that was sent to
+	// it; zero while it must read by itself.
+	revision int64
+	// reports wait for a read that begins after them; confirmed is SentAt of the newest that had one.
+	reports   []heardReport
+	confirmed int64
+	// waits says that requests of the host wait for models, and urgent that it has not been told when
+	// they will be there.
+	waits, urgent bool
+	needs         []wire.PoolNeed
+}
+
+// heardReport is a report that came at a time.
+type heardReport struct {
+	sentAt int64
+	at     time.Time
+}
+
+func (c *core) rightChanged(right *election.Right, now time.Time) {
+	if right == nil {
+		c.endLead(now)
+		return
+	}
+	c.lead = &lead{
+		right:   *right,
+		swapper: swap.New(right.From, right.Token),
+		reserve: quota.NewReserve(c.bounds.quotaSlack()),
+		shares:  quota.NewShares(right.Token),
+		hosts:   make(map[entity.HostID]*hostSession),
+		states:  newStateTable(),
+	}
+	c.lead.shares.SetMembers(c.members)
+	if c.catalog != nil {
+		c.lead.swapper.SetCatalog(c.catalog)
+		c.lead.reserve.SetCatalog(c.catalog, now)
+	}
+	for _, u := range c.fleet.Rows() {
+		c.run(c.lead.swapper.SetUpstream(u, now))
+	}
+	c.reporter = reporter{}
+	c.limiter.SetCoordinated(true, now)
+	early := c.early
+	c.early = make(map[*peer.Session]*wire.HostReport)
+	for session, report := range early {
+		c.reportReceived(reportReceived{report: report, session: session}, now)
+	}
+	c.effects.announce(c.addrs, *right)
+}
+
+// endLead ends the sessions of the hosts, so that they go on by themselves at once.
+func (c *core) endLead(now time.Time) {
+	if c.lead == nil {
+		return
+	}
+	for _, h := range c.lead.hosts {
+		if h.session != nil {
+			h.session.Close()
+		}
+	}
+	c.lead = nil
+	c.linkLostAt = now
+	c.limiter.SetCoordinated(c.coordinated(), now)
+}
+
+// hostLost forgets a host whose session has ended.
+func (c *core) hostLost(s *peer.Session) {
+	delete(c.early, s)
+	if c.lead == nil || s == nil {
+		return
+	}
+	for id, h := range c.lead.hosts {
+		if h.session == s {
+			delete(c.lead.hosts, id)
+			c.lead.shares.Lost(id)
+		}
+	}
+}
+
+// tooEarly keeps the first report of a host that takes this one for the coordinator before it is, as
+// after a restart, and ends the session when another host coordinates.
+func (c *core) tooEarly(e reportReceived) {
+	switch {
+	case e.session == nil:
+	case c.holder != nil && c.holder.Host != c.self:
+		delete(c.early, e.session)
+		e.session.Close()
+	case e.report.First:
+		c.early[e.session] = e.report
+	}
+}
+
+// reportReceived takes over the report of a host as coordinator.
+func (c *core) reportReceived(e reportReceived, now time.Time) {
+	if c.lead == nil {
+		c.tooEarly(e)
+		return
+	}
+	l, r := c.lead, e.report
+	h := l.hosts[r.Host]
+	if h == nil || h.session != e.session {
+		if !r.First {
+			// The session is one that has ended, or that began with another coordinator.
+			if e.session != nil {
+				e.session.Close()
+			}
+			return
+		}
+		h = &hostSession{host: r.Host, session: e.session}
+		l.hosts[r.Host] = h
+	}
+	if r.First {
+		l.shares.Begin(r.Host, r.Parts, now)
+	}
+	l.shares.Heard(r.Host, r.PartsVersion, now)
+	h.heard(r, now)
+	if _, complete := c.list.Since(r.Revision); h.revision == 0 && complete {
+		h.revision = r.Revision
+	}
+	l.swapper.HandleHost(*r, now)
+}
+
+// heard keeps what the next messages to the host depend on.
+func (h *hostSession) heard(r *wire.HostReport, now time.Time) {
+	if len(h.reports) == keptReports {
+		h.reports = slices.Delete(h.reports, 1, 2)
+	}
+	h.reports = append(h.reports, heardReport{sentAt: r.SentAt, at: now})
+	h.needs = slices.DeleteFunc(r.Needs, func(n wire.PoolNeed) bool { return n.Waiting == 0 })
+	h.waits = len(h.needs) > 0
+	h.urgent = h.waits
+}
+
+// confirm notes that a read of the key-value service began at a time and has succeeded.
+func (h *hostSession) confirm(began time.Time) {
+	n := 0
+	for n < len(h.reports) && !h.reports[n].at.After(began) {
+		h.confirmed = h.reports[n].sentAt
+		n++
+	}
+	h.reports = slices.Delete(h.reports, 0, n)
+}
+
+// tokensAsked answers a host's question for tokens as coordinator.
+func (c *core) tokensAsked(e tokensAsked, now time.Time) {
+	if c.lead == nil {
+		return
+	}
+	answer := c.answerTokens(e.ask, now)
+	if err := e.session.Send(answer); err != nil {
+		c.log.Debug("Tokens not sent.", "host", e.ask.Host, "err", err)
+	}
+}
+
+func (c *core) answerTokens(ask *wire.TokenAsk, now time.Time) *wire.TokenAnswer {
+	answer := &wire.TokenAnswer{AnswerTo: ask.SentAt}
+	for _, lack := range ask.Lacks {
+		c.lead.shares.Asked(ask.Host, lack.Workspace, lack.Tokens, now)
+		tokens, wait := c.lead.reserve.Take(ask.Host, lack.Workspace, lack.Tokens, lack.Requests, now)
+		answer.Grants = append(answer.Grants, wire.TokenGrant{Workspace: lack.Workspace, Tokens: tokens, Wait: wait})
+	}
+	return answer
+}
+
+// tickLead does what depends on time as coordinator.
+func (c *core) tickLead(now time.Time) {
+	l := c.lead
+	l.swapper.SetPaused(!c.effects.holds())
+	c.run(l.swapper.Tick(now))
+	if now.Sub(l.countedAt) >= recountInterval {
+		l.countedAt = now
+		c.shareOut(now)
+	}
+	c.publish(now)
+}
+
+// shareOut keeps what hosts use by themselves out of the reserve, and assigns fallback parts.
+func (c *core) shareOut(now time.Time) {
+	if c.catalog == nil {
+		return
+	}
+	l := c.lead
+	ids := slices.Sorted(maps.Keys(c.catalog.Workspaces()))
+	l.reserve.SetWithheld(l.shares.Withheld(ids, now), now)
+	if !c.effects.holds() {
+		return
+	}
+	for _, a := range l.shares.Assign(ids, now) {
+		if h := l.hosts[a.Host]; h != nil {
+			c.tell(h, &wire.HostState{Parts: a.Parts, PartsVersion: a.Version, Estimates: c.estimatesFor(h, now)}, now)
+		}
+	}
+}
+
+// run carries out the commands of the swapper.
+func (c *core) run(commands []swap.Command) {
+	for _, cmd := range commands {
+		if cmd.Order != nil {
+			c.effects.order(*cmd.Order, c.lead.right.Token)
+		}
+		if cmd.Read != nil {
+			c.effects.read(cmd.Read)
+		}
+	}
+}
+
+func (c *core) orderAnswered(e orderAnswered, now time.Time) {
+	c.log.Info("Order answered.", "upstream", e.order.Upstream.ID, "action", e.order.Action, "model", e.order.Model,
+		"adapter", e.order.Adapter, "expected", e.order.Expected, "answer", e.answer, "took", e.took)
+	c.orders[orderKey{action: e.order.Action, answer: e.answer}]++
+	if c.lead != nil {
+		c.run(c.lead.swapper.HandleAnswer(e.order.ID, e.answer, now))
+	}
+}
+
+func (c *core) reportRead(e reportRead, now time.Time) {
+	if c.lead == nil {
+		return
+	}
+	if e.err != nil {
+		c.log.Debug("Engine report not read.", "upstream", e.upstream, "err", e.err)
+		c.lead.swapper.ReportFailed(e.upstream, now)
+		return
+	}
+	c.run(c.lead.swapper.HandleReport(e.upstream, e.report, now))
+}
--- a/internal/edge/register.go
+++ b/internal/edge/register.go
@@ -7,13 +7,16 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/foxtailpass/foxtailpass/internal/boottime"
 	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 )
 
 const (
 	// memberTTL is the term of a registration; it is renewed every memberRenew.
-	memberTTL   = 6 * time.Second
-	memberRenew = 2 * time.Second
+	memberTTL   = 9 * time.Second
+	memberRenew = 3 * time.Second
+	// memberMargin is how long before the end of its term a registration is no longer certain.
+	memberMargin = 300 * time.Millisecond
 	// memberRetry is the pause after a failed registration.
 	memberRetry = 500 * time.Millisecond
 )
@@ -25,6 +28,7 @@
 	key   string
 	value []byte
 	log   *slog.Logger
+	send  func(event)
 	// lease is zero while the host is not registered.
 	lease atomic.Int64
 }
@@ -44,12 +48,17 @@
 }
 
 func (r *registrar) keep(ctx context.Context) error {
+	began := boottime.Now()
 	if id := r.lease.Load(); id != 0 {
 		_, err := r.store.KeepAlive(ctx, kvstore.LeaseID(id))
+		if err == nil {
+			r.confirm(began)
+		}
 		if !errors.Is(err, kvstore.ErrLeaseNotFound) {
 			return err
 		}
 		r.lease.Store(0)
+		r.send(registrationLost{})
 	}
 	lease, err := r.store.Grant(ctx, memberTTL)
 	if err != nil {
@@ -59,10 +68,17 @@
 		return err
 	}
 	r.lease.Store(int64(lease))
+	r.confirm(began)
 	r.log.Info("Host registered.", "lease", lease)
 	return nil
 }
 
+// confirm tells the control state until when the registration is certain; its term counts from before it
+// was asked for.
+func (r *registrar) confirm(began time.Time) {
+	r.send(registered{until: began.Add(memberTTL - memberMargin)})
+}
+
 // leave ends the registration.
 func (r *registrar) leave(ctx context.Context) {
 	id := r.lease.Load()
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -1,6 +1,9 @@
 package edge
 
 import (
+	"math"
+	"time"
+
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/quota"
 	"github.com/foxtailpass/foxtailpass/internal/settings"
@@ -24,6 +27,10 @@
 	Store StoreSettings `json:"store"`
 	// Bounds are the limits that the site has agreed on.
 	Bounds Bounds `json:"bounds"`
+	// Cores is this host's share of a core, and CoreSpeed the speed of that core. Hosts with more of both
+	// coordinate first.
+	Cores     float64 `json:"cores" default:"1" validate:"gt=0"`
+	CoreSpeed float64 `json:"core_speed" default:"1" validate:"gt=0"`
 	// MemoryMB bounds the process; the runtime collects garbage more often near it.
 	MemoryMB int64 `json:"memory_mb" default:"256" validate:"min=32"`
 	// BalancerLag is the time after which a host that is not ready gets no new connections; a
@@ -59,18 +66,23 @@
 	QuotaOvershoot float64 `json:"quota_overshoot" default:"0" validate:"min=0,max=1"`
 	// OrderGapMillis must lie between the orders of two hosts.
 	OrderGapMillis int64 `json:"order_gap_ms" default:"3000" validate:"min=0"`
+	// DrainMillis is the time after which a leaving upstream must get no more work.
+	DrainMillis int64 `json:"drain_ms" default:"2000" validate:"min=500"`
 	// GraceSeconds is the time from the request to stop to the end of the process.
 	GraceSeconds float64 `json:"grace_s" default:"8" validate:"min=1"`
-	// Hosts is the number of hosts that the fixed shares of fleet-wide bounds are made for at least.
-	Hosts int `json:"hosts" default:"12" validate:"min=1"`
+	// QuotaWindowSeconds is the window over which the limits of workspaces are judged.
+	QuotaWindowSeconds float64 `json:"quota_window_s" default:"8" validate:"gt=0"`
 }
 
 // quotaSlack leaves half of the tolerated overshoot unused: a bound that holds on every host by its
 // own clock may still be exceeded a little where clocks differ.
 func (b Bounds) quotaSlack() quota.Slack {
-	return quota.Slack{Factor: b.QuotaOvershoot / 2, Tokens: b.QuotaTolerance}
+	return quota.Slack{Factor: b.QuotaOvershoot / 2, Tokens: b.QuotaTolerance, Window: time.Duration(b.QuotaWindowSeconds * float64(time.Second))}
 }
 
+// strength is the processor of this host in thousandths of a core.
+func (s Settings) strength() int { return int(math.Round(s.Cores * s.CoreSpeed * 1000)) }
+
 // LogSettings is the level of the log.
 type LogSettings struct {
 	Level string `json:"level" default:"\"info\"" validate:"oneof=debug info warn error"`
--- a/internal/edge/tokens.go
+++ b/internal/edge/tokens.go
@@ -109,42 +109,46 @@
 	return false
 }
 
-// lack sums what parked requests lack, counts them, and marks them as asked for. The level of this
-// host covers a part of the first one only.
-func (c *core) lack() (tokens map[entity.WorkspaceID]float64, requests map[entity.WorkspaceID]int) {
+// lacks sums what parked requests lack, and marks them as asked for. The level of this host covers a part
+// of the first one only.
+func (c *core) lacks() []wire.TokenLack {
+	var out []wire.TokenLack
+	index := make(map[entity.WorkspaceID]int)
 	for _, p := range c.parked {
 		if p.asked {
 			continue
 		}
 		p.asked = true
-		if tokens == nil {
-			tokens = make(map[entity.WorkspaceID]float64)
-			requests = make(map[entity.WorkspaceID]int)
-		}
 		id := p.request.Workspace
-		if requests[id] == 0 {
-			tokens[id] = p.lack
-		} else {
-			tokens[id] += p.request.Tokens
+		i, listed := index[id]
+		if !listed {
+			index[id] = len(out)
+			out = append(out, wire.TokenLack{Workspace: id, Tokens: p.lack, Requests: 1})
+			continue
 		}
-		requests[id]++
+		out[i].Tokens += p.request.Tokens
+		out[i].Requests++
 	}
-	return tokens, requests
+	return out
 }
 
-// grant answers the lack of a host as coordinator.
-func (c *core) grant(h *hostSession, now time.Time) []wire.TokenGrant {
-	var out []wire.TokenGrant
-	for id, lack := range h.lack {
-		tokens, wait := c.lead.reserve.Take(id, lack, h.lacking[id], now)
-		out = append(out, wire.TokenGrant{Workspace: id, Tokens: tokens, Wait: wait})
+// askTokens asks the coordinator for what parked requests lack.
+func (c *core) askTokens(now time.Time) {
+	if !c.coordinated() || !c.lacksTokens() {
+		return
+	}
+	ask := &wire.TokenAsk{Host: c.self, SentAt: now.UnixNano(), Lacks: c.lacks()}
+	if c.lead != nil {
+		c.tokensAnswered(c.answerTokens(ask, now), now)
+		return
+	}
+	if err := c.link.Send(ask); err != nil {
+		c.log.Debug("Tokens not asked for.", "err", err)
 	}
-	h.lack, h.lacking = nil, nil
-	return out
 }
 
-// granted takes over the coordinator's answer to a lack of tokens.
-func (c *core) granted(m *wire.FleetState, now time.Time) {
+// tokensAnswered takes over the coordinator's answer to a lack of tokens.
+func (c *core) tokensAnswered(m *wire.TokenAnswer, now time.Time) {
 	late := now.Sub(time.Unix(0, m.AnswerTo)) > quota.GrantTerm
 	for _, g := range m.Grants {
 		if late {
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"hash/fnv"
 	"log/slog"
-	"sort"
-	"strings"
+	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -17,16 +15,24 @@
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/fleet"
 	"github.com/foxtailpass/foxtailpass/internal/kvstore"
+	"github.com/foxtailpass/foxtailpass/internal/relay"
+	"github.com/foxtailpass/foxtailpass/internal/wire"
 )
 
 const (
-	// pollPause is the pause between two reads of the changes. It keeps what this host learns by
-	// itself within the 2 s in which a leaving upstream must get no more work. The coordinator reads
-	// more often and tells the others which upstreams leave.
-	pollPause = 1200 * time.Millisecond
+	// leadPause is the pause between two reads of the coordinator, which passes on what it reads.
 	leadPause = 400 * time.Millisecond
-	// searchPause is the pause while the coordinator is unknown.
-	searchPause = 300 * time.Millisecond
+	// searchPause is the pause while the coordinator is unknown, for the hosts that are first to
+	// campaign. The others find it later, so that many hosts don't read at once.
+	searchPause     = 300 * time.Millisecond
+	lateSearchPause = time.Second
+	searchers       = 8
+	// patiencePart is the part of the time in which a leaving upstream must get no more work after which
+	// a host reads the changes itself that it was not told. maxPatience bounds it.
+	patiencePart = 0.6
+	maxPatience  = 1700 * time.Millisecond
+	// patienceSpread is the part of that time over which hosts spread their reads.
+	patienceSpread = 0.2
 	// failurePause is the pause after a failed read.
 	failurePause = 150 * time.Millisecond
 	// pollWait is how long the service may hold a read without changes.
@@ -41,8 +47,9 @@
 // membersPrefix holds the registrations of hosts, each under its host's lease.
 const membersPrefix = "hosts/"
 
-// watcher keeps this host's copy of the key-value service: one read a second brings the changes of
-// all keys, and proves that nothing older was missed.
+// watcher keeps this host's copy of the key-value service. The coordinator reads the changes of all
+// keys several times a second and passes on what matters, with a confirmation that nothing older was
+// missed. A host that gets no confirmations reads the changes itself.
 type watcher struct {
 	store    Store
 	protocol Protocol
@@ -50,23 +57,42 @@
 	log      *slog.Logger
 	send     func(event)
 	observe  func(election.Observation)
-	self     entity.HostID
+	self     election.Holder
 	publish  func(*catalog.Catalog)
+	// patience is the age of this host's knowledge at which it reads the changes itself.
+	patience time.Duration
+	// relayed are messages of the coordinator.
+	relayed chan relayed
 
-	// confirmed is the boot time, in nanoseconds, at which the last successful read began.
+	// confirmed is the boot time, in nanoseconds, at which this host's knowledge was the newest.
 	confirmed atomic.Int64
+	// known is the revision up to which this host knows all changes.
+	known     atomic.Int64
 	listed    atomic.Bool
 	searching atomic.Bool
 
 	revision int64
 	lastOK   time.Time
 	outage   time.Time
-	rows     map[entity.UpstreamID]bool
+	rows     map[entity.UpstreamID]*fleet.Upstream
 	missing  map[entity.UpstreamID]time.Time
-	members  map[entity.HostID]bool
+	// lapsed are upstreams given up after an outage, which the next read passes on.
+	lapsed   []entity.UpstreamID
+	members  map[entity.HostID]election.Holder
 	election election.Observation
 	version  int64
 	changed  bool
+	// nextRead is when this host reads the changes next.
+	nextRead time.Time
+}
+
+// relayed is a message of the coordinator about the key-value service.
+type relayed struct {
+	update *wire.ListUpdate
+	// confirmed is the boot time of this host at which revision was its newest knowledge, zero if the
+	// message confirms nothing.
+	confirmed int64
+	revision  int64
 }
 
 // freshAt returns the time at which this host's knowledge was last proven to be the newest; zero
@@ -79,35 +105,120 @@
 	return time.Unix(0, at)
 }
 
-func (w *watcher) run(ctx context.Context) {
-	w.rows = make(map[entity.UpstreamID]bool)
+// relay passes a message of the coordinator on. It returns false when too many wait; then the session
+// must end, because a lost message breaks the chain of changes.
+func (w *watcher) relay(m relayed) bool {
+	select {
+	case w.relayed <- m:
+		return true
+	default:
+		return false
+	}
+}
+
+func (w *watcher) init() {
+	w.rows = make(map[entity.UpstreamID]*fleet.Upstream)
 	w.missing = make(map[entity.UpstreamID]time.Time)
-	w.members = make(map[entity.HostID]bool)
+	w.members = make(map[entity.HostID]election.Holder)
+}
+
+func (w *watcher) run(ctx context.Context) {
+	w.init()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for ctx.Err() == nil {
-		began := boottime.Now()
-		err := w.read(ctx)
-		pause := w.pause()
-		if err != nil {
-			pause = failurePause
-			w.failed(err, began)
-		} else {
-			w.succeeded(began)
-		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(pause):
+			return
+		case m := <-w.relayed:
+			w.takeRelayed(m)
+		case <-timer.C:
+			w.readOnce(ctx)
 		}
+		timer.Reset(w.untilRead(boottime.Now()))
 	}
 }
 
+// readOnce reads the changes unless the coordinator has told them meanwhile.
+func (w *watcher) readOnce(ctx context.Context) {
+	began := boottime.Now()
+	if w.untilRead(began) > 0 {
+		return
+	}
+	err := w.read(ctx)
+	if err != nil {
+		w.failed(err, began)
+		w.nextRead = boottime.Now().Add(failurePause)
+		return
+	}
+	w.succeeded(began)
+	w.nextRead = boottime.Now().Add(w.pause())
+}
+
+// pause is the time between two reads while nothing is told.
 func (w *watcher) pause() time.Duration {
 	switch {
-	case w.election.Holder == nil || w.searching.Load():
-		return searchPause
-	case w.election.Holder.Host == w.self:
+	case w.leads():
 		return leadPause
+	case w.election.Holder == nil || w.searching.Load():
+		if w.election.Rank < searchers {
+			return searchPause
+		}
+		return spread(lateSearchPause)
+	}
+	return spread(w.patience)
+}
+
+func (w *watcher) leads() bool {
+	return w.election.Holder != nil && w.election.Holder.Host == w.self.Host
+}
+
+// spread varies a pause, so that hosts do not read at the same time.
+func spread(d time.Duration) time.Duration {
+	return d - time.Duration(patienceSpread*rand.Float64()*float64(d))
+}
+
+// untilRead returns the time until this host reads the changes itself.
+func (w *watcher) untilRead(now time.Time) time.Duration {
+	return max(w.nextRead.Sub(now), 0)
+}
+
+// takeRelayed takes over a message of the coordinator.
+func (w *watcher) takeRelayed(m relayed) {
+	if w.revision == 0 {
+		// Nothing can be added to a copy that does not exist.
+		return
+	}
+	if m.update != nil {
+		w.takeUpdate(m.update)
+	}
+	if m.confirmed == 0 || m.revision < w.revision && w.leads() {
+		return
+	}
+	w.advance(m.revision)
+	w.succeeded(time.Unix(0, m.confirmed))
+	if next := time.Unix(0, m.confirmed).Add(spread(w.patience)); !w.leads() && next.After(w.nextRead) {
+		w.nextRead = next
 	}
-	return pollPause
+}
+
+func (w *watcher) takeUpdate(u *wire.ListUpdate) {
+	if u.To <= w.revision || u.From > w.revision {
+		return
+	}
+	changes, err := relay.Decode(u.Changes)
+	if err != nil {
+		w.log.Error("Update of the coordinator cannot be read.", "from", u.From, "to", u.To, "err", err)
+		return
+	}
+	newer := slices.DeleteFunc(changes, func(e kvstore.Event) bool { return e.Pair.ModRevision <= w.revision })
+	w.apply(newer, u.To, time.Time{})
+}
+
+// advance notes that this host knows all changes up to a revision.
+func (w *watcher) advance(revision int64) {
+	w.revision = max(w.revision, revision)
+	w.known.Store(w.revision)
 }
 
 func (w *watcher) failed(err error, now time.Time) {
@@ -119,10 +230,13 @@
 
 func ctxAlive(err error) bool { return !errors.Is(err, context.Canceled) }
 
-func (w *watcher) succeeded(began time.Time) {
-	w.confirmed.Store(began.UnixNano())
+// succeeded notes that the knowledge of this host was the newest at a time.
+func (w *watcher) succeeded(at time.Time) {
+	if n := at.UnixNano(); n > w.confirmed.Load() {
+		w.confirmed.Store(n)
+	}
 	if !w.outage.IsZero() {
-		w.log.Info("Key-value service regained.", "after", began.Sub(w.outage), "revision", w.revision)
+		w.log.Info("Key-value service regained.", "after", at.Sub(w.outage), "revision", w.revision)
 		w.outage = time.Time{}
 	}
 	w.lastOK = boottime.Now()
@@ -131,24 +245,24 @@
 
 // read brings this host's copy up to date.
 func (w *watcher) read(ctx context.Context) error {
+	began := boottime.Now()
 	if w.revision == 0 {
-		return w.readAll(ctx)
+		return w.readAll(ctx, began)
 	}
 	batch, err := w.store.Poll(ctx, "", w.revision, pollWait)
 	if errors.Is(err, kvstore.ErrCompacted) {
 		w.log.Info("History lost. Everything is read anew.", "revision", w.revision)
-		return w.readAll(ctx)
+		return w.readAll(ctx, began)
 	}
 	if err != nil {
 		return err
 	}
-	w.apply(batch.Events)
-	w.revision = batch.Revision
+	w.apply(batch.Events, batch.Revision, began)
 	return nil
 }
 
 // readAll replaces the copy. What the range lacks is gone.
-func (w *watcher) readAll(ctx context.Context) error {
+func (w *watcher) readAll(ctx context.Context, began time.Time) error {
 	res, err := w.store.Range(ctx, kvstore.RangeRequest{Prefix: ""})
 	if err != nil {
 		return err
@@ -159,191 +273,25 @@
 		present[p.Key] = true
 		events = append(events, kvstore.Event{Pair: p})
 	}
-	for id := range w.rows {
-		if key := w.protocol.UpstreamsPrefix() + string(id); !present[key] {
-			events = append(events, kvstore.Event{Deleted: true, Pair: kvstore.Pair{Key: key}})
+	gone := func(key string) {
+		if !present[key] {
+			events = append(events, kvstore.Event{Deleted: true, Pair: kvstore.Pair{Key: key, ModRevision: res.Revision}})
 		}
 	}
+	for id := range w.rows {
+		gone(w.upstreamKey(id))
+	}
 	for id := range w.members {
-		if key := w.prefix + membersPrefix + string(id); !present[key] {
-			events = append(events, kvstore.Event{Deleted: true, Pair: kvstore.Pair{Key: key}})
-		}
+		gone(w.prefix + membersPrefix + string(id))
 	}
-	if key := w.prefix + election.HolderKey; w.election.Holder != nil && !present[key] {
-		events = append(events, kvstore.Event{Deleted: true, Pair: kvstore.Pair{Key: key}})
+	if w.election.Holder != nil {
+		gone(w.prefix + election.HolderKey)
 	}
-	w.apply(events)
-	w.revision = res.Revision
+	w.apply(events, res.Revision, began)
 	w.listed.Store(true)
 	return nil
 }
 
-func (w *watcher) apply(events []kvstore.Event) {
-	var ups upstreamsChanged
-	members, holder := false, false
-	for _, e := range events {
-		key := e.Pair.Key
-		switch {
-		case key == w.protocol.ConfigKey():
-			w.applyConfig(e)
-		case strings.HasPrefix(key, w.protocol.UpstreamsPrefix()):
-			w.applyUpstream(e, &ups)
-		case strings.HasPrefix(key, w.prefix+membersPrefix):
-			members = true
-			w.applyMember(e)
-		case key == w.prefix+election.HolderKey:
-			holder = true
-			w.applyHolder(e)
-		case key == w.prefix+election.TermKey && !e.Deleted:
-			w.applyTerm(e)
-		}
-	}
-	if len(ups.put)+len(ups.removed) > 0 {
-		w.send(ups)
-	}
-	if members {
-		w.send(membersChanged{hosts: w.sortedMembers()})
-	}
-	if holder || !w.changed {
-		w.changed = true
-		w.send(holderChanged{holder: w.election.Holder})
-	}
-	w.election.Rank = w.rank()
-	w.observe(w.election)
-}
-
-func (w *watcher) applyConfig(e kvstore.Event) {
-	if e.Deleted {
-		w.log.Error("Configuration deleted. The last one stays in force.", "version", w.version)
-		return
-	}
-	cat, notices, err := w.protocol.DecodeCatalog(e.Pair.Value)
-	if err != nil {
-		w.log.Error("Configuration cannot be read. The last one stays in force.", "version", w.version, "err", err)
-		return
-	}
-	for _, n := range notices {
-		w.log.Warn("Part of the configuration left out.", "part", n.Part, "reason", n.Reason)
-	}
-	if cat.Version < w.version {
-		w.log.Error("Older configuration ignored.", "version", cat.Version, "in_force", w.version)
-		return
-	}
-	w.version = cat.Version
-	w.publish(cat)
-	w.send(catalogChanged{catalog: cat})
-	w.log.Info("Configuration in force.", "version", cat.Version, "revision", e.Pair.ModRevision, "routes", cat.Routes())
-}
-
-func (w *watcher) applyUpstream(e kvstore.Event, out *upstreamsChanged) {
-	id := entity.UpstreamID(strings.TrimPrefix(e.Pair.Key, w.protocol.UpstreamsPrefix()))
-	var u *fleet.Upstream
-	if !e.Deleted {
-		var err error
-		if u, err = w.protocol.DecodeUpstream(e.Pair.Key, e.Pair.Value); err != nil {
-			w.log.Warn("Entry of the list ignored.", "key", e.Pair.Key, "err", err)
-		}
-	}
-	if u != nil {
-		w.rows[id] = true
-		delete(w.missing, id)
-		out.addPut(u)
-		return
-	}
-	if !w.rows[id] {
-		return
-	}
-	if e.Deleted && w.afterOutage() {
-		w.missing[id] = boottime.Now().Add(returnTime)
-		return
-	}
-	delete(w.rows, id)
-	out.addRemoved(id)
-}
-
-// afterOutage says whether the read under way ends an outage, in which entries of live upstreams
-// may have lapsed.
-func (w *watcher) afterOutage() bool {
-	return !w.outage.IsZero() && boottime.Now().Sub(w.outage) > outageAfter
-}
-
-// expireMissing gives up the upstreams whose entries have not come back after an outage.
-func (w *watcher) expireMissing(now time.Time) {
-	var out upstreamsChanged
-	for id, until := range w.missing {
-		if now.Before(until) {
-			continue
-		}
-		delete(w.missing, id)
-		delete(w.rows, id)
-		out.removed = append(out.removed, id)
-	}
-	if len(out.removed) > 0 {
-		w.send(out)
-	}
-}
-
-func (w *watcher) applyMember(e kvstore.Event) {
-	id := entity.HostID(strings.TrimPrefix(e.Pair.Key, w.prefix+membersPrefix))
-	if e.Deleted {
-		delete(w.members, id)
-		return
-	}
-	w.members[id] = true
-}
-
-func (w *watcher) applyHolder(e kvstore.Event) {
-	w.election.Holder, w.election.Revision = nil, 0
-	if e.Deleted {
-		return
-	}
-	if h, ok := w.decodeHolder(e.Pair); ok {
-		w.election.Holder, w.election.Revision = h, e.Pair.ModRevision
-	}
-}
-
-func (w *watcher) applyTerm(e kvstore.Event) {
-	w.election.LastRevision = e.Pair.ModRevision
-	w.election.Last = ""
-	if h, ok := w.decodeHolder(e.Pair); ok {
-		w.election.Last = h.Host
-	}
-}
-
-func (w *watcher) decodeHolder(p kvstore.Pair) (*election.Holder, bool) {
-	var h election.Holder
-	if err := json.Unmarshal(p.Value, &h); err != nil {
-		w.log.Error("Holder of the right to give orders cannot be read.", "key", p.Key, "err", err)
-		return nil, false
-	}
-	return &h, true
-}
-
-func (w *watcher) sortedMembers() []entity.HostID {
-	out := make([]entity.HostID, 0, len(w.members))
-	for id := range w.members {
-		out = append(out, id)
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
-	return out
-}
-
-// rank is this host's place among the candidates. The order differs between terms, so that one
-// unreachable host does not stay first.
-func (w *watcher) rank() int {
-	own := hashHost(w.self, w.election.LastRevision)
-	rank := 0
-	for id := range w.members {
-		if id != w.self && hashHost(id, w.election.LastRevision) < own {
-			rank++
-		}
-	}
-	return rank
-}
-
-func hashHost(id entity.HostID, term int64) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(id))
-	_, _ = h.Write([]byte{byte(term), byte(term >> 8), byte(term >> 16)})
-	return h.Sum64()
+func (w *watcher) upstreamKey(id entity.UpstreamID) string {
+	return w.protocol.UpstreamsPrefix() + string(id)
 }
--- /dev/null
+++ b/internal/edge/watch_apply.go
@@ -0,0 +1,248 @@
+package edge
+
+import (
+	"encoding/json"
+	"hash/fnv"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/boottime"
+	"github.com/foxtailpass/foxtailpass/internal/election"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/fleet"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
+)
+
+// applied collects what a batch of changes means.
+type applied struct {
+	upstreams upstreamsChanged
+	members   bool
+	holder    bool
+	// matter are the changes that mean something to other hosts.
+	matter []kvstore.Event
+}
+
+// apply takes over changes up to a revision. began is when the read began that found them, zero when the
+// coordinator has told them.
+func (w *watcher) apply(events []kvstore.Event, revision int64, began time.Time) {
+	var out applied
+	for _, e := range events {
+		if w.applyOne(e, &out) {
+			out.matter = append(out.matter, e)
+		}
+	}
+	w.passOnLapsed(revision, &out)
+	w.advance(revision)
+	if len(out.upstreams.put)+len(out.upstreams.removed) > 0 {
+		w.send(out.upstreams)
+	}
+	if out.members {
+		w.send(membersChanged{hosts: w.sortedMembers(), addrs: w.memberAddrs()})
+	}
+	if out.holder || !w.changed {
+		w.changed = true
+		w.send(holderChanged{holder: w.election.Holder})
+	}
+	if out.members || out.holder {
+		w.election.Rank, w.election.Outranked = w.rank()
+	}
+	w.observe(w.election)
+	w.send(listAdvanced{changes: out.matter, revision: revision, began: began})
+}
+
+// passOnLapsed adds the upstreams that were given up since the last read.
+func (w *watcher) passOnLapsed(revision int64, out *applied) {
+	for _, id := range w.lapsed {
+		if w.rows[id] == nil {
+			out.matter = append(out.matter, kvstore.Event{Deleted: true, Pair: kvstore.Pair{Key: w.upstreamKey(id), ModRevision: revision}})
+		}
+	}
+	w.lapsed = nil
+}
+
+// applyOne takes over one change and says whether it means something to other hosts.
+func (w *watcher) applyOne(e kvstore.Event, out *applied) bool {
+	key := e.Pair.Key
+	switch {
+	case key == w.protocol.ConfigKey():
+		w.applyConfig(e)
+	case strings.HasPrefix(key, w.protocol.UpstreamsPrefix()):
+		return w.applyUpstream(e, &out.upstreams)
+	case strings.HasPrefix(key, w.prefix+membersPrefix):
+		out.members = true
+		w.applyMember(e)
+	case key == w.prefix+election.HolderKey:
+		out.holder = true
+		w.applyHolder(e)
+	case key == w.prefix+election.TermKey && !e.Deleted:
+		out.holder = true
+		w.applyTerm(e)
+	default:
+		return false
+	}
+	return true
+}
+
+func (w *watcher) applyConfig(e kvstore.Event) {
+	if e.Deleted {
+		w.log.Error("Configuration deleted. The last one stays in force.", "version", w.version)
+		return
+	}
+	cat, notices, err := w.protocol.DecodeCatalog(e.Pair.Value)
+	if err != nil {
+		w.log.Error("Configuration cannot be read. The last one stays in force.", "version", w.version, "err", err)
+		return
+	}
+	for _, n := range notices {
+		w.log.Warn("Part of the configuration left out.", "part", n.Part, "reason", n.Reason)
+	}
+	if cat.Version < w.version {
+		w.log.Error("Older configuration ignored.", "version", cat.Version, "in_force", w.version)
+		return
+	}
+	w.version = cat.Version
+	w.publish(cat)
+	w.send(catalogChanged{catalog: cat})
+	w.log.Info("Configuration in force.", "version", cat.Version, "revision", e.Pair.ModRevision, "routes", cat.Routes())
+}
+
+// applyUpstream takes over an entry of the list and says whether more than the count of orders has
+// changed.
+func (w *watcher) applyUpstream(e kvstore.Event, out *upstreamsChanged) bool {
+	id := entity.UpstreamID(strings.TrimPrefix(e.Pair.Key, w.protocol.UpstreamsPrefix()))
+	var u *fleet.Upstream
+	if !e.Deleted {
+		var err error
+		if u, err = w.protocol.DecodeUpstream(e.Pair.Key, e.Pair.Value); err != nil {
+			w.log.Warn("Entry of the list ignored.", "key", e.Pair.Key, "err", err)
+		}
+	}
+	former := w.rows[id]
+	if u != nil {
+		w.rows[id] = u
+		delete(w.missing, id)
+		changed := !u.Same(former)
+		if changed || w.leads() {
+			out.addPut(u)
+		}
+		return changed
+	}
+	if former == nil {
+		return false
+	}
+	if e.Deleted && w.afterOutage() {
+		w.missing[id] = boottime.Now().Add(returnTime)
+		return false
+	}
+	delete(w.rows, id)
+	out.addRemoved(id)
+	return true
+}
+
+// afterOutage says whether the read under way ends an outage, in which entries of live upstreams
+// may have lapsed.
+func (w *watcher) afterOutage() bool {
+	return !w.outage.IsZero() && boottime.Now().Sub(w.outage) > outageAfter
+}
+
+// expireMissing gives up the upstreams whose entries have not come back after an outage.
+func (w *watcher) expireMissing(now time.Time) {
+	var out upstreamsChanged
+	for id, until := range w.missing {
+		if now.Before(until) {
+			continue
+		}
+		delete(w.missing, id)
+		delete(w.rows, id)
+		out.removed = append(out.removed, id)
+	}
+	if len(out.removed) > 0 {
+		w.lapsed = append(w.lapsed, out.removed...)
+		w.send(out)
+	}
+}
+
+func (w *watcher) applyMember(e kvstore.Event) {
+	id := entity.HostID(strings.TrimPrefix(e.Pair.Key, w.prefix+membersPrefix))
+	if e.Deleted {
+		delete(w.members, id)
+		return
+	}
+	h, _ := w.decodeHolder(e.Pair)
+	if h == nil {
+		h = &election.Holder{}
+	}
+	h.Host = id
+	w.members[id] = *h
+}
+
+func (w *watcher) applyHolder(e kvstore.Event) {
+	w.election.Holder, w.election.Revision = nil, 0
+	if e.Deleted {
+		return
+	}
+	if h, ok := w.decodeHolder(e.Pair); ok {
+		w.election.Holder, w.election.Revision = h, e.Pair.ModRevision
+	}
+}
+
+func (w *watcher) applyTerm(e kvstore.Event) {
+	w.election.LastRevision = e.Pair.ModRevision
+	w.election.Last = ""
+	if h, ok := w.decodeHolder(e.Pair); ok {
+		w.election.Last = h.Host
+	}
+}
+
+func (w *watcher) decodeHolder(p kvstore.Pair) (*election.Holder, bool) {
+	var h election.Holder
+	if err := json.Unmarshal(p.Value, &h); err != nil {
+		w.log.Error("Registration of a host cannot be read.", "key", p.Key, "err", err)
+		return nil, false
+	}
+	return &h, true
+}
+
+func (w *watcher) sortedMembers() []entity.HostID {
+	out := make([]entity.HostID, 0, len(w.members))
+	for id := range w.members {
+		out = append(out, id)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
+
+// memberAddrs returns where the registered hosts serve other hosts.
+func (w *watcher) memberAddrs() map[entity.HostID]string {
+	out := make(map[entity.HostID]string, len(w.members))
+	for id, h := range w.members {
+		out[id] = h.Addr
+	}
+	return out
+}
+
+// rank is this host's place among the candidates, and whether a much stronger host is registered. Much
+// stronger hosts come first. The order of the others differs between terms, so that one unreachable
+// host does not stay first.
+func (w *watcher) rank() (rank int, outranked bool) {
+	own := hashHost(w.self.Host, w.election.LastRevision)
+	for id, h := range w.members {
+		switch {
+		case id == w.self.Host || w.self.Outranks(h):
+		case h.Outranks(w.self):
+			rank++
+			outranked = true
+		case hashHost(id, w.election.LastRevision) < own:
+			rank++
+		}
+	}
+	return rank, outranked
+}
+
+func hashHost(id entity.HostID, term int64) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id))
+	_, _ = h.Write([]byte{byte(term), byte(term >> 8), byte(term >> 16)})
+	return h.Sum64()
+}
--- a/internal/edge/watch_test.go
+++ b/internal/edge/watch_test.go
@@ -112,15 +112,12 @@
 }
 
 func newTestWatcher(s *testStore, seen *seenState) *watcher {
-	return &watcher{
+	w := &watcher{
 		store:    s,
 		protocol: testProtocol{},
 		prefix:   "own/",
 		log:      slog.New(slog.DiscardHandler),
-		self:     "h",
-		rows:     make(map[entity.UpstreamID]bool),
-		missing:  make(map[entity.UpstreamID]time.Time),
-		members:  make(map[entity.HostID]bool),
+		self:     election.Holder{Host: "h"},
 		observe:  func(election.Observation) {},
 		publish:  func(c *catalog.Catalog) { seen.versions = append(seen.versions, c.Version) },
 		send: func(e event) {
@@ -134,6 +131,8 @@
 			}
 		},
 	}
+	w.init()
+	return w
 }
 
 // Guards against a host that goes back to an older configuration, keeps upstreams that are gone or
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -27,8 +27,15 @@
 	safetyMargin = 400 * time.Millisecond
 	// callTimeout bounds one call to the service.
 	callTimeout = 800 * time.Millisecond
-	// campaignStep delays the campaign of every host behind those that rank before it.
+	// campaignStep delays the campaign of every host behind those that rank before it; behind the
+	// first stepped ones the steps are short, so that many lost hosts do not add up to a long wait.
 	campaignStep = 200 * time.Millisecond
+	shortStep    = 20 * time.Millisecond
+	steppedRanks = 10
+	// firstCampaign is the time in which hosts that start together register, so that their ranks count.
+	firstCampaign = 250 * time.Millisecond
+	// yieldAfter is how long a holder keeps the right that a much stronger host could have.
+	yieldAfter = 4 * time.Second
 	// restartTime is the time in which a stopped process is usually started again.
 	restartTime = time.Second
 	// retryPause is the pause after a failed campaign.
@@ -50,6 +57,14 @@
 	Incarnation entity.Incarnation `json:"incarnation"`
 	// Addr is where the holder serves the other hosts.
 	Addr string `json:"addr"`
+	// Strength is the processor of the host in thousandths of a core.
+	Strength int `json:"strength,omitempty"`
+}
+
+// Outranks says whether a host should coordinate rather than another one because it is much stronger.
+// Coordination moves with a pause, so a small difference is no reason.
+func (h Holder) Outranks(other Holder) bool {
+	return h.Strength >= 2*other.Strength && other.Strength > 0
 }
 
 // Right is the right to give orders.
@@ -103,6 +118,8 @@
 	LastRevision int64
 	// Rank is this host's place among the candidates.
 	Rank int
+	// Outranked says that a much stronger host is registered.
+	Outranked bool
 }
 
 // Observe takes over what the service holds.
@@ -172,7 +189,7 @@
 			if !c.sleep(ctx, delay, false) {
 				return ctx.Err()
 			}
-			if now, still := c.vacancy(); !still || now.Revision != o.Revision {
+			if now, still := c.vacancy(); !still || now.Revision != o.Revision || now.Rank > o.Rank {
 				continue
 			}
 		}
@@ -191,11 +208,12 @@
 	if o.Last == c.opts.Self.Host {
 		return 0
 	}
-	delay := time.Duration(o.Rank) * campaignStep
+	delay := firstCampaign
 	if o.LastRevision > 0 {
-		delay += restartTime
+		delay = restartTime
 	}
-	return delay
+	stepped := min(o.Rank, steppedRanks)
+	return delay + time.Duration(stepped)*campaignStep + time.Duration(o.Rank-stepped)*shortStep
 }
 
 // sleep waits, or ends early at a new observation when asked to. It returns false at the end of ctx.
@@ -301,12 +319,16 @@
 	c.mu.Unlock()
 	c.opts.OnChange(nil)
 	c.opts.Log.Warn("Right to give orders lost.", "token", right.Token, "reason", reason)
-	if reason == reasonStopped {
+	if reason == reasonStopped || reason == reasonYielded {
 		c.release(lease)
 	}
 }
 
-const reasonStopped = "stopping"
+// The reasons for which a holder gives the right back.
+const (
+	reasonStopped = "stopping"
+	reasonYielded = "a stronger host can coordinate"
+)
 
 // renewal is the answer to one renewal, which was sent at sent.
 type renewal struct {
@@ -325,10 +347,16 @@
 	defer due.Stop()
 	held := true
 	var lastErr error
+	yield := time.NewTicker(yieldAfter)
+	defer yield.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return reasonStopped
+		case <-yield.C:
+			if c.outranked() {
+				return reasonYielded
+			}
 		case <-due.C:
 			go c.renew(ctx, lease, answers)
 			due.Reset(renewHedge)
@@ -349,6 +377,13 @@
 	}
 }
 
+// outranked says whether a much stronger host has been registered and is not stopping.
+func (c *Candidate) outranked() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.observed && c.seen.Outranked
+}
+
 // renew renews the lease once and passes the answer on.
 func (c *Candidate) renew(ctx context.Context, lease kvstore.LeaseID, answers chan<- renewal) {
 	sent := c.opts.Now()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"reflect"
 	"time"
 
 	"github.com/foxtailpass/foxtailpass/internal/catalog"
@@ -43,6 +44,16 @@
 	OnDisk   []entity.ModelID
 }
 
+// Same says whether two entries of an upstream differ at most in the count of its orders.
+func (u *Upstream) Same(other *Upstream) bool {
+	if u == nil || other == nil {
+		return u == other
+	}
+	a, b := *u, *other
+	a.Sequence, b.Sequence = 0, 0
+	return reflect.DeepEqual(a, b)
+}
+
 // Change is one change of the table.
 type Change struct {
 	Before *Upstream
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -48,6 +48,11 @@
 	wire.KindLoads:           func() wire.Message { return new(wire.Loads) },
 	wire.KindHostReport:      func() wire.Message { return new(wire.HostReport) },
 	wire.KindFleetState:      func() wire.Message { return new(wire.FleetState) },
+	wire.KindTokenAsk:        func() wire.Message { return new(wire.TokenAsk) },
+	wire.KindTokenAnswer:     func() wire.Message { return new(wire.TokenAnswer) },
+	wire.KindHostState:       func() wire.Message { return new(wire.HostState) },
+	wire.KindListUpdate:      func() wire.Message { return new(wire.ListUpdate) },
+	wire.KindAnnouncement:    func() wire.Message { return new(wire.Announcement) },
 }
 
 // encodeFrame returns a whole frame: 4 bytes of big-endian length, 1 byte of version, 1 byte of
@@ -100,7 +105,7 @@
 	if !ok {
 		return nil, fmt.Errorf("%w: %d", errUnknownKind, b[1])
 	}
-	if err := validate(b[headBytes:]); err != nil {
+	if err := Validate(b[headBytes:]); err != nil {
 		return nil, err
 	}
 	m := newMessage()
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -25,6 +25,8 @@
 	// sessionQueue bounds the messages that wait to be written. A session that cannot keep up is
 	// closed, because every message is superseded by a later one.
 	sessionQueue = 64
+	// gatherBytes is how much is written at once when several messages wait.
+	gatherBytes = 4 << 10
 	// sessionBuffer is the size of the read buffer of a session.
 	sessionBuffer = 4 << 10
 )
@@ -34,7 +36,7 @@
 // concurrent use.
 type Session struct {
 	conn net.Conn
-	out  chan []byte
+	out  chan Frame
 	done chan struct{}
 	once sync.Once
 }
@@ -51,7 +53,7 @@
 
 func newSession(conn net.Conn) *Session {
 	limitUnacknowledged(conn, sessionSilence)
-	return &Session{conn: conn, out: make(chan []byte, sessionQueue), done: make(chan struct{})}
+	return &Session{conn: conn, out: make(chan Frame, sessionQueue), done: make(chan struct{})}
 }
 
 // limitUnacknowledged makes the kernel end a connection whose bytes are not acknowledged, as when
@@ -71,12 +73,23 @@
 	})
 }
 
+// Frame is an encoded message, which can be sent on many sessions.
+type Frame []byte
+
+// Encode returns the frame of a message.
+func Encode(m wire.Message) (Frame, error) { return encodeFrame(m) }
+
 // Send queues a message. It does not block; a full queue closes the session.
 func (s *Session) Send(m wire.Message) error {
-	frame, err := encodeFrame(m)
+	frame, err := Encode(m)
 	if err != nil {
 		return err
 	}
+	return s.SendFrame(frame)
+}
+
+// SendFrame queues an encoded message. It does not block; a full queue closes the session.
+func (s *Session) SendFrame(frame Frame) error {
 	select {
 	case <-s.done:
 		return net.ErrClosed
@@ -117,7 +130,7 @@
 			return
 		case frame := <-s.out:
 			_ = s.conn.SetWriteDeadline(time.Now().Add(sessionSilence))
-			if _, err := s.conn.Write(frame); err != nil {
+			if _, err := s.conn.Write(s.gather(frame)); err != nil {
 				s.Close()
 				return
 			}
@@ -125,6 +138,23 @@
 	}
 }
 
+// gather joins a frame with those that wait behind it, up to gatherBytes.
+func (s *Session) gather(frame Frame) []byte {
+	if len(s.out) == 0 {
+		return frame
+	}
+	joined := append(make([]byte, 0, gatherBytes), frame...)
+	for len(joined) < gatherBytes {
+		select {
+		case next := <-s.out:
+			joined = append(joined, next...)
+		default:
+			return joined
+		}
+	}
+	return joined
+}
+
 func (s *Session) read(handle func(wire.Message)) error {
 	r := bufio.NewReaderSize(&deadlineConn{Conn: s.conn, silence: sessionSilence}, sessionBuffer)
 	var buf bytes.Buffer
--- a/internal/peer/validate.go
+++ b/internal/peer/validate.go
@@ -13,9 +13,9 @@
 	maxDepth = 32
 )
 
-// validate checks, before the body is decoded, that it is exactly one well-formed msgpack value
+// Validate checks, before the body is decoded, that it is exactly one well-formed msgpack value
 // whose claimed lengths fit into the bytes that are there.
-func validate(b []byte) error {
+func Validate(b []byte) error {
 	// open holds the number of values that each open array or map still lacks.
 	open := []int{1}
 	total := 0
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -1,14 +1,17 @@
-// Package quota keeps each workspace within its rate over all hosts. Every rate is split evenly
-// over the hosts. A host that has a session with the coordinator keeps a fixed part of its share and
-// leaves the rest to a reserve, which the coordinator hands out in tokens to hosts with requests that
-// their own part does not cover. A host without a session uses its whole share, after a time in
-// which the coordinator has stopped to count on it. So rate and burst of the parts sum to those of
-// the workspace, whatever a host knows of the others.
+// Package quota keeps each workspace within its rate over all hosts. A small part of every rate is
+// split evenly over the hosts; the rest is a reserve, out of which the coordinator grants tokens to
+// hosts with requests that their level does not cover.
+//
+// A host without a coordinator uses its fallback part instead of the reserve. Fallback parts follow
+// the demand of the hosts. The coordinator assigns them, so that they sum to the reserve's part of the
+// rate, and leaves the parts of hosts that it does not hear out of the reserve. So rate and burst of
+// all parts sum to those of the workspace, whatever a host knows of the others.
 //
 // The package is pure; its types belong to the goroutine that owns the control state.
 package quota
 
 import (
+	"maps"
 	"time"
 
 	"github.com/foxtailpass/foxtailpass/internal/catalog"
@@ -16,17 +19,23 @@
 )
 
 const (
-	// fixedPart is the part of its share that a host with a session keeps.
-	fixedPart = 0.4
-	// aloneAfter is how long a host must have been without a session before it uses its whole share;
-	// ReportTerm is how long the coordinator counts on a host after its last report.
-	aloneAfter = 1200 * time.Millisecond
+	// evenPart is the part of every rate that is split evenly over the hosts, reservePart the rest.
+	evenPart    = 0.1
+	reservePart = 1 - evenPart
+	// aloneAfter is how long a host must have been without a session before it uses its fallback part;
+	// ReportTerm is how long the coordinator counts on a host after its last report. A silent session
+	// ends later than ReportTerm.
+	aloneAfter = 300 * time.Millisecond
 	ReportTerm = 800 * time.Millisecond
 	// membershipMemory is how long a host that is no longer registered still counts: it may go on
 	// admitting until it notices that its registration is gone.
 	membershipMemory = 8 * time.Second
 	// GrantTerm is how long after the host asked for them granted tokens may be used.
 	GrantTerm = time.Second
+	// stockTerm is how long a host keeps granted tokens that its request did not need; stockMemory is
+	// how long the coordinator counts on them.
+	stockTerm   = 15 * time.Second
+	stockMemory = 18 * time.Second
 	// rounding is less than a token: sums of grants that cover a request exactly must admit it.
 	rounding = 0.01
 	// longestWait bounds the waits that are told, also for workspaces with a tiny rate.
@@ -70,8 +79,11 @@
 	// Factor is a part of rate and burst. It makes up for tokens that are stranded at hosts without
 	// requests.
 	Factor float64
-	// Tokens is a number of tokens, half of it for the hosts and half for the reserve.
+	// Tokens is a number of tokens: a quarter each for the reserve and for stocks at hosts, and half for
+	// hosts without a coordinator.
 	Tokens float64
+	// Window is the length over which the bound is judged, zero if rate and burst bound every moment.
+	Window time.Duration
 }
 
 // limits returns the rate and burst that are divided.
@@ -79,30 +91,50 @@
 	return w.Rate * (1 + s.Factor), w.Burst * (1 + s.Factor)
 }
 
-// Limiter admits the requests of one host out of its fixed part and of granted tokens.
+// stock returns how many tokens of a workspace may lie at hosts beyond the level of the reserve; besides
+// its part of the tolerated tokens it takes half of what Factor leaves of the tolerated overshoot.
+func (s Slack) stock(w *catalog.Workspace) float64 {
+	return s.Tokens/4 + s.Factor/2*(w.Rate*s.Window.Seconds()+w.Burst)
+}
+
+// overdraft is by how much the reserve may go below zero.
+func (s Slack) overdraft() float64 { return s.Tokens / 4 }
+
+// aloneOverdraft is the same for a host without a coordinator that has a part of a rate.
+func (s Slack) aloneOverdraft(part float64) float64 { return s.Tokens / 2 * part / reservePart }
+
+// Limiter admits the requests of one host out of its own parts and of granted tokens.
 type Limiter struct {
 	slack   Slack
 	catalog *catalog.Catalog
 	buckets map[entity.WorkspaceID]*bucket
 	// emptyUntil is when the reserve is expected to have tokens again.
 	emptyUntil map[entity.WorkspaceID]time.Time
-	members    map[entity.HostID]time.Time
-	hosts      int
-	// coordinated says that there is a session with the coordinator, since or until coordinatedAt.
-	coordinated   bool
-	coordinatedAt time.Time
+	// grantedAt is when tokens of a workspace were granted last.
+	grantedAt map[entity.WorkspaceID]time.Time
+	members   map[entity.HostID]time.Time
+	hosts     int
+	// coordinated says that there is a session with the coordinator; aloneFrom is when the fallback
+	// parts count without one.
+	coordinated bool
+	aloneFrom   time.Time
+	// fallback holds the fallback parts, which count while the registration of the host is certain.
+	fallback        map[entity.WorkspaceID]float64
+	fallbackVersion uint64
+	registeredUntil time.Time
 }
 
-// New returns a Limiter of a process that has just started. Its predecessor may have had a session
-// until now.
+// New returns a Limiter of a process that has just started. It has no fallback parts.
 func New(slack Slack, now time.Time) *Limiter {
 	return &Limiter{
-		coordinatedAt: now,
-		slack:         slack,
-		buckets:       make(map[entity.WorkspaceID]*bucket),
-		emptyUntil:    make(map[entity.WorkspaceID]time.Time),
-		members:       make(map[entity.HostID]time.Time),
-		hosts:         1,
+		aloneFrom:  now,
+		slack:      slack,
+		buckets:    make(map[entity.WorkspaceID]*bucket),
+		emptyUntil: make(map[entity.WorkspaceID]time.Time),
+		grantedAt:  make(map[entity.WorkspaceID]time.Time),
+		members:    make(map[entity.HostID]time.Time),
+		fallback:   make(map[entity.WorkspaceID]float64),
+		hosts:      1,
 	}
 }
 
@@ -125,7 +157,7 @@
 	}
 	l.refillAll(now)
 	l.coordinated = yes
-	l.coordinatedAt = now
+	l.aloneFrom = now.Add(aloneAfter)
 	clear(l.emptyUntil)
 	for id, b := range l.buckets {
 		if w := l.workspace(id); w != nil && yes {
@@ -135,6 +167,35 @@
 	}
 }
 
+// SetRegistered says until when the registration of this host is certain by its own clock. The
+// coordinator gives the fallback parts of a host away once its registration has ended.
+func (l *Limiter) SetRegistered(until, now time.Time) {
+	l.refillAll(now)
+	l.registeredUntil = until
+}
+
+// ForgetFallback drops the fallback parts, because the registration of this host has ended meanwhile.
+func (l *Limiter) ForgetFallback(now time.Time) {
+	l.refillAll(now)
+	clear(l.fallback)
+}
+
+// SetFallback takes over fallback parts that the coordinator has assigned. Workspaces that are not named
+// keep theirs.
+func (l *Limiter) SetFallback(parts map[entity.WorkspaceID]float64, version uint64, now time.Time) {
+	l.refillAll(now)
+	maps.Copy(l.fallback, parts)
+	l.fallbackVersion = version
+}
+
+// Fallback returns a copy of the fallback parts, and the version of the last assignment.
+func (l *Limiter) Fallback() (parts map[entity.WorkspaceID]float64, version uint64) {
+	return maps.Clone(l.fallback), l.fallbackVersion
+}
+
+// FallbackVersion returns the version of the last assignment of fallback parts.
+func (l *Limiter) FallbackVersion() uint64 { return l.fallbackVersion }
+
 // SetMembers takes over the registered hosts. Hosts that are gone count for some time longer.
 func (l *Limiter) SetMembers(ids []entity.HostID, now time.Time) {
 	l.refillAll(now)
@@ -146,41 +207,64 @@
 			delete(l.members, id)
 		}
 	}
-	former := l.hostOverdraft()
 	l.hosts = max(len(l.members), 1)
-	// What this host may admit now does not depend on how many others there are.
-	for _, b := range l.buckets {
-		b.level += former - l.hostOverdraft()
-	}
 }
 
 func (l *Limiter) refillAll(now time.Time) {
 	for id, b := range l.buckets {
 		if w := l.workspace(id); w != nil {
-			rate, capacity := l.share(w, now)
-			b.refill(rate, capacity, now)
+			l.refill(b, w, now)
 		}
 	}
 }
 
+// refill adds what has accrued: the even part, and the fallback part for the time without a coordinator.
+func (l *Limiter) refill(b *bucket, w *catalog.Workspace, now time.Time) {
+	if turn := earliest(l.aloneFrom, now); !l.coordinated && b.updated.Before(turn) {
+		rate, capacity := l.evenShare(w)
+		b.refill(rate, capacity, turn)
+	}
+	if end := earliest(l.registeredUntil, now); l.alone(b.updated) && end.Before(now) {
+		rate, capacity := l.share(w, b.updated)
+		b.refill(rate, capacity, end)
+	}
+	rate, capacity := l.share(w, now)
+	b.refill(rate, capacity, now)
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// alone says whether the fallback parts count.
+func (l *Limiter) alone(now time.Time) bool {
+	return !l.coordinated && !now.Before(l.aloneFrom) && now.Before(l.registeredUntil)
+}
+
+func (l *Limiter) evenShare(w *catalog.Workspace) (rate, capacity float64) {
+	rate, burst := l.slack.limits(w)
+	part := evenPart / float64(l.hosts)
+	return rate * part, burst * part
+}
+
 // share returns this host's own part of a workspace's rate and burst.
 func (l *Limiter) share(w *catalog.Workspace, now time.Time) (rate, capacity float64) {
-	part := 1 / float64(l.hosts)
-	if l.coordinated || now.Sub(l.coordinatedAt) < aloneAfter {
-		part *= fixedPart
+	part := evenPart / float64(l.hosts)
+	if l.alone(now) {
+		part += l.fallback[w.ID]
 	}
 	rate, burst := l.slack.limits(w)
 	return rate * part, burst * part
 }
 
-func (l *Limiter) hostOverdraft() float64 { return l.slack.Tokens / 2 / float64(l.hosts) }
-
-// bucket returns the level of a workspace. A new process starts below zero by its overdraft, because
-// its predecessor may have spent burst and overdraft just now.
+// bucket returns the level of a workspace.
 func (l *Limiter) bucket(id entity.WorkspaceID, now time.Time) *bucket {
 	b := l.buckets[id]
 	if b == nil {
-		b = &bucket{level: -l.hostOverdraft(), updated: now}
+		b = &bucket{updated: now}
 		l.buckets[id] = b
 	}
 	return b
@@ -204,10 +288,17 @@
 		return 0, 0, true
 	}
 	b := l.bucket(id, now)
+	l.refill(b, w, now)
 	rate, capacity := l.share(w, now)
-	b.refill(rate, capacity, now)
-	lack = tokens - b.level - l.hostOverdraft()
-	wait, ok = b.take(tokens, l.hostOverdraft(), rate)
+	if at, ok := l.grantedAt[id]; ok && b.level > capacity && now.Sub(at) > stockTerm {
+		b.level = capacity
+	}
+	overdraft := 0.0
+	if l.alone(now) {
+		overdraft = l.slack.aloneOverdraft(l.fallback[id])
+	}
+	lack = tokens - b.level - overdraft
+	wait, ok = b.take(tokens, overdraft, rate)
 	return lack, wait, ok
 }
 
@@ -215,9 +306,9 @@
 func (l *Limiter) Grant(id entity.WorkspaceID, tokens float64, now time.Time) {
 	if w := l.workspace(id); w != nil {
 		b := l.bucket(id, now)
-		rate, capacity := l.share(w, now)
-		b.refill(rate, capacity, now)
+		l.refill(b, w, now)
 		b.level += tokens
+		l.grantedAt[id] = now
 	}
 }
 
@@ -242,16 +333,16 @@
 		return
 	}
 	b := l.bucket(id, now)
-	rate, capacity := l.share(w, now)
-	b.refill(rate, capacity, now)
-	b.level = min(b.level+tokens, max(capacity, b.level))
+	l.refill(b, w, now)
+	_, capacity := l.share(w, now)
+	b.level = min(b.level+tokens, max(capacity, b.level, tokens))
 }
 
 // Levels returns the tokens that this host may admit by workspace, as of the last request.
 func (l *Limiter) Levels() map[entity.WorkspaceID]float64 {
 	out := make(map[entity.WorkspaceID]float64, len(l.buckets))
 	for id, b := range l.buckets {
-		out[id] = b.level + l.hostOverdraft()
+		out[id] = b.level
 	}
 	return out
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,8 +19,9 @@
 )
 
 var (
-	testSlack = Slack{Factor: 0.05, Tokens: 17000}
+	testSlack = Slack{Factor: 0.05, Tokens: 17000, Window: testWindow}
 	testStart = time.Unix(1000, 0)
+	testIDs   = []entity.WorkspaceID{"w"}
 )
 
 func testCatalog(rate, burst float64) *catalog.Catalog {
@@ -29,10 +31,14 @@
 // fleetSim is a number of hosts with one coordinator, in simulated time.
 type fleetSim struct {
 	catalog  *catalog.Catalog
+	ids      []entity.HostID
 	limiters []*Limiter
-	// cut hosts have lost their session at a time.
-	cut      []time.Time
+	// cut hosts have no session with the coordinator.
+	cut      []bool
 	reserve  *Reserve
+	shares   *Shares
+	term     int64
+	counted  time.Time
 	now      time.Time
 	admitted []admission
 	refused  float64
@@ -46,64 +52,91 @@
 
 func newFleetSim(hosts int) *fleetSim {
 	s := &fleetSim{catalog: testCatalog(testRate, testBurst), now: testStart}
-	for range hosts {
-		s.limiters = append(s.limiters, nil)
-		s.cut = append(s.cut, time.Time{})
+	for i := range hosts {
+		s.ids = append(s.ids, entity.HostID(fmt.Sprint(i)))
 	}
+	s.limiters = make([]*Limiter, hosts)
+	s.cut = make([]bool, hosts)
 	for i := range hosts {
-		s.restart(i)
+		s.start(i)
 	}
 	s.newCoordinator()
 	return s
 }
 
-func (s *fleetSim) restart(i int) {
+func (s *fleetSim) start(i int) {
 	s.limiters[i] = New(testSlack, s.now)
-	var ids []entity.HostID
-	for j := range s.limiters {
-		ids = append(ids, entity.HostID(fmt.Sprint(j)))
-	}
-	s.limiters[i].SetMembers(ids, s.now)
+	s.limiters[i].SetMembers(s.ids, s.now)
 	s.limiters[i].SetCatalog(s.catalog, s.now)
-	s.limiters[i].SetCoordinated(s.cut[i].IsZero(), s.now)
+	s.limiters[i].SetRegistered(s.now.Add(time.Hour), s.now)
+}
+
+// restart replaces the process of a host.
+func (s *fleetSim) restart(i int) {
+	s.start(i)
+	s.connect(i, !s.cut[i])
 }
 
 // connect cuts a host off from the coordinator, or ends the cut.
 func (s *fleetSim) connect(i int, yes bool) {
-	s.cut[i] = time.Time{}
-	if !yes {
-		s.cut[i] = s.now
-	}
+	s.cut[i] = !yes
 	s.limiters[i].SetCoordinated(yes, s.now)
+	if yes {
+		parts, _ := s.limiters[i].Fallback()
+		s.shares.Begin(s.ids[i], parts, s.now)
+	}
 }
 
-// count tells the reserve on how many hosts it can count: a host that was cut off counts until its
-// last report is too old.
-func (s *fleetSim) count() {
-	connected := 0
-	for _, at := range s.cut {
-		if at.IsZero() || s.now.Sub(at) < ReportTerm {
-			connected++
+// run lets the coordinator hear the hosts and assign fallback parts until now.
+func (s *fleetSim) run() {
+	for i, l := range s.limiters {
+		if !s.cut[i] {
+			s.shares.Heard(s.ids[i], l.FallbackVersion(), s.now)
 		}
 	}
-	s.reserve.SetConnected(connected, len(s.limiters), s.now)
+	if s.now.Sub(s.counted) < 100*time.Millisecond {
+		return
+	}
+	s.counted = s.now
+	s.reserve.SetWithheld(s.shares.Withheld(testIDs, s.now), s.now)
+	for _, a := range s.shares.Assign(testIDs, s.now) {
+		i := slices.Index(s.ids, a.Host)
+		s.limiters[i].SetFallback(a.Parts, a.Version, s.now)
+	}
+}
+
+// pass lets time go by without requests.
+func (s *fleetSim) pass(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.now = s.now.Add(10 * testStep)
+		s.run()
+	}
 }
 
 func (s *fleetSim) newCoordinator() {
+	s.term++
 	s.reserve = NewReserve(testSlack)
+	s.shares = NewShares(s.term)
+	s.shares.SetMembers(s.ids)
+	for i := range s.limiters {
+		if !s.cut[i] {
+			s.connect(i, true)
+		}
+	}
+	s.counted = time.Time{}
 	s.reserve.SetCatalog(s.catalog, s.now)
-	s.count()
+	s.run()
 }
 
 // request asks one host, and the reserve for what the host lacks.
 func (s *fleetSim) request(host int, tokens float64) {
+	s.run()
 	l := s.limiters[host]
-	s.count()
-	reached := s.cut[host].IsZero()
 	s.asked += tokens
 	lack, _, ok := l.Admit("w", tokens, s.now)
-	if !ok && reached {
-		granted, _ := s.reserve.Take("w", lack, 1, s.now)
+	if !ok && !s.cut[host] {
+		s.shares.Asked(s.ids[host], "w", lack, s.now)
+		granted, _ := s.reserve.Take(s.ids[host], "w", lack, 1, s.now)
 		l.Grant("w", granted, s.now)
 		_, _, ok = l.Admit("w", tokens, s.now)
 	}
@@ -162,8 +195,7 @@
 func TestConcentratedWorkspaceIsServed(t *testing.T) {
 	r := rand.New(rand.NewPCG(3, 1))
 	s := newFleetSim(7)
-	s.now = s.now.Add(10 * time.Second)
-	s.limiters[2].Admit("w", 0, s.now)
+	s.pass(10 * time.Second)
 	for range 60 * 200 {
 		s.now = s.now.Add(testStep)
 		if r.Float64() < testStep.Seconds()*testRate*0.55/1500 {
@@ -180,7 +212,7 @@
 func TestLargeRequestsAreServedLikeSmallOnes(t *testing.T) {
 	r := rand.New(rand.NewPCG(5, 1))
 	s := newFleetSim(8)
-	s.now = s.now.Add(10 * time.Second)
+	s.pass(10 * time.Second)
 	large, small := 0, 0
 	for range 40 * 200 {
 		s.now = s.now.Add(testStep)
@@ -212,8 +244,7 @@
 	wait := func(requests int) time.Duration {
 		r := NewReserve(testSlack)
 		r.SetCatalog(testCatalog(testRate, testBurst), testStart)
-		r.SetConnected(7, 7, testStart)
-		_, w := r.Take("w", 100*float64(requests), requests, testStart)
+		_, w := r.Take("h", "w", 100*float64(requests), requests, testStart)
 		return w
 	}
 	if one, ten := wait(1), wait(10); ten > 2*one {
@@ -231,8 +262,7 @@
 	if granted, _ := func() (float64, time.Duration) {
 		r := NewReserve(testSlack)
 		r.SetCatalog(testCatalog(testRate, testBurst), testStart)
-		r.SetConnected(7, 7, testStart)
-		return r.Take("w", 100, 1, testStart)
+		return r.Take("h", "w", 100, 1, testStart)
 	}(); granted > 0 {
 		t.Errorf("a new coordinator granted %.0f tokens at its start", granted)
 	}
@@ -242,6 +272,8 @@
 func TestChangedRateCountsFromNow(t *testing.T) {
 	l := New(Slack{}, testStart)
 	l.SetCatalog(testCatalog(testRate, testBurst), testStart)
+	l.SetFallback(map[entity.WorkspaceID]float64{"w": reservePart}, 1, testStart)
+	l.SetRegistered(testStart.Add(time.Hour), testStart)
 	now := testStart.Add(10 * time.Second)
 	l.Admit("w", testBurst, now)
 	l.SetCatalog(testCatalog(10*testRate, 10*testBurst), now)
@@ -285,10 +317,11 @@
 func TestHostsAloneUseTheWholeRate(t *testing.T) {
 	r := rand.New(rand.NewPCG(9, 1))
 	s := newFleetSim(7)
+	s.pass(10 * time.Second)
 	for i := range 7 {
 		s.connect(i, false)
 	}
-	s.now = s.now.Add(5 * time.Second)
+	s.pass(5 * time.Second)
 	for range 20 * 200 {
 		s.now = s.now.Add(testStep)
 		if r.Float64() < testStep.Seconds()*testRate*0.55/1500 {
--- a/internal/swap/adapters.go
+++ b/internal/swap/adapters.go
@@ -87,6 +87,6 @@
 		return
 	}
 	oldest.unloading = true
-	s.version++
+	s.changed()
 	s.send(r, Unload, model, id, now)
 }
--- a/internal/swap/budget.go
+++ b/internal/swap/budget.go
@@ -19,7 +19,7 @@
 // storeMayLoad says whether another load may start at the weight store of a service now.
 func (s *Swapper) storeMayLoad(id catalog.ServiceID, now time.Time) bool {
 	e := s.engine(id)
-	return e != nil && s.storeLoads() < storeParallel && (e.LoadsPerSecond <= 0 || s.storeBudget(id, e.LoadsPerSecond, now).level >= 1)
+	return e != nil && s.storeLoads() < s.parallel.loads() && (e.LoadsPerSecond <= 0 || s.storeBudget(id, e.LoadsPerSecond, now).level >= 1)
 }
 
 // storeBudget returns the budget of a service as of now.
--- a/internal/swap/decide.go
+++ b/internal/swap/decide.go
@@ -1,6 +1,7 @@
 package swap
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -18,6 +19,9 @@
 	// evictionSeconds weighs a lost replica: the time that a request loses when its model has to
 	// be swapped in again.
 	evictionSeconds = 5.0
+	// prefetchReserve is the number of loads of the weight store that are left to models that requests
+	// wait for.
+	prefetchReserve = 1
 	// priorRate is assumed for every model, in requests a second: an unused model may be asked for.
 	priorRate = 0.05
 	// unusedTime is how long no host must have had a request for a model that is unloaded: the hosts'
@@ -34,7 +38,10 @@
 }
 
 // Active says whether changes are under way or wanted, so that ticks must come often.
-func (s *Swapper) Active() bool {
+func (s *Swapper) Active() bool { return s.active }
+
+// wantsTicks says the same from the tables.
+func (s *Swapper) wantsTicks() bool {
 	for _, r := range s.replicas {
 		if r.task != nil || r.sending != nil || r.readAt != never && !r.readAt.IsZero() {
 			return true
@@ -49,9 +56,15 @@
 }
 
 func (s *Swapper) decide(now time.Time) {
+	if s.dirty {
+		s.dirty = false
+		s.sumUp(now)
+		s.noteDown(now)
+	}
 	if s.catalog == nil || s.paused {
 		return
 	}
+	defer func() { s.active = s.wantsTicks() }()
 	rows := s.sortedReplicas()
 	for _, r := range rows {
 		s.pollReport(r, now)
@@ -71,14 +84,7 @@
 
 // sortedReplicas returns the engines in an order that does not depend on the map.
 func (s *Swapper) sortedReplicas() []*replica {
-	rows := make([]*replica, 0, len(s.replicas))
-	for _, r := range s.replicas {
-		if s.engine(r.up.Service) != nil {
-			rows = append(rows, r)
-		}
-	}
-	sort.Slice(rows, func(i, j int) bool { return rows[i].up.ID < rows[j].up.ID })
-	return rows
+	return slices.DeleteFunc(slices.Clone(s.index.replicas(s)), func(r *replica) bool { return s.engine(r.up.Service) == nil })
 }
 
 func (s *Swapper) pollReport(r *replica, now time.Time) {
@@ -118,6 +124,7 @@
 			return
 		}
 		delete(r.held, t.evict[0])
+		s.index.dropHolders()
 		t.evict = t.evict[1:]
 		t.accepted = false
 	}
@@ -135,65 +142,29 @@
 		for _, a := range h.adapters {
 			if !a.readyAt.IsZero() && a.readyAt != never && !now.Before(a.readyAt) {
 				a.readyAt = time.Time{}
-				s.version++
+				s.changed()
 			}
 		}
 	}
 }
 
 // ready lists the engines that can be given requests for a model.
-func (s *Swapper) ready(key modelKey) []*replica {
-	var out []*replica
-	for _, r := range s.replicas {
-		if r.up.Service != key.service || !r.serves() {
-			continue
-		}
-		if h := r.held[key.model]; h != nil && !h.unloading {
-			out = append(out, r)
-		}
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].up.ID < out[j].up.ID })
-	return out
-}
+func (s *Swapper) ready(key modelKey) []*replica { return s.index.holdersOf(s, key).ready }
 
 // loading counts the tasks that bring a model.
-func (s *Swapper) loading(key modelKey) int {
-	n := 0
-	for _, r := range s.replicas {
-		if r.loads(key) {
-			n++
-		}
-	}
-	return n
-}
+func (s *Swapper) loading(key modelKey) int { return len(s.index.holdersOf(s, key).loading) }
 
 // storeLoads counts the tasks that use the weight store.
-func (s *Swapper) storeLoads() int {
-	n := 0
-	for _, r := range s.replicas {
-		if r.task != nil && r.task.usesStore() {
-			n++
-		}
-	}
-	return n
-}
+func (s *Swapper) storeLoads() int { return s.index.storeLoadsOf(s) }
 
 // hasCopy says whether an engine that stays has a copy of the weights.
-func (s *Swapper) hasCopy(key modelKey) bool {
-	for _, r := range s.replicas {
-		if r.hasCopy(key) {
-			return true
-		}
-	}
-	return false
-}
+func (s *Swapper) hasCopy(key modelKey) bool { return len(s.index.copiesOf(s, key)) > 0 }
 
 // hasSpareCopy says whether an engine that stays and does not hold the model, or is about to drop it,
 // has a copy.
 func (s *Swapper) hasSpareCopy(key modelKey) bool {
-	for _, r := range s.replicas {
-		h := r.held[key.model]
-		if r.hasCopy(key) && (h == nil || h.unloading) {
+	for _, r := range s.index.copiesOf(s, key) {
+		if h := r.held[key.model]; h == nil || h.unloading {
 			return true
 		}
 	}
@@ -256,7 +227,7 @@
 		if svc.Engine == nil {
 			continue
 		}
-		for s.storeLoads() < prefetchParallel && s.storeMayLoad(id, now) {
+		for s.storeLoads() < max(s.parallel.loads()-prefetchReserve, 1) && s.storeMayLoad(id, now) {
 			key, ok := s.nextPrefetch(id, svc.Engine)
 			if !ok || !s.bring(key, rows, fromStore, now) {
 				break
@@ -302,6 +273,9 @@
 	if e == nil || e.Models[key.model] == nil {
 		return false
 	}
+	if src == fromCopy {
+		rows = s.index.copiesOf(s, key)
+	}
 	var best *replica
 	var bestEvict []entity.ModelID
 	var bestCost float64
@@ -356,8 +330,9 @@
 	for _, id := range evict {
 		r.held[id].unloading = true
 	}
+	s.index.dropHolders()
 	if len(evict) > 0 {
-		s.version++
+		s.changed()
 	}
 	s.advance(r, now)
 }
--- a/internal/swap/estimate.go
+++ b/internal/swap/estimate.go
@@ -47,13 +47,13 @@
 	}
 	m := e.Models[key.model]
 	start := max(s.from.Sub(now), 0)
-	if left, ok := s.soonest(now, func(r *replica) bool { return r.loads(key) }); ok {
+	if left, ok := s.soonest(now, s.index.holdersOf(s, key).loading); ok {
 		return start + left, false
 	}
-	if left, ok := s.soonest(now, func(r *replica) bool { return r.hasCopy(key) }); ok {
+	if left, ok := s.soonest(now, s.index.copiesOf(s, key)); ok {
 		return start + m.DiskLoad + swapOverhead + left, false
 	}
-	rounds := time.Duration(s.storeLoads()+position) / storeParallel
+	rounds := time.Duration((s.storeLoads() + position) / s.parallel.loads())
 	return start + storeOverhead + m.StoreLoad*(rounds+1), true
 }
 
@@ -74,11 +74,8 @@
 }
 
 // soonest returns when the first of some engines ends its task; ok says that there is one.
-func (s *Swapper) soonest(now time.Time, among func(*replica) bool) (left time.Duration, ok bool) {
-	for _, r := range s.replicas {
-		if !among(r) {
-			continue
-		}
+func (s *Swapper) soonest(now time.Time, among []*replica) (left time.Duration, ok bool) {
+	for _, r := range among {
 		if l := s.taskLeft(r, now); !ok || l < left {
 			left, ok = l, true
 		}
--- a/internal/swap/orders.go
+++ b/internal/swap/orders.go
@@ -40,6 +40,7 @@
 	s.orders[s.nextID] = r
 	copied := *r.sending
 	s.out = append(s.out, Command{Order: &copied})
+	s.active = true
 }
 
 // resend gives the unanswered order again, under the same expected count: when it is accepted,
@@ -151,7 +152,7 @@
 	ad.readyAt = now.Add(adapterTime)
 	if a == AlreadyHolds {
 		ad.readyAt = time.Time{}
-		s.version++
+		s.changed()
 	}
 }
 
@@ -175,6 +176,7 @@
 	t.readyAt = now.Add(s.loadTime(r, t))
 	t.probeAt = t.readyAt
 	t.probes = 0
+	t.beside = s.storeLoads()
 	// The report that shows the end of the load is behind by its lag.
 	r.readAt = t.readyAt.Add(reportLag)
 }
@@ -192,19 +194,21 @@
 	case onDisk:
 		return m.DiskLoad
 	}
-	return m.StoreLoad * time.Duration(max(s.storeLoads(), storeParallel)) / storeParallel
+	return s.parallel.loadTime(m.StoreLoad, s.storeLoads())
 }
 
 // loaded ends a task: its model can be used.
 func (s *Swapper) loaded(r *replica, now time.Time) {
 	t := r.task
+	s.noteStoreLoad(r, t, now)
 	r.task = nil
 	r.readAt = never
 	r.held[t.model] = &held{model: t.model, version: 0, adapters: make(map[entity.AdapterID]*adapter), usedAt: now, loadedAt: now}
 	if r.copies[t.model] == 0 {
 		r.copies[t.model] = onDisk
+		s.index.dropCopies()
 	}
-	s.version++
+	s.changed()
 }
 
 // conflict handles an order that the engine did not take because of another one or of its count.
@@ -238,6 +242,7 @@
 	}
 	s.settle(r)
 	r.task = nil
+	s.index.dropHolders()
 	r.pausedTo = now.Add(conflictPause)
 	r.ignoreBefore = now.Add(reportLag)
 	r.readAt = r.ignoreBefore
@@ -248,7 +253,7 @@
 		}
 	}
 	r.known = false
-	s.version++
+	s.changed()
 }
 
 // forgetAdapter undoes what was noted when an order for an adapter was sent.
@@ -262,7 +267,7 @@
 		return
 	}
 	h.adapters[o.Adapter].unloading = false
-	s.version++
+	s.changed()
 }
 
 // ReportFailed says that the report of an engine could not be read.
@@ -304,8 +309,8 @@
 	case t == nil && rep.Busy:
 		r.readAt = now.Add(pollInterval)
 	case t == nil:
-		r.adopt(rep, now)
-		s.version++
+		s.adopt(r, rep, now)
+		s.changed()
 	case rep.Busy || !t.accepted:
 		r.readAt = now.Add(pollInterval)
 	case t.stage == stageLoading && reports(rep, t.model):
@@ -331,10 +336,18 @@
 		r.readAt = now.Add(pollInterval)
 		return
 	}
-	r.adopt(rep, now)
+	s.adopt(r, rep, now)
+	s.changed()
 	r.readAt = never
 }
 
+// adopt takes over what an engine says that it holds.
+func (s *Swapper) adopt(r *replica, rep Report, now time.Time) {
+	if r.adopt(rep, now) {
+		s.index.dropCopies()
+	}
+}
+
 func reports(rep Report, id entity.ModelID) bool {
 	for _, m := range rep.Models {
 		if m.Model == id {
--- a/internal/swap/replica.go
+++ b/internal/swap/replica.go
@@ -92,6 +92,8 @@
 	from    place
 	started time.Time
 	readyAt time.Time
+	// beside is the number of loads at the weight store when this one began.
+	beside int
 	// probe is the last probe of the load, probeAt the time of the next one.
 	probe   uint64
 	probeAt time.Time
@@ -112,27 +114,29 @@
 	return r
 }
 
-func (r *replica) noteCopies(memory, disk []entity.ModelID) {
+// noteCopies takes over where copies lie and says whether the set of models with a copy has changed.
+func (r *replica) noteCopies(memory, disk []entity.ModelID) bool {
 	if len(memory)+len(disk) == 0 {
-		return
+		return false
 	}
-	clear(r.copies)
+	copies := make(map[entity.ModelID]place, len(memory)+len(disk))
 	for _, m := range disk {
-		r.copies[m] = onDisk
+		copies[m] = onDisk
 	}
 	for _, m := range memory {
-		r.copies[m] = inMemory
+		copies[m] = inMemory
 	}
+	same := len(copies) == len(r.copies)
+	for m := range copies {
+		same = same && r.copies[m] != 0
+	}
+	r.copies = copies
+	return !same
 }
 
 // serves says whether requests can be given to the engine.
 func (r *replica) serves() bool { return !r.up.Draining && !r.down }
 
-// hasCopy says whether the engine stays and has a copy of the weights.
-func (r *replica) hasCopy(key modelKey) bool {
-	return r.up.Service == key.service && r.serves() && r.copies[key.model] != 0
-}
-
 // loads says whether the engine stays and carries out a task that brings the model.
 func (r *replica) loads(key modelKey) bool {
 	return r.up.Service == key.service && r.serves() && r.task != nil && r.task.model == key.model
@@ -148,8 +152,8 @@
 	}
 }
 
-// adopt takes over a report.
-func (r *replica) adopt(rep Report, now time.Time) {
+// adopt takes over a report and says whether the set of models with a copy has changed.
+func (r *replica) adopt(rep Report, now time.Time) bool {
 	r.known = true
 	r.sequence = rep.Sequence
 	former := r.held
@@ -169,7 +173,7 @@
 			h.adapters[p.Adapter] = &adapter{readyAt: now.Add(adapterTime), usedAt: now}
 		}
 	}
-	r.noteCopies(rep.InMemory, rep.OnDisk)
+	return r.noteCopies(rep.InMemory, rep.OnDisk)
 }
 
 func adoptAdapters(former map[entity.AdapterID]*adapter, ids []entity.AdapterID, now time.Time) map[entity.AdapterID]*adapter {
--- a/internal/swap/sim_test.go
+++ b/internal/swap/sim_test.go
@@ -362,6 +362,12 @@
 	}
 }
 
+// hear tells the coordinator a report and lets it decide.
+func (s *sim) hear(r wire.HostReport) {
+	s.swapper.HandleHost(r, s.now)
+	s.carryOut(s.swapper.Tick(s.now))
+}
+
 func (s *sim) report(arrived map[poolKey]int) {
 	r := wire.HostReport{Host: "h"}
 	for key, n := range arrived {
@@ -370,7 +376,7 @@
 	for key, n := range s.waiting {
 		r.Needs = append(r.Needs, wire.PoolNeed{Service: simService, Model: key.model, Adapter: key.adapter, Waiting: n, Arrived: arrived[key]})
 	}
-	s.carryOut(s.swapper.HandleHost(r, s.now))
+	s.hear(r)
 }
 
 func (s *sim) runFor(d time.Duration, perSecond float64, adapters bool) (asked int) {
--- a/internal/swap/swap.go
+++ b/internal/swap/swap.go
@@ -20,10 +20,6 @@
 )
 
 const (
-	// storeParallel is the number of loads that the weight store carries at full speed.
-	storeParallel = 4
-	// prefetchParallel leaves a place for a model that a request waits for.
-	prefetchParallel = 3
 	// reportLag is how old a report of an engine may be when it arrives.
 	reportLag = 150 * time.Millisecond
 	// firstPoll and pollInterval time the reads of a report while an order is carried out.
@@ -147,8 +143,13 @@
 	from   time.Time
 	paused bool
 	out    []Command
+	// dirty says that hosts have reported since the last decision; active says that changes are under way
+	// or wanted.
+	dirty, active bool
+	index         index
 	// storeBudgets bound how many loads start at the weight store, by service.
 	storeBudgets map[catalog.ServiceID]*storeBudget
+	parallel     parallelism
 	// version rises with every change of what replicas hold.
 	version uint64
 }
@@ -194,6 +195,7 @@
 		probes:       make(map[uint64]*replica),
 		storeBudgets: make(map[catalog.ServiceID]*storeBudget),
 		from:         from,
+		parallel:     newParallelism(),
 	}
 }
 
@@ -224,16 +226,20 @@
 		r = newReplica(u)
 		r.pausedTo = pause
 		s.replicas[u.ID] = r
-		s.version++
+		s.changed()
+		s.index.dropCopies()
 		// The list lags; the report tells what the engine holds now.
 		s.read(r, now)
 		return s.take()
 	}
 	if r.up.Draining != u.Draining {
-		s.version++
+		s.changed()
+		s.index.dropCopies()
 	}
 	r.up = u
-	r.noteCopies(u.InMemory, u.OnDisk)
+	if r.noteCopies(u.InMemory, u.OnDisk) {
+		s.index.dropCopies()
+	}
 	if u.Sequence > r.sequence && r.sending == nil {
 		// Orders that this coordinator does not know have been carried out.
 		s.read(r, now)
@@ -268,20 +274,27 @@
 		delete(s.orders, r.sending.ID)
 	}
 	delete(s.replicas, r.up.ID)
+	s.changed()
+	s.index.dropCopies()
+}
+
+// changed notes that what engines hold has changed.
+func (s *Swapper) changed() {
 	s.version++
+	s.index.dropHolders()
 }
 
-// HandleHost takes over the report of a host.
-func (s *Swapper) HandleHost(h wire.HostReport, now time.Time) []Command {
+// HandleHost takes over the report of a host. What follows from it is decided at the next tick, for the
+// reports of all hosts together.
+func (s *Swapper) HandleHost(h wire.HostReport, now time.Time) {
 	s.hosts[h.Host] = hostRow{report: h, at: now}
 	for _, n := range h.Needs {
 		row := s.row(catalog.ServiceID(n.Service), n.Model, now)
 		row.rate += float64(n.Arrived) / usedMemory.Seconds()
+		s.active = s.active || n.Waiting > 0
 	}
-	s.sumUp(now)
-	s.noteDown(now)
-	s.decide(now)
-	return s.take()
+	s.active = s.active || len(h.Down) > 0
+	s.dirty = true
 }
 
 // noteDown finds the engines that several hosts cannot reach. One host may be cut off itself. The
@@ -300,7 +313,8 @@
 	for _, id := range slices.Sorted(maps.Keys(count)) {
 		if r := s.replicas[id]; r != nil && count[id] >= needed && !r.down {
 			r.down = true
-			s.version++
+			s.changed()
+			s.index.dropCopies()
 			s.read(r, now)
 		}
 	}
@@ -310,7 +324,8 @@
 func (s *Swapper) up(r *replica) {
 	if r.down {
 		r.down = false
-		s.version++
+		s.changed()
+		s.index.dropCopies()
 	}
 }
 
--- a/internal/swap/swap_test.go
+++ b/internal/swap/swap_test.go
@@ -49,7 +49,7 @@
 				n++
 			}
 		}
-		if n > storeParallel {
+		if n > firstParallel {
 			t.Fatalf("%d loads at once", n)
 		}
 	}
@@ -135,7 +135,7 @@
 	for range 10 {
 		r := wire.HostReport{Host: "h", Needs: []wire.PoolNeed{{Service: simService, Model: "m01", Waiting: 20, Arrived: 5}},
 			Uses: []wire.PoolUse{{Upstream: "e01", Model: "m01", Count: 8}}}
-		s.carryOut(s.swapper.HandleHost(r, s.now))
+		s.hear(r)
 		for range 200 {
 			s.step()
 		}
@@ -162,7 +162,7 @@
 	s.engines["e01"].dark = true
 	need := []wire.PoolNeed{{Service: simService, Model: "m01", Waiting: 1}}
 	for _, host := range []entity.HostID{"h1", "h2"} {
-		s.carryOut(s.swapper.HandleHost(wire.HostReport{Host: host, Needs: need, Down: []entity.UpstreamID{"e01"}}, s.now))
+		s.hear(wire.HostReport{Host: host, Needs: need, Down: []entity.UpstreamID{"e01"}})
 	}
 	for range 400 {
 		s.step()
@@ -188,8 +188,8 @@
 func TestOneHostAloneDoesNotTakeAnEngineOut(t *testing.T) {
 	s := newSim(t, 8, 4, 4, simFaults{})
 	s.runFor(time.Second, 0, false)
-	s.carryOut(s.swapper.HandleHost(wire.HostReport{Host: "h1"}, s.now))
-	s.carryOut(s.swapper.HandleHost(wire.HostReport{Host: "h2", Down: []entity.UpstreamID{"e01"}}, s.now))
+	s.hear(wire.HostReport{Host: "h1"})
+	s.hear(wire.HostReport{Host: "h2", Down: []entity.UpstreamID{"e01"}})
 	if s.swapper.replicas["e01"].down {
 		t.Error("one host took an engine out")
 	}
--- a/internal/swap/wanted_test.go
+++ b/internal/swap/wanted_test.go
@@ -24,6 +24,7 @@
 		needs[i].Service = simService
 		r := wire.HostReport{Host: "h", Needs: append([]wire.PoolNeed(nil), needs[:i+1]...)}
 		s.HandleHost(r, now)
+		s.Tick(now)
 	}
 	var out []entity.ModelID
 	for _, m := range s.wantedModels(now) {
--- a/internal/wire/coordination.go
+++ b/internal/wire/coordination.go
@@ -28,21 +28,24 @@
 	Count    int               `msgpack:"n"`
 }
 
-// HostReport is what a host tells the coordinator about its requests. It is complete: what it
-// does not list is zero.
+// HostReport is what a host tells the coordinator about its requests. Needs, Uses and Down are complete:
+// what they do not list is zero.
 type HostReport struct {
 	Host entity.HostID `msgpack:"h"`
-	// SentAt is the sender's clock; the coordinator returns it, so that the term of granted tokens
-	// counts from the host's own clock.
+	// SentAt is the sender's clock. The coordinator returns it, so that ages count by the sender's own
+	// clock.
 	SentAt int64      `msgpack:"t"`
 	Needs  []PoolNeed `msgpack:"n"`
 	Uses   []PoolUse  `msgpack:"u"`
 	// Down lists the upstreams that this host could not reach just now.
 	Down []entity.UpstreamID `msgpack:"o,omitempty"`
-	// Lack is the number of tokens that waiting requests lack, by workspace.
-	Lack map[entity.WorkspaceID]float64 `msgpack:"d,omitempty"`
-	// Lacking is the number of those requests, by workspace.
-	Lacking map[entity.WorkspaceID]int `msgpack:"e,omitempty"`
+	// Revision is up to which the host knows the key-value service.
+	Revision int64 `msgpack:"r,omitempty"`
+	// First marks the first report of a session, which holds the fallback parts that the host uses.
+	First bool                           `msgpack:"f,omitempty"`
+	Parts map[entity.WorkspaceID]float64 `msgpack:"p,omitempty"`
+	// PartsVersion is the newest assignment of fallback parts that the host has taken over.
+	PartsVersion uint64 `msgpack:"v,omitempty"`
 }
 
 // Kind implements Message.
@@ -58,10 +61,10 @@
 type UpstreamState struct {
 	Upstream   entity.UpstreamID `msgpack:"u"`
 	BornMillis int64             `msgpack:"b"`
+	// Index stands for the upstream in the loads of the same coordinator.
+	Index int `msgpack:"i"`
 	// Held lists what can be used now.
 	Held []HeldModel `msgpack:"h"`
-	// Running counts the requests of all hosts.
-	Running int `msgpack:"r"`
 }
 
 // ModelEstimate says when a model can be used that no upstream serves now.
@@ -71,24 +74,85 @@
 	ReadyIn time.Duration  `msgpack:"r"`
 }
 
-// FleetState is what the coordinator tells a host. Upstreams lists only those that have changed
-// since the last message on the same connection.
+// FleetState is what the coordinator tells all hosts about the engines: what has changed since the last
+// message on the same connection.
 type FleetState struct {
 	Coordinator entity.HostID   `msgpack:"c"`
 	Upstreams   []UpstreamState `msgpack:"u,omitempty"`
-	Estimates   []ModelEstimate `msgpack:"e,omitempty"`
-	// Leaving lists all upstreams that drain or have just left; the coordinator reads the list more
-	// often than the other hosts.
-	Leaving []entity.UpstreamID `msgpack:"x,omitempty"`
-	// AnswerTo is SentAt of the report that this state answers, zero if none.
-	AnswerTo int64 `msgpack:"t,omitempty"`
-	// Grants answers the lack of tokens of that report.
-	Grants []TokenGrant `msgpack:"g,omitempty"`
+	// Indexes and Running tell how many requests of all hosts run at upstreams, in pairs.
+	Indexes []int `msgpack:"i,omitempty"`
+	Running []int `msgpack:"r,omitempty"`
 }
 
 // Kind implements Message.
 func (*FleetState) Kind() Kind { return KindFleetState }
 
+// HostState is what the coordinator tells one host.
+type HostState struct {
+	// Confirmed is SentAt of a report of this host that had arrived before the coordinator began a read
+	// of the key-value service. All changes that the read found and this host may lack have been sent
+	// before this message; Revision is that of the read. Both are zero when nothing is confirmed.
+	Confirmed int64 `msgpack:"c,omitempty"`
+	Revision  int64 `msgpack:"r,omitempty"`
+	// Estimates is complete for the models that this host's requests wait for.
+	Estimates []ModelEstimate `msgpack:"e,omitempty"`
+	// Parts are fallback parts that change, with the version to be returned.
+	Parts        map[entity.WorkspaceID]float64 `msgpack:"p,omitempty"`
+	PartsVersion uint64                         `msgpack:"v,omitempty"`
+}
+
+// Kind implements Message.
+func (*HostState) Kind() Kind { return KindHostState }
+
+// ListUpdate carries the changes of the key-value service between two revisions, without those that
+// change nothing for hosts.
+type ListUpdate struct {
+	// From is the revision that a host must know to use the update, To the one that it knows then.
+	From int64 `msgpack:"f"`
+	To   int64 `msgpack:"t"`
+	// Changes is a deflated msgpack array of ListChange.
+	Changes []byte `msgpack:"c"`
+}
+
+// Kind implements Message.
+func (*ListUpdate) Kind() Kind { return KindListUpdate }
+
+// ListChange is one change of a key.
+type ListChange struct {
+	Key      string `msgpack:"k"`
+	Revision int64  `msgpack:"r"`
+	Deleted  bool   `msgpack:"d,omitempty"`
+	Value    []byte `msgpack:"v,omitempty"`
+}
+
+// TokenLack is what the waiting requests of one workspace lack at a host.
+type TokenLack struct {
+	Workspace entity.WorkspaceID `msgpack:"w"`
+	Tokens    float64            `msgpack:"n"`
+	Requests  int                `msgpack:"r"`
+}
+
+// TokenAsk asks the coordinator for tokens.
+type TokenAsk struct {
+	Host entity.HostID `msgpack:"h"`
+	// SentAt is the sender's clock; the coordinator returns it, so that the term of granted tokens
+	// counts from the host's own clock.
+	SentAt int64       `msgpack:"t"`
+	Lacks  []TokenLack `msgpack:"l"`
+}
+
+// Kind implements Message.
+func (*TokenAsk) Kind() Kind { return KindTokenAsk }
+
+// TokenAnswer answers a TokenAsk.
+type TokenAnswer struct {
+	AnswerTo int64        `msgpack:"t"`
+	Grants   []TokenGrant `msgpack:"g"`
+}
+
+// Kind implements Message.
+func (*TokenAnswer) Kind() Kind { return KindTokenAnswer }
+
 // TokenGrant is what the coordinator grants a host out of the reserve of a workspace.
 type TokenGrant struct {
 	Workspace entity.WorkspaceID `msgpack:"w"`
@@ -97,3 +161,13 @@
 	// all was granted.
 	Wait time.Duration `msgpack:"t,omitempty"`
 }
+
+// Announcement tells a host who coordinates, so that it need not read the key-value service to learn it.
+type Announcement struct {
+	// Holder is the registration of the coordinator, Revision that of its term.
+	Holder   []byte `msgpack:"h"`
+	Revision int64  `msgpack:"r"`
+}
+
+// Kind implements Message.
+func (*Announcement) Kind() Kind { return KindAnnouncement }
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -32,6 +32,11 @@
 	KindLoads
 	KindHostReport
 	KindFleetState
+	KindTokenAsk
+	KindTokenAnswer
+	KindHostState
+	KindListUpdate
+	KindAnnouncement
 	// kindEnd is one above the newest kind.
 	kindEnd
 )
@@ -62,6 +67,11 @@
 	KindLoads:           "loads",
 	KindHostReport:      "host_report",
 	KindFleetState:      "fleet_state",
+	KindTokenAsk:        "token_ask",
+	KindTokenAnswer:     "token_answer",
+	KindHostState:       "host_state",
+	KindListUpdate:      "list_update",
+	KindAnnouncement:    "announcement",
 }
 
 // String returns the metric label of the kind.
