Whole grants in order; silent streams are given up only for another upstream

Refused requests were told to come back after 2 to 26 ms, all at once, and were refused again. Now the reserve grants whole requests in the order of their asks, those that can wait wait there, and a refused one is told a time behind those refused before.

Now the last attempt is waited for, and where no other upstream serves the request a silent one is given up only shortly before its caller would leave.

--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -94,6 +94,10 @@
 	// OthersAge how old the report about the other hosts is.
 	Load      float64
 	OthersAge time.Duration
+	// Alternatives is the number of other upstreams that serve the request and do not fail.
+	Alternatives int
+	// Last says that no attempt may follow one that may have run.
+	Last bool
 	// Refusal is set for a final answer.
 	Refusal *entity.Refusal
 	Reason  Reason
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -348,6 +348,8 @@
 	if !t.othersAt.IsZero() {
 		d.OthersAge = now.Sub(t.othersAt)
 	}
+	d.Alternatives = s.alternatives(r.Pool, t, now)
+	d.Last = r.ran+1 >= r.Route.MaxAttempts || !r.repeatable()
 	s.unwait(r)
 	r.running = true
 	r.target = t
@@ -361,6 +363,17 @@
 	s.out = append(s.out, d)
 }
 
+// alternatives counts the upstreams besides one that serve a pool and do not fail.
+func (s *Scheduler) alternatives(p Pool, besides *target, now time.Time) int {
+	n := 0
+	for _, t := range s.byService[p.Service] {
+		if t != besides && t.serves(p, now) && !now.Before(t.ejected) {
+			n++
+		}
+	}
+	return n
+}
+
 func (s *Scheduler) remember(part string, id entity.UpstreamID) {
 	if part == "" {
 		return
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -81,6 +81,8 @@
 		},
 	}
 	switch {
+	case st.last:
+		// Nothing could follow, so the answer is waited for.
 	case s.route.Kind == catalog.Idempotent && s.route.MaxAttempts > 1:
 		o.HeadTimeout = answerLimit
 	case s.route.Repeatable():
--- a/internal/edge/coordination.go
+++ b/internal/edge/coordination.go
@@ -61,6 +61,7 @@
 		c.linkLostAt = now
 	}
 	c.limiter.SetCoordinated(c.coordinated(), now)
+	c.reparkAll(now)
 }
 
 // reportInterval is the least time between two reports that are not urgent.
--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -58,6 +58,9 @@
 	tickets   map[entity.RequestID]*ticket
 	// parked requests wait for the tokens of their workspace, in the order of their arrival.
 	parked []*parkedRequest
+	// lacking are questions for tokens that have not been sent, asks counts all questions.
+	lacking []wire.TokenLack
+	asks    uint64
 
 	// holder has the right to give orders.
 	holder *election.Holder
@@ -208,7 +211,7 @@
 
 // busy says whether ticks must come often.
 func (c *core) busy() bool {
-	return !c.scheduler.Idle() || len(c.parked) > 0 || c.lead != nil && c.lead.swapper.Active()
+	return !c.scheduler.Idle() || len(c.parked) > 0 || c.lead != nil && (c.lead.swapper.Active() || c.lead.reserve.Waiting())
 }
 
 func (c *core) afterEvent(now time.Time) {
@@ -245,7 +248,7 @@
 		}
 		if t := c.tickets[r.ID]; t != nil {
 			target := *d.Upstream
-			t.steps <- step{target: &target, attempt: d.Attempt, seen: c.seen(d)}
+			t.steps <- step{target: &target, attempt: d.Attempt, alternatives: d.Alternatives, last: d.Last, seen: c.seen(d)}
 		}
 	}
 }
--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -160,6 +160,10 @@
 	// target is set for an attempt, refusal for the final answer.
 	target  *dispatch.Target
 	attempt int
+	// alternatives is the number of other upstreams that could serve the request.
+	alternatives int
+	// last says that no attempt may follow one that may have run.
+	last    bool
 	refusal *entity.Refusal
 	reason  dispatch.Reason
 	// seen is what the decision went by, for the log.
--- a/internal/edge/lead.go
+++ b/internal/edge/lead.go
@@ -100,6 +100,7 @@
 	c.lead = nil
 	c.linkLostAt = now
 	c.limiter.SetCoordinated(c.coordinated(), now)
+	c.reparkAll(now)
 }
 
 // hostLost forgets a host whose session has ended.
@@ -180,32 +181,12 @@
 	h.reports = slices.Delete(h.reports, 0, n)
 }
 
-// tokensAsked answers a host's question for tokens as coordinator.
-func (c *core) tokensAsked(e tokensAsked, now time.Time) {
-	if c.lead == nil {
-		return
-	}
-	answer := c.answerTokens(e.ask, now)
-	if err := e.session.Send(answer); err != nil {
-		c.log.Debug("Tokens not sent.", "host", e.ask.Host, "err", err)
-	}
-}
-
-func (c *core) answerTokens(ask *wire.TokenAsk, now time.Time) *wire.TokenAnswer {
-	answer := &wire.TokenAnswer{AnswerTo: ask.SentAt}
-	for _, lack := range ask.Lacks {
-		c.lead.shares.Asked(ask.Host, lack.Workspace, lack.Tokens, now)
-		tokens, wait := c.lead.reserve.Take(ask.Host, lack.Workspace, lack.Tokens, lack.Requests, now)
-		answer.Grants = append(answer.Grants, wire.TokenGrant{Workspace: lack.Workspace, Tokens: tokens, Wait: wait})
-	}
-	return answer
-}
-
 // tickLead does what depends on time as coordinator.
 func (c *core) tickLead(now time.Time) {
 	l := c.lead
 	l.swapper.SetPaused(!c.effects.holds())
 	c.run(l.swapper.Tick(now))
+	c.replyTokens(l.reserve.Advance(now), now)
 	if now.Sub(l.countedAt) >= recountInterval {
 		l.countedAt = now
 		c.shareOut(now)
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -7,13 +7,19 @@
 	"time"
 
 	"github.com/foxtailpass/foxtailpass/internal/boottime"
+	"github.com/foxtailpass/foxtailpass/internal/catalog"
 	"github.com/foxtailpass/foxtailpass/internal/dispatch"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/upstream"
 )
 
-// maxEvent bounds one event of a stream.
-const maxEvent = 1 << 20
+const (
+	// maxEvent bounds one event of a stream.
+	maxEvent = 1 << 20
+	// lonePatience is the part of its caller's patience for which a silent stream is waited for that no
+	// other upstream could go on with.
+	lonePatience = 0.7
+)
 
 var (
 	errEventTooLong = errors.New("edge: event of a stream too long")
@@ -126,17 +132,31 @@
 
 // limitSilence bounds the next read of a stream that can go on elsewhere.
 func (e *eventStream) limitSilence() {
-	if !e.session.route.Resumable {
+	limit, limited := silenceLimit(e.session.route, e.step, e.sent)
+	if !limited {
 		return
 	}
-	limit := eventLimit
-	if !e.sent {
-		limit = firstEventLimit
-	}
 	left := e.session.request.Deadline.Sub(boottime.Now()) + deadlineGrace
 	e.ex.SetReadTimeout(time.Now().Add(min(limit, left)))
 }
 
+// silenceLimit returns how long a stream may be silent before it goes on at another upstream. The last
+// attempt is not given up, because nothing could follow it, and where no other upstream serves the
+// request it is given up only shortly before its caller would leave.
+func silenceLimit(r *catalog.Route, st step, sent bool) (limit time.Duration, limited bool) {
+	if !r.Resumable || st.last {
+		return 0, false
+	}
+	limit = eventLimit
+	if !sent {
+		limit = firstEventLimit
+	}
+	if st.alternatives == 0 {
+		limit = max(limit, time.Duration(lonePatience*float64(r.Patience)))
+	}
+	return limit, true
+}
+
 // wholeEvents returns the length of the whole events at the start of b.
 func wholeEvents(b []byte) int {
 	lf := bytes.LastIndex(b, []byte("\n\n"))
--- a/internal/edge/tokens.go
+++ b/internal/edge/tokens.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"slices"
 	"time"
 
 	"github.com/foxtailpass/foxtailpass/internal/dispatch"
@@ -12,21 +13,29 @@
 const (
 	// parkPart is the part of its target for which a request waits for tokens.
 	parkPart = 0.5
-	// askPatience is how long the answer of the coordinator to a lack of tokens is waited for.
-	askPatience = 100 * time.Millisecond
+	// answerMargin is how much longer a request waits for the answer of the coordinator, which knows how
+	// long the request can wait.
+	answerMargin = 30 * time.Millisecond
+	// silentRetryAfter tells callers when to come back while the coordinator does not answer: by then it
+	// does, or the host goes on without it.
+	silentRetryAfter = 700 * time.Millisecond
 )
 
 // parkedRequest waits for the tokens of its workspace.
 type parkedRequest struct {
 	request *dispatch.Request
-	// lack is what it needs beyond the level of this host.
-	lack float64
-	// asked says that the coordinator has been told of the lack.
-	asked bool
-	// until is when to look again: tokens will be there, or the coordinator has not answered.
+	// ask identifies the question to the coordinator, zero while there is none.
+	ask uint64
+	// until is when to look again: tokens of this host's own will be there, or the coordinator has not
+	// answered.
 	until time.Time
 }
 
+// patience returns until when a request can wait for tokens.
+func patience(r *dispatch.Request) time.Time {
+	return r.Arrived.Add(time.Duration(parkPart * float64(r.Route.Target)))
+}
+
 // admit charges a request and queues it, or lets it wait for tokens.
 func (c *core) admit(r *dispatch.Request, now time.Time) {
 	lack, wait, ok := c.limiter.Admit(r.Workspace, r.Tokens, now)
@@ -34,31 +43,32 @@
 		c.enqueue(r, now)
 		return
 	}
-	p := &parkedRequest{request: r, lack: lack}
 	c.log.Info("Lacks tokens.", "request", r.ID, "workspace", r.Workspace, "tokens", r.Tokens, "lack", lack, "wait", wait,
-		"reserve_wait", c.limiter.ReserveWait(r.Workspace, now), "hosts", c.limiter.Hosts(), "coordinated", c.coordinated())
-	if c.coordinated() {
-		reserve := c.limiter.ReserveWait(r.Workspace, now)
-		if reserve == 0 {
-			p.until = now.Add(askPatience)
-			c.parked = append(c.parked, p)
-			return
-		}
-		wait = min(wait, reserve)
-	}
-	c.park(p, wait, now)
+		"hosts", c.limiter.Hosts(), "coordinated", c.coordinated())
+	c.lackTokens(r, lack, wait, now)
 }
 
-// park lets a request wait when its tokens will be there soon, and refuses it otherwise.
-func (c *core) park(p *parkedRequest, wait time.Duration, now time.Time) {
-	r := p.request
-	patience := time.Duration(parkPart * float64(r.Route.Target))
-	if at := now.Add(wait); at.Before(r.Arrived.Add(patience)) {
-		p.until = at
-		p.asked = true
-		c.parked = append(c.parked, p)
+// lackTokens lets a request wait for the coordinator, or without one for this host's own tokens, when
+// they can be there in time.
+func (c *core) lackTokens(r *dispatch.Request, lack float64, wait time.Duration, now time.Time) {
+	end := patience(r)
+	p := &parkedRequest{request: r}
+	switch {
+	case c.coordinated() && now.Before(end):
+		c.asks++
+		p.ask = c.asks
+		p.until = end.Add(answerMargin)
+		c.lacking = append(c.lacking, wire.TokenLack{ID: p.ask, Workspace: r.Workspace, Tokens: lack, Patience: end.Sub(now)})
+	case now.Add(wait).Before(end):
+		p.until = now.Add(wait)
+	default:
+		c.refuseTokens(r, wait)
 		return
 	}
+	c.parked = append(c.parked, p)
+}
+
+func (c *core) refuseTokens(r *dispatch.Request, wait time.Duration) {
 	c.finish(r, step{
 		reason:  dispatch.ReasonRateLimited,
 		refusal: &entity.Refusal{Status: 429, Code: string(dispatch.ReasonRateLimited), Ran: entity.NotRun, RetryAfter: wait},
@@ -70,76 +80,47 @@
 	waiting := c.parked
 	c.parked = nil
 	for _, p := range waiting {
-		if now.Before(p.until) {
+		switch {
+		case now.Before(p.until):
 			c.parked = append(c.parked, p)
-			continue
+		case p.ask != 0:
+			c.log.Info("No answer about tokens.", "request", p.request.ID, "workspace", p.request.Workspace)
+			c.refuseTokens(p.request, silentRetryAfter)
+		default:
+			c.readmit(p.request, now)
 		}
-		c.readmit(p, now)
 	}
 }
 
-// readmit tries a parked request again. What it still lacks is asked for once more unless the
-// coordinator has not answered.
-func (c *core) readmit(p *parkedRequest, now time.Time) {
-	r := p.request
+// readmit tries a parked request again.
+func (c *core) readmit(r *dispatch.Request, now time.Time) {
 	lack, wait, ok := c.limiter.Admit(r.Workspace, r.Tokens, now)
 	if ok {
 		c.enqueue(r, now)
 		return
 	}
-	p.lack = lack
-	if reserve := c.limiter.ReserveWait(r.Workspace, now); reserve > 0 {
-		wait = min(wait, reserve)
-	} else if p.asked && c.coordinated() && now.Sub(r.Arrived) < time.Duration(parkPart*float64(r.Route.Target)) {
-		p.asked = false
-		p.until = now.Add(askPatience)
-		c.parked = append(c.parked, p)
-		return
-	}
-	c.park(p, wait, now)
+	c.lackTokens(r, lack, wait, now)
 }
 
-// lacksTokens says whether there is a lack that the coordinator has not been told.
-func (c *core) lacksTokens() bool {
-	for _, p := range c.parked {
-		if !p.asked {
-			return true
-		}
-	}
-	return false
-}
-
-// lacks sums what parked requests lack, and marks them as asked for. The level of this host covers a part
-// of the first one only.
-func (c *core) lacks() []wire.TokenLack {
-	var out []wire.TokenLack
-	index := make(map[entity.WorkspaceID]int)
-	for _, p := range c.parked {
-		if p.asked {
-			continue
-		}
-		p.asked = true
-		id := p.request.Workspace
-		i, listed := index[id]
-		if !listed {
-			index[id] = len(out)
-			out = append(out, wire.TokenLack{Workspace: id, Tokens: p.lack, Requests: 1})
-			continue
-		}
-		out[i].Tokens += p.request.Tokens
-		out[i].Requests++
+// reparkAll tries all parked requests again, because the coordinator has come or gone.
+func (c *core) reparkAll(now time.Time) {
+	waiting := c.parked
+	c.parked = nil
+	c.lacking = nil
+	for _, p := range waiting {
+		c.readmit(p.request, now)
 	}
-	return out
 }
 
 // askTokens asks the coordinator for what parked requests lack.
 func (c *core) askTokens(now time.Time) {
-	if !c.coordinated() || !c.lacksTokens() {
+	if len(c.lacking) == 0 || !c.coordinated() {
 		return
 	}
-	ask := &wire.TokenAsk{Host: c.self, SentAt: now.UnixNano(), Lacks: c.lacks()}
+	ask := &wire.TokenAsk{Host: c.self, SentAt: now.UnixNano(), Lacks: c.lacking}
+	c.lacking = nil
 	if c.lead != nil {
-		c.tokensAnswered(c.answerTokens(ask, now), now)
+		c.tokensAsked(tokensAsked{ask: ask}, now)
 		return
 	}
 	if err := c.link.Send(ask); err != nil {
@@ -147,29 +128,73 @@
 	}
 }
 
-// tokensAnswered takes over the coordinator's answer to a lack of tokens.
+// tokensAnswered takes over the coordinator's answers to questions for tokens.
 func (c *core) tokensAnswered(m *wire.TokenAnswer, now time.Time) {
-	late := now.Sub(time.Unix(0, m.AnswerTo)) > quota.GrantTerm
 	for _, g := range m.Grants {
-		if late {
-			c.log.Warn("Granted tokens came too late.", "workspace", g.Workspace, "tokens", g.Tokens)
-			continue
+		c.tokenAnswered(g, now)
+	}
+}
+
+func (c *core) tokenAnswered(g wire.TokenGrant, now time.Time) {
+	i := slices.IndexFunc(c.parked, func(p *parkedRequest) bool { return p.ask == g.ID })
+	if i < 0 {
+		// The caller has left, or the answer came too late to be counted on.
+		c.log.Debug("Answer about tokens unused.", "workspace", g.Workspace, "tokens", g.Tokens)
+		return
+	}
+	p := c.parked[i]
+	c.parked = slices.Delete(c.parked, i, i+1)
+	if g.Tokens <= 0 {
+		c.refuseTokens(p.request, g.Wait)
+		return
+	}
+	c.limiter.Grant(g.Workspace, g.Tokens, now)
+	c.readmit(p.request, now)
+}
+
+// tokensAsked answers a host's question for tokens as coordinator, as far as it can be answered now.
+func (c *core) tokensAsked(e tokensAsked, now time.Time) {
+	if c.lead == nil {
+		return
+	}
+	host := e.ask.Host
+	var replies []quota.Reply
+	for _, lack := range e.ask.Lacks {
+		c.lead.shares.Asked(host, lack.Workspace, lack.Tokens, now)
+		a := quota.Ask{Host: host, ID: lack.ID, Workspace: lack.Workspace, Tokens: lack.Tokens, Until: now.Add(lack.Patience)}
+		if reply, ok := c.lead.reserve.Ask(a, now); ok {
+			replies = append(replies, reply)
 		}
-		c.limiter.Grant(g.Workspace, g.Tokens, now)
-		c.limiter.SetEmpty(g.Workspace, g.Wait, now)
-		c.readmitAll(g.Workspace, now)
 	}
+	c.replyTokens(replies, now)
 }
 
-// readmitAll tries the parked requests of a workspace that the coordinator was asked for.
-func (c *core) readmitAll(id entity.WorkspaceID, now time.Time) {
-	waiting := c.parked
-	c.parked = nil
-	for _, p := range waiting {
-		if p.request.Workspace != id || !p.asked {
-			c.parked = append(c.parked, p)
-			continue
+// replyTokens tells hosts what the reserve replies.
+func (c *core) replyTokens(replies []quota.Reply, now time.Time) {
+	byHost := make(map[entity.HostID]*wire.TokenAnswer)
+	for _, r := range replies {
+		answer := byHost[r.Host]
+		if answer == nil {
+			answer = &wire.TokenAnswer{}
+			byHost[r.Host] = answer
 		}
-		c.readmit(p, now)
+		answer.Grants = append(answer.Grants, wire.TokenGrant{ID: r.ID, Workspace: r.Workspace, Tokens: r.Tokens, Wait: r.Wait})
+	}
+	for host, answer := range byHost {
+		c.answerTokens(host, answer, now)
+	}
+}
+
+func (c *core) answerTokens(host entity.HostID, answer *wire.TokenAnswer, now time.Time) {
+	if host == c.self {
+		c.tokensAnswered(answer, now)
+		return
+	}
+	h := c.lead.hosts[host]
+	if h == nil || h.session == nil {
+		return
+	}
+	if err := h.session.Send(answer); err != nil {
+		c.log.Debug("Tokens not sent.", "host", host, "err", err)
 	}
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -30,8 +30,6 @@
 	// membershipMemory is how long a host that is no longer registered still counts: it may go on
 	// admitting until it notices that its registration is gone.
 	membershipMemory = 8 * time.Second
-	// GrantTerm is how long after the host asked for them granted tokens may be used.
-	GrantTerm = time.Second
 	// stockTerm is how long a host keeps granted tokens that its request did not need; stockMemory is
 	// how long the coordinator counts on them.
 	stockTerm   = 15 * time.Second
@@ -108,8 +106,6 @@
 	slack   Slack
 	catalog *catalog.Catalog
 	buckets map[entity.WorkspaceID]*bucket
-	// emptyUntil is when the reserve is expected to have tokens again.
-	emptyUntil map[entity.WorkspaceID]time.Time
 	// grantedAt is when tokens of a workspace were granted last.
 	grantedAt map[entity.WorkspaceID]time.Time
 	members   map[entity.HostID]time.Time
@@ -127,14 +123,13 @@
 // New returns a Limiter of a process that has just started. It has no fallback parts.
 func New(slack Slack, now time.Time) *Limiter {
 	return &Limiter{
-		aloneFrom:  now,
-		slack:      slack,
-		buckets:    make(map[entity.WorkspaceID]*bucket),
-		emptyUntil: make(map[entity.WorkspaceID]time.Time),
-		grantedAt:  make(map[entity.WorkspaceID]time.Time),
-		members:    make(map[entity.HostID]time.Time),
-		fallback:   make(map[entity.WorkspaceID]float64),
-		hosts:      1,
+		aloneFrom: now,
+		slack:     slack,
+		buckets:   make(map[entity.WorkspaceID]*bucket),
+		grantedAt: make(map[entity.WorkspaceID]time.Time),
+		members:   make(map[entity.HostID]time.Time),
+		fallback:  make(map[entity.WorkspaceID]float64),
+		hosts:     1,
 	}
 }
 
@@ -142,7 +137,6 @@
 func (l *Limiter) SetCatalog(c *catalog.Catalog, now time.Time) {
 	l.refillAll(now)
 	l.catalog = c
-	clear(l.emptyUntil)
 	for id, w := range c.Workspaces() {
 		b := l.bucket(id, now)
 		_, capacity := l.share(w, now)
@@ -158,7 +152,6 @@
 	l.refillAll(now)
 	l.coordinated = yes
 	l.aloneFrom = now.Add(aloneAfter)
-	clear(l.emptyUntil)
 	for id, b := range l.buckets {
 		if w := l.workspace(id); w != nil && yes {
 			_, capacity := l.share(w, now)
@@ -312,20 +305,6 @@
 	}
 }
 
-// SetEmpty takes over after which time the reserve will have tokens; zero means it has some.
-func (l *Limiter) SetEmpty(id entity.WorkspaceID, wait time.Duration, now time.Time) {
-	if wait <= 0 {
-		delete(l.emptyUntil, id)
-		return
-	}
-	l.emptyUntil[id] = now.Add(wait)
-}
-
-// ReserveWait returns the time until the reserve is expected to have tokens.
-func (l *Limiter) ReserveWait(id entity.WorkspaceID, now time.Time) time.Duration {
-	return max(l.emptyUntil[id].Sub(now), 0)
-}
-
 // Refund returns the tokens of a request that never ran.
 func (l *Limiter) Refund(id entity.WorkspaceID, tokens float64, now time.Time) {
 	w := l.workspace(id)
--- a/internal/quota/shares.go
+++ b/internal/quota/shares.go
@@ -19,7 +19,7 @@
 	evenDemand = 0.25
 	evenHosts  = 8
 	// assignInterval is the time between two assignments of fallback parts.
-	assignInterval = 2 * time.Second
+	assignInterval = time.Second
 	// smallChange is the change of a fallback part that is not worth a message, as a share of it.
 	smallChange = 0.25
 	// leastChange is the same as a part of the even share of one host.
@@ -241,10 +241,11 @@
 	spread := evenDemand * min(1, evenHosts*even)
 	for _, host := range open {
 		h := s.hosts[host]
-		target := available * even
-		if d := h.demand[id]; wanted > 0 {
+		// Without any demand most of the rate stays free for the hosts that will have it.
+		target := available * even * min(1, evenHosts*even)
+		if wanted > 0 {
 			part := 0.0
-			if d != nil {
+			if d := h.demand[id]; d != nil {
 				part = d.rate / wanted
 			}
 			target = available * (spread*even + (1-spread)*part)
--- a/internal/wire/coordination.go
+++ b/internal/wire/coordination.go
@@ -125,18 +125,20 @@
 	Value    []byte `msgpack:"v,omitempty"`
 }
 
-// TokenLack is what the waiting requests of one workspace lack at a host.
+// TokenLack is what one waiting request lacks.
 type TokenLack struct {
+	// ID identifies the request in the answer.
+	ID        uint64             `msgpack:"i"`
 	Workspace entity.WorkspaceID `msgpack:"w"`
 	Tokens    float64            `msgpack:"n"`
-	Requests  int                `msgpack:"r"`
+	// Patience is how long the request can wait for the tokens.
+	Patience time.Duration `msgpack:"p"`
 }
 
 // TokenAsk asks the coordinator for tokens.
 type TokenAsk struct {
 	Host entity.HostID `msgpack:"h"`
-	// SentAt is the sender's clock; the coordinator returns it, so that the term of granted tokens
-	// counts from the host's own clock.
+	// SentAt is the sender's clock.
 	SentAt int64       `msgpack:"t"`
 	Lacks  []TokenLack `msgpack:"l"`
 }
@@ -144,22 +146,21 @@
 // Kind implements Message.
 func (*TokenAsk) Kind() Kind { return KindTokenAsk }
 
-// TokenAnswer answers a TokenAsk.
+// TokenAnswer answers what a host has asked for, in one message or several.
 type TokenAnswer struct {
-	AnswerTo int64        `msgpack:"t"`
-	Grants   []TokenGrant `msgpack:"g"`
+	Grants []TokenGrant `msgpack:"g"`
 }
 
 // Kind implements Message.
 func (*TokenAnswer) Kind() Kind { return KindTokenAnswer }
 
-// TokenGrant is what the coordinator grants a host out of the reserve of a workspace.
+// TokenGrant is what the coordinator grants a request out of the reserve of its workspace.
 type TokenGrant struct {
+	ID        uint64             `msgpack:"i"`
 	Workspace entity.WorkspaceID `msgpack:"w"`
-	Tokens    float64            `msgpack:"n"`
-	// Wait is the time until the reserve can cover one more of the requests that lack tokens, zero when
-	// all was granted.
-	Wait time.Duration `msgpack:"t,omitempty"`
+	// Tokens is zero when the tokens cannot be there in time; Wait tells then when to come back.
+	Tokens float64       `msgpack:"n"`
+	Wait   time.Duration `msgpack:"t,omitempty"`
 }
 
 // Announcement tells a host who coordinates, so that it need not read the key-value service to learn it.
