--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -179,3 +179,26 @@
 		t.Errorf("%.2f is withheld from a host that is heard", got)
 	}
 }
+
+// Guards against a reserve that is empty for as long as one lost host stays registered: its parts are
+// unknown to a new coordinator (trouble-3 of Reykjavik grown, where the machine of the coordinator was
+// removed and a tenth of each rate was used for six seconds).
+func TestLostHostHoldsUpLittle(t *testing.T) {
+	for _, demand := range []bool{false, true} {
+		s := newFleetSim(63)
+		r := rand.New(rand.NewPCG(31, 1))
+		for end := s.now.Add(3 * time.Second); s.now.Before(end); {
+			s.now = s.now.Add(testStep)
+			if demand && r.Float64() < testStep.Seconds()*testRate*0.55/1200 {
+				s.request(r.IntN(16), 1200)
+			}
+			s.run()
+		}
+		s.connect(5, false)
+		s.shares.Lost("5")
+		s.newCoordinator()
+		if got := s.shares.Withheld(testIDs, s.now)["w"]; got > 0.2 {
+			t.Errorf("with demand %v: %.2f of the rate is withheld for one lost host", demand, got)
+		}
+	}
+}
--- a/internal/quota/shares.go
+++ b/internal/quota/shares.go
@@ -22,6 +22,8 @@
 	assignInterval = time.Second
 	// smallChange is the change of a fallback part that is not worth a message, as a share of it.
 	smallChange = 0.25
+	// largestPart bounds the part of one host, so that a host that is not heard holds up little of a rate.
+	largestPart = 0.3
 	// leastChange is the same as a part of the even share of one host.
 	leastChange = 0.5
 )
@@ -29,7 +31,7 @@
 // Shares is the coordinator's table of the fallback parts of all registered hosts. A part that a host
 // may use is not given to another before the host has confirmed a smaller one, or its registration has
 // ended. Parts of hosts that this coordinator has not heard yet are unknown; they count as whatever
-// the known ones leave.
+// the known ones leave, up to the largest part of a host.
 type Shares struct {
 	hosts      map[entity.HostID]*hostShares
 	version    uint64
@@ -152,10 +154,12 @@
 // Withheld returns the parts that hosts may use which are not heard, by workspace.
 func (s *Shares) Withheld(ids []entity.WorkspaceID, now time.Time) map[entity.WorkspaceID]float64 {
 	out := make(map[entity.WorkspaceID]float64, len(ids))
-	unknown := false
+	unknown := 0
 	sums := make(map[entity.WorkspaceID]float64, len(ids))
 	for _, h := range s.hosts {
-		unknown = unknown || !h.known
+		if !h.known {
+			unknown++
+		}
 		for id, part := range h.held {
 			sums[id] += part
 			if !h.connected(now) {
@@ -163,10 +167,9 @@
 			}
 		}
 	}
-	if unknown {
-		for _, id := range ids {
-			out[id] += max(reservePart-sums[id], 0)
-		}
+	most := float64(unknown) * max(largestPart, 1/float64(max(len(s.hosts), 1)))
+	for _, id := range ids {
+		out[id] += min(max(reservePart-sums[id], 0), most)
 	}
 	return out
 }
@@ -241,8 +244,7 @@
 	spread := evenDemand * min(1, evenHosts*even)
 	for _, host := range open {
 		h := s.hosts[host]
-		// Without any demand most of the rate stays free for the hosts that will have it.
-		target := available * even * min(1, evenHosts*even)
+		target := available * even
 		if wanted > 0 {
 			part := 0.0
 			if d := h.demand[id]; d != nil {
@@ -250,6 +252,7 @@
 			}
 			target = available * (spread*even + (1-spread)*part)
 		}
+		target = min(target, max(largestPart, even))
 		part := h.held[id]
 		if math.Abs(target-part) < max(smallChange*part, leastChange*available*even*spread) {
 			continue
