--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -33,7 +33,7 @@
 	maxPatience  = 1700 * time.Millisecond
 	// patienceSpread is the part of that time over which hosts spread their reads.
 	patienceSpread = 0.2
-	// failurePause is the pause after a failed read.
+	// failurePause is the pause after a failed read of the coordinator, and of a host that knows nothing.
 	failurePause = 150 * time.Millisecond
 	// pollWait is how long the service may hold a read without changes.
 	pollWait = time.Millisecond
@@ -149,13 +149,22 @@
 	err := w.read(ctx)
 	if err != nil {
 		w.failed(err, began)
-		w.nextRead = boottime.Now().Add(failurePause)
+		w.nextRead = boottime.Now().Add(w.failurePause())
 		return
 	}
 	w.succeeded(began)
 	w.nextRead = boottime.Now().Add(w.pause())
 }
 
+// failurePause is the pause after a failed read. In an outage one host that asks often is enough: the
+// coordinator tells the others when the service is back.
+func (w *watcher) failurePause() time.Duration {
+	if w.leads() || w.revision == 0 {
+		return failurePause
+	}
+	return w.pause()
+}
+
 // pause is the time between two reads while nothing is told.
 func (w *watcher) pause() time.Duration {
 	switch {
--- a/internal/swap/decide.go
+++ b/internal/swap/decide.go
@@ -27,6 +27,9 @@
 	// unusedTime is how long no host must have had a request for a model that is unloaded: the hosts'
 	// reports are behind, and an unload waits for requests that run.
 	unusedTime = 250 * time.Millisecond
+	// maxSearches bounds the looks over all engines for a place for one model in one decision. Models that
+	// get no look have theirs at the next tick, if they are still the ones with the most demand.
+	maxSearches = 6
 	// maxModels bounds the models of one engine that are looked at for eviction.
 	maxModels = 8
 )
@@ -55,6 +58,14 @@
 	return false
 }
 
+// follow takes the next step of an engine's task at once; everything else is decided at the next tick.
+func (s *Swapper) follow(r *replica, now time.Time) {
+	s.active = true
+	if s.catalog != nil && !s.paused && !now.Before(s.from) && s.replicas[r.up.ID] == r {
+		s.advance(r, now)
+	}
+}
+
 func (s *Swapper) decide(now time.Time) {
 	if s.dirty {
 		s.dirty = false
@@ -65,6 +76,7 @@
 		return
 	}
 	defer func() { s.active = s.wantsTicks() }()
+	s.searches = maxSearches
 	rows := s.sortedReplicas()
 	for _, r := range rows {
 		s.pollReport(r, now)
@@ -273,8 +285,13 @@
 	if e == nil || e.Models[key.model] == nil {
 		return false
 	}
-	if src == fromCopy {
+	switch {
+	case src == fromCopy:
 		rows = s.index.copiesOf(s, key)
+	case s.searches == 0:
+		return false
+	default:
+		s.searches--
 	}
 	var best *replica
 	var bestEvict []entity.ModelID
--- a/internal/swap/evict.go
+++ b/internal/swap/evict.go
@@ -10,7 +10,7 @@
 
 // eviction returns the cheapest set of models whose removal makes room for a size.
 func (s *Swapper) eviction(r *replica, e *catalog.Engine, neededMB float64, now time.Time) ([]entity.ModelID, float64, bool) {
-	room := e.WeightsMB - adapterReserveMB(e) - r.usedMB(e) - neededMB
+	room := e.WeightsMB - s.adapterMB[r.up.Service] - r.usedMB(e) - neededMB
 	if room >= 0 {
 		return nil, 0, true
 	}
--- a/internal/swap/orders.go
+++ b/internal/swap/orders.go
@@ -67,9 +67,9 @@
 
 // HandleAnswer takes over the answer to an order.
 func (s *Swapper) HandleAnswer(id uint64, a Answer, now time.Time) []Command {
-	if s.probes[id] != nil {
+	if r := s.probes[id]; r != nil {
 		s.probeAnswered(id, a, now)
-		s.decide(now)
+		s.follow(r, now)
 		return s.take()
 	}
 	r := s.orders[id]
@@ -95,7 +95,7 @@
 		r.unansweredAt = now
 		s.later(r, now)
 	}
-	s.decide(now)
+	s.follow(r, now)
 	return s.take()
 }
 
@@ -287,7 +287,7 @@
 	r.reading = false
 	s.up(r)
 	s.useReport(r, rep, now)
-	s.decide(now)
+	s.follow(r, now)
 	return s.take()
 }
 
--- a/internal/swap/swap.go
+++ b/internal/swap/swap.go
@@ -149,7 +149,11 @@
 	index         index
 	// storeBudgets bound how many loads start at the weight store, by service.
 	storeBudgets map[catalog.ServiceID]*storeBudget
-	parallel     parallelism
+	// adapterMB is the memory that full adapter places need, by service.
+	adapterMB map[catalog.ServiceID]float64
+	// searches is the number of looks over all engines that are left to the decision under way.
+	searches int
+	parallel parallelism
 	// version rises with every change of what replicas hold.
 	version uint64
 }
@@ -194,6 +198,7 @@
 		orders:       make(map[uint64]*replica),
 		probes:       make(map[uint64]*replica),
 		storeBudgets: make(map[catalog.ServiceID]*storeBudget),
+		adapterMB:    make(map[catalog.ServiceID]float64),
 		from:         from,
 		parallel:     newParallelism(),
 	}
@@ -215,7 +220,15 @@
 func (s *Swapper) SetPaused(paused bool) { s.paused = paused }
 
 // SetCatalog puts a configuration in force.
-func (s *Swapper) SetCatalog(c *catalog.Catalog) { s.catalog = c }
+func (s *Swapper) SetCatalog(c *catalog.Catalog) {
+	s.catalog = c
+	clear(s.adapterMB)
+	for id, svc := range c.Services() {
+		if svc.Engine != nil {
+			s.adapterMB[id] = adapterReserveMB(svc.Engine)
+		}
+	}
+}
 
 // SetUpstream takes over an entry of the list.
 func (s *Swapper) SetUpstream(u *fleet.Upstream, now time.Time) []Command {
