quota: the even part follows the number of hosts

At 7 hosts a fifth is split evenly now, at 63 and more a twentieth, which covers no request there anyway.

The simulated fleet lets requests wait for the reserve as the hosts do, for half of their target; refusals are counted by their own sizes. Its bounds are as they were.

--- a/internal/edge/lead.go
+++ b/internal/edge/lead.go
@@ -64,7 +64,7 @@
 	c.lead = &lead{
 		right:   *right,
 		swapper: swap.New(right.From, right.Token),
-		reserve: quota.NewReserve(c.bounds.quotaSlack()),
+		reserve: quota.NewReserve(c.bounds.quotaSlack(), c.limiter.Hosts()),
 		shares:  quota.NewShares(right.Token),
 		hosts:   make(map[entity.HostID]*hostSession),
 		states:  newStateTable(),
@@ -201,7 +201,7 @@
 	}
 	l := c.lead
 	ids := slices.Sorted(maps.Keys(c.catalog.Workspaces()))
-	l.reserve.SetWithheld(l.shares.Withheld(ids, now), now)
+	l.reserve.SetWithheld(l.shares.Withheld(ids, now), c.limiter.Hosts(), now)
 	if !c.effects.holds() {
 		return
 	}
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -59,7 +59,7 @@
 		r := rand.New(rand.NewPCG(11, 1))
 		s := newFleetSim(hosts)
 		s.pass(10 * time.Second)
-		large, largeRefused := 0.0, 0.0
+		large := 0.0
 		for range 60 * 200 {
 			s.now = s.now.Add(testStep)
 			if r.Float64() > testStep.Seconds()*testRate*0.55/1700 {
@@ -70,12 +70,10 @@
 				tokens = 8000
 				large++
 			}
-			before := s.refused
 			s.request(r.IntN(3)*hosts/3, tokens)
-			if s.refused > before && tokens > 1000 {
-				largeRefused++
-			}
 		}
+		s.pass(time.Second)
+		largeRefused := float64(s.refusedOver(1000))
 		if s.refused > 0.01*s.asked {
 			t.Errorf("%d hosts: %.0f of %.0f tokens were refused within the rate", hosts, s.refused, s.asked)
 		}
@@ -128,7 +126,7 @@
 		s.Heard(a.Host, a.Version, now)
 	}
 	first := s.Part("a", "w")
-	if sum := first + s.Part("b", "w"); first < s.Part("b", "w") || sum > reservePart+1e-9 {
+	if sum := first + s.Part("b", "w"); first < s.Part("b", "w") || sum > reservePart(2)+1e-9 {
 		t.Fatalf("parts %.3f and %.3f", first, s.Part("b", "w"))
 	}
 	now = now.Add(time.Minute)
@@ -139,8 +137,8 @@
 	if s.Part("a", "w") < first {
 		t.Error("a lowered part was taken as confirmed")
 	}
-	if sum := s.Part("a", "w") + s.Part("b", "w"); sum > reservePart+1e-9 {
-		t.Errorf("hosts may use %.3f of the rate, %.3f are theirs", sum, reservePart)
+	if sum := s.Part("a", "w") + s.Part("b", "w"); sum > reservePart(2)+1e-9 {
+		t.Errorf("hosts may use %.3f of the rate, %.3f are theirs", sum, reservePart(2))
 	}
 	s.Lost("a")
 	s.Heard("b", assigned[len(assigned)-1].Version, now)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -1,5 +1,5 @@
-// Package quota keeps each workspace within its rate over all hosts. A small part of every rate is
-// split evenly over the hosts; the rest is a reserve, out of which the coordinator grants tokens to
+// Package quota keeps each workspace within its rate over all hosts. A part of every rate, small over
+// many hosts, is split evenly over them; the rest is a reserve, out of which the coordinator grants tokens to
 // hosts with requests that their level does not cover.
 //
 // A host without a coordinator uses its fallback part instead of the reserve. Fallback parts follow
@@ -19,9 +19,12 @@
 )
 
 const (
-	// evenPart is the part of every rate that is split evenly over the hosts, reservePart the rest.
-	evenPart    = 0.1
-	reservePart = 1 - evenPart
+	// The part of every rate that is split evenly over the hosts is evenHosts of their shares, between
+	// leastEven and mostEven: few hosts keep some service while the coordinator is silent, at many hosts
+	// the even part covers no request.
+	evenHosts = 1.4
+	leastEven = 0.05
+	mostEven  = 0.2
 	// aloneAfter is how long a host must have been without a session before it uses its fallback part;
 	// ReportTerm is how long the coordinator counts on a host after its last report. A silent session
 	// ends later than ReportTerm.
@@ -99,7 +102,9 @@
 func (s Slack) overdraft() float64 { return s.Tokens / 4 }
 
 // aloneOverdraft is the same for a host without a coordinator that has a part of a rate.
-func (s Slack) aloneOverdraft(part float64) float64 { return s.Tokens / 2 * part / reservePart }
+func (s Slack) aloneOverdraft(part float64, hosts int) float64 {
+	return s.Tokens / 2 * part / reservePart(hosts)
+}
 
 // Limiter admits the requests of one host out of its own parts and of granted tokens.
 type Limiter struct {
@@ -225,6 +230,13 @@
 	b.refill(rate, capacity, now)
 }
 
+// evenPart is the part of every rate that is split evenly over the hosts, reservePart the rest.
+func evenPart(hosts int) float64 {
+	return min(max(evenHosts/float64(max(hosts, 1)), leastEven), mostEven)
+}
+
+func reservePart(hosts int) float64 { return 1 - evenPart(hosts) }
+
 func earliest(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -239,13 +251,13 @@
 
 func (l *Limiter) evenShare(w *catalog.Workspace) (rate, capacity float64) {
 	rate, burst := l.slack.limits(w)
-	part := evenPart / float64(l.hosts)
+	part := evenPart(l.hosts) / float64(l.hosts)
 	return rate * part, burst * part
 }
 
 // share returns this host's own part of a workspace's rate and burst.
 func (l *Limiter) share(w *catalog.Workspace, now time.Time) (rate, capacity float64) {
-	part := evenPart / float64(l.hosts)
+	part := evenPart(l.hosts) / float64(l.hosts)
 	if l.alone(now) {
 		part += l.fallback[w.ID]
 	}
@@ -288,7 +300,7 @@
 	}
 	overdraft := 0.0
 	if l.alone(now) {
-		overdraft = l.slack.aloneOverdraft(l.fallback[id])
+		overdraft = l.slack.aloneOverdraft(l.fallback[id], l.hosts)
 	}
 	lack = tokens - b.level - overdraft
 	wait, ok = b.take(tokens, overdraft, rate)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -39,20 +39,43 @@
 	shares   *Shares
 	term     int64
 	asks     uint64
+	waiting  map[uint64]waitingRequest
 	counted  time.Time
 	now      time.Time
 	admitted []admission
 	refused  float64
 	asked    float64
+	// refusals are the sizes of the refused requests.
+	refusals []float64
 }
 
+// refusedOver counts the refused requests above a size.
+func (s *fleetSim) refusedOver(tokens float64) int {
+	n := 0
+	for _, t := range s.refusals {
+		if t > tokens {
+			n++
+		}
+	}
+	return n
+}
+
+// waitingRequest waits for the reserve, testWait at most.
+type waitingRequest struct {
+	host   int
+	tokens float64
+}
+
+// testWait is half of the target of a live request.
+const testWait = 250 * time.Millisecond
+
 type admission struct {
 	at     time.Time
 	tokens float64
 }
 
 func newFleetSim(hosts int) *fleetSim {
-	s := &fleetSim{catalog: testCatalog(testRate, testBurst), now: testStart}
+	s := &fleetSim{catalog: testCatalog(testRate, testBurst), now: testStart, waiting: make(map[uint64]waitingRequest)}
 	for i := range hosts {
 		s.ids = append(s.ids, entity.HostID(fmt.Sprint(i)))
 	}
@@ -90,6 +113,9 @@
 
 // run lets the coordinator hear the hosts and assign fallback parts until now.
 func (s *fleetSim) run() {
+	for _, r := range s.reserve.Advance(s.now) {
+		s.replied(r)
+	}
 	for i, l := range s.limiters {
 		if !s.cut[i] {
 			s.shares.Heard(s.ids[i], l.FallbackVersion(), s.now)
@@ -99,7 +125,7 @@
 		return
 	}
 	s.counted = s.now
-	s.reserve.SetWithheld(s.shares.Withheld(testIDs, s.now), s.now)
+	s.reserve.SetWithheld(s.shares.Withheld(testIDs, s.now), len(s.ids), s.now)
 	for _, a := range s.shares.Assign(testIDs, s.now) {
 		i := slices.Index(s.ids, a.Host)
 		s.limiters[i].SetFallback(a.Parts, a.Version, s.now)
@@ -116,7 +142,11 @@
 
 func (s *fleetSim) newCoordinator() {
 	s.term++
-	s.reserve = NewReserve(testSlack)
+	for _, q := range s.waiting {
+		s.end(q.tokens, false)
+	}
+	clear(s.waiting)
+	s.reserve = NewReserve(testSlack, len(s.ids))
 	s.shares = NewShares(s.term)
 	s.shares.SetMembers(s.ids)
 	for i := range s.limiters {
@@ -138,13 +168,35 @@
 	if !ok && !s.cut[host] {
 		s.shares.Asked(s.ids[host], "w", lack, s.now)
 		s.asks++
-		if reply, replied := s.reserve.Ask(Ask{Host: s.ids[host], ID: s.asks, Workspace: "w", Tokens: lack, Until: s.now}, s.now); replied && reply.Tokens > 0 {
-			l.Grant("w", reply.Tokens, s.now)
-			_, _, ok = l.Admit("w", tokens, s.now)
+		s.waiting[s.asks] = waitingRequest{host: host, tokens: tokens}
+		a := Ask{Host: s.ids[host], ID: s.asks, Workspace: "w", Tokens: lack, Until: s.now.Add(testWait)}
+		if reply, replied := s.reserve.Ask(a, s.now); replied {
+			s.replied(reply)
 		}
+		return
+	}
+	s.end(tokens, ok)
+}
+
+// replied ends a request that has waited for the reserve.
+func (s *fleetSim) replied(r Reply) {
+	q, waits := s.waiting[r.ID]
+	if !waits {
+		return
 	}
+	delete(s.waiting, r.ID)
+	ok := false
+	if r.Tokens > 0 && !s.cut[q.host] {
+		s.limiters[q.host].Grant("w", r.Tokens, s.now)
+		_, _, ok = s.limiters[q.host].Admit("w", q.tokens, s.now)
+	}
+	s.end(q.tokens, ok)
+}
+
+func (s *fleetSim) end(tokens float64, ok bool) {
 	if !ok {
 		s.refused += tokens
+		s.refusals = append(s.refusals, tokens)
 		return
 	}
 	s.admitted = append(s.admitted, admission{at: s.now, tokens: tokens})
@@ -216,7 +268,6 @@
 	r := rand.New(rand.NewPCG(5, 1))
 	s := newFleetSim(8)
 	s.pass(10 * time.Second)
-	large, small := 0, 0
 	for range 40 * 200 {
 		s.now = s.now.Add(testStep)
 		if r.Float64() > testStep.Seconds()*testRate*0.8/1700 {
@@ -226,18 +277,11 @@
 		if r.IntN(10) == 0 {
 			tokens = 7000
 		}
-		before := s.refused
 		s.request(r.IntN(8), tokens)
-		if s.refused > before {
-			if tokens > 1000 {
-				large++
-			} else {
-				small++
-			}
-		}
 	}
-	if large > 4 {
-		t.Errorf("%d large requests were refused, %d small ones", large, small)
+	s.pass(time.Second)
+	if large := s.refusedOver(1000); large > 4 {
+		t.Errorf("%d large requests were refused, %d small ones", large, len(s.refusals)-large)
 	}
 }
 
@@ -245,7 +289,7 @@
 // asks twice its rate, a third of it lay unused (quiet-1 of the site of 295 hosts, after its limit was
 // lowered), and refused requests were told to come back within milliseconds.
 func TestOverloadedWorkspaceUsesItsRate(t *testing.T) {
-	r := NewReserve(Slack{})
+	r := NewReserve(Slack{}, 7)
 	r.SetCatalog(testCatalog(testRate, testBurst), testStart)
 	rng := rand.New(rand.NewPCG(21, 1))
 	now := testStart
@@ -269,7 +313,7 @@
 			}
 		}
 	}
-	if want := 0.95 * reservePart * testRate * steps * testStep.Seconds(); granted < want {
+	if want := 0.95 * reservePart(7) * testRate * steps * testStep.Seconds(); granted < want {
 		t.Errorf("%.0f tokens were granted, the reserve had %.0f", granted, want)
 	}
 	if returns > steps/500 {
@@ -279,7 +323,7 @@
 
 // Guards against large requests that wait behind all smaller ones.
 func TestAsksAreGrantedInOrder(t *testing.T) {
-	r := NewReserve(Slack{})
+	r := NewReserve(Slack{}, 7)
 	r.SetCatalog(testCatalog(testRate, testBurst), testStart)
 	later := testStart.Add(time.Hour)
 	for i, tokens := range []float64{9000, 100, 100} {
@@ -297,7 +341,7 @@
 
 // Guards against refused requests that are all told to come back at the same time.
 func TestReturnsAreSpread(t *testing.T) {
-	r := NewReserve(Slack{})
+	r := NewReserve(Slack{}, 7)
 	r.SetCatalog(testCatalog(testRate, testBurst), testStart)
 	var waits []time.Duration
 	for i := range 10 {
@@ -319,7 +363,7 @@
 	if _, _, ok := l.Admit("w", 100, testStart); ok {
 		t.Error("a process admitted tokens at its start")
 	}
-	r := NewReserve(testSlack)
+	r := NewReserve(testSlack, 7)
 	r.SetCatalog(testCatalog(testRate, testBurst), testStart)
 	if reply, _ := r.Ask(Ask{Host: "h", ID: 1, Workspace: "w", Tokens: 100, Until: testStart}, testStart); reply.Tokens > 0 {
 		t.Errorf("a new coordinator granted %.0f tokens at its start", reply.Tokens)
@@ -330,7 +374,7 @@
 func TestChangedRateCountsFromNow(t *testing.T) {
 	l := New(Slack{}, testStart)
 	l.SetCatalog(testCatalog(testRate, testBurst), testStart)
-	l.SetFallback(map[entity.WorkspaceID]float64{"w": reservePart}, 1, testStart)
+	l.SetFallback(map[entity.WorkspaceID]float64{"w": reservePart(1)}, 1, testStart)
 	l.SetRegistered(testStart.Add(time.Hour), testStart)
 	now := testStart.Add(10 * time.Second)
 	l.Admit("w", testBurst, now)
--- a/internal/quota/reserve.go
+++ b/internal/quota/reserve.go
@@ -23,8 +23,10 @@
 	slack   Slack
 	catalog *catalog.Catalog
 	rows    map[entity.WorkspaceID]*reserveRow
-	// withheld are the fallback parts of hosts that the coordinator does not hear.
+	// withheld are the fallback parts of hosts that the coordinator does not hear; hosts is the number of
+	// hosts that have an even part.
 	withheld map[entity.WorkspaceID]float64
+	hosts    int
 }
 
 // reserveRow is the reserve of one workspace.
@@ -87,21 +89,23 @@
 
 // NewReserve returns the reserve of a coordinator that has just taken over. It starts without burst,
 // and below zero by its overdraft, because its predecessor may have spent both just now.
-func NewReserve(slack Slack) *Reserve {
-	return &Reserve{slack: slack, rows: make(map[entity.WorkspaceID]*reserveRow), withheld: make(map[entity.WorkspaceID]float64)}
+func NewReserve(slack Slack, hosts int) *Reserve {
+	return &Reserve{slack: slack, hosts: hosts, rows: make(map[entity.WorkspaceID]*reserveRow), withheld: make(map[entity.WorkspaceID]float64)}
 }
 
 // share returns the reserve's part of a workspace's rate and burst.
 func (r *Reserve) share(w *catalog.Workspace) (rate, capacity float64) {
-	part := max(reservePart-r.withheld[w.ID], 0)
+	part := max(reservePart(r.hosts)-r.withheld[w.ID], 0)
 	rate, burst := r.slack.limits(w)
 	return rate * part, burst * part
 }
 
-// SetWithheld takes over the fallback parts that hosts may use which the coordinator does not hear.
-func (r *Reserve) SetWithheld(parts map[entity.WorkspaceID]float64, now time.Time) {
+// SetWithheld takes over the fallback parts that hosts may use which the coordinator does not hear, and
+// the number of hosts.
+func (r *Reserve) SetWithheld(parts map[entity.WorkspaceID]float64, hosts int, now time.Time) {
 	r.refillAll(now)
 	r.withheld = parts
+	r.hosts = hosts
 	for id, row := range r.rows {
 		if w := r.workspace(id); w != nil {
 			_, capacity := r.share(w)
--- a/internal/quota/shares.go
+++ b/internal/quota/shares.go
@@ -14,9 +14,9 @@
 	demandMemory = 10 * time.Second
 	// evenDemand is the part of the fallback parts that does not follow demand, because a host without
 	// requests of a workspace may get some. Over many hosts it would not cover one request at any, so
-	// no more than evenHosts of them count.
-	evenDemand = 0.25
-	evenHosts  = 8
+	// no more than evenDemandHosts of them count.
+	evenDemand      = 0.25
+	evenDemandHosts = 8
 	// assignInterval is the time between two assignments of fallback parts.
 	assignInterval = time.Second
 	// smallChange is the change of a fallback part that is not worth a message, as a share of it.
@@ -148,6 +148,9 @@
 	d.rate += tokens / demandMemory.Seconds()
 }
 
+// reservePart is the part of every rate that the fallback parts sum to.
+func (s *Shares) reservePart() float64 { return reservePart(len(s.hosts)) }
+
 func (h *hostShares) connected(now time.Time) bool { return h.known && now.Sub(h.heardAt) < ReportTerm }
 
 // Withheld returns the parts that hosts may use which are not heard, by workspace.
@@ -168,7 +171,7 @@
 	}
 	most := float64(unknown) * max(largestPart, 1/float64(max(len(s.hosts), 1)))
 	for _, id := range ids {
-		out[id] += min(max(reservePart-sums[id], 0), most)
+		out[id] += min(max(s.reservePart()-sums[id], 0), most)
 	}
 	return out
 }
@@ -234,13 +237,13 @@
 			wanted += d.rate
 		}
 	}
-	free := max(reservePart-sum, 0)
+	free := max(s.reservePart()-sum, 0)
 	available := own + free
 	if unknown {
 		free, available = 0, own
 	}
 	even := 1 / float64(len(open))
-	spread := evenDemand * min(1, evenHosts*even)
+	spread := evenDemand * min(1, evenDemandHosts*even)
 	for _, host := range open {
 		h := s.hosts[host]
 		target := available * even
