edge: a session with the coordinator begins when the coordinator has answered

Cause: a host took the connection for the session. The kernel of a frozen process accepts connections, so 56 of 62 hosts that had lost their sessions began them again 0.2 s later, asked the same frozen process for tokens and did not use their fallback parts. Class: liveness taken from the transport, not from the peer. Fix: a host sends its first report, goes on by itself, and counts on the coordinator when it has heard from it; the coordinator leaves the host's parts out of the reserve until the host's next report shows that.

--- a/internal/edge/coordination.go
+++ b/internal/edge/coordination.go
@@ -8,6 +8,7 @@
 	"github.com/foxtailpass/foxtailpass/internal/dispatch"
 	"github.com/foxtailpass/foxtailpass/internal/election"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/peer"
 	"github.com/foxtailpass/foxtailpass/internal/wire"
 )
 
@@ -25,8 +26,10 @@
 
 // reporter decides when this host reports to the coordinator.
 type reporter struct {
-	// begun says that the session has had its first report.
-	begun   bool
+	// begun says that the session has had its first report, confirmed that it has had one since the
+	// coordinator was heard on it.
+	begun, confirmed bool
+
 	sentAt  time.Time
 	waiting map[dispatch.Pool]int
 	running int
@@ -50,13 +53,29 @@
 	return h.Host
 }
 
+// linkDialed begins a session with the first report, which the coordinator answers. Until it does, this
+// host goes on by itself.
+func (c *core) linkDialed(s *peer.Session) {
+	c.link = s
+	c.linkBegun = false
+	c.reporter = reporter{}
+}
+
 func (c *core) linkChanged(e coordinatorLink, now time.Time) {
-	if e.up {
-		c.link = e.session
-		c.reporter = reporter{}
+	switch {
+	case e.up:
+		if c.link != e.session {
+			c.linkDialed(e.session)
+		}
+		c.linkBegun = true
+		c.heardAt = now
 		clear(c.states)
 		clear(c.indexes)
-	} else if c.link == e.session {
+	case c.link != e.session:
+	case !c.linkBegun:
+		c.link = nil
+		return
+	default:
 		c.link = nil
 		c.linkLostAt = now
 	}
@@ -71,16 +90,17 @@
 
 // report tells the coordinator what this host wants and uses, when that has changed.
 func (c *core) report(now time.Time) {
-	if !c.coordinated() {
+	if !c.coordinated() && (c.link == nil || c.reporter.begun) {
 		return
 	}
+	confirms := c.coordinated() && !c.reporter.confirmed
 	since := now.Sub(c.reporter.sentAt)
-	if since < urgentReport {
+	if since < urgentReport && !confirms {
 		return
 	}
 	waiting := c.scheduler.Waiting(now)
 	down := c.scheduler.Down(now)
-	urgent := !c.reporter.begun || c.newWaiting(waiting) || len(down) > c.reporter.down
+	urgent := !c.reporter.begun || confirms || c.newWaiting(waiting) || len(down) > c.reporter.down
 	if since < c.reportInterval() && !urgent {
 		return
 	}
@@ -95,6 +115,7 @@
 	r := c.compose(waiting, running, now)
 	r.Down = down
 	c.reporter.begun = true
+	c.reporter.confirmed = c.coordinated()
 	c.reporter.sentAt = now
 	c.reporter.running = total
 	c.reporter.down = len(down)
--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -64,8 +64,11 @@
 
 	// holder has the right to give orders.
 	holder *election.Holder
-	// link is the session with the coordinator, nil without one.
+	// link is the connection to the coordinator, nil without one. The session begins with the first
+	// message heard on it, at the latest of which heardAt is the time.
 	link       *peer.Session
+	linkBegun  bool
+	heardAt    time.Time
 	linkLostAt time.Time
 	// states is what the coordinator reported about the engines.
 	states map[entity.UpstreamID]wire.UpstreamState
@@ -158,13 +161,18 @@
 		c.holderChanged(e.holder)
 	case rightChanged:
 		c.rightChanged(e.right, now)
+	case coordinatorDialed:
+		c.linkDialed(e.session)
 	case coordinatorLink:
 		c.linkChanged(e, now)
 	case stateReceived:
+		c.heardAt = now
 		c.stateReceived(e.state, now)
 	case hostStateReceived:
+		c.heardAt = now
 		c.hostStateReceived(e.state, now)
 	case tokensAnswered:
+		c.heardAt = now
 		c.tokensAnswered(e.answer, now)
 	case tokensAsked:
 		c.tokensAsked(e, now)
@@ -388,11 +396,11 @@
 
 // linkCounts says whether the coordinator's report is newer than the list.
 func (c *core) linkCounts(now time.Time) bool {
-	return c.link != nil || c.lead != nil || now.Sub(c.linkLostAt) < linkMemory
+	return c.coordinated() || now.Sub(c.linkLostAt) < linkMemory
 }
 
 // coordinated says whether a coordinator can be asked for anything.
-func (c *core) coordinated() bool { return c.link != nil || c.lead != nil }
+func (c *core) coordinated() bool { return c.link != nil && c.linkBegun || c.lead != nil }
 
 // readyIn estimates when a pool that no upstream serves will have one.
 func (c *core) readyIn(p dispatch.Pool, now time.Time) (time.Duration, bool) {
--- a/internal/edge/dialer.go
+++ b/internal/edge/dialer.go
@@ -66,7 +66,8 @@
 	}
 }
 
-// serve runs one session with the coordinator.
+// serve runs one session with the coordinator. The session begins with the first message heard on it: the
+// kernel of a process that stands still accepts connections, too.
 func (d *dialer) serve(ctx context.Context, h election.Holder) {
 	s, err := peer.Dial(ctx, h.Addr)
 	if err != nil {
@@ -84,17 +85,29 @@
 		s.Close()
 		return
 	}
-	d.searching.Store(false)
-	d.log.Info("Session with the coordinator begun.", "host", h.Host)
-	d.send(coordinatorLink{session: s, up: true})
+	d.send(coordinatorDialed{session: s})
 	stop := context.AfterFunc(ctx, s.Close)
-	err = s.Run(func(m wire.Message) { d.received(s, m) })
+	begun := false
+	err = s.Run(func(m wire.Message) {
+		if !begun {
+			begun = true
+			d.begin(s, h)
+		}
+		d.received(s, m)
+	})
 	stop()
 	d.searching.Store(true)
-	d.log.Warn("Session with the coordinator lost.", "host", h.Host, "err", err)
+	d.log.Warn("Session with the coordinator lost.", "host", h.Host, "begun", begun, "err", err)
 	d.send(coordinatorLink{session: s})
 }
 
+// begin notes that the coordinator has answered.
+func (d *dialer) begin(s *peer.Session, h election.Holder) {
+	d.searching.Store(false)
+	d.log.Info("Session with the coordinator begun.", "host", h.Host)
+	d.send(coordinatorLink{session: s, up: true})
+}
+
 // received passes on a message of the coordinator.
 func (d *dialer) received(s *peer.Session, m wire.Message) {
 	told := true
--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -91,7 +91,11 @@
 	session *peer.Session
 }
 
-// coordinatorLink is a session with the coordinator that has begun or ended.
+// coordinatorDialed is a connection to the coordinator's address on which nothing has been heard yet.
+type coordinatorDialed struct{ session *peer.Session }
+
+// coordinatorLink is a session with the coordinator that has begun, because the coordinator has answered
+// on it, or ended.
 type coordinatorLink struct {
 	session *peer.Session
 	up      bool
@@ -147,6 +151,7 @@
 func (listAdvanced) isEvent()      {}
 func (registered) isEvent()        {}
 func (registrationLost) isEvent()  {}
+func (coordinatorDialed) isEvent() {}
 func (coordinatorLink) isEvent()   {}
 func (reportReceived) isEvent()    {}
 func (hostLost) isEvent()          {}
--- a/internal/edge/lead.go
+++ b/internal/edge/lead.go
@@ -150,14 +150,20 @@
 		l.hosts[r.Host] = h
 	}
 	if r.First {
-		l.shares.Begin(r.Host, r.Parts, now)
+		l.shares.Begin(r.Host, r.Parts)
+	}
+	if !r.First || h.session == nil {
+		l.shares.Heard(r.Host, r.PartsVersion, now)
 	}
-	l.shares.Heard(r.Host, r.PartsVersion, now)
 	h.heard(r, now)
 	if _, complete := c.list.Since(r.Revision); h.revision == 0 && complete {
 		h.revision = r.Revision
 	}
 	l.swapper.HandleHost(*r, now)
+	if r.First && h.session != nil {
+		// The host counts on this coordinator once it has heard from it.
+		c.tell(h, &wire.HostState{Estimates: c.estimatesFor(h, now)}, now)
+	}
 }
 
 // heard keeps what the next messages to the host depend on.
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	// sessionSilence ends a session on which nothing has arrived for so long. Both sides send at
+	// SessionSilence ends a session on which nothing has arrived for so long. Both sides send at
 	// least twice a second.
-	sessionSilence = 1100 * time.Millisecond
+	SessionSilence = 1100 * time.Millisecond
 	// sessionDialTimeout bounds the time until a connection stands.
 	sessionDialTimeout = 500 * time.Millisecond
 	// sessionQueue bounds the messages that wait to be written. A session that cannot keep up is
@@ -65,7 +65,7 @@
 }
 
 func newSession(conn net.Conn) *Session {
-	limitUnacknowledged(conn, sessionSilence)
+	limitUnacknowledged(conn, SessionSilence)
 	return &Session{conn: conn, out: make(chan Frame, sessionQueue), done: make(chan struct{})}
 }
 
@@ -81,7 +81,7 @@
 		return
 	}
 	_ = raw.Control(func(fd uintptr) {
-		// Without the option the session still ends by sessionSilence.
+		// Without the option the session still ends by SessionSilence.
 		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
 	})
 }
@@ -142,7 +142,7 @@
 		case <-s.done:
 			return
 		case frame := <-s.out:
-			_ = s.conn.SetWriteDeadline(time.Now().Add(sessionSilence))
+			_ = s.conn.SetWriteDeadline(time.Now().Add(SessionSilence))
 			if _, err := s.conn.Write(s.gather(frame)); err != nil {
 				s.Close()
 				return
@@ -169,7 +169,7 @@
 }
 
 func (s *Session) read(handle func(wire.Message)) error {
-	r := bufio.NewReaderSize(&deadlineConn{Conn: s.conn, silence: sessionSilence}, sessionBuffer)
+	r := bufio.NewReaderSize(&deadlineConn{Conn: s.conn, silence: SessionSilence}, sessionBuffer)
 	var buf bytes.Buffer
 	for {
 		b, err := readFrame(r, &buf, MaxFrameBytes)
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -119,7 +119,8 @@
 	s.SetMembers(ids)
 	now := testStart
 	for _, id := range ids {
-		s.Begin(id, nil, now)
+		s.Begin(id, nil)
+		s.Heard(id, 0, now)
 	}
 	s.Asked("a", "w", 1000, now)
 	for _, a := range s.Assign(testIDs, now) {
@@ -171,8 +172,9 @@
 // count as unknown for good: the reserve was empty all day.
 func TestSessionBeforeRegistration(t *testing.T) {
 	s := NewShares(1)
-	s.Begin("a", nil, testStart)
+	s.Begin("a", nil)
 	s.SetMembers([]entity.HostID{"a"})
+	s.Heard("a", 0, testStart)
 	if got := s.Withheld(testIDs, testStart)["w"]; got != 0 {
 		t.Errorf("%.2f is withheld from a host that is heard", got)
 	}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -107,7 +107,7 @@
 	s.limiters[i].SetCoordinated(yes, s.now)
 	if yes {
 		parts, _ := s.limiters[i].Fallback()
-		s.shares.Begin(s.ids[i], parts, s.now)
+		s.shares.Begin(s.ids[i], parts)
 	}
 }
 
--- a/internal/quota/shares.go
+++ b/internal/quota/shares.go
@@ -97,13 +97,14 @@
 	return h
 }
 
-// Begin takes over the parts that a host uses at the begin of its session.
-func (s *Shares) Begin(host entity.HostID, parts map[entity.WorkspaceID]float64, now time.Time) {
+// Begin takes over the parts that a host uses at the begin of its session. The host goes on using them
+// until it has heard from the coordinator, which its next report shows.
+func (s *Shares) Begin(host entity.HostID, parts map[entity.WorkspaceID]float64) {
 	h := s.row(host)
 	h.inSession = true
 	h.known = true
 	h.pending = false
-	h.heardAt = now
+	h.heardAt = time.Time{}
 	h.held = maps.Clone(parts)
 	if h.held == nil {
 		h.held = make(map[entity.WorkspaceID]float64)
