edge: requests wait for tokens that are expected soon

Cause: the patience of a request did not follow what the host knows: by when a silent session ends and the own parts count, and that a process which has just started is about to have its first coordinator. Fix: such a request is held until that time when it would still have the time of its target to run. A request that the coordinator leaves unanswered is held once. Without a coordinator callers are told to come back after 0.2 to 4 s. TestUnansweredRequestsWaitForOwnParts and TestNewProcessExpectsCoordinator failed before.

--- a/internal/edge/coordination.go
+++ b/internal/edge/coordination.go
@@ -69,6 +69,7 @@
 		}
 		c.linkBegun = true
 		c.heardAt = now
+		c.coordinatorDue = time.Time{}
 		clear(c.states)
 		clear(c.indexes)
 	case c.link != e.session:
--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -70,6 +70,8 @@
 	linkBegun  bool
 	heardAt    time.Time
 	linkLostAt time.Time
+	// coordinatorDue is until when a process that has just started expects its first coordinator.
+	coordinatorDue time.Time
 	// states is what the coordinator reported about the engines.
 	states map[entity.UpstreamID]wire.UpstreamState
 	// indexes names the upstreams by their index in messages of the coordinator.
@@ -313,6 +315,9 @@
 
 func (c *core) catalogChanged(cat *catalog.Catalog, now time.Time) {
 	c.logLimits(cat)
+	if c.catalog == nil {
+		c.coordinatorDue = now.Add(firstCoordinator)
+	}
 	c.catalog = cat
 	c.limiter.SetCatalog(cat, now)
 	if c.lead != nil {
--- a/internal/edge/silence_test.go
+++ b/internal/edge/silence_test.go
@@ -7,11 +7,31 @@
 	"testing"
 	"time"
 
+	"github.com/foxtailpass/foxtailpass/internal/catalog"
+	"github.com/foxtailpass/foxtailpass/internal/dispatch"
 	"github.com/foxtailpass/foxtailpass/internal/election"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/wire"
 )
 
+// arriveLacking lets a request arrive that the tokens of a test core do not cover.
+func arriveLacking(c *core, at time.Time) *ticket {
+	tk := newTicket()
+	r := &dispatch.Request{ID: "r", Workspace: "w", Tokens: 5000, Arrived: at, Deadline: at.Add(10 * time.Second),
+		Route: &catalog.Route{Target: 500 * time.Millisecond, MaxAttempts: 1}, Pool: dispatch.Pool{Service: "s"}}
+	c.handle(arrived{request: r, ticket: tk}, at)
+	return tk
+}
+
+func refused(tk *ticket) *entity.Refusal {
+	select {
+	case st := <-tk.steps:
+		return st.refusal
+	default:
+		return nil
+	}
+}
+
 // Guards against a fleet that refuses its callers while the coordinator stands still: the kernel of a
 // frozen process accepts connections, and hosts took each one for a session and asked it for tokens
 // instead of using their own parts (RECOVER and SHORT on the sites of 63 and 68 hosts).
@@ -46,6 +66,88 @@
 	}
 }
 
+// Guards against requests that are refused because a coordinator which has fallen silent does not answer:
+// the host may use its own parts a second later, long before their deadline.
+func TestUnansweredRequestsWaitForOwnParts(t *testing.T) {
+	c := newTestCore()
+	c.handle(registered{until: testStart.Add(time.Minute)}, testStart)
+	s, _ := newTestSession(t)
+	c.handle(coordinatorLink{session: s, up: true}, testStart)
+	c.handle(hostStateReceived{state: &wire.HostState{Parts: map[entity.WorkspaceID]float64{"w": 0.8}, PartsVersion: 1}}, testStart)
+	tk := arriveLacking(c, testStart)
+	for now := testStart; now.Before(testStart.Add(time.Second)); now = now.Add(15 * time.Millisecond) {
+		c.tick(now)
+		if r := refused(tk); r != nil {
+			t.Fatalf("refused with %d after %s", r.Status, now.Sub(testStart))
+		}
+	}
+	lost := testStart.Add(1100 * time.Millisecond)
+	c.handle(coordinatorLink{session: s}, lost)
+	for now := lost; now.Before(lost.Add(700 * time.Millisecond)); now = now.Add(15 * time.Millisecond) {
+		c.tick(now)
+	}
+	if len(c.parked) != 0 {
+		t.Error("the request still waits for tokens, though the parts of the host cover it")
+	}
+	if r := refused(tk); r != nil && r.Status == 429 {
+		t.Errorf("refused for lack of tokens, to come back after %s", r.RetryAfter)
+	}
+}
+
+// Guards against requests that are held for ever because a coordinator says things but does not answer.
+func TestUnansweredRequestsAreHeldOnce(t *testing.T) {
+	c := newTestCore()
+	s, _ := newTestSession(t)
+	c.handle(coordinatorLink{session: s, up: true}, testStart)
+	tk := arriveLacking(c, testStart)
+	for now := testStart; now.Before(testStart.Add(2500 * time.Millisecond)); now = now.Add(15 * time.Millisecond) {
+		c.handle(hostStateReceived{state: &wire.HostState{}}, now)
+		c.tick(now)
+	}
+	if r := refused(tk); r == nil || r.Status != 429 || r.RetryAfter != silentRetryAfter {
+		t.Errorf("refusal %+v", r)
+	}
+}
+
+// Guards against processes that refuse at once after a mass restart, with a Retry-After of up to a minute,
+// although the coordinator is there within a second (incident inc-c7c1).
+func TestNewProcessExpectsCoordinator(t *testing.T) {
+	c := newTestCore()
+	tk := arriveLacking(c, testStart.Add(200*time.Millisecond))
+	c.tick(testStart.Add(600 * time.Millisecond))
+	if r := refused(tk); r != nil {
+		t.Fatalf("refused at once, to come back after %s", r.RetryAfter)
+	}
+	s, received := newTestSession(t)
+	c.handle(coordinatorLink{session: s, up: true}, testStart.Add(800*time.Millisecond))
+	for {
+		select {
+		case m := <-received:
+			if ask, ok := m.(*wire.TokenAsk); ok {
+				if len(ask.Lacks) != 1 || ask.Lacks[0].Patience <= 0 {
+					t.Errorf("asked %+v", ask.Lacks)
+				}
+				return
+			}
+		case <-time.After(2 * time.Second):
+			t.Fatal("the coordinator is not asked for the tokens")
+		}
+	}
+}
+
+// Guards against callers that are told to stay away for a minute by a process without a coordinator.
+func TestRetryAfterWithoutCoordinatorIsShort(t *testing.T) {
+	c := newTestCore()
+	tk := arriveLacking(c, testStart.Add(5*time.Second))
+	r := refused(tk)
+	if r == nil || r.Status != 429 {
+		t.Fatalf("refusal %+v", r)
+	}
+	if r.RetryAfter > longestReturn || r.RetryAfter < shortestReturn {
+		t.Errorf("callers are told to come back after %s", r.RetryAfter)
+	}
+}
+
 // Guards against a host and the coordinator that both count on the same part of a rate: the host goes on
 // by itself until it has heard from the coordinator, which its second report shows.
 func TestPartsCountUntilTheHostHasHeard(t *testing.T) {
--- a/internal/edge/tokens.go
+++ b/internal/edge/tokens.go
@@ -6,6 +6,7 @@
 
 	"github.com/foxtailpass/foxtailpass/internal/dispatch"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/peer"
 	"github.com/foxtailpass/foxtailpass/internal/quota"
 	"github.com/foxtailpass/foxtailpass/internal/wire"
 )
@@ -19,13 +20,24 @@
 	// silentRetryAfter tells callers when to come back while the coordinator does not answer: by then it
 	// does, or the host goes on without it.
 	silentRetryAfter = 700 * time.Millisecond
+	// heldPatience is how much longer a request waits that was held until tokens were expected.
+	heldPatience = 250 * time.Millisecond
+	// firstCoordinator is how long after its configuration a new process expects its first coordinator.
+	firstCoordinator = 1500 * time.Millisecond
+	// shortestReturn and longestReturn bound what callers are told without a coordinator.
+	shortestReturn = 200 * time.Millisecond
+	longestReturn  = 4 * time.Second
 )
 
 // parkedRequest waits for the tokens of its workspace.
 type parkedRequest struct {
 	request *dispatch.Request
+	// end is until when the request can wait for tokens.
+	end time.Time
 	// ask identifies the question to the coordinator, zero while there is none.
 	ask uint64
+	// unanswered says that the coordinator has not answered in time.
+	unanswered bool
 	// until is when to look again: tokens of this host's own will be there, or the coordinator has not
 	// answered.
 	until time.Time
@@ -45,29 +57,63 @@
 	}
 	c.log.Info("Lacks tokens.", "request", r.ID, "workspace", r.Workspace, "tokens", r.Tokens, "lack", lack, "wait", wait,
 		"hosts", c.limiter.Hosts(), "coordinated", c.coordinated())
-	c.lackTokens(r, lack, wait, now)
+	c.lackTokens(&parkedRequest{request: r, end: patience(r)}, lack, wait, now)
 }
 
 // lackTokens lets a request wait for the coordinator, or without one for this host's own tokens, when
 // they can be there in time.
-func (c *core) lackTokens(r *dispatch.Request, lack float64, wait time.Duration, now time.Time) {
-	end := patience(r)
-	p := &parkedRequest{request: r}
+func (c *core) lackTokens(p *parkedRequest, lack float64, wait time.Duration, now time.Time) {
+	p.ask = 0
 	switch {
-	case c.coordinated() && now.Before(end):
+	case c.coordinated() && now.Before(p.end):
 		c.asks++
 		p.ask = c.asks
-		p.until = end.Add(answerMargin)
-		c.lacking = append(c.lacking, wire.TokenLack{ID: p.ask, Workspace: r.Workspace, Tokens: lack, Patience: end.Sub(now)})
-	case now.Add(wait).Before(end):
+		p.until = p.end.Add(answerMargin)
+		c.lacking = append(c.lacking, wire.TokenLack{ID: p.ask, Workspace: p.request.Workspace, Tokens: lack, Patience: p.end.Sub(now)})
+	case now.Add(wait).Before(p.end):
 		p.until = now.Add(wait)
+	case c.hold(p, now):
 	default:
-		c.refuseTokens(r, wait)
+		c.refuseTokens(p.request, c.comeBack(wait, now))
 		return
 	}
 	c.parked = append(c.parked, p)
 }
 
+// hold lets a request wait beyond its patience when tokens are expected soon and it would still have the
+// time of its target to run. A refused caller would meet the same silence when it comes back.
+func (c *core) hold(p *parkedRequest, now time.Time) bool {
+	due := c.tokensDue(now)
+	if !due.After(now) || !due.Add(p.request.Route.Target).Before(p.request.Deadline) {
+		return false
+	}
+	p.until = due
+	p.end = due.Add(heldPatience)
+	return true
+}
+
+// tokensDue returns when this host expects to have tokens although it gets no answer now: when it may use
+// its own parts without the coordinator, or when the first coordinator is there. A time that has passed
+// means that nothing is expected.
+func (c *core) tokensDue(now time.Time) time.Time {
+	if c.coordinated() {
+		return c.heardAt.Add(peer.SessionSilence + quota.AloneAfter)
+	}
+	if from, ok := c.limiter.FallbackFrom(); ok && from.After(now) {
+		return from
+	}
+	return c.coordinatorDue
+}
+
+// comeBack returns after which time a refused caller should come back, if this host's own tokens take a
+// while. A coordinator may be there sooner.
+func (c *core) comeBack(wait time.Duration, now time.Time) time.Duration {
+	if due := c.tokensDue(now).Sub(now); due > 0 && !c.coordinated() {
+		return max(min(wait, due), shortestReturn)
+	}
+	return min(wait, longestReturn)
+}
+
 func (c *core) refuseTokens(r *dispatch.Request, wait time.Duration) {
 	c.finish(r, step{
 		reason:  dispatch.ReasonRateLimited,
@@ -84,22 +130,32 @@
 		case now.Before(p.until):
 			c.parked = append(c.parked, p)
 		case p.ask != 0:
-			c.log.Info("No answer about tokens.", "request", p.request.ID, "workspace", p.request.Workspace)
-			c.refuseTokens(p.request, silentRetryAfter)
+			c.noAnswer(p, now)
 		default:
-			c.readmit(p.request, now)
+			c.readmit(p, now)
 		}
 	}
 }
 
+// noAnswer lets a request wait until the silence of the coordinator is decided, once.
+func (c *core) noAnswer(p *parkedRequest, now time.Time) {
+	if !p.unanswered && c.hold(p, now) {
+		p.unanswered = true
+		c.parked = append(c.parked, p)
+		return
+	}
+	c.log.Info("No answer about tokens.", "request", p.request.ID, "workspace", p.request.Workspace, "heard", now.Sub(c.heardAt))
+	c.refuseTokens(p.request, silentRetryAfter)
+}
+
 // readmit tries a parked request again.
-func (c *core) readmit(r *dispatch.Request, now time.Time) {
-	lack, wait, ok := c.limiter.Admit(r.Workspace, r.Tokens, now)
+func (c *core) readmit(p *parkedRequest, now time.Time) {
+	lack, wait, ok := c.limiter.Admit(p.request.Workspace, p.request.Tokens, now)
 	if ok {
-		c.enqueue(r, now)
+		c.enqueue(p.request, now)
 		return
 	}
-	c.lackTokens(r, lack, wait, now)
+	c.lackTokens(p, lack, wait, now)
 }
 
 // reparkAll tries all parked requests again, because the coordinator has come or gone.
@@ -108,7 +164,7 @@
 	c.parked = nil
 	c.lacking = nil
 	for _, p := range waiting {
-		c.readmit(p.request, now)
+		c.readmit(p, now)
 	}
 }
 
@@ -149,7 +205,7 @@
 		return
 	}
 	c.limiter.Grant(g.Workspace, g.Tokens, now)
-	c.readmit(p.request, now)
+	c.readmit(p, now)
 }
 
 // tokensAsked answers a host's question for tokens as coordinator, as far as it can be answered now.
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -25,10 +25,10 @@
 	evenHosts = 1.4
 	leastEven = 0.05
 	mostEven  = 0.2
-	// aloneAfter is how long a host must have been without a session before it uses its fallback part;
+	// AloneAfter is how long a host must have been without a session before it uses its fallback part;
 	// ReportTerm is how long the coordinator counts on a host after its last report. A silent session
 	// ends later than ReportTerm.
-	aloneAfter = 300 * time.Millisecond
+	AloneAfter = 300 * time.Millisecond
 	ReportTerm = 800 * time.Millisecond
 	// membershipMemory is how long a host that is no longer registered still counts: it may go on
 	// admitting until it notices that its registration is gone.
@@ -156,7 +156,7 @@
 	}
 	l.refillAll(now)
 	l.coordinated = yes
-	l.aloneFrom = now.Add(aloneAfter)
+	l.aloneFrom = now.Add(AloneAfter)
 	for id, b := range l.buckets {
 		if w := l.workspace(id); w != nil && yes {
 			_, capacity := l.share(w, now)
@@ -191,6 +191,12 @@
 	return maps.Clone(l.fallback), l.fallbackVersion
 }
 
+// FallbackFrom returns from when the fallback parts count, and whether there are any for a host that is
+// without a session.
+func (l *Limiter) FallbackFrom() (time.Time, bool) {
+	return l.aloneFrom, !l.coordinated && len(l.fallback) > 0 && l.aloneFrom.Before(l.registeredUntil)
+}
+
 // FallbackVersion returns the version of the last assignment of fallback parts.
 func (l *Limiter) FallbackVersion() uint64 { return l.fallbackVersion }
 
