edge: what an upstream says of itself in its answers goes before the list

A pause of all upstreams that outlasts a request is told to its caller at once. An answer to a misdirected request says nothing, because it may be that of another replica. Without the call of hear: 16 and 15 requests reached the replica (TestReplicaThatSaysItLeavesGetsNoWork, TestReplicaThatWantsAPauseGetsNone), and callers were told to come back after 0.2 s instead of 7 s (TestPauseOfAllReplicasIsToldAtOnce).

--- a/internal/dispatch/prompts.go
+++ b/internal/dispatch/prompts.go
@@ -50,7 +50,7 @@
 	}
 	var ranked []rankedTarget
 	for _, t := range s.byService[p.Service] {
-		if _, held := t.Held[p.Model]; !held || t.Draining {
+		if _, held := t.Held[p.Model]; !held || t.leaves() {
 			continue
 		}
 		h := fnv.New64a()
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -63,6 +63,8 @@
 	// unreachable holds the targets whose last attempt found no connection or no answer.
 	unreachable map[entity.UpstreamID]*target
 	affinity    map[string]entity.UpstreamID
+	// said is what upstreams have said of themselves. It outlives their rows.
+	said map[entity.UpstreamID]*statement
 	// stopBy is when the last request may be sent to an upstream, zero while the host does not stop.
 	stopBy time.Time
 	out    []Decision
@@ -79,6 +81,7 @@
 		budgets:     make(map[catalog.ServiceID]*Budget),
 		unreachable: make(map[entity.UpstreamID]*target),
 		affinity:    make(map[string]entity.UpstreamID),
+		said:        make(map[entity.UpstreamID]*statement),
 	}
 }
 
@@ -114,6 +117,7 @@
 		s.sortService(t.Service)
 	}
 	row.Target = t
+	row.said = s.statementOf(t)
 	s.fillService(t.Service, now)
 	return s.take()
 }
@@ -225,10 +229,7 @@
 		s.refuse(r, ReasonDeadline, shortestRetryAfter)
 		return
 	}
-	wait, known := time.Duration(0), true
-	if !s.served(r.Pool, now) {
-		wait, known = s.readyIn(r.Pool, now)
-	}
+	wait, known := s.servedIn(r.Pool, now)
 	switch {
 	case !s.stopBy.IsZero() && !now.Add(wait).Before(s.stopBy):
 		s.refuse(r, ReasonStopping, shortestRetryAfter)
@@ -247,14 +248,25 @@
 	return s.opts.ReadyIn(p, now)
 }
 
-// served says whether an upstream serves the pool, though it may be full.
-func (s *Scheduler) served(p Pool, now time.Time) bool {
+// servedIn estimates when an upstream serves the pool: at once, though it may be full, at the end of its
+// pause, or when a load has ended. known is false when nothing can be said.
+func (s *Scheduler) servedIn(p Pool, now time.Time) (wait time.Duration, known bool) {
 	for _, t := range s.byService[p.Service] {
-		if t.serves(p, now) {
-			return true
+		if !t.serves(p, now) {
+			continue
+		}
+		pause := t.paused(now)
+		if pause == 0 {
+			return 0, true
 		}
+		if !known || pause < wait {
+			wait, known = pause, true
+		}
+	}
+	if ready, ok := s.readyIn(p, now); ok && (!known || ready < wait) {
+		return ready, true
 	}
-	return false
+	return wait, known
 }
 
 // refuse ends a waiting request.
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -33,6 +33,8 @@
 	Service catalog.ServiceID
 	Addr    string
 	Domain  string
+	// BornMillis tells the starts of an upstream under one ID apart.
+	BornMillis int64
 	// Slots is the number of requests that run at once.
 	Slots int
 	// Draining targets get no new work.
@@ -62,6 +64,8 @@
 // target is one row of the upstream table: what is known of it and how it behaves.
 type target struct {
 	Target
+	// said is what the upstream has said of itself, nil if nothing.
+	said     *statement
 	inflight int
 	byPool   map[Pool]int
 	// others is the number of requests of other hosts at the time othersAt.
@@ -91,7 +95,7 @@
 
 // serves says whether the upstream can be given requests of a pool, whatever its load.
 func (t *target) serves(p Pool, now time.Time) bool {
-	if t.Draining || !t.holds(p) {
+	if t.leaves() || !t.holds(p) {
 		return false
 	}
 	until, absent := t.absent[p]
@@ -100,7 +104,7 @@
 
 // accepts says whether the upstream has room for another request now.
 func (t *target) accepts(now time.Time) bool {
-	if now.Before(t.ejected) || now.Before(t.fullTo) {
+	if now.Before(t.ejected) || now.Before(t.fullTo) || t.paused(now) > 0 {
 		return false
 	}
 	return t.load(now) < float64(max(t.Slots, 1))
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -95,7 +95,18 @@
 		"left", left, "route", s.route.Name, "workspace", s.request.Workspace, "tokens", s.request.Tokens, "model", s.request.Pool.Model, "adapter", s.request.Pool.Adapter,
 		"load", math.Round(st.seen.load*10)/10, "others_age", st.seen.othersAge, "source", st.target.Source, "config", st.seen.version,
 		"view_age", s.front.viewAge(now), "last_event", lastEvent)
-	return s.front.upstreams.Exchange(ctx, o)
+	ex, err := s.front.upstreams.Exchange(ctx, o)
+	if err == nil {
+		s.hear(st.target, &ex.Header)
+	}
+	return ex, err
+}
+
+// hear tells the control state what an upstream says of itself, before its answer is passed on.
+func (s *session) hear(t *dispatch.Target, h *fasthttp.ResponseHeader) {
+	if said := s.front.protocol.Judge(h).Said; !said.Empty() {
+		s.front.send(upstreamSaid{upstream: t.ID, bornMillis: t.BornMillis, said: said})
+	}
 }
 
 // allowed is asked just before the first byte leaves: the key must still be good by knowledge that
--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -145,6 +145,8 @@
 		c.arrived(e, now)
 	case attemptEnded:
 		c.attemptEnded(e.result, now)
+	case upstreamSaid:
+		c.upstreamSaid(e, now)
 	case callerGone:
 		c.callerGone(e.id, now)
 	case catalogChanged:
@@ -289,6 +291,17 @@
 	c.carryOut(decisions, now)
 }
 
+// upstreamSaid takes over what an upstream says of itself. It goes before the list, which may lag.
+func (c *core) upstreamSaid(e upstreamSaid, now time.Time) {
+	if e.said.Leaving && !c.scheduler.Leaves(e.upstream) {
+		c.log.Info("Upstream says that it leaves.", "upstream", e.upstream)
+	}
+	if e.said.Pause > 0 {
+		c.log.Info("Upstream wants a pause.", "upstream", e.upstream, "pause", e.said.Pause)
+	}
+	c.scheduler.Heard(e.upstream, e.bornMillis, e.said, now)
+}
+
 func (c *core) callerGone(id entity.RequestID, now time.Time) {
 	delete(c.tickets, id)
 	for i, p := range c.parked {
@@ -376,13 +389,14 @@
 		return
 	}
 	t := dispatch.Target{
-		ID:       u.ID,
-		Service:  u.Service,
-		Addr:     u.Addr,
-		Domain:   u.Domain,
-		Slots:    u.Slots,
-		Draining: u.Draining,
-		Held:     make(map[entity.ModelID][]entity.AdapterID),
+		ID:         u.ID,
+		Service:    u.Service,
+		Addr:       u.Addr,
+		Domain:     u.Domain,
+		BornMillis: u.BornMillis,
+		Slots:      u.Slots,
+		Draining:   u.Draining,
+		Held:       make(map[entity.ModelID][]entity.AdapterID),
 	}
 	t.Source = "list"
 	state, told := c.states[id]
@@ -428,7 +442,7 @@
 	m := svc.Engine.Models[p.Model]
 	copied := false
 	for _, u := range c.fleet.Rows() {
-		if u.Service != p.Service || u.Draining {
+		if u.Service != p.Service || u.Draining || c.scheduler.Leaves(u.ID) {
 			continue
 		}
 		for _, h := range u.Models {
--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -27,6 +27,13 @@
 // attemptEnded is the end of an attempt.
 type attemptEnded struct{ result dispatch.Result }
 
+// upstreamSaid is what an upstream said of itself in an answer.
+type upstreamSaid struct {
+	upstream   entity.UpstreamID
+	bornMillis int64
+	said       dispatch.Statement
+}
+
 // callerGone is a caller that has left.
 type callerGone struct{ id entity.RequestID }
 
@@ -138,6 +145,7 @@
 
 func (arrived) isEvent()           {}
 func (attemptEnded) isEvent()      {}
+func (upstreamSaid) isEvent()      {}
 func (callerGone) isEvent()        {}
 func (catalogChanged) isEvent()    {}
 func (upstreamsChanged) isEvent()  {}
--- a/internal/edge/protocol.go
+++ b/internal/edge/protocol.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/foxtailpass/foxtailpass/internal/catalog"
+	"github.com/foxtailpass/foxtailpass/internal/dispatch"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/fleet"
 	"github.com/foxtailpass/foxtailpass/internal/swap"
@@ -85,6 +86,8 @@
 	Misdirected bool
 	// Encoded answers carry a body that was changed on the way.
 	Encoded bool
+	// Said is what the upstream says of itself.
+	Said dispatch.Statement
 }
 
 // Notice names a part of a document that was left out.
