edge: single bytes are no progress of a stream

The wait for the next event began anew with every read, so a stream with a byte each 0.2 s was given up after 20 s, its deadline, where another upstream could have gone on with it after 1 s (TestStalledStreamWithSingleBytesIsGivenUp). The wait now lasts until a whole event is there.

--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -87,10 +87,11 @@
 	return n, nil
 }
 
-// fill reads until there is a whole event, or the stream has ended.
+// fill reads until there is a whole event, or the stream has ended. Silence lasts until a whole event is
+// there: single bytes are no progress.
 func (e *eventStream) fill() error {
+	e.limitSilence()
 	for {
-		e.limitSilence()
 		if cap(e.buf)-len(e.buf) < 512 {
 			e.buf = append(make([]byte, 0, 2*cap(e.buf)+2048), e.buf...)
 		}
--- a/internal/edge/stream_test.go
+++ b/internal/edge/stream_test.go
@@ -1,10 +1,18 @@
 package edge
 
 import (
+	"fmt"
+	"log/slog"
+	"net"
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
+	"github.com/foxtailpass/foxtailpass/internal/boottime"
 	"github.com/foxtailpass/foxtailpass/internal/catalog"
+	"github.com/foxtailpass/foxtailpass/internal/dispatch"
+	"github.com/foxtailpass/foxtailpass/internal/upstream"
 )
 
 // Guards against slow but sound streams that are cut: one whose upstream paused for a second was given up
@@ -30,3 +38,87 @@
 		}
 	}
 }
+
+// serveStream answers every connection with the head of a stream, one event, and then what write sends.
+func serveStream(t *testing.T, write func(net.Conn)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				_, _ = c.Read(make([]byte, 4096))
+				_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\nid: 1\ndata: x\n\n")
+				write(c)
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// openStream begins a resumable stream that another upstream could go on with.
+func openStream(t *testing.T, addr string) *eventStream {
+	t.Helper()
+	ex, err := upstream.NewClient().Exchange(t.Context(), upstream.ExchangeOptions{
+		Addr: addr, Head: []byte("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"), Deadline: time.Now().Add(20 * time.Second)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(ex.Close)
+	now := boottime.Now()
+	s := &session{front: &front{log: slog.New(slog.DiscardHandler)}, ctx: &fasthttp.RequestCtx{}, arrived: now,
+		route:   &catalog.Route{Kind: catalog.Streaming, Resumable: true, MaxAttempts: 2, Patience: 10 * time.Second},
+		request: &dispatch.Request{Deadline: now.Add(20 * time.Second)}}
+	e := &eventStream{session: s, ex: ex, step: step{alternatives: 1}, sent: true}
+	if err := e.fill(); err != nil {
+		t.Fatal(err)
+	}
+	e.buf, e.ready = e.buf[:0], 0
+	return e
+}
+
+// Guards against stalled streams that never end because a byte comes now and then: each one began the
+// wait for the next event anew.
+func TestStalledStreamWithSingleBytesIsGivenUp(t *testing.T) {
+	e := openStream(t, serveStream(t, func(c net.Conn) {
+		for {
+			if _, err := c.Write([]byte("d")); err != nil {
+				return
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+	}))
+	began := time.Now()
+	if err := e.fill(); err == nil {
+		t.Fatal("an event was read from single bytes")
+	}
+	if took := time.Since(began); took < eventLimit-50*time.Millisecond || took > 2*eventLimit {
+		t.Errorf("given up after %s, want about %s", took, eventLimit)
+	}
+}
+
+// Guards against slow but sound streams that are cut: each whole event begins the wait anew.
+func TestSlowSoundStreamGoesOn(t *testing.T) {
+	e := openStream(t, serveStream(t, func(c net.Conn) {
+		for i := 2; i < 6; i++ {
+			time.Sleep(700 * time.Millisecond)
+			_, _ = fmt.Fprintf(c, "id: %d\n", i)
+			time.Sleep(100 * time.Millisecond)
+			_, _ = fmt.Fprint(c, "data: x\n\n")
+		}
+	}))
+	for i := 2; i < 6; i++ {
+		if err := e.fill(); err != nil {
+			t.Fatalf("event %d: %v", i, err)
+		}
+		e.buf, e.ready = e.buf[:0], 0
+	}
+}
