upstream: heads, trailers and other requests' answers without end are given up

An upstream may send bytes that are no answer until its caller closes. Of twelve such answers three were read until the deadline of the request (15 s in the test): interim answers of status 1xx, trailers of a chunked body, and the body of an answer to another request. Their number and size are bounded now; the other nine were bounded before. TestAnswersWithoutEndAreGivenUp failed for these three; it also checks memory and that the connection is closed.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -23,6 +23,10 @@
 	backgroundBody = 8 << 10
 	// strayAnswers bounds the answers to other requests that are passed over on one connection.
 	strayAnswers = 3
+	// interimAnswers bounds the answers of status 1xx before the final one, trailerLines the lines after the
+	// last chunk.
+	interimAnswers = 16
+	trailerLines   = 64
 	// keepAliveMargin is how long before the upstream's own idle timeout a connection is given up.
 	keepAliveMargin = time.Second
 	// freshFor is how long after its last answer a kept connection may carry a request that must
@@ -35,6 +39,8 @@
 // ErrSilent is the cause of a Failure when the header of the answer did not arrive in time.
 var ErrSilent = errors.New("upstream: no answer in time")
 
+var errEndless = errors.New("upstream: answer without end")
+
 // ExchangeOptions describes one attempt whose request has been written out by the caller.
 type ExchangeOptions struct {
 	Addr string
@@ -131,12 +137,15 @@
 
 // readHead reads headers until the final one of this request's answer.
 func (e *Exchange) readHead(o ExchangeOptions) error {
-	for stray := 0; ; {
+	for stray, interim := 0, 0; ; {
 		if err := e.Header.Read(e.conn.r); err != nil {
 			return err
 		}
 		status := e.Header.StatusCode()
 		if status < fasthttp.StatusOK {
+			if interim++; interim > interimAnswers {
+				return errEndless
+			}
 			continue
 		}
 		e.prepareBody(o.NoBody)
@@ -148,13 +157,22 @@
 		if stray > strayAnswers || e.unframed {
 			return errors.New("answers of other requests")
 		}
-		if _, err := io.Copy(io.Discard, e); err != nil {
+		if err := e.skipBody(); err != nil {
 			return err
 		}
 		e.complete = false
 	}
 }
 
+// skipBody passes over the body of an answer to another request.
+func (e *Exchange) skipBody() error {
+	n, err := io.Copy(io.Discard, io.LimitReader(e, maxBuffered+1))
+	if err == nil && n > maxBuffered {
+		err = errEndless
+	}
+	return err
+}
+
 func (e *Exchange) prepareBody(noBody bool) {
 	status := e.Header.StatusCode()
 	length := e.Header.ContentLength()
@@ -211,7 +229,7 @@
 
 // skipTrailer reads the lines after the last chunk.
 func (e *Exchange) skipTrailer() error {
-	for {
+	for range trailerLines {
 		line, err := e.conn.r.ReadSlice('\n')
 		if errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
@@ -223,6 +241,7 @@
 			return nil
 		}
 	}
+	return errEndless
 }
 
 // Whole reads the rest of the body.
