standin: two red tests waited for less time than a busy machine takes

TestOrdersOverHTTP: the order was kept back for 100 ms, and the restart that must come before it was a call that a timer began after 20 ms. The order is kept back for 2 s now, and the check that nothing is left of it waits until those are over. The meaning of the calls is the subject, so its client waits for 20 s. The other tests keep their 500 ms. Ruled out: faults of the stand-ins themselves; what the tests check is unchanged.

--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -337,8 +337,10 @@
 	if _, _, err := load("lost", 1); err == nil || stateOf(e, "lost") == "" {
 		t.Fatalf("lost answer: %v, state %q", err, stateOf(e, "lost"))
 	}
-	faults(`{"set":[{"kind":"order_delay","count":1,"delay_ms":100}]}`)
+	const orderDelay = 2 * time.Second
+	faults(fmt.Sprintf(`{"set":[{"kind":"order_delay","count":1,"delay_ms":%d}]}`, orderDelay.Milliseconds()))
 	boot := e.Boot()
+	sent := time.Now()
 	time.AfterFunc(20*time.Millisecond, func() {
 		// The restart may close this connection before the answer.
 		_, _, _, _ = post(e, "/standin/faults", "", `{"set":[{"kind":"restart"}]}`)
@@ -347,7 +349,7 @@
 		t.Fatal("the order outlived the process that received it")
 	}
 	waitFor(t, func() bool { return e.Boot() != boot })
-	time.Sleep(100 * time.Millisecond)
+	time.Sleep(time.Until(sent.Add(orderDelay + 100*time.Millisecond)))
 	if got := e.Report().Entries; len(got) != 0 {
 		t.Fatalf("entries after the restart: %+v", got)
 	}
--- a/internal/standin/kv/kv_test.go
+++ b/internal/standin/kv/kv_test.go
@@ -13,7 +13,15 @@
 	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 )
 
+// callTimeout bounds the calls of tests that lose answers.
+const callTimeout = 500 * time.Millisecond
+
 func serve(t *testing.T, s *Store) (*kvstore.Client, string) {
+	t.Helper()
+	return serveWithin(t, s, callTimeout)
+}
+
+func serveWithin(t *testing.T, s *Store, timeout time.Duration) (*kvstore.Client, string) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -23,7 +31,7 @@
 	go func() { _ = srv.Serve(ln) }()
 	t.Cleanup(func() { _ = srv.Close() })
 	addr := ln.Addr().String()
-	c, err := kvstore.NewClient(kvstore.Options{Endpoints: []string{addr}, Prefix: "p/", Timeout: 500 * time.Millisecond})
+	c, err := kvstore.NewClient(kvstore.Options{Endpoints: []string{addr}, Prefix: "p/", Timeout: timeout})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -36,7 +44,8 @@
 
 // Guards against the store and the client-server pair disagreeing about the meaning of KV.
 func TestKVSemantics(t *testing.T) {
-	client, _ := serve(t, NewStore(Options{}))
+	// A value of a megabyte takes a fifth of a second under the race detector on a busy machine.
+	client, _ := serveWithin(t, NewStore(Options{}), 20*time.Second)
 	for name, kv := range map[string]kvstore.KV{"store": NewStore(Options{}), "http": client} {
 		t.Run(name, func(t *testing.T) {
 			ctx := t.Context()
