edge: held requests wait for this host's own tokens

A held request now waits up to 1.5 s for own tokens while the coordinator is away, and 0.25 s for an answer of the next one, because others wait behind it there.

--- a/internal/edge/tokens.go
+++ b/internal/edge/tokens.go
@@ -20,8 +20,10 @@
 	// silentRetryAfter tells callers when to come back while the coordinator does not answer: by then it
 	// does, or the host goes on without it.
 	silentRetryAfter = 700 * time.Millisecond
-	// heldPatience is how much longer a request waits that was held until tokens were expected.
-	heldPatience = 250 * time.Millisecond
+	// heldPatience is how much longer a request that was held until tokens were expected waits for tokens of
+	// this host, heldAskPatience for an answer of the coordinator, where others wait behind it.
+	heldPatience    = 1500 * time.Millisecond
+	heldAskPatience = 250 * time.Millisecond
 	// firstCoordinator is how long after its configuration a new process expects its first coordinator.
 	firstCoordinator = 1500 * time.Millisecond
 	// shortestReturn and longestReturn bound what callers are told without a coordinator.
@@ -32,8 +34,9 @@
 // parkedRequest waits for the tokens of its workspace.
 type parkedRequest struct {
 	request *dispatch.Request
-	// end is until when the request can wait for tokens.
-	end time.Time
+	// end is until when the request can wait for tokens; heldTo is the same for a request that is held
+	// beyond it, zero otherwise.
+	end, heldTo time.Time
 	// ask identifies the question to the coordinator, zero while there is none.
 	ask uint64
 	// unanswered says that the coordinator has not answered in time.
@@ -48,6 +51,24 @@
 	return r.Arrived.Add(time.Duration(parkPart * float64(r.Route.Target)))
 }
 
+// patience returns until when the request waits for what can be had now.
+func (p *parkedRequest) patience(coordinated bool, now time.Time) time.Time {
+	switch {
+	case p.heldTo.IsZero():
+		return p.end
+	case coordinated:
+		return earliest(p.heldTo, now.Add(heldAskPatience))
+	}
+	return p.heldTo
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // admit charges a request and queues it, or lets it wait for tokens.
 func (c *core) admit(r *dispatch.Request, now time.Time) {
 	lack, wait, ok := c.limiter.Admit(r.Workspace, r.Tokens, now)
@@ -64,13 +85,14 @@
 // they can be there in time.
 func (c *core) lackTokens(p *parkedRequest, lack float64, wait time.Duration, now time.Time) {
 	p.ask = 0
+	end := p.patience(c.coordinated(), now)
 	switch {
-	case c.coordinated() && now.Before(p.end):
+	case c.coordinated() && now.Before(end):
 		c.asks++
 		p.ask = c.asks
-		p.until = p.end.Add(answerMargin)
-		c.lacking = append(c.lacking, wire.TokenLack{ID: p.ask, Workspace: p.request.Workspace, Tokens: lack, Patience: p.end.Sub(now)})
-	case now.Add(wait).Before(p.end):
+		p.until = end.Add(answerMargin)
+		c.lacking = append(c.lacking, wire.TokenLack{ID: p.ask, Workspace: p.request.Workspace, Tokens: lack, Patience: end.Sub(now)})
+	case now.Add(wait).Before(end):
 		p.until = now.Add(wait)
 	case c.hold(p, now):
 	default:
@@ -84,11 +106,12 @@
 // time of its target to run. A refused caller would meet the same silence when it comes back.
 func (c *core) hold(p *parkedRequest, now time.Time) bool {
 	due := c.tokensDue(now)
-	if !due.After(now) || !due.Add(p.request.Route.Target).Before(p.request.Deadline) {
+	last := p.request.Deadline.Add(-p.request.Route.Target)
+	if !due.After(now) || !due.Before(last) {
 		return false
 	}
 	p.until = due
-	p.end = due.Add(heldPatience)
+	p.heldTo = earliest(due.Add(heldPatience), last)
 	return true
 }
 
