One unexpected message or error ends its request or session, not the process

Nothing recovered a panic in the goroutine of a request, of a stream or of a session between hosts. - A panic while a request or stream is served ends that one with 500 or a closed connection, and is logged with its stack (TestPanicEndsOnlyItsRequest, TestPanicEndsOnlyItsStream); one in a session ends the session (TestPanicEndsOnlyItsSession). The control state is not continued after a panic of its own: it may be broken. - Sizes that a caller states were added as integers. Two large ones overflowed to less than nothing and filled the bucket of the workspace (TestHugeTokenCountsDoNotOverflow). - Parts of rates and numbers of tokens in messages of other processes were taken as they came; NaN or infinity ended the limit of a workspace (TestAnyPeerMessageIsSurvived, 2,000 random messages: a host got more than the burst). They are checked where they enter the quota package.

--- /dev/null
+++ b/internal/edge/contain_test.go
@@ -0,0 +1,122 @@
+package edge
+
+import (
+	"errors"
+	"log/slog"
+	"math"
+	"math/rand/v2"
+	"reflect"
+	"strings"
+	"testing"
+	"testing/quick"
+	"time"
+
+	randv1 "math/rand"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/foxtailpass/foxtailpass/internal/catalog"
+	"github.com/foxtailpass/foxtailpass/internal/election"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/wire"
+)
+
+// panickingProtocol fails at every request.
+type panickingProtocol struct{ testProtocol }
+
+func (panickingProtocol) Describe(*fasthttp.RequestHeader) Description { panic("unexpected header") }
+
+// Guards against an unexpected error in one request that takes the process, and all other requests, down.
+func TestPanicEndsOnlyItsRequest(t *testing.T) {
+	var logged strings.Builder
+	f := newFront(&front{protocol: panickingProtocol{}, send: func(event) {}, log: slog.New(slog.NewTextHandler(&logged, nil))})
+	ctx := &fasthttp.RequestCtx{}
+	f.handle(ctx)
+	if got := ctx.Response.StatusCode(); got != fasthttp.StatusInternalServerError {
+		t.Errorf("status %d; a request that may have run is promised nothing", got)
+	}
+	if n := f.active.Load(); n != 0 {
+		t.Errorf("%d requests count as active", n)
+	}
+	if !strings.Contains(logged.String(), "unexpected header") || !strings.Contains(logged.String(), "contain_test.go") {
+		t.Errorf("logged %q", logged.String())
+	}
+}
+
+// Guards against a panic in a stream, which runs in the HTTP server after the handler has returned.
+func TestPanicEndsOnlyItsStream(t *testing.T) {
+	s := &session{front: &front{log: slog.New(slog.DiscardHandler)}, route: &catalog.Route{}}
+	e := &eventStream{session: s}
+	if _, err := e.Read(make([]byte, 10)); !errors.Is(err, errStreamBroken) {
+		t.Errorf("error %v", err)
+	}
+}
+
+// Guards against callers whose stated sizes add up to less than nothing: such a request filled the bucket of
+// its workspace instead of charging it.
+func TestHugeTokenCountsDoNotOverflow(t *testing.T) {
+	s := &session{front: &front{}, route: &catalog.Route{Split: []catalog.Share{{Service: "s", Weight: 1}}}, arrived: testStart,
+		ask: Description{PromptTokens: math.MaxInt, OutputTokens: math.MaxInt, Sized: true}}
+	_ = s.compose(catalog.New(catalog.Document{Version: 1}), nil)
+	if s.request.Tokens < math.MaxInt {
+		t.Errorf("the request costs %.0f tokens", s.request.Tokens)
+	}
+}
+
+// peerMessages are the messages that a host or the coordinator takes from another process.
+var peerMessages = []wire.Message{
+	&wire.HostReport{}, &wire.TokenAsk{}, &wire.FleetState{}, &wire.HostState{}, &wire.TokenAnswer{},
+}
+
+// Guards against a message of another process that is well formed but means nonsense: it must neither end
+// this one nor spoil its limits.
+func TestAnyPeerMessageIsSurvived(t *testing.T) {
+	r := randv1.New(randv1.NewSource(7))
+	odd := rand.New(rand.NewPCG(7, 7))
+	for _, leads := range []bool{false, true} {
+		c := newTestCore()
+		if leads {
+			c.handle(rightChanged{right: &election.Right{Token: 3, From: testStart}}, testStart)
+		}
+		s, _ := newTestSession(t)
+		c.handle(coordinatorLink{session: s, up: true}, testStart)
+		now := testStart
+		for range 2000 {
+			now = now.Add(10 * time.Millisecond)
+			prototype := peerMessages[odd.IntN(len(peerMessages))]
+			v, ok := quick.Value(reflect.TypeOf(prototype).Elem(), r)
+			if !ok {
+				t.Fatalf("no value of %T", prototype)
+			}
+			m := reflect.New(v.Type())
+			m.Elem().Set(v)
+			switch m := m.Interface().(type) {
+			case *wire.HostReport:
+				c.handle(reportReceived{report: m, session: s}, now)
+			case *wire.TokenAsk:
+				for i := range m.Lacks {
+					m.Lacks[i].Workspace = "w"
+					m.Lacks[i].Tokens = []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1e18, m.Lacks[i].Tokens}[odd.IntN(5)]
+				}
+				c.handle(tokensAsked{ask: m, session: s}, now)
+			case *wire.FleetState:
+				c.handle(stateReceived{state: m}, now)
+			case *wire.HostState:
+				m.Parts = map[entity.WorkspaceID]float64{"w": []float64{math.NaN(), math.Inf(1), -5, 7}[odd.IntN(4)]}
+				c.handle(hostStateReceived{state: m}, now)
+			case *wire.TokenAnswer:
+				c.handle(tokensAnswered{answer: m}, now)
+			}
+			c.tick(now)
+		}
+		c.handle(coordinatorLink{session: s}, now)
+		c.handle(registered{until: now.Add(time.Hour)}, now)
+		now = now.Add(time.Minute)
+		if _, _, ok := c.limiter.Admit("w", 30000, now); ok {
+			t.Errorf("leads %v: nonsense gave this host more than the burst of the workspace", leads)
+		}
+		if _, _, ok := c.limiter.Admit("w", 500, now); !ok {
+			t.Errorf("leads %v: nonsense leaves this host without tokens", leads)
+		}
+	}
+}
--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"runtime/debug"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -88,7 +89,9 @@
 // handle serves one request.
 func (f *front) handle(ctx *fasthttp.RequestCtx) {
 	f.active.Add(1)
-	s := f.newSession(ctx)
+	s := &session{front: f, ctx: ctx, arrived: boottime.Now(), cancel: func() {}, stopWatch: func() {}}
+	defer s.contain()
+	s.begin()
 	if refusal := s.check(); refusal != nil {
 		s.refuse(*refusal)
 		s.end()
@@ -113,22 +116,45 @@
 	cancel    context.CancelFunc
 	stopWatch func()
 	attempt   int
+	ended     bool
 	// seen is what the decision to refuse went by.
 	seen seen
 }
 
-func (f *front) newSession(ctx *fasthttp.RequestCtx) *session {
-	s := &session{front: f, ctx: ctx, ask: f.protocol.Describe(&ctx.Request.Header), arrived: boottime.Now()}
+// begin reads what the request says, and watches its connection.
+func (s *session) begin() {
+	s.ask = s.front.protocol.Describe(&s.ctx.Request.Header)
 	s.alive, s.cancel = context.WithCancel(context.Background())
-	s.stopWatch = func() {}
-	if conn, ok := ctx.Conn().(*callerConn); ok {
+	if conn, ok := s.ctx.Conn().(*callerConn); ok {
 		s.stopWatch = conn.watch(s.cancel)
 	}
-	return s
 }
 
-// end gives back what the session holds. It is called exactly once.
+// contain ends a request whose serving has panicked, and only this request.
+func (s *session) contain() {
+	if cause := recover(); cause != nil {
+		s.abandon(cause)
+		s.ctx.Response.Reset()
+		s.ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		s.ctx.SetConnectionClose()
+		s.end()
+	}
+}
+
+// abandon tells the control state that a request has ended unexpectedly. It may have run.
+func (s *session) abandon(cause any) {
+	s.front.log.Error("Request ended by a panic.", "request", s.ask.ID, "route", routeName(s.route), "cause", cause, "stack", string(debug.Stack()))
+	if s.request != nil {
+		s.front.send(callerGone{id: s.request.ID})
+	}
+}
+
+// end gives back what the session holds.
 func (s *session) end() {
+	if s.ended {
+		return
+	}
+	s.ended = true
 	s.stopWatch()
 	s.cancel()
 	s.front.active.Add(-1)
@@ -215,7 +241,7 @@
 		r.Tokens = float64(w.DefaultTokens)
 	}
 	if s.ask.Sized {
-		r.Tokens = float64(s.ask.PromptTokens + s.ask.OutputTokens)
+		r.Tokens = float64(s.ask.PromptTokens) + float64(s.ask.OutputTokens)
 		r.Prompt = s.ask.PromptTokens
 	}
 	s.request = r
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -67,8 +67,19 @@
 	return true
 }
 
-// Read implements io.Reader.
-func (e *eventStream) Read(p []byte) (int, error) {
+// Read implements io.Reader. A panic ends this stream only.
+func (e *eventStream) Read(p []byte) (n int, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			e.failed = true
+			e.session.abandon(cause)
+			n, err = 0, errStreamBroken
+		}
+	}()
+	return e.read(p)
+}
+
+func (e *eventStream) read(p []byte) (int, error) {
 	for e.ready == 0 {
 		if e.ended {
 			e.complete()
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"syscall"
@@ -183,10 +184,23 @@
 		if err != nil {
 			return err
 		}
-		handle(m)
+		if err := contain(handle, m); err != nil {
+			return err
+		}
 	}
 }
 
+// contain handles a message. A panic ends the session and not the process.
+func contain(handle func(wire.Message), m wire.Message) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = fmt.Errorf("peer: message %v: panic: %v", m.Kind(), cause)
+		}
+	}()
+	handle(m)
+	return nil
+}
+
 // Accept serves sessions from a listener until it is closed.
 func Accept(ln net.Listener, serve func(*Session)) error {
 	for {
--- /dev/null
+++ b/internal/peer/session_test.go
@@ -0,0 +1,39 @@
+package peer
+
+import (
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/foxtailpass/foxtailpass/internal/wire"
+)
+
+// Guards against one message that takes the process down: a panic in its handling ends the session it came
+// on, and the next session is served.
+func TestPanicEndsOnlyItsSession(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	ended := make(chan error, 2)
+	go func() {
+		_ = Accept(ln, func(s *Session) {
+			ended <- s.Run(func(m wire.Message) { panic("nobody expects " + m.Kind().String()) })
+		})
+	}()
+	for range 2 {
+		s, err := Dial(t.Context(), ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer s.Close()
+		go func() { _ = s.Run(func(wire.Message) {}) }()
+		if err := s.Send(&wire.HostReport{Host: "a"}); err != nil {
+			t.Fatal(err)
+		}
+		if err := <-ended; err == nil || !strings.Contains(err.Error(), "nobody expects") {
+			t.Errorf("the session ended with %v", err)
+		}
+	}
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -12,6 +12,7 @@
 
 import (
 	"maps"
+	"math"
 	"time"
 
 	"github.com/foxtailpass/foxtailpass/internal/catalog"
@@ -182,10 +183,24 @@
 // keep theirs.
 func (l *Limiter) SetFallback(parts map[entity.WorkspaceID]float64, version uint64, now time.Time) {
 	l.refillAll(now)
-	maps.Copy(l.fallback, parts)
+	maps.Copy(l.fallback, validParts(parts))
 	l.fallbackVersion = version
 }
 
+// validParts leaves out what is no part of a rate: messages come from other processes.
+func validParts(parts map[entity.WorkspaceID]float64) map[entity.WorkspaceID]float64 {
+	out := make(map[entity.WorkspaceID]float64, len(parts))
+	for id, part := range parts {
+		if part >= 0 && part <= 1 {
+			out[id] = part
+		}
+	}
+	return out
+}
+
+// validTokens says whether a number of tokens can be asked for or granted.
+func validTokens(tokens float64) bool { return tokens > 0 && !math.IsInf(tokens, 0) }
+
 // Fallback returns a copy of the fallback parts, and the version of the last assignment.
 func (l *Limiter) Fallback() (parts map[entity.WorkspaceID]float64, version uint64) {
 	return maps.Clone(l.fallback), l.fallbackVersion
@@ -315,7 +330,7 @@
 
 // Grant adds tokens that the coordinator has granted.
 func (l *Limiter) Grant(id entity.WorkspaceID, tokens float64, now time.Time) {
-	if w := l.workspace(id); w != nil {
+	if w := l.workspace(id); w != nil && validTokens(tokens) {
 		b := l.bucket(id, now)
 		l.refill(b, w, now)
 		b.level += tokens
--- a/internal/quota/reserve.go
+++ b/internal/quota/reserve.go
@@ -163,6 +163,9 @@
 	if w == nil || row == nil || w.Rate <= 0 {
 		return a.granted(a.Tokens), true
 	}
+	if !validTokens(a.Tokens) {
+		return a.refused(longestReturn), true
+	}
 	rate, capacity := r.share(w)
 	row.refill(rate, capacity, now)
 	if len(row.waiting) == 0 && a.Tokens <= row.level+r.slack.overdraft()+rounding {
--- a/internal/quota/shares.go
+++ b/internal/quota/shares.go
@@ -105,10 +105,7 @@
 	h.known = true
 	h.pending = false
 	h.heardAt = time.Time{}
-	h.held = maps.Clone(parts)
-	if h.held == nil {
-		h.held = make(map[entity.WorkspaceID]float64)
-	}
+	h.held = validParts(parts)
 	h.assigned = maps.Clone(h.held)
 }
 
@@ -137,7 +134,7 @@
 // Asked counts what a host has asked the reserve for.
 func (s *Shares) Asked(host entity.HostID, id entity.WorkspaceID, tokens float64, now time.Time) {
 	h := s.hosts[host]
-	if h == nil {
+	if h == nil || !validTokens(tokens) {
 		return
 	}
 	d := h.demand[id]
