edge: the coordinator tells hosts at once only of the models that they wait for

The coordinator's loop was behind. Each report collected all changes of the list, only to see whether the log reaches back. Now: hosts that wait for a model that has come or gone are told at once, the others with the next message to all; estimates are worked out once a moment, states are encoded once for hosts that lack the same. TestOnlyHostsThatWaitForAModelAreToldAtOnce.

--- a/internal/edge/lead.go
+++ b/internal/edge/lead.go
@@ -28,6 +28,7 @@
 	shares    *quota.Shares
 	hosts     map[entity.HostID]*hostSession
 	states    stateTable
+	estimates estimateTable
 	countedAt time.Time
 }
 
@@ -156,7 +157,7 @@
 		l.shares.Heard(r.Host, r.PartsVersion, now)
 	}
 	h.heard(r, now)
-	if _, complete := c.list.Since(r.Revision); h.revision == 0 && complete {
+	if h.revision == 0 && c.list.Reaches(r.Revision) {
 		h.revision = r.Revision
 	}
 	l.swapper.HandleHost(*r, now)
--- a/internal/edge/publish.go
+++ b/internal/edge/publish.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/foxtailpass/foxtailpass/internal/catalog"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/peer"
 	"github.com/foxtailpass/foxtailpass/internal/relay"
@@ -36,6 +37,8 @@
 	version     uint64
 	publishedAt time.Time
 	nextIndex   int
+	// moved are the models that have come to an engine or gone from one since the hosts that wait were told.
+	moved map[entity.ModelID]bool
 }
 
 type stateRow struct {
@@ -45,7 +48,9 @@
 	changed stateMark
 }
 
-func newStateTable() stateTable { return stateTable{rows: make(map[entity.UpstreamID]*stateRow)} }
+func newStateTable() stateTable {
+	return stateTable{rows: make(map[entity.UpstreamID]*stateRow), moved: make(map[entity.ModelID]bool)}
+}
 
 // refresh takes over what the swapper knows. Loads are compared only when asked to.
 func (t *stateTable) refresh(holdings []swap.Holding, loads bool) {
@@ -64,8 +69,9 @@
 		}
 		t.refreshRow(row, h, loads)
 	}
-	for id := range t.rows {
+	for id, row := range t.rows {
 		if !seen[id] {
+			t.noteMoved(row.state.Held)
 			delete(t.rows, id)
 		}
 	}
@@ -77,6 +83,8 @@
 		held = append(held, wire.HeldModel{Model: m.Model, Adapters: m.Adapters})
 	}
 	if row.changed.held == 0 || row.state.BornMillis != h.Upstream.BornMillis || !reflect.DeepEqual(row.state.Held, held) {
+		t.noteMoved(row.state.Held)
+		t.noteMoved(held)
 		row.state.BornMillis = h.Upstream.BornMillis
 		row.state.Held = held
 		row.changed.held = t.mark.held
@@ -87,6 +95,13 @@
 	}
 }
 
+// noteMoved notes the models of a row that changes.
+func (t *stateTable) noteMoved(held []wire.HeldModel) {
+	for _, m := range held {
+		t.moved[m.Model] = true
+	}
+}
+
 // loadChanged says whether a load differs enough from the one that was told.
 func loadChanged(told, now int) bool {
 	diff := max(told-now, now-told)
@@ -111,8 +126,8 @@
 	return out
 }
 
-// publish tells hosts what has changed: those whose requests wait at once, the others together after a
-// while.
+// publish tells hosts what has changed: those whose requests wait for a model that has moved at once, the
+// others together after a while.
 func (c *core) publish(now time.Time) {
 	l := c.lead
 	interval := max(publishInterval, time.Duration(len(l.hosts))*publishIntervalPerHost)
@@ -126,16 +141,23 @@
 		l.states.publishedAt = now
 		c.publishAll(now)
 	}
+	frames := make(map[stateMark]peer.Frame)
 	for _, h := range l.hosts {
-		if !h.urgent && !(changed && h.waits) {
+		if !h.urgent && !h.waitsForAny(l.states.moved) {
 			continue
 		}
 		h.urgent = false
 		if !all {
-			c.publishStates(h, l.states.since(h.told, c.self), now)
+			c.sendStates(h, frames, now)
 		}
 		c.tell(h, &wire.HostState{Estimates: c.estimatesFor(h, now)}, now)
 	}
+	clear(l.states.moved)
+}
+
+// waitsForAny says whether requests of the host wait for one of some models.
+func (h *hostSession) waitsForAny(models map[entity.ModelID]bool) bool {
+	return len(models) > 0 && slices.ContainsFunc(h.needs, func(n wire.PoolNeed) bool { return models[n.Model] })
 }
 
 // publishAll sends every host the states that it lacks. Most lack the same, so that one encoding serves
@@ -144,19 +166,28 @@
 	l := c.lead
 	frames := make(map[stateMark]peer.Frame)
 	for _, h := range l.hosts {
-		if h.session == nil {
-			c.publishStates(h, l.states.since(h.told, c.self), now)
-			continue
-		}
-		frame, ok := frames[h.told]
-		if !ok {
-			frame = c.encodeStates(h.told)
-			frames[h.told] = frame
-		}
-		h.told = l.states.mark
-		if frame != nil {
-			c.sendFrame(h, frame)
+		c.sendStates(h, frames, now)
+	}
+}
+
+// sendStates sends one host the states that it lacks. frames holds what was encoded for others.
+func (c *core) sendStates(h *hostSession, frames map[stateMark]peer.Frame, now time.Time) {
+	l := c.lead
+	from := h.told
+	h.told = l.states.mark
+	if h.session == nil {
+		if states := l.states.since(from, c.self); states != nil {
+			c.stateReceived(states, now)
 		}
+		return
+	}
+	frame, ok := frames[from]
+	if !ok {
+		frame = c.encodeStates(from)
+		frames[from] = frame
+	}
+	if frame != nil {
+		c.sendFrame(h, frame)
 	}
 }
 
@@ -172,21 +203,6 @@
 	return frame
 }
 
-// publishStates sends one host the states that it lacks.
-func (c *core) publishStates(h *hostSession, states *wire.FleetState, now time.Time) {
-	h.told = c.lead.states.mark
-	if states == nil {
-		return
-	}
-	if h.session == nil {
-		c.stateReceived(states, now)
-		return
-	}
-	if err := h.session.Send(states); err != nil {
-		c.log.Debug("States not sent.", "host", h.host, "err", err)
-	}
-}
-
 func (c *core) sendFrame(h *hostSession, frame peer.Frame) {
 	if err := h.session.SendFrame(frame); err != nil {
 		c.log.Debug("Message not sent.", "host", h.host, "err", err)
@@ -204,17 +220,49 @@
 	}
 }
 
+// modelAt names a model of a service, whose engines may hold models of the same name.
+type modelAt struct {
+	service catalog.ServiceID
+	model   entity.ModelID
+}
+
+// estimateTable holds the estimates of one moment, for all hosts.
+type estimateTable struct {
+	at      time.Time
+	readyIn map[modelAt]time.Duration
+}
+
+// modelsReadyIn returns when models will be there that requests wait for. They are worked out once for all
+// hosts that are told at the same moment.
+func (c *core) modelsReadyIn(now time.Time) map[modelAt]time.Duration {
+	t := &c.lead.estimates
+	if t.readyIn != nil && t.at.Equal(now) {
+		return t.readyIn
+	}
+	t.at = now
+	t.readyIn = make(map[modelAt]time.Duration)
+	for _, e := range c.lead.swapper.Estimates(now) {
+		t.readyIn[modelAt{service: e.Service, model: e.Model}] = e.ReadyIn
+	}
+	return t.readyIn
+}
+
 // estimatesFor returns when the models will be there that the requests of a host wait for.
 func (c *core) estimatesFor(h *hostSession, now time.Time) []wire.ModelEstimate {
 	if !h.waits {
 		return nil
 	}
 	var out []wire.ModelEstimate
-	for _, e := range c.lead.swapper.Estimates(now) {
-		waits := slices.ContainsFunc(h.needs, func(n wire.PoolNeed) bool { return n.Model == e.Model && n.Service == string(e.Service) })
-		if waits {
-			out = append(out, wire.ModelEstimate{Service: string(e.Service), Model: e.Model, ReadyIn: e.ReadyIn})
+	all := c.modelsReadyIn(now)
+	told := make(map[modelAt]bool, len(h.needs))
+	for _, n := range h.needs {
+		key := modelAt{service: catalog.ServiceID(n.Service), model: n.Model}
+		readyIn, known := all[key]
+		if !known || told[key] {
+			continue
 		}
+		told[key] = true
+		out = append(out, wire.ModelEstimate{Service: n.Service, Model: n.Model, ReadyIn: readyIn})
 	}
 	return out
 }
--- /dev/null
+++ b/internal/edge/publish_test.go
@@ -0,0 +1,52 @@
+package edge
+
+import (
+	"maps"
+	"slices"
+	"testing"
+
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/fleet"
+	"github.com/foxtailpass/foxtailpass/internal/swap"
+	"github.com/foxtailpass/foxtailpass/internal/wire"
+)
+
+func holding(id string, models ...entity.ModelID) swap.Holding {
+	h := swap.Holding{Upstream: fleet.Incarnation{ID: entity.UpstreamID(id)}}
+	for _, m := range models {
+		h.Held = append(h.Held, fleet.Held{Model: m})
+	}
+	return h
+}
+
+// Guards against a coordinator that tells every host whose requests wait of every change at any engine: with
+// 295 hosts in a burst of rare models these were thousands of messages a second, and its answers about
+// tokens came too late (trouble-3 of Reykjavik large, 8 to 13 s).
+func TestOnlyHostsThatWaitForAModelAreToldAtOnce(t *testing.T) {
+	states := newStateTable()
+	states.refresh([]swap.Holding{holding("e1", "m1"), holding("e2", "m2")}, false)
+	clear(states.moved)
+	waits := func(models ...entity.ModelID) bool {
+		h := &hostSession{}
+		for _, m := range models {
+			h.needs = append(h.needs, wire.PoolNeed{Service: "s", Model: m, Waiting: 1})
+		}
+		return h.waitsForAny(states.moved)
+	}
+	states.refresh([]swap.Holding{holding("e1", "m1"), holding("e2", "m2")}, false)
+	if len(states.moved) != 0 {
+		t.Errorf("moved %v though nothing changed", slices.Collect(maps.Keys(states.moved)))
+	}
+	states.refresh([]swap.Holding{holding("e1", "m1", "m3"), holding("e2", "m2")}, false)
+	if !waits("m9", "m3") {
+		t.Error("a host that waits for the model which has come is not told")
+	}
+	if waits("m2") || waits("m9") || waits() {
+		t.Error("a host is told of a model that it does not wait for")
+	}
+	clear(states.moved)
+	states.refresh([]swap.Holding{holding("e1", "m1", "m3")}, false)
+	if !waits("m2") || waits("m3") {
+		t.Errorf("moved %v though an engine with m2 has gone", slices.Collect(maps.Keys(states.moved)))
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -70,9 +70,12 @@
 	l.start = l.end
 }
 
+// Reaches says whether the log reaches back to a revision.
+func (l *Log) Reaches(revision int64) bool { return l.start != 0 && revision >= l.start }
+
 // Since returns the changes after a revision, and false when the log does not reach back so far.
 func (l *Log) Since(revision int64) ([]kvstore.Event, bool) {
-	if l.start == 0 || revision < l.start {
+	if !l.Reaches(revision) {
 		return nil, false
 	}
 	var out []kvstore.Event
