edge: an outage of the store costs few calls, however many hosts there are

In an outage each host read as often as before, and one that had just started seven times a second; without a coordinator every host that is late to campaign read once a second, though the next coordinator announces itself; failed registrations were sent again each 0.5 s by all hosts at the same moments. Pauses now double after failures, up to 2 s (1 s for a host that knows nothing), and are spread. 2 s keep the bounds on leaving upstreams and configurations, which count from 3 to 5 s after the end of an outage. The coordinator and the eight hosts that are first to campaign go on as before, so the end is found as soon.

--- a/internal/edge/register.go
+++ b/internal/edge/register.go
@@ -17,8 +17,9 @@
 	memberRenew = 3 * time.Second
 	// memberMargin is how long before the end of its term a registration is no longer certain.
 	memberMargin = 300 * time.Millisecond
-	// memberRetry is the pause after a failed registration.
-	memberRetry = 500 * time.Millisecond
+	// memberRetry is the pause after a failed registration or renewal; it grows to longestRetry.
+	memberRetry  = 500 * time.Millisecond
+	longestRetry = 2 * time.Second
 )
 
 // registrar keeps this host registered, so that the others know among how many hosts the fixed
@@ -34,11 +35,17 @@
 }
 
 func (r *registrar) run(ctx context.Context) {
+	retry := memberRetry
 	for ctx.Err() == nil {
 		pause := memberRenew
-		if err := r.keep(ctx); err != nil && ctx.Err() == nil {
+		err := r.keep(ctx)
+		switch {
+		case err == nil:
+			retry = memberRetry
+		case ctx.Err() == nil:
 			r.log.Warn("Registration not renewed.", "err", err)
-			pause = memberRetry
+			pause = spread(retry)
+			retry = min(2*retry, longestRetry)
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -23,18 +23,20 @@
 	// leadPause is the pause between two reads of the coordinator, which passes on what it reads.
 	leadPause = 400 * time.Millisecond
 	// searchPause is the pause while the coordinator is unknown, for the hosts that are first to
-	// campaign. The others find it later, so that many hosts don't read at once.
-	searchPause     = 300 * time.Millisecond
-	lateSearchPause = time.Second
-	searchers       = 8
+	// campaign. The others are told by the one that has won.
+	searchPause = 300 * time.Millisecond
+	searchers   = 8
 	// patiencePart is the part of the time in which a leaving upstream must get no more work after which
 	// a host reads the changes itself that it was not told. maxPatience bounds it.
 	patiencePart = 0.6
 	maxPatience  = 1700 * time.Millisecond
 	// patienceSpread is the part of that time over which hosts spread their reads.
 	patienceSpread = 0.2
-	// failurePause is the pause after a failed read of the coordinator, and of a host that knows nothing.
-	failurePause = 150 * time.Millisecond
+	// failurePause is the pause after a failed read of the coordinator, and the first one of a host that
+	// knows nothing; the latter grows to longestStartPause, that of other hosts to longestFailurePause.
+	failurePause        = 150 * time.Millisecond
+	longestStartPause   = time.Second
+	longestFailurePause = 2 * time.Second
 	// pollWait is how long the service may hold a read without changes.
 	pollWait = time.Millisecond
 	// outageAfter is how long reads must have failed for entries that lapsed meanwhile to be
@@ -82,8 +84,9 @@
 	election election.Observation
 	version  int64
 	changed  bool
-	// nextRead is when this host reads the changes next.
+	// nextRead is when this host reads the changes next, failures counts the reads that failed in a row.
 	nextRead time.Time
+	failures int
 }
 
 // relayed is a message of the coordinator about the key-value service.
@@ -149,20 +152,36 @@
 	err := w.read(ctx)
 	if err != nil {
 		w.failed(err, began)
+		w.failures++
 		w.nextRead = boottime.Now().Add(w.failurePause())
 		return
 	}
+	w.failures = 0
 	w.succeeded(began)
 	w.nextRead = boottime.Now().Add(w.pause())
 }
 
-// failurePause is the pause after a failed read. In an outage one host that asks often is enough: the
-// coordinator tells the others when the service is back.
+// failurePause is the pause after a failed read. In an outage few hosts that ask often are enough: the
+// coordinator, present or next, tells the others when the service is back.
 func (w *watcher) failurePause() time.Duration {
-	if w.leads() || w.revision == 0 {
+	pause, longest := w.pause(), longestFailurePause
+	switch {
+	case w.leads():
 		return failurePause
+	case w.revision == 0:
+		pause, longest = failurePause, longestStartPause
+	case w.searches():
+		return searchPause
+	}
+	for range w.failures - 1 {
+		pause = min(2*pause, longest)
 	}
-	return w.pause()
+	return spread(pause)
+}
+
+// searches says whether this host is among those that look for the coordinator.
+func (w *watcher) searches() bool {
+	return (w.election.Holder == nil || w.searching.Load()) && w.election.Rank < searchers
 }
 
 // pause is the time between two reads while nothing is told.
@@ -170,11 +189,8 @@
 	switch {
 	case w.leads():
 		return leadPause
-	case w.election.Holder == nil || w.searching.Load():
-		if w.election.Rank < searchers {
-			return searchPause
-		}
-		return spread(lateSearchPause)
+	case w.searches():
+		return searchPause
 	}
 	return spread(w.patience)
 }
--- a/internal/edge/watch_test.go
+++ b/internal/edge/watch_test.go
@@ -217,3 +217,35 @@
 		t.Errorf("after the return: %v", seen.upstreams)
 	}
 }
+
+// Guards against an outage that hundreds of hosts turn into a load: each one asked as often as before, and one
+// that had just started seven times a second (trouble-3 of Reykjavik large: 8,183 calls).
+func TestOutageCostsFewCalls(t *testing.T) {
+	const outage = 10 * time.Second
+	for name, c := range map[string]struct {
+		revision int64
+		rank     int
+		holder   *election.Holder
+		most     int
+	}{
+		"with a coordinator":    {5, 100, &election.Holder{Host: "other"}, 7},
+		"without a coordinator": {5, 100, nil, 7},
+		"just started":          {0, 100, nil, 16},
+		"first to campaign":     {5, 1, nil, 34},
+	} {
+		w := newTestWatcher(&testStore{items: make(map[string]kvstore.Pair), revision: 1}, &seenState{upstreams: make(map[entity.UpstreamID]bool)})
+		w.patience = maxPatience
+		w.revision, w.election.Rank, w.election.Holder = c.revision, c.rank, c.holder
+		calls := 0
+		for at := time.Duration(0); at < outage; at += w.failurePause() {
+			calls++
+			w.failures++
+			if p := w.failurePause(); p > longestFailurePause {
+				t.Fatalf("%s: a pause of %s; the bounds on leaving upstreams count from the end of the outage", name, p)
+			}
+		}
+		if calls > c.most {
+			t.Errorf("%s: %d calls in an outage of %s, want at most %d", name, calls, outage, c.most)
+		}
+	}
+}
