--- a/internal/edge/watch_apply.go
+++ b/internal/edge/watch_apply.go
@@ -230,12 +230,12 @@
 
 // rank is this host's place among the candidates, and whether a much stronger host is registered. Much
 // stronger hosts come first. The order of the others differs between terms, so that one unreachable
-// host does not stay first.
+// host does not stay first. The last holder has no place: it campaigns at once if it is there.
 func (w *watcher) rank() (rank int, outranked bool) {
 	own := hashHost(w.self.Host, w.election.LastRevision)
 	for id, h := range w.members {
 		switch {
-		case id == w.self.Host || w.self.Outranks(h):
+		case id == w.self.Host || id == w.election.Last || w.self.Outranks(h):
 		case h.Outranks(w.self):
 			rank++
 			outranked = true
--- a/internal/edge/watch_test.go
+++ b/internal/edge/watch_test.go
@@ -249,3 +249,23 @@
 		}
 	}
 }
+
+// Guards against candidates that wait for a coordinator which is gone: it stays registered for seconds, and
+// the first of the others waited behind it (replace_core of the leader: 2.5 s without a coordinator).
+func TestLastHolderHasNoPlaceAmongCandidates(t *testing.T) {
+	for term := range int64(8) {
+		w := newTestWatcher(&testStore{}, &seenState{})
+		w.members = map[entity.HostID]election.Holder{"h": {Host: "h"}, "last": {Host: "last"}}
+		w.election.Last, w.election.LastRevision = "last", term
+		if rank, outranked := w.rank(); rank != 0 || outranked {
+			t.Errorf("term %d: rank %d, outranked %v behind a host that has lost the right", term, rank, outranked)
+		}
+	}
+	w := newTestWatcher(&testStore{}, &seenState{})
+	w.self.Strength = 100
+	w.members = map[entity.HostID]election.Holder{"h": w.self, "strong": {Host: "strong", Strength: 400}, "last": {Host: "last", Strength: 400}}
+	w.election.Last = "last"
+	if rank, outranked := w.rank(); rank != 1 || !outranked {
+		t.Errorf("rank %d, outranked %v with a stronger host", rank, outranked)
+	}
+}
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -29,7 +29,7 @@
 	callTimeout = 800 * time.Millisecond
 	// campaignStep delays the campaign of every host behind those that rank before it; behind the
 	// first stepped ones the steps are short, so that many lost hosts do not add up to a long wait.
-	campaignStep = 200 * time.Millisecond
+	campaignStep = 100 * time.Millisecond
 	shortStep    = 20 * time.Millisecond
 	steppedRanks = 10
 	// firstCampaign is the time in which hosts that start together register, so that their ranks count.
