--- a/internal/swap/wanted.go
+++ b/internal/swap/wanted.go
@@ -1,7 +1,8 @@
 package swap
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -16,28 +17,39 @@
 // burst of requests for many models the engines cannot load all in time; with the longest wait first all
 // would be late. So those that can still be in time go first, and among equals the longest wait.
 func (s *Swapper) wantedModels(now time.Time) []*modelRow {
-	var out []*modelRow
+	var wanted []wantedModel
 	for _, m := range s.models {
 		if m.waiting > 0 {
-			out = append(out, m)
+			wanted = append(wanted, wantedModel{row: m, late: s.late(m, now)})
 		}
 	}
-	sort.Slice(out, func(i, j int) bool {
-		a, b := out[i], out[j]
-		if s.policy.CountFirst {
-			return a.waiting > b.waiting || a.waiting == b.waiting && a.key.model < b.key.model
-		}
-		if late := s.late(a, now); late != s.late(b, now) {
-			return !late
-		}
-		if !a.waitingSince.Equal(b.waitingSince) {
-			return a.waitingSince.Before(b.waitingSince)
-		}
-		return a.key.model < b.key.model
-	})
+	slices.SortFunc(wanted, func(a, b wantedModel) int { return a.compare(b, s.policy.CountFirst) })
+	out := make([]*modelRow, 0, len(wanted))
+	for _, w := range wanted {
+		out = append(out, w.row)
+	}
 	return out
 }
 
+// wantedModel is a row with what its place depends on at one moment.
+type wantedModel struct {
+	row  *modelRow
+	late bool
+}
+
+func (a wantedModel) compare(b wantedModel, countFirst bool) int {
+	byModel := cmp.Compare(a.row.key.model, b.row.key.model)
+	switch {
+	case countFirst:
+		return cmp.Or(cmp.Compare(b.row.waiting, a.row.waiting), byModel)
+	case a.late != b.late && b.late:
+		return -1
+	case a.late != b.late:
+		return 1
+	}
+	return cmp.Or(a.row.waitingSince.Compare(b.row.waitingSince), byModel)
+}
+
 // late says whether the few requests for a model pass their targets before it can be loaded.
 func (s *Swapper) late(m *modelRow, now time.Time) bool {
 	e := s.engine(m.key.service)
