platform: a page of a range that makes progress is not cut after a second

After all processes of the large site were killed, 295 hosts read the list, the registrations and the configuration at once, and the store's link was full: hosts started at 13.6 s had their configuration at 14.6 to 14.8 s, and some lost the read to the timeout of 1 s ("i/o timeout" revision=0) and began it anew.

--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"testing"
@@ -67,3 +68,46 @@
 		})
 	}
 }
+
+// Guards against a large answer that is cut while it makes progress, and read anew from its start: after a
+// mass restart of 295 hosts the store's link is full for more than a second.
+func TestAnswerInProgressIsNotCut(t *testing.T) {
+	for _, stalls := range []bool{false, true} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = ln.Close() }()
+		const pieces = 12
+		go func() {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			defer func() { _ = c.Close() }()
+			_, _ = c.Read(make([]byte, 4096))
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", pieces)
+			for range pieces {
+				time.Sleep(100 * time.Millisecond)
+				_, _ = c.Write([]byte("x"))
+				if stalls {
+					time.Sleep(5 * time.Second)
+				}
+			}
+		}()
+		req := fasthttp.AcquireRequest()
+		req.SetRequestURI("http://" + ln.Addr().String() + "/")
+		began := time.Now()
+		call, err := NewClient().Do(t.Context(), req, Options{Addr: ln.Addr().String(), Deadline: began.Add(4 * time.Second), Silence: 500 * time.Millisecond})
+		took := time.Since(began)
+		if err == nil {
+			call.Close()
+		}
+		if !stalls && err != nil {
+			t.Errorf("cut after %s: %v", took, err)
+		}
+		if stalls && (err == nil || took > 2*time.Second) {
+			t.Errorf("a stalled answer ended with %v after %s", err, took)
+		}
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -87,6 +87,7 @@
 	if err != nil {
 		return nil, &Failure{Outcome: entity.AttemptNotRun, Reason: "connect", Unreachable: ctx.Err() == nil, Err: err}
 	}
+	cn.limitReads(0, time.Time{})
 	e := &Exchange{client: c, conn: cn, addr: o.Addr}
 	e.stop = context.AfterFunc(ctx, e.Abort)
 	_ = cn.SetDeadline(o.Deadline)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -32,11 +32,15 @@
 	written int64
 	// idleFor is how long the connection may stay idle; zero means idleTimeout.
 	idleFor time.Duration
+	// silence bounds each read of a call, and deadline all of them; zero means that only the deadline of
+	// the connection counts.
+	silence  time.Duration
+	deadline time.Time
 }
 
 func newConn(nc net.Conn) *conn {
 	c := &conn{Conn: nc}
-	c.r = bufio.NewReaderSize(nc, connBuffer)
+	c.r = bufio.NewReaderSize(c, connBuffer)
 	c.w = bufio.NewWriterSize(c, connBuffer)
 	return c
 }
@@ -50,6 +54,25 @@
 	return time.Since(c.idled) < limit && c.r.Buffered() == 0 && !closedByPeer(c.Conn)
 }
 
+// limitReads bounds the reads of a call.
+func (c *conn) limitReads(silence time.Duration, deadline time.Time) {
+	c.silence, c.deadline = silence, deadline
+}
+
+// Read implements net.Conn. An answer that makes progress is not cut by its silence.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.silence > 0 {
+		limit := time.Now().Add(c.silence)
+		if !c.deadline.IsZero() && c.deadline.Before(limit) {
+			limit = c.deadline
+		}
+		if err := c.SetReadDeadline(limit); err != nil {
+			return 0, err
+		}
+	}
+	return c.Conn.Read(p)
+}
+
 // Write counts the bytes that were handed to the kernel; the request may have run once there
 // are any.
 func (c *conn) Write(p []byte) (int, error) {
