test/soak: entry hosts as processes under a seeded series of overlapping faults

Real foxtailedge processes are killed, paused, stopped and restarted, the links to the store are delayed, cut one way and reset, the store is down, silent, loses answers and forgets, and upstreams refuse, break off, answer twice and fail, while callers keep their connections. Checked from outside: whole answers each to its own request, at most once, true refusals, no denial of what is allowed, withdrawn keys, the rate in every window, one giver of orders, upstreams that left, an answer by the deadline, stops that lose nothing, and that service is back. Store and upstreams run in the process of the test; links between hosts are disturbed by pauses only.

--- a/test/harness/network.go
+++ b/test/harness/network.go
@@ -41,6 +41,16 @@
 	}
 }
 
+// NewNetwork returns a network without proxies, which is closed at the end of the test.
+func NewNetwork(t testing.TB) *Network {
+	n := newNetwork(t, "")
+	t.Cleanup(n.close)
+	return n
+}
+
+// Link returns the address of a named link to an address, and starts it when it is new.
+func (n *Network) Link(name, addr string) string { return n.proxy(name, addr) }
+
 // proxy returns the address of the named proxy and starts it when it is new.
 func (n *Network) proxy(name, upstream string) string {
 	n.mu.Lock()
--- /dev/null
+++ b/test/soak/checks_test.go
@@ -0,0 +1,142 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/platform/standin"
+)
+
+// record is what a run of the soak has seen.
+type record struct {
+	exchanges []*exchange
+	// runs are the runs of each request at the upstreams.
+	runs map[string][]standin.Run
+	// orders are those of each upstream, in the order of their arrival.
+	orders map[string][]standin.Order
+	// revokedAt is when key-2 was withdrawn, drainedAt when the upstream drained began to leave.
+	revokedAt, drainedAt time.Time
+	drained              string
+	drainedRuns          []standin.Run
+}
+
+// findings returns what breaks a promise.
+func (r *record) findings() []string {
+	var out []string
+	add := func(x *exchange, format string, args ...any) {
+		out = append(out, fmt.Sprintf("%s%s at %s, sent %s: ", x.kind, x.id, x.host.name, x.sent.Format("05.000"))+fmt.Sprintf(format, args...))
+	}
+	for _, x := range r.exchanges {
+		runs := r.runs[x.id]
+		switch {
+		case x.status == 200 && x.err == nil && x.body != x.wholeBody():
+			add(x, "answer %q", x.body)
+		case slices.Contains([]int{408, 421, 429, 503}, x.status) && len(runs) > 0:
+			add(x, "refused with %d, but it ran", x.status)
+		}
+		if x.key == "key-1" && slices.Contains([]int{400, 401, 403, 404}, x.status) {
+			add(x, "denied with %d", x.status)
+		}
+		if !x.repeatable() && len(runs) > 1 {
+			add(x, "ran %d times", len(runs))
+		}
+		if x.key == "key-2" && !r.revokedAt.IsZero() && x.sent.After(r.revokedAt.Add(revocation)) && len(runs) > 0 {
+			add(x, "ran %s after its key was withdrawn", x.sent.Sub(r.revokedAt))
+		}
+		r.checkEnd(x, add)
+	}
+	out = append(out, r.limitFindings()...)
+	out = append(out, r.orderFindings()...)
+	return append(out, r.drainFindings()...)
+}
+
+// checkEnd finds requests without an answer at hosts that were not disturbed.
+func (r *record) checkEnd(x *exchange, add func(*exchange, string, ...any)) {
+	if x.err == nil {
+		return
+	}
+	timeout := x.ended.Sub(x.sent) >= deadline+lateness-50*time.Millisecond
+	ran := len(r.runs[x.id]) > 0
+	broken := ran && !slices.ContainsFunc(r.runs[x.id], func(run standin.Run) bool { return run.Ended })
+	switch {
+	case timeout && !x.host.excused(x.sent, x.ended, true):
+		add(x, "no answer within its deadline")
+	case !timeout && ran && !broken && !x.host.excused(x.sent, x.ended, false):
+		add(x, "its upstream answered, and the connection ended: %v", x.err)
+	}
+}
+
+// limitFindings checks the rate of the workspace in every window.
+func (r *record) limitFindings() []string {
+	type use struct {
+		sent, at time.Time
+		tokens   float64
+	}
+	var uses []use
+	for _, x := range r.exchanges {
+		if runs := r.runs[x.id]; len(runs) > 0 {
+			uses = append(uses, use{sent: x.sent, at: runs[0].At, tokens: x.tokens()})
+		}
+	}
+	slices.SortFunc(uses, func(a, b use) int { return a.at.Compare(b.at) })
+	allowed := (tokenRate*quotaWindow.Seconds()+tokenBurst)*(1+overshoot) + quotaTolerate
+	worst := 0.0
+	for i, first := range uses {
+		sum := 0.0
+		for _, u := range uses[i:] {
+			if u.at.Sub(first.at) > quotaWindow {
+				break
+			}
+			if !u.sent.Before(first.at) {
+				sum += u.tokens
+			}
+		}
+		worst = max(worst, sum)
+	}
+	if worst > allowed {
+		return []string{fmt.Sprintf("%.0f tokens ran within %s, allowed are %.0f", worst, quotaWindow, allowed)}
+	}
+	return nil
+}
+
+// orderFindings checks that one host gives orders at a time, and that its token rises.
+func (r *record) orderFindings() []string {
+	var out []string
+	for id, orders := range r.orders {
+		for i := 1; i < len(orders); i++ {
+			a, b := orders[i-1], orders[i]
+			if b.FencingToken < a.FencingToken {
+				out = append(out, fmt.Sprintf("%s: token %d after %d", id, b.FencingToken, a.FencingToken))
+			}
+			if gap := b.At.Sub(a.At); a.LeaseHolder != b.LeaseHolder && gap < orderGap {
+				out = append(out, fmt.Sprintf("%s: orders of %s and %s are %s apart", id, a.LeaseHolder, b.LeaseHolder, gap))
+			}
+		}
+	}
+	return out
+}
+
+// settledAfter is how long after an upstream has begun to leave all hosts know it, whatever was disturbed.
+const settledAfter = drainBound + 6*time.Second
+
+func (r *record) drainFindings() []string {
+	if r.drainedAt.IsZero() {
+		return nil
+	}
+	sent := make(map[string]time.Time, len(r.exchanges))
+	for _, x := range r.exchanges {
+		sent[x.id] = x.sent
+	}
+	var late []string
+	for _, run := range r.drainedRuns {
+		if at := sent[run.ID]; at.After(r.drainedAt.Add(settledAfter)) {
+			late = append(late, run.ID)
+		}
+	}
+	if len(late) == 0 {
+		return nil
+	}
+	return []string{fmt.Sprintf("%s got %s after it had left", r.drained, strings.Join(late, ", "))}
+}
--- /dev/null
+++ b/test/soak/site_test.go
@@ -0,0 +1,273 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/platform"
+	"github.com/foxtailpass/foxtailpass/platform/standin"
+	"github.com/foxtailpass/foxtailpass/test/harness"
+)
+
+// Bounds of the site, in the units of the settings.
+const (
+	revocation    = 3 * time.Second
+	drainBound    = 2 * time.Second
+	orderGap      = time.Second
+	quotaWindow   = 8 * time.Second
+	quotaTolerate = 1000.0
+	overshoot     = 0.1
+	graceTime     = 6 * time.Second
+	// tokenRate and tokenBurst are those of the limited workspace.
+	tokenRate  = 3000.0
+	tokenBurst = 3000.0
+	eventCount = 8
+)
+
+// buildHost builds the program of the entry hosts.
+func buildHost(t *testing.T) string {
+	t.Helper()
+	bin := filepath.Join(t.TempDir(), "foxtailedge")
+	if out, err := exec.Command("go", "build", "-o", bin, "../../cmd/foxtailedge").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return bin
+}
+
+// site is a store, upstreams and entry hosts.
+type site struct {
+	t        *testing.T
+	store    *standin.Store
+	network  *harness.Network
+	plain    []*standin.Replica
+	engines  []*standin.Replica
+	hosts    []*host
+	settings func(h *host) string
+	began    time.Time
+}
+
+func newSite(t *testing.T, bin string, hosts int) *site {
+	t.Helper()
+	store, err := standin.NewStore()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(store.Close)
+	s := &site{t: t, store: store, network: harness.NewNetwork(t), began: time.Now()}
+	for i := range 3 {
+		s.plain = append(s.plain, &standin.Replica{ID: fmt.Sprintf("p%d", i), Service: "plain", Zone: "a", Work: 5 * time.Millisecond})
+	}
+	for i := range 3 {
+		e := &standin.Replica{ID: fmt.Sprintf("e%d", i), Service: "engine", Zone: "a", Capacity: 2, Events: eventCount, Gap: 10 * time.Millisecond, Load: 100 * time.Millisecond}
+		s.engines = append(s.engines, e.Hold("m0").WithCopies("m1", "m2", "m3"))
+	}
+	for _, r := range s.replicas() {
+		if err := r.Start(store); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(r.Close)
+	}
+	store.Put(platform.ConfigKey, siteConfig(1, "key-1", "key-2"))
+	dir := t.TempDir()
+	for i := range hosts {
+		s.addHost(bin, dir, i)
+	}
+	for _, h := range s.hosts {
+		h.start()
+	}
+	for _, h := range s.hosts {
+		s.await(15*time.Second, h.name+" is ready", h.ready)
+	}
+	return s
+}
+
+func (s *site) replicas() []*standin.Replica {
+	return append(append([]*standin.Replica(nil), s.plain...), s.engines...)
+}
+
+func (s *site) await(limit time.Duration, what string, ok func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	s.t.Errorf("not so within %s: %s", limit, what)
+}
+
+// siteConfig has one route of each kind; the keys belong to the limited workspace.
+func siteConfig(version int, keys ...string) map[string]any {
+	route := func(path, kind, service string, attempts int, resumable bool) map[string]any {
+		return map[string]any{"name": path, "host": "site.example", "path_prefix": path, "kind": kind, "service": service,
+			"timeout_ms": 4000, "target_latency_ms": 500, "priority": 1, "max_attempts": attempts, "resumable": resumable}
+	}
+	models := []map[string]any{}
+	for i := range 4 {
+		models = append(models, map[string]any{"name": fmt.Sprintf("m%d", i), "weights_size_mb": 100, "load_time_s": 0.3,
+			"disk_load_s": 0.1, "warm_up_s": 0.1, "adapters": 1, "adapter_size_mb": 1})
+	}
+	return map[string]any{
+		"version": version,
+		"routes": []map[string]any{
+			route("/orders/", "non_idempotent", "plain", 1, false), route("/lookup/", "idempotent", "plain", 2, false),
+			route("/live/", "streaming", "engine", 1, false), route("/patient/", "streaming", "engine", 3, true),
+		},
+		"services": []map[string]any{
+			{"name": "plain", "health_path": "/healthz", "max_connections": 200},
+			{"name": "engine", "health_path": "/healthz", "max_connections": 200, "inference_engine": map[string]any{
+				"slots": 8, "kv_cache_capacity": 100000, "weights_size_mb": 230, "adapter_capacity": 4, "loads_per_s": 5, "models": models}},
+		},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "idle_timeout_ms": 15000},
+		"tenants": []map[string]any{{"name": "w1", "api_keys": keys, "priority": 0, "unit": "token_based", "uncached_tokens": 10, "rate_per_s": tokenRate, "burst": tokenBurst}},
+	}
+}
+
+// host is one entry host, whose process comes and goes.
+type host struct {
+	site                *site
+	name, bin, settings string
+	callers, readyAddr  string
+	log                 *os.File
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	exited  chan struct{}
+	stopped bool
+	// disturbed are the spans in which the host was killed, stopped or paused.
+	disturbed []span
+}
+
+// span is a time with an open end while it goes on.
+type span struct {
+	from, to time.Time
+	planned  bool
+}
+
+func storeLink(name string) string { return name + " to the store" }
+
+func (s *site) addHost(bin, dir string, i int) {
+	h := &host{site: s, bin: bin, name: fmt.Sprintf("host-%d", i), callers: freeAddr(s.t), readyAddr: freeAddr(s.t)}
+	set := map[string]any{
+		"host": h.name, "failure_domain": "a", "caller_addr": h.callers, "ready_addr": h.readyAddr, "peer_addr": freeAddr(s.t), "operator_addr": freeAddr(s.t),
+		"store": map[string]any{"addr": s.network.Link(storeLink(h.name), s.store.Addr())},
+		"bounds": map[string]any{"revocation_ms": revocation.Milliseconds(), "fail_closed": true, "retry_ratio": 0.2, "retry_extra": 100, "retry_window_s": 10,
+			"quota_tolerance": quotaTolerate, "quota_overshoot": overshoot, "quota_window_s": quotaWindow.Seconds(), "drain_ms": drainBound.Milliseconds(),
+			"order_gap_ms": orderGap.Milliseconds(), "grace_s": graceTime.Seconds()},
+		"balancer_lag": "300ms",
+	}
+	b, err := json.Marshal(set)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	h.settings = filepath.Join(dir, h.name+".json")
+	if err := os.WriteFile(h.settings, b, 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	if h.log, err = os.Create(filepath.Join(dir, h.name+".log")); err != nil {
+		s.t.Fatal(err)
+	}
+	s.hosts = append(s.hosts, h)
+	s.t.Cleanup(h.kill)
+}
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String()
+}
+
+func (h *host) start() {
+	cmd := exec.Command(h.bin, "--settings", h.settings)
+	cmd.Stdout, cmd.Stderr = h.log, h.log
+	exited := make(chan struct{})
+	if err := cmd.Start(); err != nil {
+		h.site.t.Errorf("%s: %v", h.name, err)
+		close(exited)
+	} else {
+		go func() {
+			_ = cmd.Wait()
+			close(exited)
+		}()
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.cmd, h.exited = cmd, exited
+}
+
+func (h *host) signal(sig syscall.Signal) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.cmd != nil && h.cmd.Process != nil {
+		_ = h.cmd.Process.Signal(sig)
+	}
+}
+
+// kill ends the process that this host started.
+func (h *host) kill() {
+	h.signal(syscall.SIGKILL)
+	h.awaitExit(5 * time.Second)
+}
+
+func (h *host) awaitExit(limit time.Duration) bool {
+	h.mu.Lock()
+	exited := h.exited
+	h.mu.Unlock()
+	if exited == nil {
+		return true
+	}
+	select {
+	case <-exited:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
+func (h *host) ready() bool {
+	c := http.Client{Timeout: 500 * time.Millisecond}
+	resp, err := c.Get("http://" + h.readyAddr + "/readiness")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode == http.StatusOK
+}
+
+// disturb notes a span in which the host may fail its callers, and returns what ends it.
+func (h *host) disturb(planned bool) (end func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	i := len(h.disturbed)
+	h.disturbed = append(h.disturbed, span{from: time.Now(), planned: planned})
+	return func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.disturbed[i].to = time.Now()
+	}
+}
+
+// excused says whether the host was disturbed in a time; a stop as planned excuses only when asked to.
+func (h *host) excused(from, to time.Time, plannedToo bool) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, d := range h.disturbed {
+		ended := !d.to.IsZero() && d.to.Before(from)
+		if !ended && d.from.Before(to) && (plannedToo || !d.planned) {
+			return true
+		}
+	}
+	return false
+}
