edge: a refusal after an attempt that may have run promises nothing

Its key had lost its proof (the store was down) before the second attempt, and that refusal did not look at the first one. It is 502 now. Ruled out elsewhere: refusals of the scheduler know what may have run, those for tokens come before the first attempt.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -162,13 +162,14 @@
 		return true
 	}
 	res.Request = s.request.ID
+	s.mayHaveRun = s.mayHaveRun || res.Outcome != entity.AttemptNotRun
 	fields := append([]any{"request", s.ask.ID, "attempt", st.attempt, "upstream", st.target.ID, "outcome", res.Outcome,
 		"unreachable", res.Unreachable, "silent", res.Silent, "absent", res.Absent, "after", boottime.Now().Sub(began), "err", err}, more...)
 	s.front.log.Info("Attempt failed.", fields...)
 	s.front.metrics.Attempt(res.Outcome.String())
 	if !s.allowed() && res.Outcome == entity.AttemptNotRun {
 		s.front.send(callerGone{id: s.request.ID})
-		s.refuse(*staleRefusal())
+		s.refuse(s.noLongerAllowed())
 		s.end()
 		return true
 	}
@@ -176,6 +177,15 @@
 	return false
 }
 
+// noLongerAllowed refuses a request whose key has lost its proof while it waited for another attempt. It
+// promises that the request has not run only when no former attempt may have.
+func (s *session) noLongerAllowed() entity.Refusal {
+	if s.mayHaveRun {
+		return entity.Refusal{Status: 502, Code: string(dispatch.ReasonStale), Ran: entity.RanUnknown}
+	}
+	return *staleRefusal()
+}
+
 // whole reads an answer and passes it on.
 func (s *session) whole(ex *upstream.Exchange, st step, began time.Time) bool {
 	body, err := ex.Whole()
--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -116,7 +116,9 @@
 	cancel    context.CancelFunc
 	stopWatch func()
 	attempt   int
-	ended     bool
+	// mayHaveRun is set once an attempt has ended without proof that it did not run.
+	mayHaveRun bool
+	ended      bool
 	// seen is what the decision to refuse went by.
 	seen seen
 }
