--- a/internal/edge/silence_test.go
+++ b/internal/edge/silence_test.go
@@ -170,3 +170,18 @@
 		t.Errorf("%.2f is withheld though the host has a session", got)
 	}
 }
+
+// Guards against a request that is held though its coordinator answers: a grant that another request has used
+// came after its patience, and nothing else is expected.
+func TestAnsweredRequestIsNotHeld(t *testing.T) {
+	c := newTestCore()
+	s, _ := newTestSession(t)
+	c.handle(coordinatorLink{session: s, up: true}, testStart)
+	tk := arriveLacking(c, testStart)
+	late := testStart.Add(260 * time.Millisecond)
+	grant := wire.TokenGrant{ID: c.parked[0].ask, Workspace: "w", Tokens: 10}
+	c.handle(tokensAnswered{answer: &wire.TokenAnswer{Grants: []wire.TokenGrant{grant}}}, late)
+	if r := refused(tk); r == nil || r.Status != 429 {
+		t.Errorf("refusal %+v, %d requests wait", r, len(c.parked))
+	}
+}
--- a/internal/edge/tokens.go
+++ b/internal/edge/tokens.go
@@ -46,8 +46,8 @@
 	until time.Time
 }
 
-// patience returns until when a request can wait for tokens.
-func patience(r *dispatch.Request) time.Time {
+// tokenPatience returns until when a request can wait for tokens and still be in time.
+func tokenPatience(r *dispatch.Request) time.Time {
 	return r.Arrived.Add(time.Duration(parkPart * float64(r.Route.Target)))
 }
 
@@ -78,7 +78,7 @@
 	}
 	c.log.Info("Lacks tokens.", "request", r.ID, "workspace", r.Workspace, "tokens", r.Tokens, "lack", lack, "wait", wait,
 		"hosts", c.limiter.Hosts(), "coordinated", c.coordinated())
-	c.lackTokens(&parkedRequest{request: r, end: patience(r)}, lack, wait, now)
+	c.lackTokens(&parkedRequest{request: r, end: tokenPatience(r)}, lack, wait, now)
 }
 
 // lackTokens lets a request wait for the coordinator, or without one for this host's own tokens, when
@@ -94,7 +94,7 @@
 		c.lacking = append(c.lacking, wire.TokenLack{ID: p.ask, Workspace: p.request.Workspace, Tokens: lack, Patience: end.Sub(now)})
 	case now.Add(wait).Before(end):
 		p.until = now.Add(wait)
-	case c.hold(p, now):
+	case !c.coordinated() && c.hold(p, now):
 	default:
 		c.refuseTokens(p.request, c.comeBack(wait, now))
 		return
--- a/test/soak/site_test.go
+++ b/test/soak/site_test.go
@@ -45,14 +45,13 @@
 
 // site is a store, upstreams and entry hosts.
 type site struct {
-	t        *testing.T
-	store    *standin.Store
-	network  *harness.Network
-	plain    []*standin.Replica
-	engines  []*standin.Replica
-	hosts    []*host
-	settings func(h *host) string
-	began    time.Time
+	t       *testing.T
+	store   *standin.Store
+	network *harness.Network
+	plain   []*standin.Replica
+	engines []*standin.Replica
+	hosts   []*host
+	began   time.Time
 }
 
 func newSite(t *testing.T, bin string, hosts int) *site {
@@ -138,10 +137,9 @@
 	callers, readyAddr  string
 	log                 *os.File
 
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	exited  chan struct{}
-	stopped bool
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	exited chan struct{}
 	// disturbed are the spans in which the host was killed, stopped or paused.
 	disturbed []span
 }
