standin: one site configuration and one caller for the tests of platform and the soak

The soak had written again what platform/site_test.go has, the configuration of a small site and the headers of a caller, and spoke the platform's names outside platform/. Both stand in platform/standin now and serve both.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/foxtailpass/foxtailpass/platform/standin"
 )
 
 // deadline is how long callers wait, and lateness how much later an answer may still come.
@@ -100,13 +102,11 @@
 		return
 	}
 	req.Host = "site.example"
-	req.Header.Set("X-Foxtailpass-Attempt-Id", x.id)
-	req.Header.Set("X-Foxtailpass-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
-	req.Header.Set("X-Api-Key", x.key)
+	c := standin.Caller{ID: x.id, Key: x.key, Deadline: deadline}
 	if x.streams() {
-		req.Header.Set("X-Foxtailpass-Model", fmt.Sprintf("m%d", r.IntN(4)*r.IntN(2)))
-		req.Header.Set("X-Foxtailpass-Token-Usage", "100,50")
+		c.Model = fmt.Sprintf("m%d", r.IntN(modelCount)*r.IntN(2))
 	}
+	c.Describe(req.Header)
 	x.sent = time.Now()
 	defer func() { x.ended = time.Now() }()
 	resp, err := client.Do(req)
--- a/test/soak/site_test.go
+++ b/test/soak/site_test.go
@@ -31,6 +31,7 @@
 	tokenRate  = 3000.0
 	tokenBurst = 3000.0
 	eventCount = 8
+	modelCount = 4
 )
 
 // buildHost builds the program of the entry hosts.
@@ -105,29 +106,8 @@
 
 // siteConfig has one route of each kind; the keys belong to the limited workspace.
 func siteConfig(version int, keys ...string) map[string]any {
-	route := func(path, kind, service string, attempts int, resumable bool) map[string]any {
-		return map[string]any{"name": path, "host": "site.example", "path_prefix": path, "kind": kind, "service": service,
-			"timeout_ms": 4000, "target_latency_ms": 500, "priority": 1, "max_attempts": attempts, "resumable": resumable}
-	}
-	models := []map[string]any{}
-	for i := range 4 {
-		models = append(models, map[string]any{"name": fmt.Sprintf("m%d", i), "weights_size_mb": 100, "load_time_s": 0.3,
-			"disk_load_s": 0.1, "warm_up_s": 0.1, "adapters": 1, "adapter_size_mb": 1})
-	}
-	return map[string]any{
-		"version": version,
-		"routes": []map[string]any{
-			route("/orders/", "non_idempotent", "plain", 1, false), route("/lookup/", "idempotent", "plain", 2, false),
-			route("/live/", "streaming", "engine", 1, false), route("/patient/", "streaming", "engine", 3, true),
-		},
-		"services": []map[string]any{
-			{"name": "plain", "health_path": "/healthz", "max_connections": 200},
-			{"name": "engine", "health_path": "/healthz", "max_connections": 200, "inference_engine": map[string]any{
-				"slots": 8, "kv_cache_capacity": 100000, "weights_size_mb": 230, "adapter_capacity": 4, "loads_per_s": 5, "models": models}},
-		},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "idle_timeout_ms": 15000},
-		"tenants": []map[string]any{{"name": "w1", "api_keys": keys, "priority": 0, "unit": "token_based", "uncached_tokens": 10, "rate_per_s": tokenRate, "burst": tokenBurst}},
-	}
+	return standin.SiteConfig{Version: version, Timeout: 4 * time.Second, Models: modelCount, Adapters: 1, Connections: 200, BodyBytes: 1 << 20,
+		Rate: tokenRate, Burst: tokenBurst, Keys: keys}.Document()
 }
 
 // host is one entry host, whose process comes and goes.
