--- a/internal/dispatch/self_reported.go
+++ b/internal/dispatch/self_reported.go
@@ -17,10 +17,25 @@
 	Draining bool
 	// BackOff is how long this host must send nothing to the upstream, as requested by the upstream.
 	BackOff time.Duration
+	// Limit is the request limit of the upstream.
+	Limit RequestLimit
+}
+
+// RequestLimit is what an answer states about the request limit of its upstream: the number of requests per second
+// that the upstream takes from all hosts together. An answer that names none, validly or not, states that there
+// is no limit.
+type RequestLimit struct {
+	// Named reports whether the answer names a valid limit, which is PerSecond.
+	Named     bool
+	PerSecond float64
+	// Invalid reports whether the answer names a limit that cannot be read.
+	Invalid bool
 }
 
 // Empty reports whether the answer contained no status.
-func (st StatusReport) Empty() bool { return !st.Draining && st.BackOff <= 0 }
+func (st StatusReport) Empty() bool {
+	return !st.Draining && st.BackOff <= 0 && st.Limit == RequestLimit{}
+}
 
 // selfReportedStatus is the status that one incarnation of an upstream has reported of itself.
 type selfReportedStatus struct {
@@ -28,6 +43,7 @@
 	receivedAt   time.Time
 	draining     bool
 	backOffUntil time.Time
+	limit        RequestLimit
 }
 
 // RecordStatus records the status that an upstream has reported of itself. bornMillis identifies the
@@ -46,12 +62,26 @@
 	if until := now.Add(st.BackOff); st.BackOff > 0 && until.After(selfReported.backOffUntil) {
 		selfReported.backOffUntil = until
 	}
+	if st.Limit.Named {
+		selfReported.limit = st.Limit
+	}
 	if row := s.targets[id]; row != nil {
 		row.selfReported = selfReported
 	}
 	s.removeOldStatuses(now)
 }
 
+// Limits returns the request limits that upstreams have named to this host, in requests per second.
+func (s *Scheduler) Limits() map[entity.UpstreamID]float64 {
+	out := make(map[entity.UpstreamID]float64)
+	for id, selfReported := range s.selfReported {
+		if selfReported.limit.Named {
+			out[id] = selfReported.limit.PerSecond
+		}
+	}
+	return out
+}
+
 // removeOldStatuses removes the status of upstreams that are not in the table and whose last status is older
 // than statusRetention.
 func (s *Scheduler) removeOldStatuses(now time.Time) {
--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -291,6 +291,9 @@
 	if e.status.BackOff > 0 {
 		c.log.Info("Upstream wants a pause.", "upstream", e.upstream, "pause", e.status.BackOff)
 	}
+	if former, known := c.scheduler.Limits()[e.upstream]; e.status.Limit.Named && (!known || former != e.status.Limit.PerSecond) {
+		c.log.Info("Upstream names a request limit.", "upstream", e.upstream, "limit", e.status.Limit.PerSecond, "former", former, "known", known)
+	}
 	c.scheduler.RecordStatus(e.upstream, e.bornMillis, e.status, now)
 }
 
--- a/internal/edge/operator.go
+++ b/internal/edge/operator.go
@@ -110,6 +110,7 @@
 		{"foxtailpass_heap_bytes", "Heap memory in use.", one(heapBytes)},
 		{"foxtailpass_retry_budget", "Retries that this host may still make, by service.", h.readBudgets},
 		{"foxtailpass_workspace_tokens", "Tokens that this host may admit now, by workspace.", h.readLevels},
+		{"foxtailpass_upstream_request_limit", "Requests per second that an upstream takes from all hosts, by upstream.", h.readRequestLimits},
 	}
 	counters := []struct {
 		name, description string
@@ -174,6 +175,11 @@
 	return out
 }
 
+func (h *Host) readRequestLimits() (out []metrics.Observation) {
+	h.queryCore(func(c *core) { out = observations("upstream", c.scheduler.Limits()) })
+	return out
+}
+
 func (h *Host) readOrders() []metrics.Observation {
 	var out []metrics.Observation
 	h.queryCore(func(c *core) {
