quota: limits are keyed by what they bound, not by a workspace of the configuration

The limiter of a host, the reserve of the coordinator and the fallback shares divide a rate among hosts. Request limits of upstreams need the same, so the package no longer reads the configuration itself: it takes rates and bursts by key. Behaviour is as before; the tests change in the names of the key and of SetLimits only.

--- a/internal/edge/contain_test.go
+++ b/internal/edge/contain_test.go
@@ -103,7 +103,7 @@
 			case *wire.FleetState:
 				c.handle(fleetStateReceived{state: m}, now)
 			case *wire.HostState:
-				m.FallbackShares = map[entity.WorkspaceID]float64{"w": []float64{math.NaN(), math.Inf(1), -5, 7}[odd.IntN(4)]}
+				m.FallbackShares = map[entity.RateKey]float64{"w": []float64{math.NaN(), math.Inf(1), -5, 7}[odd.IntN(4)]}
 				c.handle(hostStateReceived{state: m}, now)
 			case *wire.TokenResponse:
 				c.handle(tokensAnswered{answer: m}, now)
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -74,7 +74,7 @@
 	c.coordinator.shares.SetMembers(c.members)
 	if c.catalog != nil {
 		c.coordinator.swapper.SetCatalog(c.catalog)
-		c.coordinator.reserve.SetCatalog(c.catalog, now)
+		c.coordinator.reserve.SetLimits(quota.WorkspaceLimits(c.catalog), now)
 	}
 	for _, u := range c.fleet.Rows() {
 		c.executeCommands(c.coordinator.swapper.SetUpstream(u, now))
@@ -212,7 +212,7 @@
 		return
 	}
 	coord := c.coordinator
-	ids := slices.Sorted(maps.Keys(c.catalog.Workspaces()))
+	ids := slices.Sorted(maps.Keys(quota.WorkspaceLimits(c.catalog)))
 	coord.reserve.SetWithheld(coord.shares.Withheld(ids, now), c.limiter.Hosts(), now)
 	if !c.effects.holdsLease() {
 		return
--- a/internal/edge/coordinator_loss_test.go
+++ b/internal/edge/coordinator_loss_test.go
@@ -74,7 +74,7 @@
 	c.handle(registrationConfirmed{until: testStart.Add(time.Minute)}, testStart)
 	s, _ := newTestSession(t)
 	c.handle(coordinatorLinkChanged{session: s, up: true}, testStart)
-	c.handle(hostStateReceived{state: &wire.HostState{FallbackShares: map[entity.WorkspaceID]float64{"w": 0.8}, SharesVersion: 1}}, testStart)
+	c.handle(hostStateReceived{state: &wire.HostState{FallbackShares: map[entity.RateKey]float64{"w": 0.8}, SharesVersion: 1}}, testStart)
 	queue := sendUncoveredRequest(c, testStart)
 	for now := testStart; now.Before(testStart.Add(time.Second)); now = now.Add(15 * time.Millisecond) {
 		c.tick(now)
@@ -156,8 +156,8 @@
 	c := newTestCore()
 	s, received := newTestSession(t)
 	c.handle(leaseChanged{lease: &election.CoordinatorLease{Token: 3, From: testStart}}, testStart)
-	fallbackShares := map[entity.WorkspaceID]float64{"w": 0.3}
-	ids := []entity.WorkspaceID{"w"}
+	fallbackShares := map[entity.RateKey]float64{"w": 0.3}
+	ids := []entity.RateKey{"w"}
 	c.handle(reportReceived{report: &wire.HostReport{Host: "other", First: true, FallbackShares: fallbackShares}, session: s}, testStart)
 	if got := c.coordinator.shares.Withheld(ids, testStart)["w"]; got < 0.3 {
 		t.Errorf("%.2f is withheld for a host that may use 0.30, want at least that", got)
--- a/internal/edge/coordinator_test.go
+++ b/internal/edge/coordinator_test.go
@@ -68,7 +68,7 @@
 	if c.coordinator.hosts["other"] == nil {
 		t.Fatal("the early report was not kept")
 	}
-	if got := c.coordinator.shares.Withheld([]entity.WorkspaceID{"w"}, testStart)["w"]; got != 0 {
+	if got := c.coordinator.shares.Withheld([]entity.RateKey{"w"}, testStart)["w"]; got != 0 {
 		t.Errorf("%.2f of the rate is withheld although all hosts have reported", got)
 	}
 }
--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -244,7 +244,7 @@
 		r := d.Request
 		if d.Refusal != nil {
 			if d.Refusal.Ran == entity.NotRun {
-				c.limiter.Refund(r.Workspace, r.Tokens, now)
+				c.limiter.Refund(entity.RateKey(r.Workspace), r.Tokens, now)
 			}
 			c.sendFinalAnswer(r, step{refusal: d.Refusal, reason: d.Reason, basis: c.basis(d)})
 			continue
@@ -327,9 +327,9 @@
 		c.coordinatorExpectedUntil = now.Add(firstCoordinatorWait)
 	}
 	c.catalog = cat
-	c.limiter.SetCatalog(cat, now)
+	c.limiter.SetLimits(quota.WorkspaceLimits(cat), now)
 	if c.coordinator != nil {
-		c.coordinator.reserve.SetCatalog(cat, now)
+		c.coordinator.reserve.SetLimits(quota.WorkspaceLimits(cat), now)
 	}
 	withdrawn := func(r *dispatch.Request) bool {
 		w := cat.Key(r.Key)
--- a/internal/edge/tokens.go
+++ b/internal/edge/tokens.go
@@ -75,7 +75,7 @@
 
 // admit charges a request and queues it, or parks it until tokens are available.
 func (c *core) admit(r *dispatch.Request, now time.Time) {
-	deficit, wait, ok := c.limiter.Admit(r.Workspace, r.Tokens, now)
+	deficit, wait, ok := c.limiter.Admit(entity.RateKey(r.Workspace), r.Tokens, now)
 	if ok {
 		c.enqueue(r, now)
 		return
@@ -180,7 +180,7 @@
 
 // readmit tries to admit a parked request again.
 func (c *core) readmit(p *parkedRequest, now time.Time) {
-	deficit, wait, ok := c.limiter.Admit(p.request.Workspace, p.request.Tokens, now)
+	deficit, wait, ok := c.limiter.Admit(entity.RateKey(p.request.Workspace), p.request.Tokens, now)
 	if ok {
 		c.enqueue(p.request, now)
 		return
@@ -234,7 +234,7 @@
 		c.refuseTokens(p.request, g.Wait)
 		return
 	}
-	c.limiter.Grant(g.Workspace, g.Tokens, now)
+	c.limiter.Grant(entity.RateKey(g.Workspace), g.Tokens, now)
 	c.readmit(p, now)
 }
 
@@ -247,8 +247,9 @@
 	host := e.request.Host
 	var responses []quota.TokenResponse
 	for _, deficit := range e.request.Deficits {
-		c.coordinator.shares.RecordDemand(host, deficit.Workspace, deficit.Tokens, now)
-		req := quota.TokenRequest{Host: host, ID: deficit.ID, Workspace: deficit.Workspace, Tokens: deficit.Tokens, Until: now.Add(deficit.MaxWait)}
+		key := entity.RateKey(deficit.Workspace)
+		c.coordinator.shares.RecordDemand(host, key, deficit.Tokens, now)
+		req := quota.TokenRequest{Host: host, ID: deficit.ID, Key: key, Tokens: deficit.Tokens, Until: now.Add(deficit.MaxWait)}
 		if response, ok := c.coordinator.reserve.Request(req, now); ok {
 			responses = append(responses, response)
 		}
@@ -265,7 +266,7 @@
 			message = &wire.TokenResponse{}
 			byHost[r.Host] = message
 		}
-		message.Grants = append(message.Grants, wire.TokenGrant{ID: r.ID, Workspace: r.Workspace, Tokens: r.Tokens, Wait: r.Wait})
+		message.Grants = append(message.Grants, wire.TokenGrant{ID: r.ID, Workspace: entity.WorkspaceID(r.Key), Tokens: r.Tokens, Wait: r.Wait})
 	}
 	for host, message := range byHost {
 		c.sendTokenResponse(host, message, now)
--- a/internal/entity/entity.go
+++ b/internal/entity/entity.go
@@ -14,6 +14,10 @@
 // to it.
 type WorkspaceID string
 
+// RateKey identifies a rate that all hosts keep together: it is the ID of a workspace or of an upstream, by the
+// kind of the rate.
+type RateKey string
+
 // KeyID names a caller key without revealing it.
 type KeyID string
 
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -155,9 +155,9 @@
 // Guards against a fallback share that stays active when the registration of its host may have ended.
 func TestFallbackSharesEndWithRegistration(t *testing.T) {
 	l := New(testTolerance, testStart)
-	l.SetCatalog(testCatalog(testRate, testBurst), testStart)
+	l.SetLimits(testLimits(testRate, testBurst), testStart)
 	l.SetMembers([]entity.HostID{"a", "b", "c", "d"}, testStart)
-	l.SetFallback(map[entity.WorkspaceID]float64{"w": 0.9}, 1, testStart)
+	l.SetFallback(map[entity.RateKey]float64{"w": 0.9}, 1, testStart)
 	l.SetRegistered(testStart.Add(time.Second), testStart)
 	now := testStart.Add(2 * time.Second)
 	if _, _, ok := l.Admit("w", 0.5*testRate, now); !ok {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -84,6 +84,25 @@
 	return time.Duration(min(deficit/rate, maxReportedWait.Seconds()) * float64(time.Second))
 }
 
+// Limit is a rate with a burst that all hosts keep together.
+type Limit struct {
+	// Rate is the number of tokens per second, and Burst the number of tokens beyond it. Without a Rate there is no
+	// limit.
+	Rate, Burst float64
+}
+
+// Limits holds limits by their key.
+type Limits map[entity.RateKey]Limit
+
+// WorkspaceLimits returns the limits of the workspaces of a configuration.
+func WorkspaceLimits(c *catalog.Catalog) Limits {
+	limits := make(Limits, len(c.Workspaces()))
+	for id, w := range c.Workspaces() {
+		limits[entity.RateKey(id)] = Limit{Rate: w.Rate, Burst: w.Burst}
+	}
+	return limits
+}
+
 // Tolerance is by how much the hosts together may exceed the rate and burst of a workspace.
 type Tolerance struct {
 	// Factor is the tolerated excess as a fraction of rate and burst. It makes up for tokens that remain
@@ -99,7 +118,7 @@
 
 // scaledLimits returns the rate and burst, raised by Factor, that are divided among the hosts and the
 // reserve.
-func (t Tolerance) scaledLimits(w *catalog.Workspace) (rate, burst float64) {
+func (t Tolerance) scaledLimits(w Limit) (rate, burst float64) {
 	return w.Rate * (1 + t.Factor), w.Burst * (1 + t.Factor)
 }
 
@@ -107,7 +126,7 @@
 // come on top of the level of the reserve: a quarter of Tokens, and half of the overshoot over a window that
 // Factor leaves. Factor is half of the overshoot that the site tolerates, so the half that it leaves is as
 // large as Factor.
-func (t Tolerance) maxSurplus(w *catalog.Workspace) float64 {
+func (t Tolerance) maxSurplus(w Limit) float64 {
 	return t.Tokens/4 + t.Factor/2*(w.Rate*t.Window.Seconds()+w.Burst)
 }
 
@@ -123,10 +142,10 @@
 // Limiter admits the requests of one host out of its even share, its fallback share and granted tokens.
 type Limiter struct {
 	tolerance Tolerance
-	catalog   *catalog.Catalog
-	buckets   map[entity.WorkspaceID]*bucket
+	limits    Limits
+	buckets   map[entity.RateKey]*bucket
 	// lastGrantAt is the time of the last grant by workspace.
-	lastGrantAt map[entity.WorkspaceID]time.Time
+	lastGrantAt map[entity.RateKey]time.Time
 	// members holds by host the time of the last SetMembers call that listed it as registered.
 	members map[entity.HostID]time.Time
 	hosts   int
@@ -136,7 +155,7 @@
 	fallbackFrom time.Time
 	// fallbackShares are active only until registeredUntil, the time until which the registration of the
 	// host is certain.
-	fallbackShares  map[entity.WorkspaceID]float64
+	fallbackShares  map[entity.RateKey]float64
 	fallbackVersion uint64
 	registeredUntil time.Time
 }
@@ -146,21 +165,21 @@
 	return &Limiter{
 		fallbackFrom:   now,
 		tolerance:      tolerance,
-		buckets:        make(map[entity.WorkspaceID]*bucket),
-		lastGrantAt:    make(map[entity.WorkspaceID]time.Time),
+		buckets:        make(map[entity.RateKey]*bucket),
+		lastGrantAt:    make(map[entity.RateKey]time.Time),
 		members:        make(map[entity.HostID]time.Time),
-		fallbackShares: make(map[entity.WorkspaceID]float64),
+		fallbackShares: make(map[entity.RateKey]float64),
 		hosts:          1,
 	}
 }
 
-// SetCatalog activates a configuration. A changed rate applies from now and does not refill the buckets.
-func (l *Limiter) SetCatalog(c *catalog.Catalog, now time.Time) {
+// SetLimits replaces the limits. A changed rate applies from now and does not refill the buckets.
+func (l *Limiter) SetLimits(limits Limits, now time.Time) {
 	l.refillAll(now)
-	l.catalog = c
-	for id, w := range c.Workspaces() {
+	l.limits = limits
+	for id := range limits {
 		b := l.bucket(id, now)
-		_, capacity := l.share(w, now)
+		_, capacity := l.share(id, now)
 		b.level = min(b.level, capacity)
 	}
 }
@@ -174,8 +193,8 @@
 	l.coordinated = hasSession
 	l.fallbackFrom = now.Add(FallbackDelay)
 	for id, b := range l.buckets {
-		if w := l.workspace(id); w != nil && hasSession {
-			_, capacity := l.share(w, now)
+		if l.isLimited(id) && hasSession {
+			_, capacity := l.share(id, now)
 			b.level = min(b.level, capacity)
 		}
 	}
@@ -196,7 +215,7 @@
 
 // SetFallback stores fallback shares that the coordinator has assigned. Workspaces without an entry keep
 // their share.
-func (l *Limiter) SetFallback(shares map[entity.WorkspaceID]float64, version uint64, now time.Time) {
+func (l *Limiter) SetFallback(shares map[entity.RateKey]float64, version uint64, now time.Time) {
 	l.refillAll(now)
 	maps.Copy(l.fallbackShares, validShares(shares))
 	l.fallbackVersion = version
@@ -204,8 +223,8 @@
 
 // validShares returns the shares that are between 0 and 1. It guards against invalid messages of other
 // processes.
-func validShares(shares map[entity.WorkspaceID]float64) map[entity.WorkspaceID]float64 {
-	out := make(map[entity.WorkspaceID]float64, len(shares))
+func validShares(shares map[entity.RateKey]float64) map[entity.RateKey]float64 {
+	out := make(map[entity.RateKey]float64, len(shares))
 	for id, share := range shares {
 		if share >= 0 && share <= 1 {
 			out[id] = share
@@ -218,7 +237,7 @@
 func validTokens(tokens float64) bool { return tokens > 0 && !math.IsInf(tokens, 0) }
 
 // FallbackShares returns a copy of the fallback shares, and the version of the last assignment.
-func (l *Limiter) FallbackShares() (shares map[entity.WorkspaceID]float64, version uint64) {
+func (l *Limiter) FallbackShares() (shares map[entity.RateKey]float64, version uint64) {
 	return maps.Clone(l.fallbackShares), l.fallbackVersion
 }
 
@@ -247,24 +266,24 @@
 
 func (l *Limiter) refillAll(now time.Time) {
 	for id, b := range l.buckets {
-		if w := l.workspace(id); w != nil {
-			l.refill(b, w, now)
+		if l.isLimited(id) {
+			l.refill(b, id, now)
 		}
 	}
 }
 
 // refill adds the tokens that have accrued since the last call: those of the even share for all of that
 // time, those of the fallback share only for the time in which it was active.
-func (l *Limiter) refill(b *bucket, w *catalog.Workspace, now time.Time) {
+func (l *Limiter) refill(b *bucket, id entity.RateKey, now time.Time) {
 	if fallbackStart := earliest(l.fallbackFrom, now); !l.coordinated && b.updated.Before(fallbackStart) {
-		rate, capacity := l.evenShare(w)
+		rate, capacity := l.evenShare(id)
 		b.refill(rate, capacity, fallbackStart)
 	}
 	if end := earliest(l.registeredUntil, now); l.usesFallback(b.updated) && end.Before(now) {
-		rate, capacity := l.share(w, b.updated)
+		rate, capacity := l.share(id, b.updated)
 		b.refill(rate, capacity, end)
 	}
-	rate, capacity := l.share(w, now)
+	rate, capacity := l.share(id, now)
 	b.refill(rate, capacity, now)
 }
 
@@ -288,26 +307,26 @@
 	return !l.coordinated && !now.Before(l.fallbackFrom) && now.Before(l.registeredUntil)
 }
 
-// evenShare returns this host's even share of a workspace's rate and burst.
-func (l *Limiter) evenShare(w *catalog.Workspace) (rate, capacity float64) {
-	rate, burst := l.tolerance.scaledLimits(w)
+// evenShare returns this host's even share of a rate and burst.
+func (l *Limiter) evenShare(id entity.RateKey) (rate, capacity float64) {
+	rate, burst := l.tolerance.scaledLimits(l.limits[id])
 	fraction := evenFraction(l.hosts) / float64(l.hosts)
 	return rate * fraction, burst * fraction
 }
 
-// share returns the rate and burst of a workspace that this host may use without grants: its even share,
-// and its fallback share while that is active.
-func (l *Limiter) share(w *catalog.Workspace, now time.Time) (rate, capacity float64) {
+// share returns the rate and burst that this host may use without grants: its even share, and its fallback share
+// while that is active.
+func (l *Limiter) share(id entity.RateKey, now time.Time) (rate, capacity float64) {
 	fraction := evenFraction(l.hosts) / float64(l.hosts)
 	if l.usesFallback(now) {
-		fraction += l.fallbackShares[w.ID]
+		fraction += l.fallbackShares[id]
 	}
-	rate, burst := l.tolerance.scaledLimits(w)
+	rate, burst := l.tolerance.scaledLimits(l.limits[id])
 	return rate * fraction, burst * fraction
 }
 
 // bucket returns the token bucket of a workspace and creates it if necessary.
-func (l *Limiter) bucket(id entity.WorkspaceID, now time.Time) *bucket {
+func (l *Limiter) bucket(id entity.RateKey, now time.Time) *bucket {
 	b := l.buckets[id]
 	if b == nil {
 		b = &bucket{updated: now}
@@ -316,12 +335,10 @@
 	return b
 }
 
-// workspace returns the configuration of a workspace, or nil.
-func (l *Limiter) workspace(id entity.WorkspaceID) *catalog.Workspace {
-	if l.catalog == nil {
-		return nil
-	}
-	return l.catalog.Workspace(id)
+// isLimited reports whether there is an entry for a key, possibly without a rate.
+func (l *Limiter) isLimited(id entity.RateKey) bool {
+	_, ok := l.limits[id]
+	return ok
 }
 
 // Hosts returns the number of hosts over which the even shares are split.
@@ -329,14 +346,13 @@
 
 // Admit charges a request if this host has the tokens for it. Otherwise it returns the deficit and the time
 // until the deficit has accrued without a grant. A workspace without a rate is not limited.
-func (l *Limiter) Admit(id entity.WorkspaceID, tokens float64, now time.Time) (deficit float64, wait time.Duration, ok bool) {
-	w := l.workspace(id)
-	if w == nil || w.Rate <= 0 {
+func (l *Limiter) Admit(id entity.RateKey, tokens float64, now time.Time) (deficit float64, wait time.Duration, ok bool) {
+	if l.limits[id].Rate <= 0 {
 		return 0, 0, true
 	}
 	b := l.bucket(id, now)
-	l.refill(b, w, now)
-	rate, capacity := l.share(w, now)
+	l.refill(b, id, now)
+	rate, capacity := l.share(id, now)
 	if at, ok := l.lastGrantAt[id]; ok && b.level > capacity && now.Sub(at) > hostSurplusTTL {
 		b.level = capacity
 	}
@@ -350,10 +366,10 @@
 }
 
 // Grant adds tokens that the coordinator has granted.
-func (l *Limiter) Grant(id entity.WorkspaceID, tokens float64, now time.Time) {
-	if w := l.workspace(id); w != nil && validTokens(tokens) {
+func (l *Limiter) Grant(id entity.RateKey, tokens float64, now time.Time) {
+	if l.isLimited(id) && validTokens(tokens) {
 		b := l.bucket(id, now)
-		l.refill(b, w, now)
+		l.refill(b, id, now)
 		b.level += tokens
 		l.lastGrantAt[id] = now
 	}
@@ -361,20 +377,19 @@
 
 // Refund gives back the tokens of a request that never ran. It raises the bucket at most to its capacity, or to
 // the refunded tokens if they are more.
-func (l *Limiter) Refund(id entity.WorkspaceID, tokens float64, now time.Time) {
-	w := l.workspace(id)
-	if w == nil || w.Rate <= 0 {
+func (l *Limiter) Refund(id entity.RateKey, tokens float64, now time.Time) {
+	if l.limits[id].Rate <= 0 {
 		return
 	}
 	b := l.bucket(id, now)
-	l.refill(b, w, now)
-	_, capacity := l.share(w, now)
+	l.refill(b, id, now)
+	_, capacity := l.share(id, now)
 	b.level = min(b.level+tokens, max(capacity, b.level, tokens))
 }
 
 // Levels returns the bucket levels by workspace, as of the last use of each bucket.
-func (l *Limiter) Levels() map[entity.WorkspaceID]float64 {
-	out := make(map[entity.WorkspaceID]float64, len(l.buckets))
+func (l *Limiter) Levels() map[entity.RateKey]float64 {
+	out := make(map[entity.RateKey]float64, len(l.buckets))
 	for id, b := range l.buckets {
 		out[id] = b.level
 	}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -21,16 +21,16 @@
 var (
 	testTolerance = Tolerance{Factor: 0.05, Tokens: 17000, Window: testWindow}
 	testStart     = time.Unix(1000, 0)
-	testIDs       = []entity.WorkspaceID{"w"}
+	testIDs       = []entity.RateKey{"w"}
 )
 
-func testCatalog(rate, burst float64) *catalog.Catalog {
-	return catalog.New(catalog.Document{Version: 1, Workspaces: []*catalog.Workspace{{ID: "w", Rate: rate, Burst: burst}}})
+func testLimits(rate, burst float64) Limits {
+	return WorkspaceLimits(catalog.New(catalog.Document{Version: 1, Workspaces: []*catalog.Workspace{{ID: "w", Rate: rate, Burst: burst}}}))
 }
 
 // fleetSim simulates a number of hosts with one coordinator, in simulated time.
 type fleetSim struct {
-	catalog  *catalog.Catalog
+	limits   Limits
 	ids      []entity.HostID
 	limiters []*Limiter
 	// disconnected is set for hosts without a session with the coordinator.
@@ -75,7 +75,7 @@
 }
 
 func newFleetSim(hosts int) *fleetSim {
-	s := &fleetSim{catalog: testCatalog(testRate, testBurst), now: testStart, waiting: make(map[uint64]waitingRequest)}
+	s := &fleetSim{limits: testLimits(testRate, testBurst), now: testStart, waiting: make(map[uint64]waitingRequest)}
 	for i := range hosts {
 		s.ids = append(s.ids, entity.HostID(fmt.Sprint(i)))
 	}
@@ -92,7 +92,7 @@
 func (s *fleetSim) start(i int) {
 	s.limiters[i] = New(testTolerance, s.now)
 	s.limiters[i].SetMembers(s.ids, s.now)
-	s.limiters[i].SetCatalog(s.catalog, s.now)
+	s.limiters[i].SetLimits(s.limits, s.now)
 	s.limiters[i].SetRegistered(s.now.Add(time.Hour), s.now)
 }
 
@@ -158,7 +158,7 @@
 		}
 	}
 	s.lastExchangeAt = time.Time{}
-	s.reserve.SetCatalog(s.catalog, s.now)
+	s.reserve.SetLimits(s.limits, s.now)
 	s.exchangeMessages()
 }
 
@@ -173,7 +173,7 @@
 		s.shares.RecordDemand(s.ids[host], "w", deficit, s.now)
 		s.lastRequestID++
 		s.waiting[s.lastRequestID] = waitingRequest{host: host, tokens: tokens}
-		req := TokenRequest{Host: s.ids[host], ID: s.lastRequestID, Workspace: "w", Tokens: deficit, Until: s.now.Add(testWait)}
+		req := TokenRequest{Host: s.ids[host], ID: s.lastRequestID, Key: "w", Tokens: deficit, Until: s.now.Add(testWait)}
 		if response, responded := s.reserve.Request(req, s.now); responded {
 			s.responded(response)
 		}
@@ -295,7 +295,7 @@
 // and refusals asked for a retry within milliseconds.
 func TestOverloadedWorkspaceUsesItsRate(t *testing.T) {
 	r := NewReserve(Tolerance{}, 7)
-	r.SetCatalog(testCatalog(testRate, testBurst), testStart)
+	r.SetLimits(testLimits(testRate, testBurst), testStart)
 	rng := rand.New(rand.NewPCG(21, 1))
 	now := testStart
 	granted, earlyRetries := 0.0, 0
@@ -312,7 +312,7 @@
 		now = now.Add(testStep)
 		count(r.Advance(now))
 		if rng.Float64() < testStep.Seconds()*testRate*2/1500 {
-			req := TokenRequest{Host: entity.HostID(fmt.Sprint(rng.IntN(295))), ID: uint64(i), Workspace: "w", Tokens: 500 + rng.Float64()*2000, Until: now.Add(250 * time.Millisecond)}
+			req := TokenRequest{Host: entity.HostID(fmt.Sprint(rng.IntN(295))), ID: uint64(i), Key: "w", Tokens: 500 + rng.Float64()*2000, Until: now.Add(250 * time.Millisecond)}
 			if response, responded := r.Request(req, now); responded {
 				count([]TokenResponse{response})
 			}
@@ -329,10 +329,10 @@
 // Guards against large token requests that wait until all smaller ones have been granted.
 func TestTokenRequestsAreGrantedInOrder(t *testing.T) {
 	r := NewReserve(Tolerance{}, 7)
-	r.SetCatalog(testCatalog(testRate, testBurst), testStart)
+	r.SetLimits(testLimits(testRate, testBurst), testStart)
 	later := testStart.Add(time.Hour)
 	for i, tokens := range []float64{9000, 100, 100} {
-		if _, responded := r.Request(TokenRequest{Host: "h", ID: uint64(i + 1), Workspace: "w", Tokens: tokens, Until: later}, testStart); responded {
+		if _, responded := r.Request(TokenRequest{Host: "h", ID: uint64(i + 1), Key: "w", Tokens: tokens, Until: later}, testStart); responded {
 			t.Fatalf("token request %d got a response from an empty reserve", i+1)
 		}
 	}
@@ -347,10 +347,10 @@
 // Guards against refusals that all ask for a retry at the same time.
 func TestRetryTimesAreSpread(t *testing.T) {
 	r := NewReserve(Tolerance{}, 7)
-	r.SetCatalog(testCatalog(testRate, testBurst), testStart)
+	r.SetLimits(testLimits(testRate, testBurst), testStart)
 	var waits []time.Duration
 	for i := range 10 {
-		response, responded := r.Request(TokenRequest{Host: "h", ID: uint64(i + 1), Workspace: "w", Tokens: 2000, Until: testStart}, testStart)
+		response, responded := r.Request(TokenRequest{Host: "h", ID: uint64(i + 1), Key: "w", Tokens: 2000, Until: testStart}, testStart)
 		if !responded || response.Tokens > 0 {
 			t.Fatalf("token request %d: response %+v, responded %v; want a refusal", i, response, responded)
 		}
@@ -364,13 +364,13 @@
 // Guards against a burst that is granted a second time after a restart.
 func TestNewProcessStartsWithoutBurst(t *testing.T) {
 	l := New(testTolerance, testStart)
-	l.SetCatalog(testCatalog(testRate, testBurst), testStart)
+	l.SetLimits(testLimits(testRate, testBurst), testStart)
 	if _, _, ok := l.Admit("w", 100, testStart); ok {
 		t.Error("a new process admitted tokens at its start")
 	}
 	r := NewReserve(testTolerance, 7)
-	r.SetCatalog(testCatalog(testRate, testBurst), testStart)
-	if response, _ := r.Request(TokenRequest{Host: "h", ID: 1, Workspace: "w", Tokens: 100, Until: testStart}, testStart); response.Tokens > 0 {
+	r.SetLimits(testLimits(testRate, testBurst), testStart)
+	if response, _ := r.Request(TokenRequest{Host: "h", ID: 1, Key: "w", Tokens: 100, Until: testStart}, testStart); response.Tokens > 0 {
 		t.Errorf("a new coordinator granted %.0f tokens at its start", response.Tokens)
 	}
 }
@@ -378,17 +378,17 @@
 // Guards against a changed rate that refills the bucket, and against one that is not applied at once.
 func TestChangedRateCountsFromNow(t *testing.T) {
 	l := New(Tolerance{}, testStart)
-	l.SetCatalog(testCatalog(testRate, testBurst), testStart)
-	l.SetFallback(map[entity.WorkspaceID]float64{"w": reserveFraction(1)}, 1, testStart)
+	l.SetLimits(testLimits(testRate, testBurst), testStart)
+	l.SetFallback(map[entity.RateKey]float64{"w": reserveFraction(1)}, 1, testStart)
 	l.SetRegistered(testStart.Add(time.Hour), testStart)
 	now := testStart.Add(10 * time.Second)
 	l.Admit("w", testBurst, now)
-	l.SetCatalog(testCatalog(10*testRate, 10*testBurst), now)
+	l.SetLimits(testLimits(10*testRate, 10*testBurst), now)
 	if _, _, ok := l.Admit("w", 1, now); ok {
 		t.Error("a raised rate refilled the bucket")
 	}
 	now = now.Add(10 * time.Second)
-	l.SetCatalog(testCatalog(100, 100), now)
+	l.SetLimits(testLimits(100, 100), now)
 	if _, _, ok := l.Admit("w", 200, now); ok {
 		t.Error("a lowered burst did not lower the level of the bucket")
 	}
@@ -412,7 +412,7 @@
 // Guards against a limit on a workspace without a rate.
 func TestNoRateMeansNoLimit(t *testing.T) {
 	l := New(Tolerance{}, testStart)
-	l.SetCatalog(testCatalog(0, 0), testStart)
+	l.SetLimits(testLimits(0, 0), testStart)
 	if _, _, ok := l.Admit("w", 1e9, testStart); !ok {
 		t.Error("a workspace without a rate was refused")
 	}
@@ -450,7 +450,7 @@
 		if membersFirst {
 			l.SetMembers(ids, testStart)
 		}
-		l.SetCatalog(testCatalog(testRate, testBurst), testStart)
+		l.SetLimits(testLimits(testRate, testBurst), testStart)
 		l.SetMembers(ids, testStart)
 		deficit, _, _ := l.Admit("w", 1000, testStart)
 		return deficit
--- a/internal/quota/reserve.go
+++ b/internal/quota/reserve.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/foxtailpass/foxtailpass/internal/catalog"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 )
 
@@ -22,11 +21,11 @@
 // which there is one at a time.
 type Reserve struct {
 	tolerance Tolerance
-	catalog   *catalog.Catalog
-	rows      map[entity.WorkspaceID]*reserveRow
+	limits    Limits
+	rows      map[entity.RateKey]*reserveRow
 	// withheld holds by workspace the fallback shares of the hosts that send the coordinator no reports.
 	// hosts is the number of hosts that have an even share.
-	withheld map[entity.WorkspaceID]float64
+	withheld map[entity.RateKey]float64
 	hosts    int
 }
 
@@ -47,9 +46,9 @@
 type TokenRequest struct {
 	Host entity.HostID
 	// ID identifies the token request at its host.
-	ID        uint64
-	Workspace entity.WorkspaceID
-	Tokens    float64
+	ID     uint64
+	Key    entity.RateKey
+	Tokens float64
 	// Until is the time until which the token request can wait.
 	Until time.Time
 }
@@ -57,11 +56,11 @@
 // TokenResponse is the response to a token request. It grants tokens, or refuses them and states in Wait after
 // which time the request should retry.
 type TokenResponse struct {
-	Host      entity.HostID
-	ID        uint64
-	Workspace entity.WorkspaceID
-	Tokens    float64
-	Wait      time.Duration
+	Host   entity.HostID
+	ID     uint64
+	Key    entity.RateKey
+	Tokens float64
+	Wait   time.Duration
 }
 
 // surpluses holds the tokens of one workspace that were granted to hosts beyond the deficits of their
@@ -96,25 +95,25 @@
 // NewReserve returns the reserve of a new coordinator. It starts without burst, and below zero by its
 // overdraft, because the previous coordinator may just have spent both.
 func NewReserve(tolerance Tolerance, hosts int) *Reserve {
-	return &Reserve{tolerance: tolerance, hosts: hosts, rows: make(map[entity.WorkspaceID]*reserveRow), withheld: make(map[entity.WorkspaceID]float64)}
+	return &Reserve{tolerance: tolerance, hosts: hosts, rows: make(map[entity.RateKey]*reserveRow), withheld: make(map[entity.RateKey]float64)}
 }
 
-// share returns the reserve's share of a workspace's rate and burst.
-func (r *Reserve) share(w *catalog.Workspace) (rate, capacity float64) {
-	fraction := max(reserveFraction(r.hosts)-r.withheld[w.ID], 0)
-	rate, burst := r.tolerance.scaledLimits(w)
+// share returns the reserve's share of a rate and burst.
+func (r *Reserve) share(id entity.RateKey) (rate, capacity float64) {
+	fraction := max(reserveFraction(r.hosts)-r.withheld[id], 0)
+	rate, burst := r.tolerance.scaledLimits(r.limits[id])
 	return rate * fraction, burst * fraction
 }
 
 // SetWithheld sets the number of hosts, and the fallback shares that may be in use at hosts which send the
 // coordinator no reports.
-func (r *Reserve) SetWithheld(shares map[entity.WorkspaceID]float64, hosts int, now time.Time) {
+func (r *Reserve) SetWithheld(shares map[entity.RateKey]float64, hosts int, now time.Time) {
 	r.refillAll(now)
 	r.withheld = shares
 	r.hosts = hosts
 	for id, row := range r.rows {
-		if w := r.workspace(id); w != nil {
-			_, capacity := r.share(w)
+		if r.isLimited(id) {
+			_, capacity := r.share(id)
 			row.level = min(row.level, capacity)
 		}
 		row.surpluses.expire(now)
@@ -123,34 +122,32 @@
 
 func (r *Reserve) refillAll(now time.Time) {
 	for id, row := range r.rows {
-		if w := r.workspace(id); w != nil {
-			rate, capacity := r.share(w)
+		if r.isLimited(id) {
+			rate, capacity := r.share(id)
 			row.refill(rate, capacity, now)
 		}
 	}
 }
 
-// SetCatalog activates a configuration. A changed rate applies from now and does not refill the reserve.
-func (r *Reserve) SetCatalog(c *catalog.Catalog, now time.Time) {
+// SetLimits replaces the limits. A changed rate applies from now and does not refill the reserve.
+func (r *Reserve) SetLimits(limits Limits, now time.Time) {
 	r.refillAll(now)
-	r.catalog = c
-	for id, w := range c.Workspaces() {
+	r.limits = limits
+	for id := range limits {
 		row := r.rows[id]
 		if row == nil {
 			row = &reserveRow{bucket: bucket{level: -r.tolerance.overdraft(), updated: now}, surpluses: surpluses{byHost: make(map[entity.HostID]surplus)}}
 			r.rows[id] = row
 		}
-		_, capacity := r.share(w)
+		_, capacity := r.share(id)
 		row.level = min(row.level, capacity)
 	}
 }
 
-// workspace returns the configuration of a workspace, or nil.
-func (r *Reserve) workspace(id entity.WorkspaceID) *catalog.Workspace {
-	if r.catalog == nil {
-		return nil
-	}
-	return r.catalog.Workspace(id)
+// isLimited reports whether there is an entry for a key, possibly without a rate.
+func (r *Reserve) isLimited(id entity.RateKey) bool {
+	_, ok := r.limits[id]
+	return ok
 }
 
 // HasWaiting reports whether token requests are waiting.
@@ -166,17 +163,17 @@
 // Request grants the tokens, or refuses them if they cannot accrue before req.Until. Otherwise the token request
 // waits, and Advance returns the response later.
 func (r *Reserve) Request(req TokenRequest, now time.Time) (response TokenResponse, responded bool) {
-	w, row := r.workspace(req.Workspace), r.rows[req.Workspace]
-	if w == nil || row == nil || w.Rate <= 0 {
+	row := r.rows[req.Key]
+	if row == nil || r.limits[req.Key].Rate <= 0 {
 		return req.grantResponse(req.Tokens), true
 	}
 	if !validTokens(req.Tokens) {
 		return req.refusalResponse(maxRetryAfter), true
 	}
-	rate, capacity := r.share(w)
+	rate, capacity := r.share(req.Key)
 	row.refill(rate, capacity, now)
 	if len(row.waiting) == 0 && req.Tokens <= row.level+r.tolerance.overdraft()+roundingTolerance {
-		return r.grant(req, w, row, capacity, now), true
+		return r.grant(req, row, capacity, now), true
 	}
 	wait := row.accrualTime(req.Tokens, r.tolerance.overdraft(), rate)
 	if now.Add(wait).After(req.Until) {
@@ -209,11 +206,11 @@
 
 // grant takes the tokens of a token request from the reserve. While the reserve is well filled it grants a
 // surplus as well, so that the next request of the host needs no token request.
-func (r *Reserve) grant(req TokenRequest, w *catalog.Workspace, row *reserveRow, capacity float64, now time.Time) TokenResponse {
+func (r *Reserve) grant(req TokenRequest, row *reserveRow, capacity float64, now time.Time) TokenResponse {
 	row.level -= req.Tokens
 	extra := 0.0
 	if row.level-req.Tokens >= surplusMinFill*capacity {
-		extra = max(min(req.Tokens, r.tolerance.maxSurplus(w)-row.surpluses.total+row.surpluses.byHost[req.Host].tokens), 0)
+		extra = max(min(req.Tokens, r.tolerance.maxSurplus(r.limits[req.Key])-row.surpluses.total+row.surpluses.byHost[req.Host].tokens), 0)
 	}
 	row.surpluses.set(req.Host, extra, now)
 	row.level -= extra
@@ -222,12 +219,12 @@
 
 // grantResponse returns the response that grants tokens.
 func (req TokenRequest) grantResponse(tokens float64) TokenResponse {
-	return TokenResponse{Host: req.Host, ID: req.ID, Workspace: req.Workspace, Tokens: tokens}
+	return TokenResponse{Host: req.Host, ID: req.ID, Key: req.Key, Tokens: tokens}
 }
 
 // refusalResponse returns the response that refuses the tokens; the request should retry after wait.
 func (req TokenRequest) refusalResponse(wait time.Duration) TokenResponse {
-	return TokenResponse{Host: req.Host, ID: req.ID, Workspace: req.Workspace, Wait: max(wait, time.Millisecond)}
+	return TokenResponse{Host: req.Host, ID: req.ID, Key: req.Key, Wait: max(wait, time.Millisecond)}
 }
 
 // Advance returns the responses to the waiting token requests whose tokens are available or whose maximum wait
@@ -244,12 +241,11 @@
 }
 
 // advance does the work of Advance for one workspace.
-func (r *Reserve) advance(id entity.WorkspaceID, row *reserveRow, now time.Time) []TokenResponse {
-	w := r.workspace(id)
-	if w == nil {
+func (r *Reserve) advance(id entity.RateKey, row *reserveRow, now time.Time) []TokenResponse {
+	if !r.isLimited(id) {
 		return row.refuseAll()
 	}
-	rate, capacity := r.share(w)
+	rate, capacity := r.share(id)
 	row.refill(rate, capacity, now)
 	var out []TokenResponse
 	for len(row.waiting) > 0 {
@@ -261,7 +257,7 @@
 		row.waiting = row.waiting[1:]
 		row.backlog -= req.Tokens
 		if fits {
-			out = append(out, r.grant(req, w, row, capacity, now))
+			out = append(out, r.grant(req, row, capacity, now))
 			continue
 		}
 		wait := row.accrualTime(req.Tokens, r.tolerance.overdraft(), rate)
--- a/internal/quota/shares.go
+++ b/internal/quota/shares.go
@@ -49,11 +49,11 @@
 	sharesKnown  bool
 	lastReportAt time.Time
 	// usable holds the largest shares that the host may be using, assigned the shares of the newest assignment.
-	usable, assigned map[entity.WorkspaceID]float64
+	usable, assigned map[entity.RateKey]float64
 	// version is the version of the newest assignment. pending is set until the host has confirmed it.
 	version uint64
 	pending bool
-	demand  map[entity.WorkspaceID]*demand
+	demand  map[entity.RateKey]*demand
 }
 
 // demand is an exponential average of requested tokens per second, as of updatedAt.
@@ -98,7 +98,7 @@
 func (t *FallbackTable) hostEntry(id entity.HostID) *hostShares {
 	h := t.hosts[id]
 	if h == nil {
-		h = &hostShares{demand: make(map[entity.WorkspaceID]*demand)}
+		h = &hostShares{demand: make(map[entity.RateKey]*demand)}
 		t.hosts[id] = h
 	}
 	return h
@@ -107,7 +107,7 @@
 // StartSession records the start of a host's session and the shares that the host may be using. The host may
 // use them until it receives the first message of the coordinator. They are therefore withheld until its next
 // report, which shows that it has received that message.
-func (t *FallbackTable) StartSession(host entity.HostID, shares map[entity.WorkspaceID]float64) {
+func (t *FallbackTable) StartSession(host entity.HostID, shares map[entity.RateKey]float64) {
 	h := t.hostEntry(host)
 	h.inSession = true
 	h.sharesKnown = true
@@ -140,7 +140,7 @@
 }
 
 // RecordDemand adds a token request of a host to its demand.
-func (t *FallbackTable) RecordDemand(host entity.HostID, id entity.WorkspaceID, tokens float64, now time.Time) {
+func (t *FallbackTable) RecordDemand(host entity.HostID, id entity.RateKey, tokens float64, now time.Time) {
 	h := t.hosts[host]
 	if h == nil || !validTokens(tokens) {
 		return
@@ -164,10 +164,10 @@
 
 // Withheld returns by workspace the sum of the shares that may be in use at hosts that send no reports or whose
 // shares are unknown.
-func (t *FallbackTable) Withheld(ids []entity.WorkspaceID, now time.Time) map[entity.WorkspaceID]float64 {
-	out := make(map[entity.WorkspaceID]float64, len(ids))
+func (t *FallbackTable) Withheld(ids []entity.RateKey, now time.Time) map[entity.RateKey]float64 {
+	out := make(map[entity.RateKey]float64, len(ids))
 	unknownHosts := 0
-	sums := make(map[entity.WorkspaceID]float64, len(ids))
+	sums := make(map[entity.RateKey]float64, len(ids))
 	for _, h := range t.hosts {
 		if !h.sharesKnown {
 			unknownHosts++
@@ -190,12 +190,12 @@
 type Assignment struct {
 	Host           entity.HostID
 	Version        uint64
-	FallbackShares map[entity.WorkspaceID]float64
+	FallbackShares map[entity.RateKey]float64
 }
 
 // Assign returns the changes of fallback shares, at most once in assignInterval. A share is lowered at once.
 // A share is raised only as far as other hosts have confirmed lower shares by then.
-func (t *FallbackTable) Assign(ids []entity.WorkspaceID, now time.Time) []Assignment {
+func (t *FallbackTable) Assign(ids []entity.RateKey, now time.Time) []Assignment {
 	if now.Sub(t.assignedAt) < assignInterval {
 		return nil
 	}
@@ -207,7 +207,7 @@
 		}
 	}
 	slices.Sort(assignable)
-	changes := make(map[entity.HostID]map[entity.WorkspaceID]float64, len(assignable))
+	changes := make(map[entity.HostID]map[entity.RateKey]float64, len(assignable))
 	hasUnknown := t.hasUnknownShares()
 	for _, id := range ids {
 		t.assignWorkspace(id, assignable, hasUnknown, changes, now)
@@ -234,7 +234,7 @@
 // assignWorkspace adds the changed shares of one workspace to changes. assignable are the hosts that report
 // and have confirmed their newest assignment. While the shares of any host are unknown, no free share is
 // assigned.
-func (t *FallbackTable) assignWorkspace(id entity.WorkspaceID, assignable []entity.HostID, hasUnknown bool, changes map[entity.HostID]map[entity.WorkspaceID]float64, now time.Time) {
+func (t *FallbackTable) assignWorkspace(id entity.RateKey, assignable []entity.HostID, hasUnknown bool, changes map[entity.HostID]map[entity.RateKey]float64, now time.Time) {
 	if len(assignable) == 0 {
 		return
 	}
@@ -281,7 +281,7 @@
 			continue
 		}
 		if changes[host] == nil {
-			changes[host] = make(map[entity.WorkspaceID]float64)
+			changes[host] = make(map[entity.RateKey]float64)
 		}
 		changes[host][id] = target
 	}
@@ -289,7 +289,7 @@
 
 // assignHost records new shares of a host. Until the host confirms them it may use the larger of its former
 // and its new share.
-func (t *FallbackTable) assignHost(host entity.HostID, shares map[entity.WorkspaceID]float64) Assignment {
+func (t *FallbackTable) assignHost(host entity.HostID, shares map[entity.RateKey]float64) Assignment {
 	h := t.hosts[host]
 	t.version++
 	h.version = t.version
@@ -302,7 +302,7 @@
 }
 
 // UsableShare returns the largest fallback share of a workspace that a host may use.
-func (t *FallbackTable) UsableShare(host entity.HostID, id entity.WorkspaceID) float64 {
+func (t *FallbackTable) UsableShare(host entity.HostID, id entity.RateKey) float64 {
 	if h := t.hosts[host]; h != nil {
 		return h.usable[id]
 	}
--- a/internal/wire/coordination.go
+++ b/internal/wire/coordination.go
@@ -44,8 +44,8 @@
 	Revision int64 `msgpack:"r,omitempty"`
 	// First marks the first report of a session. Only this report contains FallbackShares: by workspace, the
 	// share of the rate that the host uses while it has no coordinator.
-	First          bool                           `msgpack:"f,omitempty"`
-	FallbackShares map[entity.WorkspaceID]float64 `msgpack:"p,omitempty"`
+	First          bool                       `msgpack:"f,omitempty"`
+	FallbackShares map[entity.RateKey]float64 `msgpack:"p,omitempty"`
 	// SharesVersion is the HostState.SharesVersion of the newest fallback shares that the host has adopted.
 	SharesVersion uint64 `msgpack:"v,omitempty"`
 }
@@ -103,8 +103,8 @@
 	Estimates []ModelEstimate `msgpack:"e,omitempty"`
 	// FallbackShares contains the changed fallback shares of the host by workspace. The host returns
 	// SharesVersion in its reports once it has adopted them.
-	FallbackShares map[entity.WorkspaceID]float64 `msgpack:"p,omitempty"`
-	SharesVersion  uint64                         `msgpack:"v,omitempty"`
+	FallbackShares map[entity.RateKey]float64 `msgpack:"p,omitempty"`
+	SharesVersion  uint64                     `msgpack:"v,omitempty"`
 }
 
 // Kind implements Message.
