--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -50,6 +50,10 @@
 	target *target
 	// avoidUpstream is the upstream of the last attempt; a retry prefers any other upstream.
 	avoidUpstream entity.UpstreamID
+	// limitAsked is set while an answer about a request to a limited upstream is awaited. limitRefused holds the
+	// times before which no request to a limited upstream is asked for again.
+	limitAsked   bool
+	limitRefused map[entity.UpstreamID]time.Time
 	// index is the position in the heap of the queue, -1 if the request does not wait.
 	index int
 }
@@ -86,6 +90,8 @@
 	ReasonStale          Reason = "stale_configuration"
 	ReasonKeyWithdrawn   Reason = "key_withdrawn"
 	ReasonStopping       Reason = "stopping"
+	// ReasonRequestLimit is the reason if the request limit of an upstream keeps a request from being served.
+	ReasonRequestLimit Reason = "upstream_request_limit"
 )
 
 // Decision is the next step for a request: an attempt at an upstream, or a refusal.
@@ -101,12 +107,14 @@
 	OthersAge    time.Duration
 	// Alternatives is the number of other upstreams that serve the request and are not ejected.
 	Alternatives int
+	// LimitStamp is the result of RequestLimits.Take for the attempt.
+	LimitStamp uint64
 	// LastAttempt is set if the request may be retried only if this attempt is proven not to have run.
 	LastAttempt bool
 	// Refusal is the final answer to a refused request.
 	Refusal *entity.Refusal
 	Reason  Reason
-	// ReadyIn is set for ReasonNotReady: the estimated time until an upstream serves the request, zero if
+	// ReadyIn is set for ReasonNotReady and ReasonRequestLimit: the estimated time until an upstream serves the request, zero if
 	// there is no estimate.
 	ReadyIn time.Duration
 }
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -38,6 +38,8 @@
 	// ReadyIn estimates the time until an upstream serves a pool that none serves now. It returns false if
 	// there is no estimate. ReadyIn may be nil.
 	ReadyIn func(p Pool, now time.Time) (time.Duration, bool)
+	// Limits holds the request limits of upstreams. Limits may be nil.
+	Limits RequestLimits
 	// Policy selects a simpler policy for measurements.
 	Policy Policy
 }
@@ -75,6 +77,8 @@
 	// Requests that no upstream is expected to serve by then are refused.
 	stopBy    time.Time
 	decisions []Decision
+	// limitAsks are the requests to limited upstreams that must be asked for.
+	limitAsks []LimitAsk
 }
 
 // New returns an empty Scheduler.
@@ -242,13 +246,16 @@
 		s.refuse(r, ReasonDeadline, minRetryAfter)
 		return
 	}
-	wait, known := s.estimateWait(r.Pool, now)
+	s.askForLimited(r, now)
+	wait, known := s.estimateWait(r, now)
 	switch {
 	case !s.stopBy.IsZero() && !now.Add(wait).Before(s.stopBy):
 		s.refuse(r, ReasonStopping, minRetryAfter)
 	case known && wait < timeLeft:
 	case !known && now.Sub(r.Arrived) < r.Route.TargetLatency/2:
 		// The coordinator may not have received the demand yet.
+	case s.keptByLimit(r, now):
+		s.refuse(r, ReasonRequestLimit, wait)
 	default:
 		s.refuse(r, ReasonNotReady, wait)
 	}
@@ -262,15 +269,20 @@
 	return s.opts.ReadyIn(p, now)
 }
 
-// estimateWait estimates the time until an upstream serves the pool: zero if one serves it now, even if that
-// upstream has no free slot; otherwise the time to the end of a back-off or of a load. known is false if there
-// is no estimate.
-func (s *Scheduler) estimateWait(p Pool, now time.Time) (wait time.Duration, known bool) {
+// estimateWait estimates the time until an upstream serves a waiting request: zero if one serves its pool now, even
+// if that upstream has no free slot; otherwise the time to the end of a back-off, to the next request that a limit
+// allows, or to the end of a load. known is false if there is no estimate.
+func (s *Scheduler) estimateWait(r *Request, now time.Time) (wait time.Duration, known bool) {
+	p := r.Pool
 	for _, t := range s.byService[p.Service] {
 		if !t.serves(p, now) {
 			continue
 		}
-		remaining := t.backOff(now)
+		limitWait, ok := s.limitWait(r, t, now)
+		if !ok {
+			continue
+		}
+		remaining := max(t.backOff(now), limitWait)
 		if remaining == 0 {
 			return 0, true
 		}
@@ -289,7 +301,7 @@
 	s.removeWaiting(r)
 	delete(s.requests, r.ID)
 	d := Decision{Request: r, Reason: reason, Refusal: refusal(r, reason, retryAfter)}
-	if reason == ReasonNotReady {
+	if reason == ReasonNotReady || reason == ReasonRequestLimit {
 		d.ReadyIn = retryAfter
 	}
 	s.decisions = append(s.decisions, d)
@@ -339,7 +351,7 @@
 		forLong = s.longPromptReplicas(r.Pool)
 	}
 	for _, t := range s.byService[r.Pool.Service] {
-		if !t.serves(r.Pool, now) || !t.accepts(now) {
+		if !t.serves(r.Pool, now) || !t.accepts(now) || !s.withinLimit(t, now) {
 			continue
 		}
 		score := s.score(t, r, cached, now)
@@ -378,6 +390,8 @@
 		d.OthersAge = now.Sub(t.othersLoadAt)
 	}
 	d.Alternatives = s.alternatives(r.Pool, t, now)
+	d.LimitStamp = s.takeFromLimit(t, now)
+	s.askForSpare(r, now)
 	d.LastAttempt = r.possibleRuns+1 >= r.Route.MaxAttempts || !r.repeatable()
 	s.removeWaiting(r)
 	r.running = true
@@ -396,7 +410,7 @@
 func (s *Scheduler) alternatives(p Pool, chosen *target, now time.Time) int {
 	n := 0
 	for _, t := range s.byService[p.Service] {
-		if t != chosen && t.serves(p, now) && !now.Before(t.ejectedUntil) {
+		if t != chosen && t.serves(p, now) && !now.Before(t.ejectedUntil) && s.withinLimit(t, now) {
 			n++
 		}
 	}
--- a/internal/dispatch/self_reported.go
+++ b/internal/dispatch/self_reported.go
@@ -43,7 +43,6 @@
 	receivedAt   time.Time
 	draining     bool
 	backOffUntil time.Time
-	limit        RequestLimit
 }
 
 // RecordStatus records the status that an upstream has reported of itself. bornMillis identifies the
@@ -62,26 +61,12 @@
 	if until := now.Add(st.BackOff); st.BackOff > 0 && until.After(selfReported.backOffUntil) {
 		selfReported.backOffUntil = until
 	}
-	if st.Limit.Named {
-		selfReported.limit = st.Limit
-	}
 	if row := s.targets[id]; row != nil {
 		row.selfReported = selfReported
 	}
 	s.removeOldStatuses(now)
 }
 
-// Limits returns the request limits that upstreams have named to this host, in requests per second.
-func (s *Scheduler) Limits() map[entity.UpstreamID]float64 {
-	out := make(map[entity.UpstreamID]float64)
-	for id, selfReported := range s.selfReported {
-		if selfReported.limit.Named {
-			out[id] = selfReported.limit.PerSecond
-		}
-	}
-	return out
-}
-
 // removeOldStatuses removes the status of upstreams that are not in the table and whose last status is older
 // than statusRetention.
 func (s *Scheduler) removeOldStatuses(now time.Time) {
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -12,6 +12,8 @@
 	// ServingCount is the number of upstreams that serve the pool of the request, Waiting the number of waiting
 	// requests of the pool.
 	ServingCount int
+	// LimitedCount is how many of the serving upstreams have a request limit that allows no request now.
+	LimitedCount int
 	Waiting      int
 	// ReadyIn is the estimated time until an upstream serves the pool, if none does now.
 	ReadyIn time.Duration
@@ -29,6 +31,9 @@
 	for _, t := range s.byService[r.Pool.Service] {
 		if t.serves(r.Pool, now) {
 			q.ServingCount++
+			if !s.withinLimit(t, now) {
+				q.LimitedCount++
+			}
 		}
 	}
 	if waiting := s.queues[r.Pool]; waiting != nil {
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -96,21 +96,29 @@
 	}
 	s.frontend.log.Info("Sent.", "request", s.description.ID, "attempt", st.attempt, "upstream", st.target.ID, "after", now.Sub(s.arrived),
 		"left", left, "route", s.route.Name, "workspace", s.request.Workspace, "tokens", s.request.Tokens, "model", s.request.Pool.Model, "adapter", s.request.Pool.Adapter,
-		"load", math.Round(st.basis.load*10)/10, "others_age", st.basis.othersAge, "source", st.target.Source, "config", st.basis.configVersion,
+		"limited", st.limitStamp != 0, "load", math.Round(st.basis.load*10)/10, "others_age", st.basis.othersAge, "source", st.target.Source, "config", st.basis.configVersion,
 		"view_age", s.frontend.viewAge(now), "last_event", lastEvent)
 	ex, err := s.frontend.upstreams.Exchange(ctx, o)
 	if err == nil {
-		s.forwardUpstreamStatus(st.target, &ex.Header)
+		s.forwardUpstreamStatus(st, &ex.Header)
 	}
 	return ex, err
 }
 
 // forwardUpstreamStatus sends an upstream's self-reported status to the control state, before the answer is
 // passed on.
-func (s *requestSession) forwardUpstreamStatus(t *dispatch.Target, h *fasthttp.ResponseHeader) {
-	if status := s.frontend.protocol.ParseAnswer(h).Status; !status.Empty() {
-		s.frontend.send(upstreamStatusReceived{upstream: t.ID, bornMillis: t.BornMillis, status: status})
-	}
+func (s *requestSession) forwardUpstreamStatus(st step, h *fasthttp.ResponseHeader) {
+	info := s.frontend.protocol.ParseAnswer(h)
+	if info.Status.Empty() && st.limitStamp == 0 {
+		return
+	}
+	s.frontend.send(upstreamStatusReceived{
+		upstream:   st.target.ID,
+		bornMillis: st.target.BornMillis,
+		status:     info.Status,
+		final:      !info.Misdirected && (info.Signed || info.NotRun),
+		limitStamp: st.limitStamp,
+	})
 }
 
 // keyValid reports whether the request needs no key, or a view that is fresh enough still lists the key of
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -9,6 +9,7 @@
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/peer"
 	"github.com/foxtailpass/foxtailpass/internal/quota"
+	"github.com/foxtailpass/foxtailpass/internal/requestlimit"
 	"github.com/foxtailpass/foxtailpass/internal/swap"
 	"github.com/foxtailpass/foxtailpass/internal/wire"
 )
@@ -30,6 +31,17 @@
 	states           stateTable
 	estimates        estimateTable
 	sharesAssignedAt time.Time
+	// limits holds the request limits of upstreams, limitsVersion what of it was sent to all hosts at
+	// limitsPublishedAt. deferredOrders were not sent because of a limit.
+	limits            *requestlimit.Coordinator
+	limitsVersion     uint64
+	limitsPublishedAt time.Time
+	deferredOrders    []swap.Order
+}
+
+// isBusy reports whether ticks must be frequent.
+func (l *coordinator) isBusy() bool {
+	return l.swapper.NeedsTicks() || l.reserve.HasWaiting() || l.limits.HasWaiting() || l.limits.Version() != l.limitsVersion || len(l.deferredOrders) > 0
 }
 
 // hostSession is what the coordinator knows of one host and has sent to it.
@@ -70,14 +82,17 @@
 		shares:  quota.NewFallbackTable(lease.Token),
 		hosts:   make(map[entity.HostID]*hostSession),
 		states:  newStateTable(),
+		limits:  requestlimit.NewCoordinator(lease.Token, c.limiter.Hosts()),
 	}
+	c.coordinator.limitsVersion = c.coordinator.limits.Version()
 	c.coordinator.shares.SetMembers(c.members)
+	c.coordinator.limits.SetMembers(c.members)
 	if c.catalog != nil {
 		c.coordinator.swapper.SetCatalog(c.catalog)
 		c.coordinator.reserve.SetLimits(quota.WorkspaceLimits(c.catalog), now)
 	}
 	for _, u := range c.fleet.Rows() {
-		c.executeCommands(c.coordinator.swapper.SetUpstream(u, now))
+		c.executeCommands(c.coordinator.swapper.SetUpstream(u, now), now)
 	}
 	c.reporter = reporter{}
 	c.limiter.SetCoordinated(true, now)
@@ -103,6 +118,7 @@
 	c.coordinator = nil
 	c.linkLostAt = now
 	c.limiter.SetCoordinated(c.hasCoordinator(), now)
+	c.setLimitsCoordinated(c.hasCoordinator() && c.linkKeepsLimits, now)
 	c.readmitAll(now)
 }
 
@@ -116,6 +132,7 @@
 		if h.session == s {
 			delete(c.coordinator.hosts, id)
 			c.coordinator.shares.EndSession(id)
+			c.coordinator.limits.EndSession(id)
 		}
 	}
 }
@@ -159,6 +176,7 @@
 	if !r.First || h.session == nil {
 		l.shares.RecordReport(r.Host, r.SharesVersion, now)
 	}
+	c.limitsReported(h, r, now)
 	h.recordReport(r, now)
 	if h.revision == 0 && c.changeLog.CompleteSince(r.Revision) {
 		h.revision = r.Revision
@@ -196,12 +214,14 @@
 func (c *core) tickCoordinator(now time.Time) {
 	coord := c.coordinator
 	coord.swapper.SetPaused(!c.effects.holdsLease())
-	c.executeCommands(coord.swapper.Tick(now))
-	c.sendTokenResponses(coord.reserve.Advance(now), now)
+	c.executeCommands(coord.swapper.Tick(now), now)
+	c.sendTokenResponses(coord.reserve.Advance(now), workspaceGrant, now)
 	if now.Sub(coord.sharesAssignedAt) >= shareInterval {
 		coord.sharesAssignedAt = now
 		c.assignShares(now)
+		c.assignLimitShares(now)
 	}
+	c.tickLimits(now)
 	c.publish(now)
 }
 
@@ -224,14 +244,19 @@
 	}
 }
 
-// executeCommands carries out the commands of the swapper.
-func (c *core) executeCommands(commands []swap.Command) {
+// executeCommands carries out the commands of the swapper, except those that the request limit of an engine does not
+// allow now.
+func (c *core) executeCommands(commands []swap.Command, now time.Time) {
 	for _, cmd := range commands {
-		if cmd.Order != nil {
-			c.effects.order(*cmd.Order, c.coordinator.lease.Token)
+		if o := cmd.Order; o != nil && !c.mayContact(o.Upstream.ID, o.Upstream.BornMillis, now) {
+			c.coordinator.deferredOrders = append(c.coordinator.deferredOrders, *o)
+		} else if o != nil {
+			c.effects.order(*o, c.coordinator.lease.Token)
 		}
-		if cmd.Read != nil {
-			c.effects.readEngineReport(cmd.Read)
+		if u := cmd.Read; u != nil && !c.mayContact(u.ID, u.BornMillis, now) {
+			c.coordinator.swapper.HandleReportFailure(u.ID, now)
+		} else if u != nil {
+			c.effects.readEngineReport(u)
 		}
 	}
 }
@@ -241,7 +266,7 @@
 		"adapter", e.order.Adapter, "expected", e.order.Expected, "answer", e.answer, "took", e.took)
 	c.orders[orderKey{action: e.order.Action, answer: e.answer}]++
 	if c.coordinator != nil {
-		c.executeCommands(c.coordinator.swapper.HandleAnswer(e.order.ID, e.answer, now))
+		c.executeCommands(c.coordinator.swapper.HandleAnswer(e.order.ID, e.answer, now), now)
 	}
 }
 
@@ -254,5 +279,5 @@
 		c.coordinator.swapper.HandleReportFailure(e.upstream, now)
 		return
 	}
-	c.executeCommands(c.coordinator.swapper.HandleReport(e.upstream, e.report, now))
+	c.executeCommands(c.coordinator.swapper.HandleReport(e.upstream, e.report, now), now)
 }
--- a/internal/edge/coordinator_link.go
+++ b/internal/edge/coordinator_link.go
@@ -61,6 +61,7 @@
 func (c *core) linkDialed(s *peer.Session) {
 	c.link = s
 	c.linkEstablished = false
+	c.linkKeepsLimits = false
 	c.reporter = reporter{}
 }
 
@@ -85,6 +86,7 @@
 		c.linkLostAt = now
 	}
 	c.limiter.SetCoordinated(c.hasCoordinator(), now)
+	c.setLimitsCoordinated(c.coordinator != nil || c.hasCoordinator() && c.linkKeepsLimits, now)
 	c.readmitAll(now)
 }
 
@@ -106,7 +108,7 @@
 	}
 	waiting := c.scheduler.Waiting(now)
 	unreachable := c.scheduler.Unreachable(now)
-	urgent := !c.reporter.firstSent || confirms || c.waitingPoolsChanged(waiting) || len(unreachable) > c.reporter.unreachable
+	urgent := !c.reporter.firstSent || confirms || c.waitingPoolsChanged(waiting) || len(unreachable) > c.reporter.unreachable || c.requestLimits.HasUrgentNews()
 	if since < c.reportInterval() && !urgent {
 		return
 	}
@@ -154,9 +156,14 @@
 
 func (c *core) buildReport(waiting []dispatch.Waiting, running []dispatch.Running, now time.Time) *wire.HostReport {
 	r := &wire.HostReport{Host: c.self, SentAt: now.UnixNano(), Revision: c.knownRevision.Load(), SharesVersion: c.limiter.FallbackVersion()}
+	r.KeepsRequestLimits = true
+	r.RequestLimits = c.requestLimits.TakeNews(!c.reporter.firstSent)
+	var requestShares map[entity.RateKey]float64
+	requestShares, r.RequestSharesVersion = c.requestLimits.FallbackShares()
 	if !c.reporter.firstSent {
 		r.First = true
 		r.FallbackShares, _ = c.limiter.FallbackShares()
+		r.RequestShares = requestShares
 	}
 	demands := make(map[dispatch.Pool]*wire.PoolDemand)
 	demand := func(p dispatch.Pool) *wire.PoolDemand {
--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -15,6 +15,7 @@
 	"github.com/foxtailpass/foxtailpass/internal/peer"
 	"github.com/foxtailpass/foxtailpass/internal/quota"
 	"github.com/foxtailpass/foxtailpass/internal/relay"
+	"github.com/foxtailpass/foxtailpass/internal/requestlimit"
 	"github.com/foxtailpass/foxtailpass/internal/swap"
 	"github.com/foxtailpass/foxtailpass/internal/wire"
 )
@@ -37,11 +38,18 @@
 	effects effects
 	bounds  Bounds
 
-	catalog    *catalog.Catalog
-	scheduler  *dispatch.Scheduler
-	limiter    *quota.Limiter
-	fleet      *fleet.Table
-	stepQueues map[entity.RequestID]*stepQueue
+	catalog   *catalog.Catalog
+	scheduler *dispatch.Scheduler
+	limiter   *quota.Limiter
+	// requestLimits holds the request limits of upstreams. limitsCoordinated reports whether there is a session with a
+	// coordinator that keeps them, or this host is the coordinator; linkKeepsLimits whether the coordinator at the
+	// other end of link does. invalidLimits holds the upstreams whose limit could not be read.
+	requestLimits     *requestlimit.Host
+	limitsCoordinated bool
+	linkKeepsLimits   bool
+	invalidLimits     map[entity.UpstreamID]bool
+	fleet             *fleet.Table
+	stepQueues        map[entity.RequestID]*stepQueue
 	// parked requests wait for tokens of their workspace, in the order of their arrival.
 	parked []*parkedRequest
 	// unsentDeficits are the deficits of parked requests that have not been sent to the coordinator yet.
@@ -102,6 +110,8 @@
 		effects:       e,
 		bounds:        b,
 		limiter:       quota.New(b.toleratedOvershoot(), boottime.Now()),
+		requestLimits: requestlimit.NewHost(boottime.Now()),
+		invalidLimits: make(map[entity.UpstreamID]bool),
 		fleet:         fleet.NewTable(),
 		stepQueues:    make(map[entity.RequestID]*stepQueue),
 		states:        make(map[entity.UpstreamID]wire.UpstreamState),
@@ -124,6 +134,7 @@
 			}
 		},
 		ReadyIn: c.readyIn,
+		Limits:  c.requestLimits,
 	})
 	return c
 }
@@ -147,8 +158,10 @@
 		c.membersChanged(e, now)
 	case registrationConfirmed:
 		c.limiter.SetRegistered(e.until, now)
+		c.requestLimits.SetRegistered(e.until, now)
 	case registrationLost:
 		c.limiter.ClearFallback(now)
+		c.requestLimits.ClearFallback(now)
 	case revisionAdvanced:
 		c.revisionAdvanced(e, now)
 	case holderChanged:
@@ -168,6 +181,10 @@
 	case tokensAnswered:
 		c.lastMessageAt = now
 		c.tokensAnswered(e.answer, now)
+	case requestLimitsReceived:
+		c.lastMessageAt = now
+		c.linkKeepsLimits = true
+		c.requestLimitsReceived(e.limits, now)
 	case tokensRequested:
 		c.tokensRequested(e, now)
 	case reportReceived:
@@ -205,18 +222,21 @@
 func (c *core) membersChanged(e membersChanged, now time.Time) {
 	c.members, c.addrs = e.hosts, e.addrs
 	c.limiter.SetMembers(e.hosts, now)
+	c.requestLimits.SetHosts(c.limiter.Hosts())
 	c.scheduler.SetRetryExtra(c.retryExtra(), now)
 	if c.coordinator != nil {
 		c.coordinator.shares.SetMembers(e.hosts)
+		c.coordinator.limits.SetMembers(e.hosts)
 	}
 }
 
 // isBusy reports whether ticks must be frequent.
 func (c *core) isBusy() bool {
-	return !c.scheduler.Idle() || len(c.parked) > 0 || c.coordinator != nil && (c.coordinator.swapper.NeedsTicks() || c.coordinator.reserve.HasWaiting())
+	return !c.scheduler.Idle() || len(c.parked) > 0 || c.requestLimits.HasUrgentNews() || c.coordinator != nil && c.coordinator.isBusy()
 }
 
 func (c *core) sendToCoordinator(now time.Time) {
+	c.askForLimited(now)
 	c.sendTokenRequest(now)
 	c.report(now)
 }
@@ -251,7 +271,7 @@
 		}
 		if queue := c.stepQueues[r.ID]; queue != nil {
 			target := *d.Upstream
-			queue.steps <- step{target: &target, attempt: d.Attempt, alternatives: d.Alternatives, lastAttempt: d.LastAttempt, basis: c.basis(d)}
+			queue.steps <- step{target: &target, attempt: d.Attempt, alternatives: d.Alternatives, lastAttempt: d.LastAttempt, limitStamp: d.LimitStamp, basis: c.basis(d)}
 		}
 	}
 }
@@ -269,7 +289,7 @@
 func (c *core) enqueue(r *dispatch.Request, now time.Time) {
 	c.applyDecisions(c.scheduler.Enqueue(r, now), now)
 	if q, waits := c.scheduler.Queued(r.ID, now); waits {
-		c.log.Info("Queued.", "request", r.ID, "model", r.Pool.Model, "adapter", r.Pool.Adapter, "holders", q.ServingCount,
+		c.log.Info("Queued.", "request", r.ID, "model", r.Pool.Model, "adapter", r.Pool.Adapter, "holders", q.ServingCount, "limited", q.LimitedCount,
 			"waiting", q.Waiting, "ready_in", q.ReadyIn, "estimated", q.Estimated, "coordinated", c.hasCoordinator())
 	}
 }
@@ -291,10 +311,10 @@
 	if e.status.BackOff > 0 {
 		c.log.Info("Upstream wants a pause.", "upstream", e.upstream, "pause", e.status.BackOff)
 	}
-	if former, known := c.scheduler.Limits()[e.upstream]; e.status.Limit.Named && (!known || former != e.status.Limit.PerSecond) {
-		c.log.Info("Upstream names a request limit.", "upstream", e.upstream, "limit", e.status.Limit.PerSecond, "former", former, "known", known)
+	c.recordLimit(e, now)
+	if e.status.Draining || e.status.BackOff > 0 {
+		c.scheduler.RecordStatus(e.upstream, e.bornMillis, e.status, now)
 	}
-	c.scheduler.RecordStatus(e.upstream, e.bornMillis, e.status, now)
 }
 
 func (c *core) callerLeft(id entity.RequestID, now time.Time) {
@@ -350,7 +370,7 @@
 		ch := c.fleet.Put(u)
 		c.logUpstream(ch)
 		if c.coordinator != nil {
-			c.executeCommands(c.coordinator.swapper.SetUpstream(u, now))
+			c.executeCommands(c.coordinator.swapper.SetUpstream(u, now), now)
 		}
 		if !u.EqualExceptSequence(ch.Before) {
 			c.refreshTarget(u.ID, now)
@@ -363,6 +383,9 @@
 			c.coordinator.swapper.RemoveUpstream(id)
 		}
 	}
+	if len(e.removed) > 0 {
+		c.requestLimits.RemoveOld(c.isListed, now)
+	}
 }
 
 func (c *core) logUpstream(ch fleet.Change) {
--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -32,6 +32,9 @@
 	upstream   entity.UpstreamID
 	bornMillis int64
 	status     dispatch.StatusReport
+	// final reports whether the answer is certainly the upstream's own. limitStamp is that of the step.
+	final      bool
+	limitStamp uint64
 }
 
 // callerLeft reports that the caller of a request has left, or that the request has ended without a result of
@@ -87,13 +90,15 @@
 // leaseChanged holds this host's own coordinator lease, nil when it is lost.
 type leaseChanged struct{ lease *election.CoordinatorLease }
 
-// fleetStateReceived, hostStateReceived and tokensAnswered are messages of the coordinator.
+// fleetStateReceived, hostStateReceived, tokensAnswered and requestLimitsReceived are messages of the coordinator.
 type fleetStateReceived struct{ state *wire.FleetState }
 
 type hostStateReceived struct{ state *wire.HostState }
 
 type tokensAnswered struct{ answer *wire.TokenResponse }
 
+type requestLimitsReceived struct{ limits *wire.RequestLimits }
+
 // tokensRequested is a host's token request to the coordinator.
 type tokensRequested struct {
 	request *wire.TokenRequest
@@ -157,6 +162,7 @@
 func (fleetStateReceived) isEvent()     {}
 func (hostStateReceived) isEvent()      {}
 func (tokensAnswered) isEvent()         {}
+func (requestLimitsReceived) isEvent()  {}
 func (tokensRequested) isEvent()        {}
 func (revisionAdvanced) isEvent()       {}
 func (registrationConfirmed) isEvent()  {}
@@ -179,8 +185,11 @@
 	alternatives int
 	// lastAttempt reports whether no other attempt may follow this one once it may have run.
 	lastAttempt bool
-	refusal     *entity.Refusal
-	reason      dispatch.Reason
+	// limitStamp is not zero if the upstream had a request limit when the attempt was decided. It is returned with
+	// what the answer states about the limit.
+	limitStamp uint64
+	refusal    *entity.Refusal
+	reason     dispatch.Reason
 	// basis is the data on which the decision was based, for the log.
 	basis basis
 }
--- a/internal/edge/operator.go
+++ b/internal/edge/operator.go
@@ -117,6 +117,8 @@
 		read              func() []metrics.Observation
 	}{
 		{"foxtailpass_orders", "Orders to engines by action and answer.", h.readOrders},
+		{"foxtailpass_limited_requests", "Requests sent to an upstream while it had a request limit, by upstream.", h.readLimitSent},
+		{"foxtailpass_limit_asks", "Requests that waited for the coordinator to grant one under the request limit of an upstream, by upstream.", h.readLimitHeld},
 		{"foxtailpass_store_calls", "Calls to the key-value service by kind.", h.readStoreCalls},
 		{"foxtailpass_mismatched_answers", "Answers of upstreams that carried the ID of another request.", one(h.mismatchedAnswers)},
 		{"foxtailpass_log_lines_dropped", "Log lines that were dropped because nobody read the output.", one(h.logLinesDropped)},
@@ -176,7 +178,17 @@
 }
 
 func (h *Host) readRequestLimits() (out []metrics.Observation) {
-	h.queryCore(func(c *core) { out = observations("upstream", c.scheduler.Limits()) })
+	h.queryCore(func(c *core) { out = observations("upstream", c.requestLimits.Limits()) })
+	return out
+}
+
+func (h *Host) readLimitSent() (out []metrics.Observation) {
+	h.queryCore(func(c *core) { out = observations("upstream", c.requestLimits.Sent()) })
+	return out
+}
+
+func (h *Host) readLimitHeld() (out []metrics.Observation) {
+	h.queryCore(func(c *core) { out = observations("upstream", c.requestLimits.Held()) })
 	return out
 }
 
--- /dev/null
+++ b/internal/edge/request_limits.go
@@ -0,0 +1,184 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/dispatch"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/quota"
+	"github.com/foxtailpass/foxtailpass/internal/requestlimit"
+	"github.com/foxtailpass/foxtailpass/internal/swap"
+	"github.com/foxtailpass/foxtailpass/internal/wire"
+)
+
+// limitPublishInterval is the least time between two messages of the coordinator to all hosts about request limits.
+const limitPublishInterval = 100 * time.Millisecond
+
+// recordLimit applies what an answer states about the request limit of its upstream. An answer that names no limit is
+// only relevant if the request was sent under one.
+func (c *core) recordLimit(e upstreamStatusReceived, now time.Time) {
+	limit := e.status.Limit
+	if limit.Invalid && !c.invalidLimits[e.upstream] {
+		c.invalidLimits[e.upstream] = true
+		c.log.Warn("Upstream names a request limit that cannot be read.", "upstream", e.upstream, "named", limit.Named, "limit", limit.PerSecond)
+	}
+	if !limit.Named && (limit.Invalid || !e.final || e.limitStamp == 0) {
+		return
+	}
+	c.requestLimits.RecordAnswer(requestlimit.Answer{
+		Upstream:   e.upstream,
+		BornMillis: e.bornMillis,
+		Named:      limit.Named,
+		PerSecond:  limit.PerSecond,
+		Stamp:      e.limitStamp,
+	}, now)
+	c.limitsChanged(now)
+}
+
+// limitsChanged logs the changes of request limits and dispatches the requests that they allow.
+func (c *core) limitsChanged(now time.Time) {
+	changes := c.requestLimits.TakeChanges()
+	for _, ch := range changes {
+		msg := "Request limit of an upstream changed."
+		switch {
+		case !ch.WasLimited:
+			msg = "Upstream has a request limit."
+		case !ch.Limited:
+			msg = "Request limit of an upstream ended."
+		}
+		c.log.Info(msg, "upstream", ch.Upstream, "limit", ch.PerSecond, "former", ch.Former, "by_answer", ch.ByAnswer, "coordinated", c.limitsCoordinated)
+		if !ch.Limited {
+			c.refreshTarget(ch.Upstream, now)
+		}
+	}
+}
+
+// requestLimitsReceived applies the coordinator's message about request limits. The first one of a session shows that
+// the coordinator keeps them.
+func (c *core) requestLimitsReceived(m *wire.RequestLimits, now time.Time) {
+	c.setLimitsCoordinated(c.hasCoordinator(), now)
+	c.requestLimits.Apply(m, now)
+	c.limitsChanged(now)
+}
+
+// setLimitsCoordinated sets whether there is a session with a coordinator that keeps request limits.
+func (c *core) setLimitsCoordinated(coordinated bool, now time.Time) {
+	if coordinated == c.limitsCoordinated {
+		return
+	}
+	c.limitsCoordinated = coordinated
+	c.requestLimits.SetCoordinated(coordinated, now)
+	c.scheduler.ForgetLimitAsks()
+}
+
+// askForLimited adds the asks for requests to limited upstreams to the next token request.
+func (c *core) askForLimited(now time.Time) {
+	for _, r := range c.requestLimits.ExpireAsks(now) {
+		c.limitAnswered(r, now)
+	}
+	for _, a := range c.scheduler.TakeLimitAsks() {
+		if !c.limitsCoordinated {
+			continue
+		}
+		c.unsentDeficits = append(c.unsentDeficits, c.requestLimits.Ask(a.Request, a.Upstream, a.MaxWait, now))
+	}
+}
+
+// limitAnswered applies the coordinator's answer to an ask for a request to a limited upstream.
+func (c *core) limitAnswered(r requestlimit.Result, now time.Time) {
+	c.applyDecisions(c.scheduler.HandleLimitAnswer(r.Request, r.Upstream, r.Granted, r.Wait, now), now)
+}
+
+// limitRequested processes the ask of a host for a request to a limited upstream. Only a coordinator that holds its
+// lease grants any: its successor counts from zero.
+func (c *core) limitRequested(host entity.HostID, d wire.TokenDeficit, now time.Time) (quota.TokenResponse, bool) {
+	if !c.effects.holdsLease() {
+		return quota.TokenResponse{}, false
+	}
+	req := quota.TokenRequest{Host: host, ID: d.ID, Key: d.Upstream, Tokens: d.Tokens, Until: now.Add(d.MaxWait)}
+	return c.coordinator.limits.Request(req, now)
+}
+
+// limitGrant returns the message of an answer to an ask for a request to a limited upstream.
+func limitGrant(r quota.TokenResponse) wire.TokenGrant {
+	return wire.TokenGrant{ID: r.ID, Upstream: r.Key, Tokens: r.Tokens, Wait: r.Wait}
+}
+
+// limitsReported processes what the report of a host states about request limits.
+func (c *core) limitsReported(h *hostSession, r *wire.HostReport, now time.Time) {
+	limits := c.coordinator.limits
+	limits.HandleReport(r, now)
+	if !r.KeepsRequestLimits {
+		return
+	}
+	if !r.First || h.session == nil {
+		limits.ConfirmReport(r, now)
+	}
+	if r.First {
+		c.sendLimits(h, &wire.RequestLimits{Limits: limits.Limits()}, now)
+	}
+}
+
+// tickLimits does the periodic work of the coordinator for request limits.
+func (c *core) tickLimits(now time.Time) {
+	coord := c.coordinator
+	if c.effects.holdsLease() {
+		c.sendTokenResponses(coord.limits.Advance(now), limitGrant, now)
+	}
+	for _, o := range coord.deferredOrders {
+		c.executeCommands(coord.swapper.HandleAnswer(o.ID, swap.NotSent, now), now)
+	}
+	coord.deferredOrders = nil
+	coord.swapper.SetShort(coord.limits.Short(now))
+	c.publishLimits(now)
+}
+
+// publishLimits sends all hosts the request limits if these have changed.
+func (c *core) publishLimits(now time.Time) {
+	coord := c.coordinator
+	if coord.limits.Version() == coord.limitsVersion || now.Sub(coord.limitsPublishedAt) < limitPublishInterval {
+		return
+	}
+	coord.limitsVersion = coord.limits.Version()
+	coord.limitsPublishedAt = now
+	m := &wire.RequestLimits{Limits: coord.limits.Limits()}
+	for _, h := range coord.hosts {
+		c.sendLimits(h, m, now)
+	}
+}
+
+// assignLimitShares withholds and assigns the fallback shares of request limits.
+func (c *core) assignLimitShares(now time.Time) {
+	coord := c.coordinator
+	coord.limits.RemoveOld(c.isListed, now)
+	coord.limits.UpdateWithheld(c.limiter.Hosts(), now)
+	if !c.effects.holdsLease() {
+		return
+	}
+	for _, a := range coord.limits.AssignShares(now) {
+		if h := coord.hosts[a.Host]; h != nil {
+			c.sendLimits(h, &wire.RequestLimits{Shares: a.FallbackShares, SharesVersion: a.Version}, now)
+		}
+	}
+}
+
+func (c *core) isListed(id entity.UpstreamID) bool { return c.fleet.Get(id) != nil }
+
+// sendLimits sends one host a message about request limits.
+func (c *core) sendLimits(h *hostSession, m *wire.RequestLimits, now time.Time) {
+	if h.session == nil {
+		c.requestLimitsReceived(m, now)
+		return
+	}
+	if err := h.session.Send(m); err != nil {
+		c.log.Debug("Message not sent.", "host", h.host, "err", err)
+	}
+}
+
+// mayContact reports whether the coordinator itself may send a request to an upstream. Its orders and reads of reports
+// count towards the request limit of the upstream like the requests of callers.
+func (c *core) mayContact(id entity.UpstreamID, bornMillis int64, now time.Time) bool {
+	return c.coordinator.limits.TryTake(id, bornMillis, now)
+}
+
+var _ dispatch.RequestLimits = (*requestlimit.Host)(nil)
--- a/internal/edge/tokens.go
+++ b/internal/edge/tokens.go
@@ -217,7 +217,11 @@
 // tokensAnswered applies the coordinator's answers to token requests.
 func (c *core) tokensAnswered(m *wire.TokenResponse, now time.Time) {
 	for _, g := range m.Grants {
-		c.applyTokenGrant(g, now)
+		if g.Upstream == "" {
+			c.applyTokenGrant(g, now)
+		} else if result, known := c.requestLimits.HandleGrant(g, now); known {
+			c.limitAnswered(result, now)
+		}
 	}
 }
 
@@ -245,8 +249,14 @@
 		return
 	}
 	host := e.request.Host
-	var responses []quota.TokenResponse
+	var responses, limitResponses []quota.TokenResponse
 	for _, deficit := range e.request.Deficits {
+		if deficit.Upstream != "" {
+			if response, ok := c.limitRequested(host, deficit, now); ok {
+				limitResponses = append(limitResponses, response)
+			}
+			continue
+		}
 		key := entity.RateKey(deficit.Workspace)
 		c.coordinator.shares.RecordDemand(host, key, deficit.Tokens, now)
 		req := quota.TokenRequest{Host: host, ID: deficit.ID, Key: key, Tokens: deficit.Tokens, Until: now.Add(deficit.MaxWait)}
@@ -254,11 +264,17 @@
 			responses = append(responses, response)
 		}
 	}
-	c.sendTokenResponses(responses, now)
+	c.sendTokenResponses(responses, workspaceGrant, now)
+	c.sendTokenResponses(limitResponses, limitGrant, now)
+}
+
+// workspaceGrant returns the message of an answer about the rate of a workspace.
+func workspaceGrant(r quota.TokenResponse) wire.TokenGrant {
+	return wire.TokenGrant{ID: r.ID, Workspace: entity.WorkspaceID(r.Key), Tokens: r.Tokens, Wait: r.Wait}
 }
 
-// sendTokenResponses sends each host the grants and refusals of the reserve.
-func (c *core) sendTokenResponses(responses []quota.TokenResponse, now time.Time) {
+// sendTokenResponses sends each host the grants and refusals of a reserve.
+func (c *core) sendTokenResponses(responses []quota.TokenResponse, grant func(quota.TokenResponse) wire.TokenGrant, now time.Time) {
 	byHost := make(map[entity.HostID]*wire.TokenResponse)
 	for _, r := range responses {
 		message := byHost[r.Host]
@@ -266,7 +282,7 @@
 			message = &wire.TokenResponse{}
 			byHost[r.Host] = message
 		}
-		message.Grants = append(message.Grants, wire.TokenGrant{ID: r.ID, Workspace: entity.WorkspaceID(r.Key), Tokens: r.Tokens, Wait: r.Wait})
+		message.Grants = append(message.Grants, grant(r))
 	}
 	for host, message := range byHost {
 		c.sendTokenResponse(host, message, now)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -9,6 +9,8 @@
 // reserve. The rates and bursts of all shares therefore sum to those of the workspace, raised by
 // Tolerance.Factor, even if hosts know nothing of each other.
 //
+// Rates of requests, of which an upstream takes few, are divided in another way; see division.
+//
 // The package does no I/O and reads no clock. Its types are not safe for concurrent use; they belong to the
 // goroutine that owns the control state.
 package quota
@@ -133,17 +135,11 @@
 // overdraft returns by how many tokens the reserve may go below zero.
 func (t Tolerance) overdraft() float64 { return t.Tokens / 4 }
 
-// fallbackOverdraft returns by how many tokens a host without a coordinator may go below zero, in
-// proportion to its fallback share.
-func (t Tolerance) fallbackOverdraft(share float64, hosts int) float64 {
-	return t.Tokens / 2 * share / reserveFraction(hosts)
-}
-
 // Limiter admits the requests of one host out of its even share, its fallback share and granted tokens.
 type Limiter struct {
-	tolerance Tolerance
-	limits    Limits
-	buckets   map[entity.RateKey]*bucket
+	division division
+	limits   Limits
+	buckets  map[entity.RateKey]*bucket
 	// lastGrantAt is the time of the last grant by workspace.
 	lastGrantAt map[entity.RateKey]time.Time
 	// members holds by host the time of the last SetMembers call that listed it as registered.
@@ -160,11 +156,19 @@
 	registeredUntil time.Time
 }
 
-// New returns the Limiter of a process that has just started. It has no fallback shares.
+// New returns the Limiter of a process that has just started, for the rates of workspaces. It has no fallback
+// shares.
 func New(tolerance Tolerance, now time.Time) *Limiter {
+	return newLimiter(division{tolerance: tolerance}, now)
+}
+
+// NewRequestLimiter returns the Limiter of a process that has just started, for rates of requests.
+func NewRequestLimiter(now time.Time) *Limiter { return newLimiter(division{requests: true}, now) }
+
+func newLimiter(d division, now time.Time) *Limiter {
 	return &Limiter{
 		fallbackFrom:   now,
-		tolerance:      tolerance,
+		division:       d,
 		buckets:        make(map[entity.RateKey]*bucket),
 		lastGrantAt:    make(map[entity.RateKey]time.Time),
 		members:        make(map[entity.HostID]time.Time),
@@ -177,10 +181,15 @@
 func (l *Limiter) SetLimits(limits Limits, now time.Time) {
 	l.refillAll(now)
 	l.limits = limits
+	if l.division.requests {
+		maps.DeleteFunc(l.buckets, func(id entity.RateKey, _ *bucket) bool { return !l.isLimited(id) })
+		maps.DeleteFunc(l.lastGrantAt, func(id entity.RateKey, _ time.Time) bool { return !l.isLimited(id) })
+	}
 	for id := range limits {
 		b := l.bucket(id, now)
-		_, capacity := l.share(id, now)
-		b.level = min(b.level, capacity)
+		if _, capacity := l.share(id, now); !l.division.requests {
+			b.level = min(b.level, capacity)
+		}
 	}
 }
 
@@ -309,19 +318,19 @@
 
 // evenShare returns this host's even share of a rate and burst.
 func (l *Limiter) evenShare(id entity.RateKey) (rate, capacity float64) {
-	rate, burst := l.tolerance.scaledLimits(l.limits[id])
-	fraction := evenFraction(l.hosts) / float64(l.hosts)
+	rate, burst := l.division.tolerance.scaledLimits(l.limits[id])
+	fraction := l.division.evenFraction(l.hosts) / float64(l.hosts)
 	return rate * fraction, burst * fraction
 }
 
 // share returns the rate and burst that this host may use without grants: its even share, and its fallback share
 // while that is active.
 func (l *Limiter) share(id entity.RateKey, now time.Time) (rate, capacity float64) {
-	fraction := evenFraction(l.hosts) / float64(l.hosts)
+	fraction := l.division.evenFraction(l.hosts) / float64(l.hosts)
 	if l.usesFallback(now) {
 		fraction += l.fallbackShares[id]
 	}
-	rate, burst := l.tolerance.scaledLimits(l.limits[id])
+	rate, burst := l.division.tolerance.scaledLimits(l.limits[id])
 	return rate * fraction, burst * fraction
 }
 
@@ -345,24 +354,59 @@
 func (l *Limiter) Hosts() int { return l.hosts }
 
 // Admit charges a request if this host has the tokens for it. Otherwise it returns the deficit and the time
-// until the deficit has accrued without a grant. A workspace without a rate is not limited.
+// until the deficit has accrued without a grant. A rate that is not limited covers every request.
 func (l *Limiter) Admit(id entity.RateKey, tokens float64, now time.Time) (deficit float64, wait time.Duration, ok bool) {
 	if l.limits[id].Rate <= 0 {
 		return 0, 0, true
 	}
-	b := l.bucket(id, now)
+	b, overdraft := l.refillForUse(id, now)
+	rate, _ := l.share(id, now)
+	deficit = tokens - b.level - overdraft
+	wait, ok = b.tryTake(tokens, overdraft, rate)
+	return deficit, wait, ok
+}
+
+// Deficit returns how many tokens this host lacks for a request, zero or less if it has them.
+func (l *Limiter) Deficit(id entity.RateKey, tokens float64, now time.Time) float64 {
+	if l.limits[id].Rate <= 0 {
+		return 0
+	}
+	b, overdraft := l.refillForUse(id, now)
+	return tokens - b.level - overdraft
+}
+
+// Covers reports whether this host has the tokens for a request.
+func (l *Limiter) Covers(id entity.RateKey, tokens float64, now time.Time) bool {
+	return l.Deficit(id, tokens, now) <= roundingTolerance
+}
+
+// AccrualTime returns the time until this host has the tokens for a request without a grant. It returns false if it
+// accrues none.
+func (l *Limiter) AccrualTime(id entity.RateKey, tokens float64, now time.Time) (time.Duration, bool) {
+	deficit := l.Deficit(id, tokens, now)
+	if deficit <= roundingTolerance {
+		return 0, true
+	}
+	rate, _ := l.share(id, now)
+	if rate <= 0 {
+		return 0, false
+	}
+	return accrualTime(deficit, rate), true
+}
+
+// refillForUse returns the bucket of a limited rate at its present level, without expired grants, and by how many
+// tokens the bucket may go below zero.
+func (l *Limiter) refillForUse(id entity.RateKey, now time.Time) (b *bucket, overdraft float64) {
+	b = l.bucket(id, now)
 	l.refill(b, id, now)
-	rate, capacity := l.share(id, now)
-	if at, ok := l.lastGrantAt[id]; ok && b.level > capacity && now.Sub(at) > hostSurplusTTL {
+	_, capacity := l.share(id, now)
+	if at, ok := l.lastGrantAt[id]; ok && b.level > capacity && now.Sub(at) > l.division.grantTTL() {
 		b.level = capacity
 	}
-	overdraft := 0.0
 	if l.usesFallback(now) {
-		overdraft = l.tolerance.fallbackOverdraft(l.fallbackShares[id], l.hosts)
+		overdraft = l.division.fallbackOverdraft(l.fallbackShares[id], l.hosts)
 	}
-	deficit = tokens - b.level - overdraft
-	wait, ok = b.tryTake(tokens, overdraft, rate)
-	return deficit, wait, ok
+	return b, overdraft
 }
 
 // Grant adds tokens that the coordinator has granted.
--- a/internal/quota/reserve.go
+++ b/internal/quota/reserve.go
@@ -20,9 +20,9 @@
 // deficit of one request at a time, in the order of the token requests. It belongs to the coordinator, of
 // which there is one at a time.
 type Reserve struct {
-	tolerance Tolerance
-	limits    Limits
-	rows      map[entity.RateKey]*reserveRow
+	division division
+	limits   Limits
+	rows     map[entity.RateKey]*reserveRow
 	// withheld holds by workspace the fallback shares of the hosts that send the coordinator no reports.
 	// hosts is the number of hosts that have an even share.
 	withheld map[entity.RateKey]float64
@@ -95,16 +95,34 @@
 // NewReserve returns the reserve of a new coordinator. It starts without burst, and below zero by its
 // overdraft, because the previous coordinator may just have spent both.
 func NewReserve(tolerance Tolerance, hosts int) *Reserve {
-	return &Reserve{tolerance: tolerance, hosts: hosts, rows: make(map[entity.RateKey]*reserveRow), withheld: make(map[entity.RateKey]float64)}
+	return newReserve(division{tolerance: tolerance}, hosts)
+}
+
+// NewRequestReserve returns the reserve of a new coordinator for rates of requests. It starts empty, because the
+// previous coordinator may just have spent the burst.
+func NewRequestReserve(hosts int) *Reserve { return newReserve(division{requests: true}, hosts) }
+
+func newReserve(d division, hosts int) *Reserve {
+	return &Reserve{division: d, hosts: hosts, rows: make(map[entity.RateKey]*reserveRow), withheld: make(map[entity.RateKey]float64)}
 }
 
 // share returns the reserve's share of a rate and burst.
 func (r *Reserve) share(id entity.RateKey) (rate, capacity float64) {
-	fraction := max(reserveFraction(r.hosts)-r.withheld[id], 0)
-	rate, burst := r.tolerance.scaledLimits(r.limits[id])
+	fraction := max(r.division.reserveFraction(r.hosts)-r.withheld[id], 0)
+	rate, burst := r.division.tolerance.scaledLimits(r.limits[id])
 	return rate * fraction, burst * fraction
 }
 
+// rowShare returns the reserve's share of a rate and the capacity of its row.
+func (r *Reserve) rowShare(id entity.RateKey, row *reserveRow) (rate, capacity float64) {
+	rate, capacity = r.share(id)
+	if r.division.requests && len(row.waiting) > 0 {
+		// A host that returns a request asks for two tokens, which may be more than the capacity.
+		capacity = max(capacity, row.waiting[0].Tokens)
+	}
+	return rate, capacity
+}
+
 // SetWithheld sets the number of hosts, and the fallback shares that may be in use at hosts which send the
 // coordinator no reports.
 func (r *Reserve) SetWithheld(shares map[entity.RateKey]float64, hosts int, now time.Time) {
@@ -113,7 +131,7 @@
 	r.hosts = hosts
 	for id, row := range r.rows {
 		if r.isLimited(id) {
-			_, capacity := r.share(id)
+			_, capacity := r.rowShare(id, row)
 			row.level = min(row.level, capacity)
 		}
 		row.surpluses.expire(now)
@@ -123,7 +141,7 @@
 func (r *Reserve) refillAll(now time.Time) {
 	for id, row := range r.rows {
 		if r.isLimited(id) {
-			rate, capacity := r.share(id)
+			rate, capacity := r.rowShare(id, row)
 			row.refill(rate, capacity, now)
 		}
 	}
@@ -133,13 +151,16 @@
 func (r *Reserve) SetLimits(limits Limits, now time.Time) {
 	r.refillAll(now)
 	r.limits = limits
+	if r.division.requests {
+		maps.DeleteFunc(r.rows, func(id entity.RateKey, row *reserveRow) bool { return !r.isLimited(id) && len(row.waiting) == 0 })
+	}
 	for id := range limits {
 		row := r.rows[id]
 		if row == nil {
-			row = &reserveRow{bucket: bucket{level: -r.tolerance.overdraft(), updated: now}, surpluses: surpluses{byHost: make(map[entity.HostID]surplus)}}
+			row = &reserveRow{bucket: bucket{level: -r.division.tolerance.overdraft(), updated: now}, surpluses: surpluses{byHost: make(map[entity.HostID]surplus)}}
 			r.rows[id] = row
 		}
-		_, capacity := r.share(id)
+		_, capacity := r.rowShare(id, row)
 		row.level = min(row.level, capacity)
 	}
 }
@@ -165,17 +186,25 @@
 func (r *Reserve) Request(req TokenRequest, now time.Time) (response TokenResponse, responded bool) {
 	row := r.rows[req.Key]
 	if row == nil || r.limits[req.Key].Rate <= 0 {
+		if r.division.requests {
+			// The host has received an answer that names a limit and has not reported it yet.
+			return req.refusalResponse(refusedRequestWait), true
+		}
 		return req.grantResponse(req.Tokens), true
 	}
 	if !validTokens(req.Tokens) {
 		return req.refusalResponse(maxRetryAfter), true
 	}
-	rate, capacity := r.share(req.Key)
+	rate, capacity := r.rowShare(req.Key, row)
 	row.refill(rate, capacity, now)
-	if len(row.waiting) == 0 && req.Tokens <= row.level+r.tolerance.overdraft()+roundingTolerance {
+	if len(row.waiting) == 0 && req.Tokens <= row.level+r.division.tolerance.overdraft()+roundingTolerance {
 		return r.grant(req, row, capacity, now), true
 	}
-	wait := row.accrualTime(req.Tokens, r.tolerance.overdraft(), rate)
+	wait := row.accrualTime(req.Tokens, r.division.tolerance.overdraft(), rate)
+	if r.division.requests && !req.Until.After(now) {
+		// Nobody waits for the tokens, so none are set aside for a retry.
+		return req.refusalResponse(wait), true
+	}
 	if now.Add(wait).After(req.Until) {
 		return req.refusalResponse(row.scheduleRetry(req.Tokens, wait, rate, now)), true
 	}
@@ -184,6 +213,22 @@
 	return TokenResponse{}, false
 }
 
+// TryTake takes tokens for a request of the coordinator itself and reports whether they were available. The token
+// requests of hosts go first.
+func (r *Reserve) TryTake(id entity.RateKey, tokens float64, now time.Time) bool {
+	row := r.rows[id]
+	if row == nil || r.limits[id].Rate <= 0 {
+		return true
+	}
+	rate, capacity := r.rowShare(id, row)
+	row.refill(rate, capacity, now)
+	if len(row.waiting) > 0 || row.level < tokens-roundingTolerance {
+		return false
+	}
+	row.level -= tokens
+	return true
+}
+
 // accrualTime returns how long it takes until a number of tokens is available after the waiting token
 // requests have been granted.
 func (row *reserveRow) accrualTime(tokens, overdraft, rate float64) time.Duration {
@@ -210,7 +255,7 @@
 	row.level -= req.Tokens
 	extra := 0.0
 	if row.level-req.Tokens >= surplusMinFill*capacity {
-		extra = max(min(req.Tokens, r.tolerance.maxSurplus(r.limits[req.Key])-row.surpluses.total+row.surpluses.byHost[req.Host].tokens), 0)
+		extra = max(min(req.Tokens, r.division.tolerance.maxSurplus(r.limits[req.Key])-row.surpluses.total+row.surpluses.byHost[req.Host].tokens), 0)
 	}
 	row.surpluses.set(req.Host, extra, now)
 	row.level -= extra
@@ -245,12 +290,12 @@
 	if !r.isLimited(id) {
 		return row.refuseAll()
 	}
-	rate, capacity := r.share(id)
+	rate, capacity := r.rowShare(id, row)
 	row.refill(rate, capacity, now)
 	var out []TokenResponse
 	for len(row.waiting) > 0 {
 		req := row.waiting[0]
-		fits := req.Tokens <= row.level+r.tolerance.overdraft()+roundingTolerance
+		fits := req.Tokens <= row.level+r.division.tolerance.overdraft()+roundingTolerance
 		if !fits && now.Before(req.Until) {
 			break
 		}
@@ -260,7 +305,7 @@
 			out = append(out, r.grant(req, row, capacity, now))
 			continue
 		}
-		wait := row.accrualTime(req.Tokens, r.tolerance.overdraft(), rate)
+		wait := row.accrualTime(req.Tokens, r.division.tolerance.overdraft(), rate)
 		out = append(out, req.refusalResponse(row.scheduleRetry(req.Tokens, wait, rate, now)))
 	}
 	if len(row.waiting) == 0 {
--- a/internal/quota/shares.go
+++ b/internal/quota/shares.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -28,6 +29,10 @@
 	// minEvenShareChange is the least change of a fallback share that is sent to its host, relative to the
 	// host's part of the evenly split fraction.
 	minEvenShareChange = 0.5
+	// holderPreference is how many times the demand of a host with a share of a rate of requests another host must
+	// have to replace it. minHolderWeight is the least weight of a host with a share, in tokens per second.
+	holderPreference = 2
+	minHolderWeight  = 0.01
 )
 
 // FallbackTable is the coordinator's table of the fallback shares of all registered hosts. A share that a host
@@ -36,6 +41,7 @@
 // unknown. They are assumed to be all that the known shares leave of the reserve, up to the largest share of
 // one host for each of these hosts.
 type FallbackTable struct {
+	division   division
 	hosts      map[entity.HostID]*hostShares
 	version    uint64
 	assignedAt time.Time
@@ -72,9 +78,21 @@
 
 // NewFallbackTable returns the table of a new coordinator. The fencing token rises with every coordinator, so
 // that versions start above those of former coordinators.
-func NewFallbackTable(fence int64) *FallbackTable {
+func NewFallbackTable(fence int64) *FallbackTable { return newFallbackTable(division{}, fence) }
+
+// NewRequestFallbackTable returns the table of a new coordinator for rates of requests.
+func NewRequestFallbackTable(fence int64) *FallbackTable {
+	return newFallbackTable(division{requests: true}, fence)
+}
+
+func newFallbackTable(d division, fence int64) *FallbackTable {
+	return &FallbackTable{division: d, hosts: make(map[entity.HostID]*hostShares), version: FirstVersion(fence)}
+}
+
+// FirstVersion returns the version below all versions under a fencing token, and above those under lower tokens.
+func FirstVersion(fence int64) uint64 {
 	const versionBits = 20
-	return &FallbackTable{hosts: make(map[entity.HostID]*hostShares), version: uint64(fence) << versionBits}
+	return uint64(fence) << versionBits
 }
 
 // SetMembers sets the registered hosts. It removes hosts with neither a registration nor a session, because
@@ -155,7 +173,9 @@
 }
 
 // reserveFraction returns the fraction of every rate that the fallback shares sum to.
-func (t *FallbackTable) reserveFraction() float64 { return reserveFraction(len(t.hosts)) }
+func (t *FallbackTable) reserveFraction() float64 {
+	return t.division.reserveFraction(len(t.hosts))
+}
 
 // reporting reports whether the host's shares are known and its last report is recent.
 func (h *hostShares) reporting(now time.Time) bool {
@@ -179,7 +199,7 @@
 			}
 		}
 	}
-	maxUnknown := float64(unknownHosts) * max(maxHostShare, 1/float64(max(len(t.hosts), 1)))
+	maxUnknown := float64(unknownHosts) * t.division.maxHostShare(len(t.hosts))
 	for _, id := range ids {
 		out[id] += min(max(t.reserveFraction()-sums[id], 0), maxUnknown)
 	}
@@ -255,36 +275,71 @@
 	if hasUnknown {
 		free, available = 0, assignableSum
 	}
+	targets, minChange := t.tokenTargets(id, assignable, available, totalDemand)
+	if t.division.requests {
+		targets, minChange = t.requestTargets(id, assignable, available), 0
+	}
+	for i, host := range assignable {
+		share, target := t.hosts[host].usable[id], targets[i]
+		if math.Abs(target-share) < max(minRelativeChange*share, minChange) {
+			continue
+		}
+		if target > share {
+			target = share + min(target-share, free)
+			free -= target - share
+		}
+		if target == share {
+			continue
+		}
+		if changes[host] == nil {
+			changes[host] = make(map[entity.RateKey]float64)
+		}
+		changes[host][id] = target
+	}
+}
+
+// tokenTargets returns the shares of the assignable hosts by their demand, and the least change that is made.
+func (t *FallbackTable) tokenTargets(id entity.RateKey, assignable []entity.HostID, available, totalDemand float64) (targets []float64, minChange float64) {
 	even := 1 / float64(len(assignable))
 	evenWeight := evenSplitFraction * min(1, evenSplitHosts*even)
 	for _, host := range assignable {
-		h := t.hosts[host]
 		target := available * even
 		if totalDemand > 0 {
 			// Here, share is the host's share of the demand.
 			share := 0.0
-			if d := h.demand[id]; d != nil {
+			if d := t.hosts[host].demand[id]; d != nil {
 				share = d.rate / totalDemand
 			}
 			target = available * (evenWeight*even + (1-evenWeight)*share)
 		}
-		target = min(target, max(maxHostShare, even))
-		share := h.usable[id]
-		if math.Abs(target-share) < max(minRelativeChange*share, minEvenShareChange*available*even*evenWeight) {
-			continue
-		}
-		if target > share {
-			target = share + min(target-share, free)
-			free -= target - share
+		targets = append(targets, min(target, t.division.maxHostShare(len(assignable))))
+	}
+	return targets, minEvenShareChange * available * even * evenWeight
+}
+
+// requestTargets returns equal shares for the requestHolders hosts with the highest demand, and none for the others.
+// A host that has a share keeps it until another host has holderPreference times its demand.
+func (t *FallbackTable) requestTargets(id entity.RateKey, assignable []entity.HostID, available float64) []float64 {
+	weights := make([]float64, len(assignable))
+	order := make([]int, len(assignable))
+	for i, host := range assignable {
+		order[i] = i
+		h := t.hosts[host]
+		if d := h.demand[id]; d != nil {
+			weights[i] = d.rate
 		}
-		if target == share {
-			continue
+		if h.usable[id] > 0 {
+			weights[i] = max(holderPreference*weights[i], minHolderWeight)
 		}
-		if changes[host] == nil {
-			changes[host] = make(map[entity.RateKey]float64)
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(weights[b], weights[a]) })
+	targets := make([]float64, len(assignable))
+	for _, i := range order[:min(requestHolders, len(order))] {
+		if weights[i] > 0 {
+			targets[i] = min(available/requestHolders, t.division.maxHostShare(len(assignable)))
 		}
-		changes[host][id] = target
 	}
+	return targets
 }
 
 // assignHost records new shares of a host. Until the host confirms them it may use the larger of its former
--- a/internal/swap/swap.go
+++ b/internal/swap/swap.go
@@ -354,6 +354,18 @@
 	}
 }
 
+// SetShort sets the engines whose request limit keeps requests waiting. What they have loaded is loaded elsewhere for
+// these requests, and nothing is loaded there.
+func (s *Swapper) SetShort(short map[entity.UpstreamID]bool) {
+	for id, r := range s.engineStates {
+		if r.short != short[id] {
+			r.short = short[id]
+			s.markChanged()
+			s.index.invalidateCopies()
+		}
+	}
+}
+
 // demand returns the demand for a model with its rate decayed to now.
 func (s *Swapper) demand(service catalog.ServiceID, model entity.ModelID, now time.Time) *modelDemand {
 	key := modelKey{service: service, model: model}
--- a/internal/wire/coordination.go
+++ b/internal/wire/coordination.go
@@ -48,8 +48,43 @@
 	FallbackShares map[entity.RateKey]float64 `msgpack:"p,omitempty"`
 	// SharesVersion is the HostState.SharesVersion of the newest fallback shares that the host has adopted.
 	SharesVersion uint64 `msgpack:"v,omitempty"`
+	// KeepsRequestLimits is set by a build that keeps the request limits of upstreams; older builds do not.
+	KeepsRequestLimits bool `msgpack:"k,omitempty"`
+	// RequestLimits lists what the host has learned about request limits since its previous report. In the first
+	// report of a session it lists all limits that the host knows.
+	RequestLimits []RequestLimit `msgpack:"q,omitempty"`
+	// RequestShares is to the request limits what FallbackShares is to the rates of workspaces, and
+	// RequestSharesVersion what SharesVersion is. It is sent in the first report of a session only.
+	RequestShares        map[entity.RateKey]float64 `msgpack:"y,omitempty"`
+	RequestSharesVersion uint64                     `msgpack:"z,omitempty"`
 }
 
+// RequestLimit is what a host or the coordinator knows of the request limit of one incarnation of an upstream: the
+// number of requests per second that it takes from all hosts together.
+type RequestLimit struct {
+	Upstream   entity.UpstreamID `msgpack:"u"`
+	BornMillis int64             `msgpack:"b"`
+	// None reports that there is no limit; otherwise PerSecond is the limit.
+	None      bool    `msgpack:"n,omitempty"`
+	PerSecond float64 `msgpack:"l,omitempty"`
+	// Version rises with every change at the coordinator, also across coordinators. In a report of a host it is the
+	// newest version that the host knew when it sent the request that this was learned from.
+	Version uint64 `msgpack:"v,omitempty"`
+}
+
+// RequestLimits is the coordinator's message to a host about the request limits of upstreams.
+type RequestLimits struct {
+	// Limits lists all limits that the coordinator knows, and those that have ended lately.
+	Limits []RequestLimit `msgpack:"l,omitempty"`
+	// Shares contains the changed shares of the host, if SharesVersion is not zero. The host returns SharesVersion
+	// in its reports once it has adopted them.
+	Shares        map[entity.RateKey]float64 `msgpack:"p,omitempty"`
+	SharesVersion uint64                     `msgpack:"v,omitempty"`
+}
+
+// Kind implements Message.
+func (*RequestLimits) Kind() Kind { return KindRequestLimits }
+
 // Kind implements Message.
 func (*HostReport) Kind() Kind { return KindHostReport }
 
@@ -137,6 +172,9 @@
 	// ID identifies the request in the TokenResponse.
 	ID        uint64             `msgpack:"i"`
 	Workspace entity.WorkspaceID `msgpack:"w"`
+	// Upstream, if set, states that the request needs to be sent to an upstream with a request limit; a token then
+	// stands for one request.
+	Upstream entity.RateKey `msgpack:"u,omitempty"`
 	// Tokens is the number of missing tokens.
 	Tokens float64 `msgpack:"n"`
 	// MaxWait is the maximum time that the request can wait for the tokens.
@@ -169,6 +207,7 @@
 type TokenGrant struct {
 	ID        uint64             `msgpack:"i"`
 	Workspace entity.WorkspaceID `msgpack:"w"`
+	Upstream  entity.RateKey     `msgpack:"u,omitempty"`
 	// Tokens is the number of granted tokens. Zero is a refusal: the tokens cannot become available in time,
 	// and Wait is the time after which the caller may retry.
 	Tokens float64       `msgpack:"n"`
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -43,6 +43,7 @@
 	KindHostState
 	KindListUpdate
 	KindAnnouncement
+	KindRequestLimits
 	// kindEnd is one above the highest kind.
 	kindEnd
 )
@@ -78,6 +79,7 @@
 	KindHostState:       "host_state",
 	KindListUpdate:      "list_update",
 	KindAnnouncement:    "announcement",
+	KindRequestLimits:   "request_limits",
 }
 
 // String returns the metric label of the kind.
