edge: what an upstream says of itself to one host reaches the coordinator and the other hosts

Reports of hosts now list the upstreams that leave or want a pause. The coordinator loads nothing at an engine that leaves, or that wants a pause of a second or more from two hosts, and loads its models elsewhere for waiting requests; hosts that have only been told by another host prefer other upstreams. Only a host's own sight and the list exclude an upstream. The answers to orders and reads of reports are read in the same way, and no order is sent during a pause that the engine wants of this host.

--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -18,6 +18,8 @@
 	sameDomainBonus = 0.06
 	affinityBonus   = 0.12
 	errorPenalty    = 1.5
+	// avoidPenalty raises the score of an upstream that is used only if no other one accepts the request.
+	avoidPenalty = 10
 	// maxAffinityEntries limits the number of prompt prefixes whose last upstream is stored.
 	maxAffinityEntries = 4096
 	// minRetryAfter and maxRetryAfter limit the retry time that callers receive with a refusal.
@@ -378,7 +380,10 @@
 		score -= affinityBonus
 	}
 	if r.avoidUpstream == t.ID {
-		score += 10
+		score += avoidPenalty
+	}
+	if t.drainingElsewhere != 0 && t.drainingElsewhere == t.BornMillis {
+		score += avoidPenalty
 	}
 	return score
 }
--- a/internal/dispatch/self_reported.go
+++ b/internal/dispatch/self_reported.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/foxtailpass/foxtailpass/internal/entity"
@@ -106,3 +108,46 @@
 	}
 	return max(t.selfReported.backOffUntil.Sub(now), 0)
 }
+
+// BackOff returns the remaining time for which this host must send nothing to an incarnation of an upstream.
+func (s *Scheduler) BackOff(id entity.UpstreamID, bornMillis int64, now time.Time) time.Duration {
+	selfReported := s.selfReported[id]
+	if selfReported == nil || selfReported.bornMillis != bornMillis {
+		return 0
+	}
+	return max(selfReported.backOffUntil.Sub(now), 0)
+}
+
+// OwnStatus is the self-reported status of an upstream that this host has received.
+type OwnStatus struct {
+	Upstream   entity.UpstreamID
+	BornMillis int64
+	Draining   bool
+	// BackOff is the remaining back-off.
+	BackOff time.Duration
+}
+
+// OwnStatuses returns the upstreams in the table that have reported to this host that they are draining, or that are
+// in a back-off.
+func (s *Scheduler) OwnStatuses(now time.Time) []OwnStatus {
+	var out []OwnStatus
+	for _, id := range slices.Sorted(maps.Keys(s.selfReported)) {
+		selfReported := s.selfReported[id]
+		st := OwnStatus{Upstream: id, BornMillis: selfReported.bornMillis, Draining: selfReported.draining, BackOff: max(selfReported.backOffUntil.Sub(now), 0)}
+		if s.targets[id] != nil && (st.Draining || st.BackOff > 0) {
+			out = append(out, st)
+		}
+	}
+	return out
+}
+
+// AvoidDraining records that an incarnation of an upstream has reported to another host that it is draining. This host
+// prefers other upstreams. It returns false if the upstream is not in the table, or if this was known.
+func (s *Scheduler) AvoidDraining(id entity.UpstreamID, bornMillis int64) bool {
+	row := s.targets[id]
+	if row == nil || row.BornMillis != bornMillis || row.drainingElsewhere == bornMillis || row.isDraining() {
+		return false
+	}
+	row.drainingElsewhere = bornMillis
+	return true
+}
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -67,6 +67,9 @@
 // to its description.
 type target struct {
 	Target
+	// drainingElsewhere is the start time of the incarnation that has reported to another host that it is draining, zero
+	// if none has.
+	drainingElsewhere int64
 	// selfReported is the status that the upstream has reported of itself, nil if none.
 	selfReported *selfReportedStatus
 	inflight     int
--- a/internal/edge/contain_test.go
+++ b/internal/edge/contain_test.go
@@ -66,7 +66,7 @@
 
 // peerMessages are the messages that a host or the coordinator receives from another process.
 var peerMessages = []wire.Message{
-	&wire.HostReport{}, &wire.TokenRequest{}, &wire.FleetState{}, &wire.HostState{}, &wire.TokenResponse{},
+	&wire.HostReport{}, &wire.TokenRequest{}, &wire.FleetState{}, &wire.HostState{}, &wire.TokenResponse{}, &wire.UpstreamNotices{},
 }
 
 // Guards against a well-formed message of another process with meaningless values: it must neither terminate
@@ -97,6 +97,9 @@
 			case *wire.TokenRequest:
 				for i := range m.Deficits {
 					m.Deficits[i].Workspace = "w"
+					if odd.IntN(2) == 0 {
+						m.Deficits[i].Upstream = ""
+					}
 					m.Deficits[i].Tokens = []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1e18, m.Deficits[i].Tokens}[odd.IntN(5)]
 				}
 				c.handle(tokensRequested{request: m, session: s}, now)
@@ -106,7 +109,17 @@
 				m.FallbackShares = map[entity.RateKey]float64{"w": []float64{math.NaN(), math.Inf(1), -5, 7}[odd.IntN(4)]}
 				c.handle(hostStateReceived{state: m}, now)
 			case *wire.TokenResponse:
+				for i := range m.Grants {
+					if odd.IntN(2) == 0 {
+						m.Grants[i].Upstream = ""
+					}
+				}
 				c.handle(tokensAnswered{answer: m}, now)
+			case *wire.UpstreamNotices:
+				for i := range m.Limits {
+					m.Limits[i].PerSecond = []float64{math.NaN(), math.Inf(1), -5, 0, m.Limits[i].PerSecond}[odd.IntN(5)]
+				}
+				c.handle(noticesReceived{notices: m}, now)
 			}
 			c.tick(now)
 		}
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -5,8 +5,10 @@
 	"slices"
 	"time"
 
+	"github.com/foxtailpass/foxtailpass/internal/dispatch"
 	"github.com/foxtailpass/foxtailpass/internal/election"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/fleet"
 	"github.com/foxtailpass/foxtailpass/internal/peer"
 	"github.com/foxtailpass/foxtailpass/internal/quota"
 	"github.com/foxtailpass/foxtailpass/internal/requestlimit"
@@ -31,17 +33,19 @@
 	states           stateTable
 	estimates        estimateTable
 	sharesAssignedAt time.Time
-	// limits holds the request limits of upstreams, limitsVersion what of it was sent to all hosts at
-	// limitsPublishedAt. deferredOrders were not sent because of a limit.
-	limits            *requestlimit.Coordinator
-	limitsVersion     uint64
-	limitsPublishedAt time.Time
-	deferredOrders    []swap.Order
+	// limits holds the request limits of upstreams, and statuses what else they have reported of themselves.
+	// noticesVersion is what of it was sent to all hosts at noticesPublishedAt.
+	limits             *requestlimit.Coordinator
+	statuses           statusTable
+	noticesVersion     uint64
+	noticesPublishedAt time.Time
+	// deferredOrders were not sent because of a limit or a back-off.
+	deferredOrders []swap.Order
 }
 
 // isBusy reports whether ticks must be frequent.
 func (l *coordinator) isBusy() bool {
-	return l.swapper.NeedsTicks() || l.reserve.HasWaiting() || l.limits.HasWaiting() || l.limits.Version() != l.limitsVersion || len(l.deferredOrders) > 0
+	return l.swapper.NeedsTicks() || l.reserve.HasWaiting() || l.limits.HasWaiting() || l.limits.Version()+l.statuses.version != l.noticesVersion || len(l.deferredOrders) > 0
 }
 
 // hostSession is what the coordinator knows of one host and has sent to it.
@@ -83,8 +87,10 @@
 		hosts:   make(map[entity.HostID]*hostSession),
 		states:  newStateTable(),
 		limits:  requestlimit.NewCoordinator(lease.Token, c.limiter.Hosts()),
+
+		statuses: newStatusTable(),
 	}
-	c.coordinator.limitsVersion = c.coordinator.limits.Version()
+	c.coordinator.noticesVersion = c.coordinator.limits.Version()
 	c.coordinator.shares.SetMembers(c.members)
 	c.coordinator.limits.SetMembers(c.members)
 	if c.catalog != nil {
@@ -176,7 +182,7 @@
 	if !r.First || h.session == nil {
 		l.shares.RecordReport(r.Host, r.SharesVersion, now)
 	}
-	c.limitsReported(h, r, now)
+	c.statusesReported(h, r, now)
 	h.recordReport(r, now)
 	if h.revision == 0 && c.changeLog.CompleteSince(r.Revision) {
 		h.revision = r.Revision
@@ -221,7 +227,7 @@
 		c.assignShares(now)
 		c.assignLimitShares(now)
 	}
-	c.tickLimits(now)
+	c.tickStatuses(now)
 	c.publish(now)
 }
 
@@ -265,19 +271,28 @@
 	c.log.Info("Order answered.", "upstream", e.order.Upstream.ID, "action", e.order.Action, "model", e.order.Model,
 		"adapter", e.order.Adapter, "expected", e.order.Expected, "answer", e.answer, "took", e.took)
 	c.orders[orderKey{action: e.order.Action, answer: e.answer}]++
+	c.controlStatusReceived(e.order.Upstream, e.status, now)
 	if c.coordinator != nil {
 		c.executeCommands(c.coordinator.swapper.HandleAnswer(e.order.ID, e.answer, now), now)
 	}
 }
 
+// controlStatusReceived applies what an engine reports of itself in the answer to a request of the coordinator.
+func (c *core) controlStatusReceived(u fleet.Incarnation, status dispatch.StatusReport, now time.Time) {
+	if !status.Empty() {
+		c.upstreamStatusReceived(upstreamStatusReceived{upstream: u.ID, bornMillis: u.BornMillis, status: status}, now)
+	}
+}
+
 func (c *core) engineReportRead(e engineReportRead, now time.Time) {
+	c.controlStatusReceived(e.upstream, e.status, now)
 	if c.coordinator == nil {
 		return
 	}
 	if e.err != nil {
-		c.log.Debug("Engine report not read.", "upstream", e.upstream, "err", e.err)
-		c.coordinator.swapper.HandleReportFailure(e.upstream, now)
+		c.log.Debug("Engine report not read.", "upstream", e.upstream.ID, "err", e.err)
+		c.coordinator.swapper.HandleReportFailure(e.upstream.ID, now)
 		return
 	}
-	c.executeCommands(c.coordinator.swapper.HandleReport(e.upstream, e.report, now), now)
+	c.executeCommands(c.coordinator.swapper.HandleReport(e.upstream.ID, e.report, now), now)
 }
--- a/internal/edge/coordinator_link.go
+++ b/internal/edge/coordinator_link.go
@@ -156,6 +156,7 @@
 
 func (c *core) buildReport(waiting []dispatch.Waiting, running []dispatch.Running, now time.Time) *wire.HostReport {
 	r := &wire.HostReport{Host: c.self, SentAt: now.UnixNano(), Revision: c.knownRevision.Load(), SharesVersion: c.limiter.FallbackVersion()}
+	r.Statuses = reportedStatuses(c.scheduler.OwnStatuses(now))
 	r.KeepsRequestLimits = true
 	r.RequestLimits = c.requestLimits.TakeNews(!c.reporter.firstSent)
 	var requestShares map[entity.RateKey]float64
--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -181,10 +181,10 @@
 	case tokensAnswered:
 		c.lastMessageAt = now
 		c.tokensAnswered(e.answer, now)
-	case requestLimitsReceived:
+	case noticesReceived:
 		c.lastMessageAt = now
 		c.linkKeepsLimits = true
-		c.requestLimitsReceived(e.limits, now)
+		c.noticesReceived(e.notices, now)
 	case tokensRequested:
 		c.tokensRequested(e, now)
 	case reportReceived:
--- a/internal/edge/dialer.go
+++ b/internal/edge/dialer.go
@@ -118,8 +118,8 @@
 		d.send(fleetStateReceived{state: m})
 	case *wire.TokenResponse:
 		d.send(tokensAnswered{answer: m})
-	case *wire.RequestLimits:
-		d.send(requestLimitsReceived{limits: m})
+	case *wire.UpstreamNotices:
+		d.send(noticesReceived{notices: m})
 	case *wire.ListUpdate:
 		accepted = d.enqueueRelayed(relayed{update: m})
 	case *wire.HostState:
--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -90,14 +90,14 @@
 // leaseChanged holds this host's own coordinator lease, nil when it is lost.
 type leaseChanged struct{ lease *election.CoordinatorLease }
 
-// fleetStateReceived, hostStateReceived, tokensAnswered and requestLimitsReceived are messages of the coordinator.
+// fleetStateReceived, hostStateReceived, tokensAnswered and noticesReceived are messages of the coordinator.
 type fleetStateReceived struct{ state *wire.FleetState }
 
 type hostStateReceived struct{ state *wire.HostState }
 
 type tokensAnswered struct{ answer *wire.TokenResponse }
 
-type requestLimitsReceived struct{ limits *wire.RequestLimits }
+type noticesReceived struct{ notices *wire.UpstreamNotices }
 
 // tokensRequested is a host's token request to the coordinator.
 type tokensRequested struct {
@@ -128,13 +128,15 @@
 type orderAnswered struct {
 	order  swap.Order
 	answer swap.Answer
+	status dispatch.StatusReport
 	took   time.Duration
 }
 
 // engineReportRead is the report of an engine, or the error if there is none.
 type engineReportRead struct {
-	upstream entity.UpstreamID
+	upstream fleet.Incarnation
 	report   swap.Report
+	status   dispatch.StatusReport
 	err      error
 }
 
@@ -162,7 +164,7 @@
 func (fleetStateReceived) isEvent()     {}
 func (hostStateReceived) isEvent()      {}
 func (tokensAnswered) isEvent()         {}
-func (requestLimitsReceived) isEvent()  {}
+func (noticesReceived) isEvent()        {}
 func (tokensRequested) isEvent()        {}
 func (revisionAdvanced) isEvent()       {}
 func (registrationConfirmed) isEvent()  {}
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -343,20 +343,20 @@
 func (h *Host) order(o swap.Order, token int64) {
 	go func() {
 		began := time.Now()
-		answer := h.opts.Protocol.Order(h.background, o, Authority{
+		answer, status := h.opts.Protocol.Order(h.background, o, Authority{
 			Holder:  h.opts.Settings.Host,
 			Token:   token,
 			Allowed: h.candidate.HoldsLease,
 		})
-		h.send(orderAnswered{order: o, answer: answer, took: time.Since(began)})
+		h.send(orderAnswered{order: o, answer: answer, status: status, took: time.Since(began)})
 	}()
 }
 
 // readEngineReport implements effects.
 func (h *Host) readEngineReport(u *fleet.Upstream) {
 	go func() {
-		r, err := h.opts.Protocol.Report(h.background, u)
-		h.send(engineReportRead{upstream: u.ID, report: r, err: err})
+		r, status, err := h.opts.Protocol.Report(h.background, u)
+		h.send(engineReportRead{upstream: u.Incarnation, report: r, status: status, err: err})
 	}()
 }
 
--- a/internal/edge/protocol.go
+++ b/internal/edge/protocol.go
@@ -36,10 +36,11 @@
 	DecodeUpstream(key string, value []byte) (*fleet.Upstream, error)
 
 	// Order sends an order to an engine. It calls a.Allowed when the connection is established, just before
-	// the first byte is sent.
-	Order(ctx context.Context, o swap.Order, a Authority) swap.Answer
-	// Report reads the report of an engine about its own state.
-	Report(ctx context.Context, u *fleet.Upstream) (swap.Report, error)
+	// the first byte is sent. The status is what the engine reports of itself in its answer.
+	Order(ctx context.Context, o swap.Order, a Authority) (swap.Answer, dispatch.StatusReport)
+	// Report reads the report of an engine about its own state. The status is that of its answer, also if the
+	// report could not be read.
+	Report(ctx context.Context, u *fleet.Upstream) (swap.Report, dispatch.StatusReport, error)
 }
 
 // Description holds what a caller's request states about itself.
--- a/internal/edge/request_limits.go
+++ b/internal/edge/request_limits.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"maps"
 	"time"
 
 	"github.com/foxtailpass/foxtailpass/internal/dispatch"
@@ -11,8 +12,9 @@
 	"github.com/foxtailpass/foxtailpass/internal/wire"
 )
 
-// limitPublishInterval is the least time between two messages of the coordinator to all hosts about request limits.
-const limitPublishInterval = 100 * time.Millisecond
+// noticesInterval is the least time between two messages of the coordinator to all hosts about what upstreams have
+// reported of themselves.
+const noticesInterval = 100 * time.Millisecond
 
 // recordLimit applies what an answer states about the request limit of its upstream. An answer that names no limit is
 // only relevant if the request was sent under one.
@@ -32,11 +34,11 @@
 		PerSecond:  limit.PerSecond,
 		Stamp:      e.limitStamp,
 	}, now)
-	c.limitsChanged(now)
+	c.logLimitChanges(now)
 }
 
-// limitsChanged logs the changes of request limits and dispatches the requests that they allow.
-func (c *core) limitsChanged(now time.Time) {
+// logLimitChanges logs the changes of request limits and dispatches the requests that they allow.
+func (c *core) logLimitChanges(now time.Time) {
 	changes := c.requestLimits.TakeChanges()
 	for _, ch := range changes {
 		msg := "Request limit of an upstream changed."
@@ -53,14 +55,6 @@
 	}
 }
 
-// requestLimitsReceived applies the coordinator's message about request limits. The first one of a session shows that
-// the coordinator keeps them.
-func (c *core) requestLimitsReceived(m *wire.RequestLimits, now time.Time) {
-	c.setLimitsCoordinated(c.hasCoordinator(), now)
-	c.requestLimits.Apply(m, now)
-	c.limitsChanged(now)
-}
-
 // setLimitsCoordinated sets whether there is a session with a coordinator that keeps request limits.
 func (c *core) setLimitsCoordinated(coordinated bool, now time.Time) {
 	if coordinated == c.limitsCoordinated {
@@ -104,10 +98,11 @@
 	return wire.TokenGrant{ID: r.ID, Upstream: r.Key, Tokens: r.Tokens, Wait: r.Wait}
 }
 
-// limitsReported processes what the report of a host states about request limits.
-func (c *core) limitsReported(h *hostSession, r *wire.HostReport, now time.Time) {
+// statusesReported processes what the report of a host states about what upstreams have reported to it.
+func (c *core) statusesReported(h *hostSession, r *wire.HostReport, now time.Time) {
 	limits := c.coordinator.limits
 	limits.HandleReport(r, now)
+	c.coordinator.statuses.record(r.Host, r.Statuses, now)
 	if !r.KeepsRequestLimits {
 		return
 	}
@@ -115,12 +110,12 @@
 		limits.ConfirmReport(r, now)
 	}
 	if r.First {
-		c.sendLimits(h, &wire.RequestLimits{Limits: limits.Limits()}, now)
+		c.sendNotices(h, c.allNotices(), now)
 	}
 }
 
-// tickLimits does the periodic work of the coordinator for request limits.
-func (c *core) tickLimits(now time.Time) {
+// tickStatuses does the periodic work of the coordinator for what upstreams have reported of themselves.
+func (c *core) tickStatuses(now time.Time) {
 	coord := c.coordinator
 	if c.effects.holdsLease() {
 		c.sendTokenResponses(coord.limits.Advance(now), limitGrant, now)
@@ -129,27 +124,19 @@
 		c.executeCommands(coord.swapper.HandleAnswer(o.ID, swap.NotSent, now), now)
 	}
 	coord.deferredOrders = nil
-	coord.swapper.SetShort(coord.limits.Short(now))
-	c.publishLimits(now)
-}
-
-// publishLimits sends all hosts the request limits if these have changed.
-func (c *core) publishLimits(now time.Time) {
-	coord := c.coordinator
-	if coord.limits.Version() == coord.limitsVersion || now.Sub(coord.limitsPublishedAt) < limitPublishInterval {
-		return
-	}
-	coord.limitsVersion = coord.limits.Version()
-	coord.limitsPublishedAt = now
-	m := &wire.RequestLimits{Limits: coord.limits.Limits()}
-	for _, h := range coord.hosts {
-		c.sendLimits(h, m, now)
-	}
+	avoided := coord.statuses.avoided(len(coord.hosts), now)
+	maps.Copy(avoided, coord.limits.Short(now))
+	coord.swapper.SetAvoided(avoided)
+	c.publishNotices(now)
 }
 
 // assignLimitShares withholds and assigns the fallback shares of request limits.
 func (c *core) assignLimitShares(now time.Time) {
 	coord := c.coordinator
+	coord.statuses.removeUnlisted(c.listedBorn)
+	if !coord.limits.Active() {
+		return
+	}
 	coord.limits.RemoveOld(c.isListed, now)
 	coord.limits.UpdateWithheld(c.limiter.Hosts(), now)
 	if !c.effects.holdsLease() {
@@ -157,28 +144,18 @@
 	}
 	for _, a := range coord.limits.AssignShares(now) {
 		if h := coord.hosts[a.Host]; h != nil {
-			c.sendLimits(h, &wire.RequestLimits{Shares: a.FallbackShares, SharesVersion: a.Version}, now)
+			c.sendNotices(h, &wire.UpstreamNotices{Shares: a.FallbackShares, SharesVersion: a.Version}, now)
 		}
 	}
 }
 
 func (c *core) isListed(id entity.UpstreamID) bool { return c.fleet.Get(id) != nil }
 
-// sendLimits sends one host a message about request limits.
-func (c *core) sendLimits(h *hostSession, m *wire.RequestLimits, now time.Time) {
-	if h.session == nil {
-		c.requestLimitsReceived(m, now)
-		return
-	}
-	if err := h.session.Send(m); err != nil {
-		c.log.Debug("Message not sent.", "host", h.host, "err", err)
-	}
-}
-
 // mayContact reports whether the coordinator itself may send a request to an upstream. Its orders and reads of reports
-// count towards the request limit of the upstream like the requests of callers.
+// respect the back-off that the upstream has requested of this host, and count towards its request limit like the
+// requests of callers.
 func (c *core) mayContact(id entity.UpstreamID, bornMillis int64, now time.Time) bool {
-	return c.coordinator.limits.TryTake(id, bornMillis, now)
+	return c.scheduler.BackOff(id, bornMillis, now) == 0 && c.coordinator.limits.TryTake(id, bornMillis, now)
 }
 
 var _ dispatch.RequestLimits = (*requestlimit.Host)(nil)
--- a/internal/edge/watch_test.go
+++ b/internal/edge/watch_test.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/foxtailpass/foxtailpass/internal/catalog"
+	"github.com/foxtailpass/foxtailpass/internal/dispatch"
 	"github.com/foxtailpass/foxtailpass/internal/election"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/fleet"
@@ -30,11 +31,11 @@
 func (testProtocol) ParseAnswer(*fasthttp.ResponseHeader) AnswerInfo { return AnswerInfo{} }
 func (testProtocol) ConfigKey() string                               { return "config" }
 func (testProtocol) UpstreamsPrefix() string                         { return "up/" }
-func (testProtocol) Order(context.Context, swap.Order, Authority) swap.Answer {
-	return swap.NotSent
+func (testProtocol) Order(context.Context, swap.Order, Authority) (swap.Answer, dispatch.StatusReport) {
+	return swap.NotSent, dispatch.StatusReport{}
 }
-func (testProtocol) Report(context.Context, *fleet.Upstream) (swap.Report, error) {
-	return swap.Report{}, errors.New("no report")
+func (testProtocol) Report(context.Context, *fleet.Upstream) (swap.Report, dispatch.StatusReport, error) {
+	return swap.Report{}, dispatch.StatusReport{}, errors.New("no report")
 }
 
 func (testProtocol) DecodeCatalog(value []byte) (*catalog.Catalog, []Notice, error) {
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -55,7 +55,7 @@
 	wire.KindHostState:       func() wire.Message { return new(wire.HostState) },
 	wire.KindListUpdate:      func() wire.Message { return new(wire.ListUpdate) },
 	wire.KindAnnouncement:    func() wire.Message { return new(wire.Announcement) },
-	wire.KindRequestLimits:   func() wire.Message { return new(wire.RequestLimits) },
+	wire.KindUpstreamNotices: func() wire.Message { return new(wire.UpstreamNotices) },
 }
 
 // encodeFrame returns a complete frame: 4 bytes with the big-endian length of the rest, 1 byte of version, 1 byte of
--- a/internal/requestlimit/coordinator.go
+++ b/internal/requestlimit/coordinator.go
@@ -46,6 +46,9 @@
 	}
 }
 
+// Active reports whether any limit is known, possibly one that has ended.
+func (c *Coordinator) Active() bool { return len(c.entries) > 0 }
+
 // Version changes with every change of the result of Limits.
 func (c *Coordinator) Version() uint64 { return c.version }
 
--- a/internal/requestlimit/fleet_test.go
+++ b/internal/requestlimit/fleet_test.go
@@ -374,7 +374,7 @@
 		c := ses.coordinator
 		c.state.HandleReport(r, s.now)
 		if r.First {
-			ses.sendLimits(&wire.RequestLimits{Limits: c.state.Limits()})
+			ses.sendLimits(&wire.UpstreamNotices{Limits: c.state.Limits()})
 			return
 		}
 		c.state.ConfirmReport(r, s.now)
@@ -383,7 +383,7 @@
 	})
 }
 
-func (ses *simSession) sendLimits(m *wire.RequestLimits) {
+func (ses *simSession) sendLimits(m *wire.UpstreamNotices) {
 	s := ses.host.sim
 	ses.toHost(func(host *Host) {
 		host.SetCoordinated(true, s.now)
@@ -403,12 +403,12 @@
 	c.state.UpdateWithheld(len(s.hosts), s.now)
 	for _, a := range c.state.AssignShares(s.now) {
 		if ses := c.sessions[a.Host]; ses != nil {
-			ses.sendLimits(&wire.RequestLimits{Shares: a.FallbackShares, SharesVersion: a.Version})
+			ses.sendLimits(&wire.UpstreamNotices{Shares: a.FallbackShares, SharesVersion: a.Version})
 		}
 	}
 	if c.published != c.state.Version() {
 		c.published = c.state.Version()
-		m := &wire.RequestLimits{Limits: c.state.Limits()}
+		m := &wire.UpstreamNotices{Limits: c.state.Limits()}
 		for _, id := range s.ids {
 			if ses := c.sessions[id]; ses != nil {
 				ses.sendLimits(m)
--- a/internal/requestlimit/host.go
+++ b/internal/requestlimit/host.go
@@ -268,7 +268,7 @@
 }
 
 // Apply adopts what the coordinator knows of the limits.
-func (h *Host) Apply(m *wire.RequestLimits, now time.Time) {
+func (h *Host) Apply(m *wire.UpstreamNotices, now time.Time) {
 	for _, l := range m.Limits {
 		perSecond, valid := validRate(l.PerSecond)
 		e := h.makeEntry(l.Upstream, l.BornMillis)
--- a/internal/swap/engine_state.go
+++ b/internal/swap/engine_state.go
@@ -17,8 +17,9 @@
 	stateKnown bool
 	// unreachable is true from the time when enough hosts cannot reach the engine until its next report.
 	unreachable bool
-	// short is true while the request limit of the engine keeps requests waiting. Its models are then needed elsewhere.
-	short bool
+	// avoided is true while the engine takes fewer requests than it is asked for, or wants none. Its models are then
+	// needed elsewhere.
+	avoided bool
 	// sequence is the number of orders that the engine is known to have accepted since its start.
 	sequence int64
 	// loadedModels holds the loaded models by ID, including those that are being unloaded.
@@ -150,7 +151,7 @@
 
 // acceptsRequests reports whether requests can be given to the engine.
 func (e *engineState) acceptsRequests() bool {
-	return !e.upstream.Draining && !e.unreachable && !e.short
+	return !e.upstream.Draining && !e.unreachable && !e.avoided
 }
 
 func (e *engineState) resetRunning() {
--- a/internal/swap/swap.go
+++ b/internal/swap/swap.go
@@ -155,7 +155,9 @@
 	commands     []Command
 	// dirty is true when hosts have reported since the last decision. active is the result of NeedsTicks.
 	dirty, active bool
-	index         index
+	// anyAvoided is true while any engine is avoided.
+	anyAvoided bool
+	index      index
 	// storeBudgets limits how many loads start at the weight store, by service.
 	storeBudgets map[catalog.ServiceID]*storeBudget
 	// adapterMB is the memory needed when all adapter slots are used, by service.
@@ -354,12 +356,16 @@
 	}
 }
 
-// SetShort sets the engines whose request limit keeps requests waiting. What they have loaded is loaded elsewhere for
-// these requests, and nothing is loaded there.
-func (s *Swapper) SetShort(short map[entity.UpstreamID]bool) {
+// SetAvoided sets the engines that take fewer requests than they are asked for, or want none. What they have loaded is
+// loaded elsewhere for waiting requests, and nothing is loaded there.
+func (s *Swapper) SetAvoided(avoided map[entity.UpstreamID]bool) {
+	if len(avoided) == 0 && !s.anyAvoided {
+		return
+	}
+	s.anyAvoided = len(avoided) > 0
 	for id, r := range s.engineStates {
-		if r.short != short[id] {
-			r.short = short[id]
+		if r.avoided != avoided[id] {
+			r.avoided = avoided[id]
 			s.markChanged()
 			s.index.invalidateCopies()
 		}
--- a/internal/wire/coordination.go
+++ b/internal/wire/coordination.go
@@ -57,6 +57,9 @@
 	// RequestSharesVersion what SharesVersion is. It is sent in the first report of a session only.
 	RequestShares        map[entity.RateKey]float64 `msgpack:"y,omitempty"`
 	RequestSharesVersion uint64                     `msgpack:"z,omitempty"`
+	// Statuses lists the upstreams that have reported to this host that they are shutting down, or that want none of
+	// its requests now. It is complete.
+	Statuses []UpstreamStatus `msgpack:"x,omitempty"`
 }
 
 // RequestLimit is what a host or the coordinator knows of the request limit of one incarnation of an upstream: the
@@ -72,8 +75,26 @@
 	Version uint64 `msgpack:"v,omitempty"`
 }
 
-// RequestLimits is the coordinator's message to a host about the request limits of upstreams.
-type RequestLimits struct {
+// UpstreamRef names one incarnation of an upstream.
+type UpstreamRef struct {
+	Upstream   entity.UpstreamID `msgpack:"u"`
+	BornMillis int64             `msgpack:"b"`
+}
+
+// UpstreamStatus is what one incarnation of an upstream has reported of itself in its answers to one host.
+type UpstreamStatus struct {
+	UpstreamRef
+	// Draining is set if it is shutting down.
+	Draining bool `msgpack:"d,omitempty"`
+	// BackOff is the remaining time for which it wants no requests of the host.
+	BackOff time.Duration `msgpack:"w,omitempty"`
+}
+
+// UpstreamNotices is the coordinator's message to a host about what upstreams have reported of themselves to other
+// hosts.
+type UpstreamNotices struct {
+	// Draining lists all upstreams that have reported to any host that they are shutting down.
+	Draining []UpstreamRef `msgpack:"d,omitempty"`
 	// Limits lists all limits that the coordinator knows, and those that have ended lately.
 	Limits []RequestLimit `msgpack:"l,omitempty"`
 	// Shares contains the changed shares of the host, if SharesVersion is not zero. The host returns SharesVersion
@@ -83,7 +104,7 @@
 }
 
 // Kind implements Message.
-func (*RequestLimits) Kind() Kind { return KindRequestLimits }
+func (*UpstreamNotices) Kind() Kind { return KindUpstreamNotices }
 
 // Kind implements Message.
 func (*HostReport) Kind() Kind { return KindHostReport }
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -43,7 +43,7 @@
 	KindHostState
 	KindListUpdate
 	KindAnnouncement
-	KindRequestLimits
+	KindUpstreamNotices
 	// kindEnd is one above the highest kind.
 	kindEnd
 )
@@ -79,7 +79,7 @@
 	KindHostState:       "host_state",
 	KindListUpdate:      "list_update",
 	KindAnnouncement:    "announcement",
-	KindRequestLimits:   "request_limits",
+	KindUpstreamNotices: "upstream_notices",
 }
 
 // String returns the metric label of the kind.
