--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -37,8 +37,15 @@
 	return false
 }
 
-// RetryingListener wraps a listener so that its Accept retries after temporary errors.
+// RetryingListener wraps a listener so that its Accept retries after temporary errors, and that its connections can
+// be closed with LingerOnClose.
 type RetryingListener struct{ net.Listener }
 
-// Accept implements net.Listener.
-func (l RetryingListener) Accept() (net.Conn, error) { return AcceptRetrying(l.Listener) }
+// Accept implements net.Listener. The connections are of type *Conn.
+func (l RetryingListener) Accept() (net.Conn, error) {
+	c, err := AcceptRetrying(l.Listener)
+	if err != nil {
+		return nil, err
+	}
+	return &Conn{Conn: c}, nil
+}
--- a/internal/edge/caller.go
+++ b/internal/edge/caller.go
@@ -22,14 +22,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: conn}, nil
+	return &callerConn{Conn: accept.Conn{Conn: conn}}, nil
 }
 
 // callerConn is a caller's connection that can be watched while its request is served. The HTTP server reads
 // a connection only between requests, so it cannot detect that a caller has left. If the watch reads a byte
 // of a pipelined request, the next Read returns that byte to the server.
 type callerConn struct {
-	net.Conn
+	accept.Conn
 	pipelined    [1]byte
 	hasPipelined bool
 }
--- a/internal/edge/frontend.go
+++ b/internal/edge/frontend.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"runtime/debug"
 	"strconv"
 	"sync/atomic"
@@ -12,6 +14,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/foxtailpass/foxtailpass/internal/accept"
 	"github.com/foxtailpass/foxtailpass/internal/boottime"
 	"github.com/foxtailpass/foxtailpass/internal/catalog"
 	"github.com/foxtailpass/foxtailpass/internal/dispatch"
@@ -74,11 +77,31 @@
 		NoDefaultDate:         true,
 		NoDefaultContentType:  true,
 		CloseOnShutdown:       true,
+		ErrorHandler:          f.handleReadError,
 		Logger:                debugLogger{f.log},
 	}
 	return f
 }
 
+// handleReadError answers a request that the HTTP library could not read. The connection is closed then, but not
+// before the caller has had time to read the answer.
+func (f *frontend) handleReadError(ctx *fasthttp.RequestCtx, err error) {
+	refusal := entity.Refusal{Status: fasthttp.StatusBadRequest, Code: "malformed_request"}
+	var smallBuffer *fasthttp.ErrSmallBuffer
+	var timeout net.Error
+	switch {
+	case errors.As(err, &smallBuffer):
+		refusal = entity.Refusal{Status: fasthttp.StatusRequestHeaderFieldsTooLarge, Code: "header_too_large"}
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		refusal = entity.Refusal{Status: fasthttp.StatusRequestEntityTooLarge, Code: "body_too_large"}
+	case errors.As(err, &timeout) && timeout.Timeout():
+		refusal = entity.Refusal{Status: fasthttp.StatusRequestTimeout, Code: "request_timeout"}
+	}
+	f.metrics.CountRequest("unread", refusal.Status, refusal.Code, 0)
+	writeRefusal(&ctx.Response, refusal)
+	accept.LingerOnClose(ctx.Conn())
+}
+
 // debugLogger logs the HTTP library's messages about single connections at the debug level.
 type debugLogger struct{ log *slog.Logger }
 
@@ -321,7 +344,10 @@
 	f.metrics.CountRequest(routeName(s.route), r.Status, r.Code, now.Sub(s.arrived))
 	f.log.Info("Refused.", "request", s.description.ID, "status", r.Status, "reason", r.Code, "ran", r.Ran, "retry_after", r.RetryAfter,
 		"after", now.Sub(s.arrived), "attempts", s.attempt, "route", routeName(s.route), "workspace", s.workspaceID(), "tokens", s.description.PromptTokens+s.description.OutputTokens, "ready_in", s.basis.readyIn, "config", f.configVersion(), "view_age", f.viewAge(now), "model", s.description.Model, "adapter", s.description.Adapter)
-	resp := &s.ctx.Response
+	writeRefusal(&s.ctx.Response, r)
+}
+
+func writeRefusal(resp *fasthttp.Response, r entity.Refusal) {
 	resp.SetStatusCode(r.Status)
 	resp.Header.SetContentType("application/json")
 	if r.RetryAfter > 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -188,6 +188,7 @@
 		refusal = entity.Refusal{Status: 408, Code: "request_timeout", Message: "The request did not arrive in time."}
 	}
 	writeRefusal(ctx, refusal)
+	accept.LingerOnClose(ctx.Conn())
 	g.opts.Metrics.CountRequest("unread", refusal.Status, refusal.Code, 0)
 }
 
