upstream: an answer that has arrived is read although its deadline has passed

A host that got no processor time for a while (quota, load) finds the deadlines of its streams and answers passed and their bytes arrived at the same moment. It gave the streams up as silent, and started them again at another upstream or broke them. Now bytes that have arrived are read for 100 ms more; an upstream that sends without end is cut off then.

--- a/internal/upstream/closed.go
+++ b/internal/upstream/closed.go
@@ -13,15 +13,33 @@
 	if !ok {
 		return false
 	}
+	_, err := peek(sc)
+	return err != syscall.EAGAIN && err != syscall.EWOULDBLOCK
+}
+
+// hasArrived reports whether bytes of the peer, or its end of the connection, have arrived and were not read yet. It
+// returns false for a connection without a file descriptor.
+func hasArrived(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	_, err := peek(sc)
+	return err == nil
+}
+
+// peek returns the number of bytes that can be read without blocking, at most one, or the error of reading them.
+func peek(sc syscall.Conn) (n int, err error) {
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return true
+		return 0, err
 	}
-	var unusable bool
-	err = raw.Control(func(fd uintptr) {
+	controlErr := raw.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, rerr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		unusable = rerr != syscall.EAGAIN && rerr != syscall.EWOULDBLOCK
+		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err != nil || unusable
+	if controlErr != nil {
+		return 0, controlErr
+	}
+	return n, err
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -9,7 +9,9 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"time"
 )
@@ -22,6 +24,8 @@
 	idleTimeout = 15 * time.Second
 	// dialTimeout is the default timeout for establishing a connection.
 	dialTimeout = time.Second
+	// lateReadTime is how long after its read deadline a connection is still read if bytes have arrived.
+	lateReadTime = 100 * time.Millisecond
 	// connBuffer is the size in bytes of the read buffer and of the write buffer of a connection.
 	connBuffer = 4096
 )
@@ -42,6 +46,9 @@
 	readIdleTimeout time.Duration
 	// deadline is the deadline of the attempt; zero means none.
 	deadline time.Time
+	// lateUntil ends the time in which bytes that have arrived are read although the read deadline has passed. It is
+	// zero while the deadline has not been found to have passed.
+	lateUntil time.Time
 }
 
 func newConn(nc net.Conn) *conn {
@@ -70,17 +77,58 @@
 // deadline of the attempt. While bytes keep arriving, the answer is read up to that deadline.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.readIdleTimeout > 0 {
-		limit := time.Now().Add(c.readIdleTimeout)
-		if !c.deadline.IsZero() && c.deadline.Before(limit) {
-			limit = c.deadline
-		}
-		if err := c.SetReadDeadline(limit); err != nil {
+		if err := c.extendReadDeadline(time.Now()); err != nil {
 			return 0, err
 		}
 	}
+	n, err := c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		return c.readLate(p, err)
+	}
+	return n, err
+}
+
+// extendReadDeadline sets the read deadline of an attempt with a readIdleTimeout.
+func (c *conn) extendReadDeadline(now time.Time) error {
+	limit := now.Add(c.readIdleTimeout)
+	if !c.deadline.IsZero() && c.deadline.Before(limit) {
+		limit = c.deadline
+	}
+	if limit.After(now) {
+		c.lateUntil = time.Time{}
+	}
+	return c.Conn.SetReadDeadline(limit)
+}
+
+// readLate reads bytes that have arrived although the read deadline has passed. A process that got no processor time
+// for a while finds both at once, and the upstream was not silent then. After lateReadTime the deadline is final, also
+// for an upstream that keeps sending.
+func (c *conn) readLate(p []byte, timeout error) (int, error) {
+	now := time.Now()
+	if c.lateUntil.IsZero() {
+		c.lateUntil = now.Add(lateReadTime)
+	}
+	if !now.Before(c.lateUntil) || !hasArrived(c.Conn) {
+		return 0, timeout
+	}
+	if err := c.Conn.SetReadDeadline(c.lateUntil); err != nil {
+		return 0, err
+	}
 	return c.Conn.Read(p)
 }
 
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.lateUntil = time.Time{}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	c.lateUntil = time.Time{}
+	return c.Conn.SetDeadline(t)
+}
+
 // Write implements net.Conn. It counts the bytes that were passed to the kernel: if at least one was, the request
 // may have run.
 func (c *conn) Write(p []byte) (int, error) {
