placement: a load that was interrupted does not count as the load time of a model

Cause: the order to load a model was lost and the engine restarted, so the load took 9 s from its first order. A process that had just started took that for the load time of the model, and its ratio to the hint for that of all others. Every request with a shorter deadline was refused at once, and without waiting requests nothing was loaded that would have corrected the estimate. Shown by the placement records, the state of the hosts and the answers that the test now logs: all engines empty, nothing wanted, refusals within a millisecond.

The time of a load whose order was sent more than once is no longer used, and half of the excess of a load time over its hint is forgotten in ten minutes without a load.

--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -167,35 +167,52 @@
 // coldStart returns the expected time of a load from the weight store.
 func (p *Placer) coldStart(m *model) time.Duration { return p.loadTimeFrom(m, SourceRemote) }
 
+// loadTimeHalfLife is the time in which half of the excess of a load time over its hint is forgotten while no load is
+// observed. Requests that a long load time keeps out cause no load that could correct it.
+const loadTimeHalfLife = 10 * time.Minute
+
 // loadTimeFrom returns the model's smoothed load time from the source. Before the first such load it returns
 // the configured hint, multiplied by the ratio of load time to hint that other models had with this source.
 func (p *Placer) loadTimeFrom(m *model, source string) time.Duration {
 	i := max(0, sourceIndex(source))
-	if m.loadTimes[i] > 0 {
-		return m.loadTimes[i]
-	}
 	if m.cfg == nil {
-		return 0
+		return m.loadTimes[i]
 	}
 	hint := time.Duration(m.cfg.ColdStartMillis) * time.Millisecond
-	if p.loadRatios[i] > 0 {
-		return time.Duration(p.loadRatios[i] * float64(hint))
+	switch {
+	case m.loadTimes[i] > 0:
+		excess := float64(m.loadTimes[i]-hint) * p.remembered(m.loadedAt[i])
+		return hint + time.Duration(excess)
+	case p.loadRatios[i] > 0:
+		ratio := 1 + (p.loadRatios[i]-1)*p.remembered(p.ratiosAt[i])
+		return time.Duration(ratio * float64(hint))
 	}
 	return hint
 }
 
-// recordLoadTime updates the load times used for estimates when a load has ended.
+// remembered returns the share of what was observed at a point in time that is not forgotten yet.
+func (p *Placer) remembered(at time.Time) float64 {
+	return math.Exp2(-p.now.Sub(at).Seconds() / loadTimeHalfLife.Seconds())
+}
+
+// recordLoadTime updates the load times used for estimates when a load has ended. The time of a load whose order was
+// sent again, because it got no answer or the upstream had restarted, says nothing about other loads.
 func (p *Placer) recordLoadTime(e *Entry, took time.Duration) {
+	if e.OrderCount > 1 {
+		return
+	}
 	m := p.model(e.Model)
 	i := max(0, sourceIndex(e.Source))
 	// With a weight of a quarter for each new value, the estimate follows a slower weight store within a few
 	// loads.
 	m.loadTimes[i] = smooth(m.loadTimes[i], took)
+	m.loadedAt[i] = p.now
 	if m.cfg == nil || m.cfg.ColdStartMillis <= 0 {
 		return
 	}
 	hint := time.Duration(m.cfg.ColdStartMillis) * time.Millisecond
 	p.loadRatios[i] = smooth(p.loadRatios[i], float64(took)/float64(hint))
+	p.ratiosAt[i] = p.now
 }
 
 // smooth returns the exponential moving average of old and value; an old value of 0 means none.
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -144,8 +144,10 @@
 	freedVersion    uint64
 	// searches counts the searches over all upstreams in this tick.
 	searches int
-	// loadRatios holds the smoothed ratios of load time to hint, by sourceIndex.
+	// loadRatios holds the smoothed ratios of load time to hint, by sourceIndex, and ratiosAt when each was last
+	// observed.
 	loadRatios [3]float64
+	ratiosAt   [3]time.Time
 	version    uint64
 	// availabilityVersion rises when an upstream is added, starts or stops leaving, or is removed. The versions
 	// of the models do not cover these changes, because the record of a model can name an upstream whose own
@@ -253,8 +255,9 @@
 	unplanned  *upstream
 	arrivals   float64
 	arrivalsAt time.Time
-	// loadTimes holds the smoothed load times by sourceIndex.
+	// loadTimes holds the smoothed load times by sourceIndex, and loadedAt when each was last observed.
 	loadTimes [3]time.Duration
+	loadedAt  [3]time.Time
 }
 
 // adapter is the demand for one adapter of a model.
--- a/internal/placement/rules_test.go
+++ b/internal/placement/rules_test.go
@@ -222,3 +222,33 @@
 		t.Errorf("the estimate during the load is %v, want at most 300ms", got)
 	}
 }
+
+// Guards against a model that is refused for good: its first load took 9 s because its order was lost and the engine
+// restarted. That was taken for the time of every load, so each request was refused at once as not ready in time, and
+// without requests no load corrected the estimate.
+func TestInterruptedLoadDoesNotCountAsLoadTime(t *testing.T) {
+	x := newScript(t, testSite(2, 300), engineRecord(0, 40, true))
+	x.p.now = x.now
+	x.p.recordLoadTime(&Entry{ID: "x", Model: "m0", State: StateLoading, Source: SourceRemote, OrderCount: 3}, 9*time.Second)
+	for _, m := range []entity.ModelID{"m0", "m1"} {
+		if got := x.p.NextLoadEstimate(m, x.now); got != 300*time.Millisecond {
+			t.Errorf("the estimate of %s is %v after an interrupted load of m0, want the hint of 300ms", m, got)
+		}
+	}
+}
+
+// Guards against a long load time that keeps requests out although the weight store is fast again: without requests
+// there is no load that shows it.
+func TestLongLoadTimeIsForgotten(t *testing.T) {
+	x := newScript(t, testSite(2, 300), engineRecord(0, 40, true))
+	x.p.now = x.now
+	x.p.recordLoadTime(&Entry{ID: "x", Model: "m0", State: StateLoading, Source: SourceRemote, OrderCount: 1}, 9*time.Second)
+	for _, m := range []entity.ModelID{"m0", "m1"} {
+		if got := x.p.NextLoadEstimate(m, x.now); got < 8*time.Second {
+			t.Errorf("the estimate of %s is %v right after a load of 9s, want about that", m, got)
+		}
+		if got := x.p.NextLoadEstimate(m, x.now.Add(time.Hour)); got > 500*time.Millisecond {
+			t.Errorf("the estimate of %s is %v an hour after a load of 9s, want about the hint of 300ms", m, got)
+		}
+	}
+}
--- a/test/faults/control_helpers_test.go
+++ b/test/faults/control_helpers_test.go
@@ -81,6 +81,30 @@
 	return d
 }
 
+// logPlacementOnFailure logs the placement records, and what each host knows of them, if the test fails.
+func logPlacementOnFailure(s *harness.Site) {
+	s.T.Cleanup(func() {
+		if !s.T.Failed() {
+			return
+		}
+		for _, prefix := range []string{config.PlacementModelsPrefix, config.PlacementUpstreamsPrefix} {
+			res, err := s.Store.Range(context.Background(), kvstore.RangeRequest{Prefix: "foxtailpass/" + prefix})
+			if err != nil {
+				s.T.Logf("placement records: %v", err)
+				continue
+			}
+			for _, p := range res.Pairs {
+				s.T.Logf("%s: %s", p.Key, p.Value)
+			}
+		}
+		for _, h := range s.Hosts {
+			if st, ok := statusOf(h); ok {
+				s.T.Logf("host %d: %+v", h.Index+1, st.Control.Placement)
+			}
+		}
+	})
+}
+
 // checkPlacement verifies the placement against the records of the engines. No model may have had more replicas
 // at the same time than were decided or than maxReplicas, and no engine may have been given orders beyond its
 // memory.
--- a/test/faults/control_pairs_test.go
+++ b/test/faults/control_pairs_test.go
@@ -132,6 +132,7 @@
 		Services: []service.Options{{ID: "orders-1", Kind: "orders", WorkTime: 5 * time.Millisecond, ReceivedLimit: 1 << 20}},
 	})
 	decided := followDecisions(s)
+	logPlacementOnFailure(s)
 	clerks, _ := s.Key("clerks")
 	greedyKey, _ := s.Key("greedy")
 	greedy := &traffic{name: "greedy", key: greedyKey, sent: make(map[string]time.Time)}
@@ -196,7 +197,11 @@
 	for m := range 5 {
 		for _, h := range s.Hosts {
 			s.Eventually(15*time.Second, fmt.Sprintf("model m%d is served by host %d", m, h.Index+1), func() bool {
-				return h.Do(withDeadline(harness.Chat(clerks, fmt.Sprint("m", m), 2, false), 5*time.Second)).Status == 200
+				a := h.Do(withDeadline(harness.Chat(clerks, fmt.Sprint("m", m), 2, false), 5*time.Second))
+				if a.Status != 200 {
+					t.Logf("model m%d, host %d: status %d, code %q after %v, error %v", m, h.Index+1, a.Status, a.Code, a.Took, a.Err)
+				}
+				return a.Status == 200
 			})
 		}
 	}
