edge: log messages about requests say what they are about

'Sent.', 'Answered.', 'Queued.', 'Refused.', 'Stopping.' and 'Stopped.' did not say what was sent or stopped.

--- a/cmd/foxtailstandin/platform.go
+++ b/cmd/foxtailstandin/platform.go
@@ -49,7 +49,7 @@
 		return fmt.Errorf("platform: %w", err)
 	case <-ctx.Done():
 	}
-	logger.Info("Stopping.")
+	logger.Info("Stand-in stopping.")
 	return server.Close()
 }
 
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -94,7 +94,7 @@
 	if st.attempt == 1 {
 		s.frontend.metrics.RecordDispatchWait(now.Sub(s.arrived))
 	}
-	s.frontend.log.Info("Sent.", "request", s.description.ID, "attempt", st.attempt, "upstream", st.target.ID, "after", now.Sub(s.arrived),
+	s.frontend.log.Info("Request sent.", "request", s.description.ID, "attempt", st.attempt, "upstream", st.target.ID, "after", now.Sub(s.arrived),
 		"left", left, "route", s.route.Name, "workspace", s.request.Workspace, "tokens", s.request.Tokens, "model", s.request.Pool.Model, "adapter", s.request.Pool.Adapter,
 		"limited", st.limitStamp != 0, "load", math.Round(st.basis.load*10)/10, "others_age", st.basis.othersAge, "source", st.target.Source, "config", st.basis.configVersion,
 		"view_age", s.frontend.viewAge(now), "last_event", lastEvent)
@@ -213,7 +213,7 @@
 	s.ctx.Response.SetBody(body)
 	ex.Close()
 	s.frontend.metrics.CountRequest(s.route.Name, status, "", boottime.Now().Sub(s.arrived))
-	s.frontend.log.Info("Answered.", "request", s.description.ID, "status", status, "upstream", st.target.ID, "after", boottime.Now().Sub(s.arrived))
+	s.frontend.log.Info("Request answered.", "request", s.description.ID, "status", status, "upstream", st.target.ID, "after", boottime.Now().Sub(s.arrived))
 	s.frontend.send(attemptEnded{result: dispatch.AttemptResult{Request: s.request.ID, Outcome: entity.Completed, Status: status}})
 	s.release()
 	return true
--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -293,7 +293,7 @@
 func (c *core) enqueue(r *dispatch.Request, now time.Time) {
 	c.applyDecisions(c.scheduler.Enqueue(r, now), now)
 	if q, waits := c.scheduler.Queued(r.ID, now); waits {
-		c.log.Info("Queued.", "request", r.ID, "model", r.Pool.Model, "adapter", r.Pool.Adapter, "holders", q.ServingCount, "limited", q.LimitedCount,
+		c.log.Info("Request queued.", "request", r.ID, "model", r.Pool.Model, "adapter", r.Pool.Adapter, "holders", q.ServingCount, "limited", q.LimitedCount,
 			"waiting", q.Waiting, "ready_in", q.ReadyIn, "estimated", q.Estimated, "coordinated", c.hasCoordinator())
 	}
 }
--- a/internal/edge/frontend.go
+++ b/internal/edge/frontend.go
@@ -342,7 +342,7 @@
 	f := s.frontend
 	now := boottime.Now()
 	f.metrics.CountRequest(routeName(s.route), r.Status, r.Code, now.Sub(s.arrived))
-	f.log.Info("Refused.", "request", s.description.ID, "status", r.Status, "reason", r.Code, "ran", r.Ran, "retry_after", r.RetryAfter,
+	f.log.Info("Request refused.", "request", s.description.ID, "status", r.Status, "reason", r.Code, "ran", r.Ran, "retry_after", r.RetryAfter,
 		"after", now.Sub(s.arrived), "attempts", s.attempt, "route", routeName(s.route), "workspace", s.workspaceID(), "tokens", s.description.PromptTokens+s.description.OutputTokens, "ready_in", s.basis.readyIn, "config", f.configVersion(), "view_age", f.viewAge(now), "model", s.description.Model, "adapter", s.description.Adapter)
 	writeRefusal(&s.ctx.Response, r)
 }
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -298,7 +298,7 @@
 	h.frontend.stopping.Store(boottime.Now().UnixNano())
 	h.candidate.Stop()
 	h.send(stopRequested{sendBy: boottime.Now().Add(h.frontend.gracePeriod - exitMargin - runningRequestsTime)})
-	h.log.Info("Stopping.", "active", h.frontend.active.Load())
+	h.log.Info("Host stopping.", "active", h.frontend.active.Load())
 	for time.Now().Before(end) {
 		if time.Since(began) > h.opts.Settings.BalancerLag.Std() && h.frontend.active.Load() == 0 {
 			break
@@ -309,7 +309,7 @@
 	defer cancel()
 	_ = h.frontend.server.ShutdownWithContext(ctx)
 	h.registrar.deregister(ctx)
-	h.log.Info("Stopped.", "after", time.Since(began), "active", h.frontend.active.Load())
+	h.log.Info("Host stopped.", "after", time.Since(began), "active", h.frontend.active.Load())
 }
 
 // runCore runs the control state: only its goroutine applies events and ticks.
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -184,8 +184,10 @@
 	return s, nil
 }
 
-// pendingMessages are the messages after which a request has no outcome yet.
-var pendingMessages = map[string]bool{"Sent.": true, "Queued.": true, "Lacks tokens.": true, "Attempt failed.": true, "Stream resumed.": true}
+// pendingMessages are the messages after which a request has no outcome yet. Builds before the current one logged
+// "Sent." and "Queued.".
+var pendingMessages = map[string]bool{"Request sent.": true, "Request queued.": true, "Sent.": true, "Queued.": true,
+	"Lacks tokens.": true, "Attempt failed.": true, "Stream resumed.": true}
 
 // addRestart adds the next start of the host that handled the request last, if the request has no outcome and
 // the start is later than the other lines of the timeline. The restart explains the missing outcome.
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -68,12 +68,14 @@
 	}
 }
 
-// Guards against a timeline that ends at "Sent." without showing that the process of the host was terminated.
+// Guards against a timeline that ends at "Request sent.", or at "Sent." as former builds wrote it, without showing that the process of the host was terminated.
 // The host logs its next start later than the period from which a timeline includes other lines.
 func TestRestartEndsPendingTimeline(t *testing.T) {
 	const log = `
 time=2026-10-12T10:00:01Z level=INFO msg=Sent. prefix=request request=aa upstream=i-1
 time=2026-10-12T10:00:02Z level=INFO msg=Answered. prefix=request request=bb upstream=i-1
+time=2026-10-12T10:00:02Z level=INFO msg="Request sent." prefix=request request=cc upstream=i-1
+time=2026-10-12T10:00:02Z level=INFO msg="Request answered." prefix=request request=dd upstream=i-1
 time=2026-10-12T10:00:09Z level=INFO msg="Host started." prefix=host host=edge-1
 time=2026-10-12T10:00:30Z level=INFO msg="Host started." prefix=host host=edge-1
 `
@@ -81,7 +83,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for request, want := range map[string]int{"aa": 1, "bb": 0} {
+	for request, want := range map[string]int{"aa": 1, "bb": 0, "cc": 1, "dd": 0} {
 		s, err := BuildTimeline(lines, request)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -335,16 +335,16 @@
 	h.heartbeats.stopping.Store(true)
 	h.registrar.setState(config.HostStopping)
 	h.gateway.Drain()
-	h.log.Info("Stopping. Readiness fails; requests are still accepted.", "lag", h.settings.StopLag)
+	h.log.Info("Host stopping. Readiness fails; requests are still accepted.", "lag", h.settings.StopLag)
 	if !sleep(ctx, h.settings.StopLag.Std()) {
 		return fmt.Errorf("host: shutdown aborted with %d requests", h.gateway.ActiveRequests())
 	}
-	h.log.Info("Stopping. No new connections.", "requests", h.gateway.ActiveRequests())
+	h.log.Info("Host stopping. No new connections.", "requests", h.gateway.ActiveRequests())
 	if err := h.waitForRequests(ctx); err != nil {
 		return err
 	}
 	h.release(ctx)
-	h.log.Info("Stopped.")
+	h.log.Info("Host stopped.")
 	return nil
 }
 
--- a/internal/requestlimit/host.go
+++ b/internal/requestlimit/host.go
@@ -382,6 +382,9 @@
 
 // ExpireAsks returns the asks that the coordinator has not answered in time.
 func (h *Host) ExpireAsks(now time.Time) []Result {
+	if len(h.asks) == 0 {
+		return nil
+	}
 	var out []Result
 	for _, id := range slices.Sorted(maps.Keys(h.asks)) {
 		if a := h.asks[id]; now.After(a.until) {
