soak: upstreams name request limits while hosts are killed, paused and stopped

The stand-in checks the rule by host; a host that was disturbed since it was told is excused until it is told again.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -100,7 +100,7 @@
 	if x.kind == kindLookup {
 		method = http.MethodGet
 	}
-	req, err := http.NewRequest(method, "http://"+x.host.callerAddr+x.kind+"z", strings.NewReader(""))
+	req, err := http.NewRequest(method, "http://"+x.host.callerAddr+x.kind+x.host.name, strings.NewReader(""))
 	if err != nil {
 		x.err = err
 		return
--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -20,7 +20,9 @@
 	// drained started to drain, and drainedRuns are the runs at that upstream.
 	keyWithdrawnAt, drainedAt time.Time
 	drained                   string
-	drainedRuns               []standin.Run
+	// requestLimitFindings describes the periods in which an upstream got more requests than it had allowed.
+	requestLimitFindings []string
+	drainedRuns          []standin.Run
 }
 
 // findings returns one line for each violation of a guarantee.
@@ -50,6 +52,7 @@
 	}
 	out = append(out, r.limitFindings()...)
 	out = append(out, r.orderFindings()...)
+	out = append(out, r.requestLimitFindings...)
 	return append(out, r.drainFindings()...)
 }
 
--- a/test/soak/findings_test.go
+++ b/test/soak/findings_test.go
@@ -43,10 +43,11 @@
 			x.err, x.ended = errConnectionCut, at(deadline+answerGrace)
 			return x
 		}()}}, "no answer within"},
-		"twice the rate":                {record{exchanges: exchangesOverRate(now), runs: runsOverRate(now)}, "tokens ran within"},
-		"two lease holders":             {record{orders: map[string][]standin.Order{"e": {{LeaseHolder: "a", FencingToken: 1, At: now}, {LeaseHolder: "b", FencingToken: 2, At: at(time.Millisecond)}}}}, "apart"},
-		"decreasing fencing token":      {record{orders: map[string][]standin.Order{"e": {{LeaseHolder: "a", FencingToken: 2, At: now}, {LeaseHolder: "b", FencingToken: 1, At: at(time.Hour)}}}}, "token 1 after 2"},
-		"request to a drained upstream": {record{drained: "p", drainedAt: at(-time.Minute), exchanges: []*exchange{request(kindLookup, 200, "answer to x")}, drainedRuns: []standin.Run{ended}}, "after it was drained"},
+		"twice the rate":                              {record{exchanges: exchangesOverRate(now), runs: runsOverRate(now)}, "tokens ran within"},
+		"two lease holders":                           {record{orders: map[string][]standin.Order{"e": {{LeaseHolder: "a", FencingToken: 1, At: now}, {LeaseHolder: "b", FencingToken: 2, At: at(time.Millisecond)}}}}, "apart"},
+		"decreasing fencing token":                    {record{orders: map[string][]standin.Order{"e": {{LeaseHolder: "a", FencingToken: 2, At: now}, {LeaseHolder: "b", FencingToken: 1, At: at(time.Hour)}}}}, "token 1 after 2"},
+		"more requests than the limit of an upstream": {record{requestLimitFindings: []string{"p: 13 requests, allowed 11.6"}}, "13 requests"},
+		"request to a drained upstream":               {record{drained: "p", drainedAt: at(-time.Minute), exchanges: []*exchange{request(kindLookup, 200, "answer to x")}, drainedRuns: []standin.Run{ended}}, "after it was drained"},
 	} {
 		got := strings.Join(c.record.findings(), "\n")
 		if c.want == "" && got != "" || !strings.Contains(got, c.want) {
--- a/test/soak/site_test.go
+++ b/test/soak/site_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -230,6 +231,17 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// wasDisturbed reports whether a host was disturbed between from and to. A name of no host, as in the path of an order,
+// stands for the coordinator; it counts as disturbed if any host was.
+func (s *site) wasDisturbed(name string, from, to time.Time) bool {
+	for _, h := range s.hosts {
+		if h.name == name {
+			return h.wasDisturbed(from, to, true)
+		}
+	}
+	return slices.ContainsFunc(s.hosts, func(h *host) bool { return h.wasDisturbed(from, to, true) })
+}
+
 // beginDisturbance starts a disturbance of the host; the returned function ends it.
 func (h *host) beginDisturbance(graceful bool) (end func()) {
 	h.mu.Lock()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -30,6 +30,9 @@
 // of the requests that servedBetween counts in the window must be served.
 const recoveryLimit = 8 * time.Second
 
+// requestLimitNotice is the time after the first request limit of an upstream from which the hosts must keep it.
+const requestLimitNotice = 3 * time.Second
+
 // TestSoak checks the guarantees to callers and upstreams under a seeded series of overlapping faults.
 func TestSoak(t *testing.T) {
 	bin := buildHost(t)
@@ -51,7 +54,11 @@
 	}()
 	rec := &record{}
 	inj := &faultInjector{site: s, rand: rand.New(rand.NewPCG(seed, 99)), record: rec}
-	inj.run(time.Now().Add(*duration))
+	end := time.Now().Add(*duration)
+	var limits sync.WaitGroup
+	limits.Go(func() { limitUpstreams(s, seed, end) })
+	inj.run(end)
+	limits.Wait()
 	for _, h := range s.hosts {
 		s.await(recoveryLimit, h.name+" is ready after the last fault", h.ready)
 	}
@@ -103,6 +110,9 @@
 			r.runs[run.ID] = append(r.runs[run.ID], run)
 		}
 		r.orders[u.ID] = u.Orders()
+		for _, b := range u.RequestLimitBreaches(requestLimitNotice) {
+			r.requestLimitFindings = append(r.requestLimitFindings, u.ID+": "+b)
+		}
 		if u.ID == r.drained {
 			r.drainedRuns = u.Runs()
 		}
@@ -135,6 +145,25 @@
 	inj.pending.Wait()
 }
 
+// limitUpstreams makes one upstream after another name a request limit for some seconds. It has its own random series,
+// so that the faults of a seed stay the same.
+func limitUpstreams(s *site, seed uint64, end time.Time) {
+	r := rand.New(rand.NewPCG(seed, 98))
+	all := s.upstreams()
+	for _, u := range all {
+		u.SetSender(func(path string) string { return path[strings.LastIndexByte(path, '/')+1:] })
+		u.SetExcused(s.wasDisturbed)
+	}
+	for time.Now().Before(end) {
+		u := all[r.IntN(len(all))]
+		for range 1 + r.IntN(3) {
+			u.SetRequestLimit([]string{"0.5", "1.1", "3", "8"}[r.IntN(4)])
+			time.Sleep(time.Duration(1000+r.IntN(4000)) * time.Millisecond)
+		}
+		u.SetRequestLimit("")
+	}
+}
+
 func (inj *faultInjector) logFault(format string, args ...any) {
 	inj.log = append(inj.log, fmt.Sprintf("%.1f ", time.Since(inj.site.began).Seconds())+fmt.Sprintf(format, args...))
 }
