quota: a high request limit is granted whole; deferred orders are answered one by one

An order that is deferred while the swapper is told of others that were not sent would have been forgotten. Found by reading, not shown by a run; TestDeferredOrdersAreAnswered holds that an engine gets its order after a back-off.

--- a/internal/edge/notices_test.go
+++ b/internal/edge/notices_test.go
@@ -10,6 +10,7 @@
 	"github.com/foxtailpass/foxtailpass/internal/election"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/fleet"
+	"github.com/foxtailpass/foxtailpass/internal/swap"
 	"github.com/foxtailpass/foxtailpass/internal/wire"
 )
 
@@ -112,6 +113,51 @@
 	}
 }
 
+// orderRecorder records the orders that are sent, and the number of reports that are read and not answered.
+type orderRecorder struct {
+	noEffects
+	orders []swap.Order
+	reads  int
+}
+
+func (r *orderRecorder) order(o swap.Order, _ int64)      { r.orders = append(r.orders, o) }
+func (r *orderRecorder) readEngineReport(*fleet.Upstream) { r.reads++ }
+
+// Guards against an order that is neither sent nor reported as not sent, because it was deferred while others were
+// answered: the coordinator would wait for its answer for good and give the engine no orders any more.
+func TestDeferredOrdersAreAnswered(t *testing.T) {
+	c := newTestCore()
+	recorder := &orderRecorder{}
+	c.effects = recorder
+	c.handle(catalogChanged{catalog: catalog.New(catalog.Document{Version: 2, Services: []*catalog.Service{{ID: "s", Engine: &catalog.Engine{
+		Slots: 8, WeightsMB: 1000, Models: map[entity.ModelID]*catalog.Model{"m": {ID: "m", SizeMB: 100, DiskLoad: 100 * time.Millisecond, StoreLoad: time.Second}}}}}})}, testStart)
+	engine := &fleet.Upstream{Incarnation: fleet.Incarnation{ID: "u", BornMillis: 5}, Service: "s", Addr: "u", Domain: "a", Slots: 8, OnDisk: []entity.ModelID{"m"}}
+	c.handle(upstreamsChanged{put: []*fleet.Upstream{engine}}, testStart)
+	c.handle(leaseChanged{lease: &election.CoordinatorLease{Token: 3, From: testStart}}, testStart)
+	answerReads := func(now time.Time) {
+		for ; recorder.reads > 0; recorder.reads-- {
+			c.handle(engineReportRead{upstream: engine.Incarnation, report: swap.Report{OnDisk: []entity.ModelID{"m"}}}, now)
+		}
+	}
+	answerReads(testStart)
+	c.handle(upstreamStatusReceived{upstream: "u", bornMillis: 5, status: dispatch.StatusReport{BackOff: 2 * time.Second}}, testStart)
+	s, _ := newTestSession(t)
+	demand := wire.PoolDemand{Service: "s", Model: "m", Waiting: 1, TimeToTarget: 10 * time.Second}
+	first := true
+	for now := testStart.Add(time.Millisecond); now.Before(testStart.Add(6 * time.Second)); now = now.Add(10 * time.Millisecond) {
+		c.handle(reportReceived{report: &wire.HostReport{Host: "other", First: first, KeepsRequestLimits: true, PoolDemands: []wire.PoolDemand{demand}}, session: s}, now)
+		first = false
+		c.tick(now)
+		answerReads(now)
+		if now.Before(testStart.Add(2*time.Second)) && len(recorder.orders) > 0 {
+			t.Fatalf("an order was sent %v after the engine had requested a back-off of 2 s", now.Sub(testStart))
+		}
+	}
+	if len(recorder.orders) == 0 {
+		t.Error("no order was sent after the back-off of the engine")
+	}
+}
+
 // Guards against an upstream that leaves and is still preferred by the hosts that it has not told, and loaded by the
 // coordinator: only its entry in the list and what a host has received itself exclude it.
 func TestDrainingUpstreamIsAvoidedElsewhere(t *testing.T) {
--- a/internal/edge/request_limits.go
+++ b/internal/edge/request_limits.go
@@ -120,16 +120,23 @@
 	if c.effects.holdsLease() {
 		c.sendTokenResponses(coord.limits.Advance(now), limitGrant, now)
 	}
-	for _, o := range coord.deferredOrders {
-		c.executeCommands(coord.swapper.HandleAnswer(o.ID, swap.NotSent, now), now)
-	}
-	coord.deferredOrders = nil
+	c.answerDeferredOrders(now)
 	avoided := coord.statuses.avoided(len(coord.hosts), now)
 	maps.Copy(avoided, coord.limits.Short(now))
 	coord.swapper.SetAvoided(avoided)
 	c.publishNotices(now)
 }
 
+// answerDeferredOrders tells the swapper which orders were not sent. Its commands may be deferred again, until the next
+// tick.
+func (c *core) answerDeferredOrders(now time.Time) {
+	deferred := c.coordinator.deferredOrders
+	c.coordinator.deferredOrders = nil
+	for _, o := range deferred {
+		c.executeCommands(c.coordinator.swapper.HandleAnswer(o.ID, swap.NotSent, now), now)
+	}
+}
+
 // assignLimitShares withholds and assigns the fallback shares of request limits.
 func (c *core) assignLimitShares(now time.Time) {
 	coord := c.coordinator
--- a/internal/quota/division.go
+++ b/internal/quota/division.go
@@ -6,8 +6,10 @@
 	// requestHolders is the number of hosts among which the fallback shares of a rate of requests are split. A
 	// smaller share would cover no request in the time until there is a coordinator again.
 	requestHolders = 2
-	// requestBurst is the burst of a rate of requests.
-	requestBurst = 2
+	// minRequestBurst is the burst of a rate of requests. At a high rate it is what accrues in requestBurstTime, so that
+	// the coordinator, which answers waiting hosts at its ticks, can grant the whole rate.
+	minRequestBurst  = 2
+	requestBurstTime = 100 * time.Millisecond
 	// requestGrantTTL is how long a host keeps a granted request that it has not sent.
 	requestGrantTTL = time.Second
 	// refusedRequestWait is the retry time for a rate that the coordinator does not know yet.
@@ -16,10 +18,11 @@
 
 // RequestLimit returns the limit of an upstream that takes perSecond requests per second from all hosts.
 //
-// In any period T, all hosts together send at most perSecond * (T + requestGrantTTL) requests and four more: the
-// burst, which either the coordinator or the hosts with a fallback share hold, and one request for each of these
-// hosts.
-func RequestLimit(perSecond float64) Limit { return Limit{Rate: perSecond, Burst: requestBurst} }
+// In any period T, all hosts together send at most perSecond * (T + requestGrantTTL) requests, the burst, which either
+// the coordinator or the hosts with a fallback share hold, and one request for each of these hosts.
+func RequestLimit(perSecond float64) Limit {
+	return Limit{Rate: perSecond, Burst: max(minRequestBurst, perSecond*requestBurstTime.Seconds())}
+}
 
 // division determines how a rate is divided among the hosts.
 //
--- a/internal/requestlimit/fleet_test.go
+++ b/internal/requestlimit/fleet_test.go
@@ -535,8 +535,8 @@
 // Guards against a limit that is kept by sending next to nothing: an even split of 1.1 requests per second at 295
 // hosts is one request in 268 s. Callers get at least 0.8 of the named rate while there is a coordinator.
 func TestRequestLimitIsUsed(t *testing.T) {
-	for _, hosts := range []int{7, 63, 295} {
-		for _, limit := range []float64{1.1, 4, 20} {
+	for hosts, limits := range map[int][]float64{7: {1.1, 4, 20, 400}, 63: {1.1, 4, 20}, 295: {1.1, 4, 20}} {
+		for _, limit := range limits {
 			s := newFleetSim(hosts, 1)
 			s.perHost = 3 * limit / float64(hosts)
 			s.run(2 * time.Second)
