--- a/test/soak/site_test.go
+++ b/test/soak/site_test.go
@@ -191,6 +191,18 @@
 	h.cmd, h.exited = cmd, exited
 }
 
+// logTailBytes is how much of the log of a host is shown after a failure.
+const logTailBytes = 8 << 10
+
+// logTail returns the end of the log of the host.
+func (h *host) logTail() string {
+	b, err := os.ReadFile(h.log.Name())
+	if err != nil {
+		return err.Error()
+	}
+	return string(b[max(len(b)-logTailBytes, 0):])
+}
+
 func (h *host) signal(sig syscall.Signal) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -61,6 +61,9 @@
 	limits.Wait()
 	for _, h := range s.hosts {
 		s.await(recoveryLimit, h.name+" is ready after the last fault", h.ready)
+		if t.Failed() {
+			t.Logf("end of the log of %s:\n%s", h.name, h.logTail())
+		}
 	}
 	allReady := time.Now()
 	time.Sleep(recoveryLimit)
