--- a/test/harness/harness.go
+++ b/test/harness/harness.go
@@ -306,6 +306,10 @@
 	return ""
 }
 
+// FreeAddr returns an address for a process that a test starts, possibly several times. No outgoing connection takes its
+// port in the meantime: these use other addresses and ports.
+func FreeAddr(t testing.TB) string { return freeAddr(t, sharedIP()) }
+
 func (s *Site) newHost(i int) *Host {
 	ip := hostIP(i)
 	peerAddr := freeAddr(s.T, ip)
--- a/test/soak/site_test.go
+++ b/test/soak/site_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -139,9 +138,9 @@
 func storeLink(name string) string { return name + " to the store" }
 
 func (s *site) addHost(bin, dir string, i int) {
-	h := &host{site: s, bin: bin, name: fmt.Sprintf("host-%d", i), callerAddr: freeAddr(s.t), readyAddr: freeAddr(s.t)}
+	h := &host{site: s, bin: bin, name: fmt.Sprintf("host-%d", i), callerAddr: harness.FreeAddr(s.t), readyAddr: harness.FreeAddr(s.t)}
 	set := map[string]any{
-		"host": h.name, "failure_domain": "a", "caller_addr": h.callerAddr, "ready_addr": h.readyAddr, "peer_addr": freeAddr(s.t), "operator_addr": freeAddr(s.t),
+		"host": h.name, "failure_domain": "a", "caller_addr": h.callerAddr, "ready_addr": h.readyAddr, "peer_addr": harness.FreeAddr(s.t), "operator_addr": harness.FreeAddr(s.t),
 		"store": map[string]any{"addr": s.network.Link(storeLink(h.name), s.store.Addr())},
 		"bounds": map[string]any{"revocation_ms": withdrawalBound.Milliseconds(), "fail_closed": true, "retry_ratio": 0.2, "retry_extra": 100, "retry_window_s": 10,
 			"quota_tolerance": quotaTolerance, "quota_overshoot": quotaOvershoot, "quota_window_s": quotaWindow.Seconds(), "drain_ms": drainBound.Milliseconds(),
@@ -163,16 +162,6 @@
 	s.t.Cleanup(h.kill)
 }
 
-func freeAddr(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
-}
-
 func (h *host) start() {
 	cmd := exec.Command(h.bin, "--settings", h.settings)
 	cmd.Stdout, cmd.Stderr = h.log, h.log
