edge: an evacuated failure domain gets no new requests

The request is now read and relayed with the list of upstreams, a read of everything ends one that is gone, and the upstreams of the domain count as draining meanwhile: no new requests, no loads.

--- a/internal/edge/protocol.go
+++ b/internal/edge/protocol.go
@@ -29,6 +29,9 @@
 	// upstreams.
 	ConfigKey() string
 	UpstreamsPrefix() string
+	// EvacuationsPrefix returns the key prefix of the evacuations. A key with the name of a failure domain behind it
+	// asks that no new requests be sent to the upstreams of that domain while the key exists.
+	EvacuationsPrefix() string
 	// DecodeCatalog decodes the configuration; the notices name the parts that were left out or are not
 	// supported.
 	DecodeCatalog(value []byte) (*catalog.Catalog, []Notice, error)
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -85,6 +85,8 @@
 	lastSuccessAt time.Time
 	outageSince   time.Time
 	upstreams     map[entity.UpstreamID]*fleet.Upstream
+	// evacuated holds the failure domains whose upstreams must get no new requests.
+	evacuated map[string]bool
 	// absentUntil holds the upstreams whose entries are absent after an outage, and until when each may
 	// reappear.
 	absentUntil map[entity.UpstreamID]time.Time
@@ -133,6 +135,7 @@
 func (w *watcher) init() {
 	w.upstreams = make(map[entity.UpstreamID]*fleet.Upstream)
 	w.absentUntil = make(map[entity.UpstreamID]time.Time)
+	w.evacuated = make(map[string]bool)
 	w.members = make(map[entity.HostID]election.Holder)
 }
 
@@ -324,6 +327,9 @@
 	for id := range w.upstreams {
 		addDeletion(w.upstreamKey(id))
 	}
+	for domain := range w.evacuated {
+		addDeletion(w.protocol.EvacuationsPrefix() + domain)
+	}
 	for id := range w.members {
 		addDeletion(w.prefix + membersPrefix + string(id))
 	}
--- a/internal/edge/watch_apply.go
+++ b/internal/edge/watch_apply.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"hash/fnv"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -71,6 +73,8 @@
 		w.applyConfig(e)
 	case strings.HasPrefix(key, w.protocol.UpstreamsPrefix()):
 		return w.applyUpstream(e, &out.upstreams)
+	case strings.HasPrefix(key, w.protocol.EvacuationsPrefix()):
+		w.applyEvacuation(e, &out.upstreams)
 	case strings.HasPrefix(key, w.prefix+membersPrefix):
 		out.members = true
 		w.applyMember(e)
@@ -126,7 +130,7 @@
 		delete(w.absentUntil, id)
 		changed := !u.EqualExceptSequence(former)
 		if changed || w.isCoordinator() {
-			out.addPut(u)
+			out.addPut(w.withEvacuation(u))
 		}
 		return changed
 	}
@@ -142,6 +146,35 @@
 	return true
 }
 
+// applyEvacuation applies the start or the end of the evacuation of a failure domain.
+func (w *watcher) applyEvacuation(e kvstore.Event, out *upstreamsChanged) {
+	domain := strings.TrimPrefix(e.Pair.Key, w.protocol.EvacuationsPrefix())
+	if w.evacuated[domain] == !e.Deleted {
+		return
+	}
+	if e.Deleted {
+		delete(w.evacuated, domain)
+	} else {
+		w.evacuated[domain] = true
+	}
+	w.log.Info("Evacuation of a failure domain changed.", "domain", domain, "evacuated", !e.Deleted, "revision", e.Pair.ModRevision)
+	for _, id := range slices.Sorted(maps.Keys(w.upstreams)) {
+		if u := w.upstreams[id]; u.Domain == domain {
+			out.addPut(w.withEvacuation(u))
+		}
+	}
+}
+
+// withEvacuation returns an upstream as this host uses it: one in an evacuated failure domain counts as draining.
+func (w *watcher) withEvacuation(u *fleet.Upstream) *fleet.Upstream {
+	if !w.evacuated[u.Domain] || u.Draining {
+		return u
+	}
+	draining := *u
+	draining.Draining = true
+	return &draining
+}
+
 // endsOutage reports whether the current read ends an outage that was so long that entries of running upstreams
 // may have lapsed.
 func (w *watcher) endsOutage() bool {
--- a/internal/edge/watch_test.go
+++ b/internal/edge/watch_test.go
@@ -31,6 +31,7 @@
 func (testProtocol) ParseAnswer(*fasthttp.ResponseHeader) AnswerInfo { return AnswerInfo{} }
 func (testProtocol) ConfigKey() string                               { return "config" }
 func (testProtocol) UpstreamsPrefix() string                         { return "up/" }
+func (testProtocol) EvacuationsPrefix() string                       { return "evacuated/" }
 func (testProtocol) Order(context.Context, swap.Order, Authority) (swap.Answer, dispatch.StatusReport) {
 	return swap.NotSent, dispatch.StatusReport{}
 }
