--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -131,6 +131,8 @@
 	NoFreeSlot bool
 	// Broken is set if the attempt ended without an answer, which counts as a failure of the upstream.
 	Broken bool
+	// Answering is set if the attempt broke after the head of an answer and before its first event.
+	Answering bool
 	// TimedOut is set if the upstream did not answer in the expected time.
 	TimedOut bool
 	// Status is the HTTP status of the answer, zero if there is none. A status of 500 or above counts as a
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -29,6 +29,8 @@
 	// deadlineGrace is how long this host still waits for an upstream's own answer after the deadline that
 	// the upstream was given.
 	deadlineGrace = 60 * time.Millisecond
+	// maxLoggedParts bounds the parts of a prompt in one line of the log.
+	maxLoggedParts = 16
 )
 
 // runAttempt makes one attempt. It returns true when the session has ended or its stream has been handed to
@@ -178,6 +180,10 @@
 	s.mayHaveRun = s.mayHaveRun || res.Outcome != entity.AttemptNotRun
 	fields := append([]any{"request", s.description.ID, "attempt", st.attempt, "upstream", st.target.ID, "outcome", res.Outcome,
 		"unreachable", res.Unreachable, "silent", res.TimedOut, "absent", res.NotLoaded, "after", boottime.Now().Sub(began), "err", err}, more...)
+	if res.Broken && len(s.description.SharedParts) > 0 {
+		parts := s.description.SharedParts
+		fields = append(fields, "answering", res.Answering, "parts", parts[:min(len(parts), maxLoggedParts)])
+	}
 	s.frontend.log.Info("Attempt failed.", fields...)
 	s.frontend.metrics.CountAttempt(res.Outcome.String())
 	if !s.keyValid() && res.Outcome == entity.AttemptNotRun {
--- a/internal/edge/protocol.go
+++ b/internal/edge/protocol.go
@@ -60,6 +60,8 @@
 	PromptTokens   int
 	OutputTokens   int
 	HasTokenCounts bool
+	// SharedParts are the IDs of the parts of the prompt that other requests may share, sorted and each once.
+	SharedParts []entity.PromptPartID
 	// Session is the ID of the part of the prompt that identifies the session of the request, empty if there is
 	// none. Requests of one session prefer the same upstream.
 	Session string
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -210,9 +210,14 @@
 		Outcome:  entity.AttemptUnknown,
 		TimedOut: silent,
 		Broken:   !silent,
+		// The head of the answer has arrived.
+		Answering: !silent && !e.begun(),
 	}
 }
 
+// begun reports whether an event of the stream has arrived, from any upstream.
+func (e *eventStream) begun() bool { return !e.lastAt.IsZero() }
+
 // resume continues the stream at another upstream after a failure, if the route allows it.
 func (e *eventStream) resume(cause error) error {
 	s := e.requestSession
--- a/internal/entity/entity.go
+++ b/internal/entity/entity.go
@@ -33,6 +33,9 @@
 // HostID names a host that runs foxtailpass.
 type HostID string
 
+// PromptPartID identifies one part of a prompt. Requests whose prompts have a part in common state the same ID for it.
+type PromptPartID string
+
 // RequestID identifies one caller request across retries.
 type RequestID string
 
