--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -36,6 +36,10 @@
 	Tokens float64
 	// PromptTokens is the length of the prompt in tokens, zero if it is not known.
 	PromptTokens int
+	// SharedParts are the parts of the prompt that other requests may share. Probe is set if the request is sent although
+	// one of them may crash engines, to find out whether it does.
+	SharedParts []entity.PromptPartID
+	Probe       bool
 	// Affinity identifies the prompt prefix that the request shares with its session, empty if none.
 	Affinity string
 
@@ -92,6 +96,10 @@
 	ReasonStopping       Reason = "stopping"
 	// ReasonRequestLimit is the reason if the request limit of an upstream keeps a request from being served.
 	ReasonRequestLimit Reason = "upstream_request_limit"
+	// ReasonQuarantined is the reason if a part of the prompt is quarantined, and ReasonSuspected if the request itself
+	// may have crashed an engine.
+	ReasonQuarantined Reason = "prompt_part_quarantined"
+	ReasonSuspected   Reason = "suspected_of_crash"
 )
 
 // Decision is the next step for a request: an attempt at an upstream, or a refusal.
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -45,6 +45,9 @@
 	ReadyIn func(p Pool, now time.Time) (time.Duration, bool)
 	// Limits holds the request limits of upstreams. Limits may be nil.
 	Limits RequestLimits
+	// Quarantined reports whether a request must not be sent again because of a part of its prompt. Quarantined may be
+	// nil.
+	Quarantined func(r *Request, now time.Time) bool
 	// Policy selects a simpler policy for measurements.
 	Policy Policy
 }
@@ -511,6 +514,10 @@
 		return ReasonDeadline, false
 	case !notRun && !r.repeatable():
 		return ReasonOutcomeUnknown, false
+	case res.Answering:
+		return ReasonSuspected, false
+	case r.Probe && !res.Unreachable, s.opts.Quarantined != nil && s.opts.Quarantined(r, now):
+		return ReasonQuarantined, false
 	case r.possibleRuns >= r.Route.MaxAttempts:
 		return ReasonFailed, false
 	case notRun && r.attempts >= maxNotRunAttempts:
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -192,7 +192,7 @@
 		s.release()
 		return true
 	}
-	s.frontend.send(attemptEnded{result: res})
+	s.frontend.send(attemptEnded{result: res, suspect: s.suspect(st, res)})
 	return false
 }
 
@@ -215,6 +215,9 @@
 		return s.attemptFailed(st, dispatch.AttemptResult{Outcome: entity.AttemptUnknown, Broken: true}, err, began)
 	}
 	status := ex.Header.StatusCode()
+	if status < fasthttp.StatusMultipleChoices {
+		s.reportAnswerBegan()
+	}
 	s.copyHeader(ex)
 	s.ctx.Response.SetBody(body)
 	ex.Close()
--- a/internal/edge/coordinator.go
+++ b/internal/edge/coordinator.go
@@ -228,6 +228,7 @@
 		c.assignLimitShares(now)
 	}
 	c.tickStatuses(now)
+	c.pruneQuarantine(now)
 	c.publish(now)
 }
 
--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -12,7 +12,9 @@
 	"github.com/foxtailpass/foxtailpass/internal/election"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/fleet"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/peer"
+	"github.com/foxtailpass/foxtailpass/internal/quarantine"
 	"github.com/foxtailpass/foxtailpass/internal/quota"
 	"github.com/foxtailpass/foxtailpass/internal/relay"
 	"github.com/foxtailpass/foxtailpass/internal/requestlimit"
@@ -29,6 +31,11 @@
 	announce(addrs map[entity.HostID]string, lease election.CoordinatorLease)
 	// holdsLease reports whether this host holds the coordinator lease now.
 	holdsLease() bool
+	// checkEngine finds out whether an engine at an address has ended.
+	checkEngine(i quarantine.Instance, addr string)
+	// writeQuarantine and claimProbe run transactions on the records about crashes of engines.
+	writeQuarantine(w quarantine.Write)
+	claimProbe(id entity.RequestID, parts []quarantine.Part, txn kvstore.Txn)
 }
 
 // core is the control state of one host. Only one goroutine uses it.
@@ -92,6 +99,16 @@
 	// orders counts the orders of this process by action and answer.
 	orders map[orderKey]int64
 
+	// quarantine holds the parts of prompts that are suspected of crashing engines, and watchedParts the parts for which
+	// the goroutines of requests report the begin of an answer. claims holds the requests for which a probe is claimed.
+	quarantine   *quarantine.Tracker
+	watchedParts *atomic.Pointer[map[quarantine.Part]struct{}]
+	claims       map[entity.RequestID]*dispatch.Request
+	// brokenAttempts are the attempts whose engines may have ended, by engine. They are processed once that is known.
+	brokenAttempts map[quarantine.Instance][]attemptEnded
+	// prunedAt is when this host, as the coordinator, last removed old records about crashes.
+	prunedAt time.Time
+
 	// coordinator is non-nil while this host is the coordinator.
 	coordinator *coordinator
 	// earlyReports holds, by session, the first reports of hosts that arrived before this host became the
@@ -105,7 +122,7 @@
 	answer swap.Answer
 }
 
-func newCore(self entity.HostID, domain string, b Bounds, l *slog.Logger, e effects) *core {
+func newCore(self entity.HostID, domain, keyPrefix string, recent *quarantine.RecentParts, b Bounds, l *slog.Logger, e effects) *core {
 	c := &core{
 		self:          self,
 		log:           l,
@@ -126,10 +143,15 @@
 		estimates:       make(map[dispatch.Pool]readyEstimate),
 		arrivals:        make(map[dispatch.Pool]int),
 		orders:          make(map[orderKey]int64),
+		watchedParts:    new(atomic.Pointer[map[quarantine.Part]struct{}]),
+		claims:          make(map[entity.RequestID]*dispatch.Request),
+		brokenAttempts:  make(map[quarantine.Instance][]attemptEnded),
 	}
+	source := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	c.quarantine = quarantine.New(quarantine.Options{Host: self, KeyPrefix: keyPrefix, Rand: source, Recent: recent})
 	c.scheduler = dispatch.New(dispatch.Options{
 		Domain: domain,
-		Rand:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Rand:   source,
 		Budget: func() *dispatch.Budget {
 			return &dispatch.Budget{
 				Ratio:  b.RetryRatio,
@@ -139,6 +161,8 @@
 		},
 		ReadyIn: c.readyIn,
 		Limits:  c.requestLimits,
+
+		Quarantined: c.isQuarantined,
 	})
 	return c
 }
@@ -149,7 +173,18 @@
 	case requestArrived:
 		c.requestArrived(e, now)
 	case attemptEnded:
-		c.attemptEnded(e.result, now)
+		c.attemptEnded(e, now)
+	case answerBegan:
+		c.quarantine.AnswerBegan(e.service, e.parts, e.probe, now)
+		c.quarantineUpdated(now)
+	case engineChecked:
+		c.engineChecked(e, now)
+	case quarantineChanged:
+		c.quarantineChanged(e, now)
+	case quarantineWritten:
+		c.quarantineWritten(e, now)
+	case probeClaimed:
+		c.probeClaimed(e, now)
 	case upstreamStatusReceived:
 		c.upstreamStatusReceived(e, now)
 	case callerLeft:
@@ -212,6 +247,7 @@
 func (c *core) tick(now time.Time) {
 	c.recheckParked(now)
 	c.applyDecisions(c.scheduler.Tick(now), now)
+	c.writeQuarantine(now)
 	if c.coordinator != nil {
 		c.tickCoordinator(now)
 	}
@@ -227,6 +263,7 @@
 	c.members, c.addrs = e.hosts, e.addrs
 	c.limiter.SetMembers(e.hosts, now)
 	c.requestLimits.SetHosts(c.limiter.Hosts())
+	c.quarantine.SetHosts(c.limiter.Hosts())
 	c.scheduler.SetRetryExtra(c.retryExtra(), now)
 	if c.coordinator != nil {
 		c.coordinator.shares.SetMembers(e.hosts)
@@ -236,7 +273,7 @@
 
 // isBusy reports whether ticks must be frequent.
 func (c *core) isBusy() bool {
-	return !c.scheduler.Idle() || len(c.parked) > 0 || c.requestLimits.HasUrgentNews() || c.coordinator != nil && c.coordinator.isBusy()
+	return !c.scheduler.Idle() || c.quarantine.HasWrites() || len(c.parked) > 0 || c.requestLimits.HasUrgentNews() || c.coordinator != nil && c.coordinator.isBusy()
 }
 
 func (c *core) sendToCoordinator(now time.Time) {
@@ -249,6 +286,10 @@
 	r := e.request
 	c.stepQueues[r.ID] = e.stepQueue
 	c.arrivals[r.Pool]++
+	if v := c.quarantine.Check(r.Pool.Service, r.SharedParts, now); v.Action == quarantine.Refuse {
+		c.refuseQuarantined(r, v)
+		return
+	}
 	c.admit(r, now)
 }
 
@@ -289,8 +330,12 @@
 	return s
 }
 
-// enqueue queues an admitted request and logs why it waits.
+// enqueue queues an admitted request and logs why it waits. A request with a quarantined part of its prompt is refused,
+// or queued once its probe has been claimed.
 func (c *core) enqueue(r *dispatch.Request, now time.Time) {
+	if !r.Probe && !c.passesQuarantine(r, now) {
+		return
+	}
 	c.applyDecisions(c.scheduler.Enqueue(r, now), now)
 	if q, waits := c.scheduler.Queued(r.ID, now); waits {
 		c.log.Info("Request queued.", "request", r.ID, "model", r.Pool.Model, "adapter", r.Pool.Adapter, "holders", q.ServingCount, "limited", q.LimitedCount,
@@ -298,7 +343,11 @@
 	}
 }
 
-func (c *core) attemptEnded(res dispatch.AttemptResult, now time.Time) {
+func (c *core) attemptEnded(e attemptEnded, now time.Time) {
+	if c.awaitsCheck(e) {
+		return
+	}
+	res := e.result
 	decisions := c.scheduler.AttemptEnded(res, now)
 	if res.Outcome == entity.Completed || res.Outcome == entity.Canceled {
 		delete(c.stepQueues, res.Request)
@@ -327,6 +376,7 @@
 
 func (c *core) callerLeft(id entity.RequestID, now time.Time) {
 	delete(c.stepQueues, id)
+	delete(c.claims, id)
 	for i, p := range c.parked {
 		if p.request.ID == id {
 			c.parked = append(c.parked[:i], c.parked[i+1:]...)
--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -11,6 +11,7 @@
 	"github.com/foxtailpass/foxtailpass/internal/fleet"
 	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/peer"
+	"github.com/foxtailpass/foxtailpass/internal/quarantine"
 	"github.com/foxtailpass/foxtailpass/internal/swap"
 	"github.com/foxtailpass/foxtailpass/internal/wire"
 )
@@ -24,8 +25,49 @@
 	stepQueue *stepQueue
 }
 
-// attemptEnded is the end of an attempt.
-type attemptEnded struct{ result dispatch.AttemptResult }
+// attemptEnded is the end of an attempt. suspect is set if its connection ended before the first event of its answer.
+type attemptEnded struct {
+	result  dispatch.AttemptResult
+	suspect *suspectAttempt
+}
+
+// suspectAttempt is an attempt that may have crashed its engine.
+type suspectAttempt struct {
+	attempt quarantine.Attempt
+	addr    string
+}
+
+// answerBegan reports that the answer to a request has begun whose prompt contains a suspected part.
+type answerBegan struct {
+	service catalog.ServiceID
+	parts   []entity.PromptPartID
+	probe   bool
+}
+
+// engineChecked states whether an engine has ended.
+type engineChecked struct {
+	instance quarantine.Instance
+	ended    bool
+}
+
+// quarantineChanged holds changes of the records about crashes of engines.
+type quarantineChanged struct{ changes []kvstore.Event }
+
+// quarantineWritten is the result of a write of this host to these records.
+type quarantineWritten struct {
+	id  uint64
+	err error
+}
+
+// probeClaimed is the result of the claim of a probe.
+type probeClaimed struct {
+	request  entity.RequestID
+	parts    []quarantine.Part
+	txn      kvstore.Txn
+	revision int64
+	// err is nil if the claim has succeeded.
+	err error
+}
 
 // upstreamStatusReceived is the self-reported status of an upstream in an answer.
 type upstreamStatusReceived struct {
@@ -154,6 +196,11 @@
 
 func (requestArrived) isEvent()         {}
 func (attemptEnded) isEvent()           {}
+func (answerBegan) isEvent()            {}
+func (engineChecked) isEvent()          {}
+func (quarantineChanged) isEvent()      {}
+func (quarantineWritten) isEvent()      {}
+func (probeClaimed) isEvent()           {}
 func (upstreamStatusReceived) isEvent() {}
 func (callerLeft) isEvent()             {}
 func (catalogChanged) isEvent()         {}
@@ -206,6 +253,8 @@
 	readyIn time.Duration
 	// configVersion is the version of the active configuration.
 	configVersion int64
+	// quarantined are the quarantined parts of the prompt.
+	quarantined []quarantine.Part
 }
 
 // stepQueue carries the steps of the control state to the goroutine of a request.
--- a/internal/edge/frontend.go
+++ b/internal/edge/frontend.go
@@ -20,6 +20,7 @@
 	"github.com/foxtailpass/foxtailpass/internal/dispatch"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/metrics"
+	"github.com/foxtailpass/foxtailpass/internal/quarantine"
 	"github.com/foxtailpass/foxtailpass/internal/upstream"
 )
 
@@ -56,8 +57,12 @@
 	viewAge   func(now time.Time) time.Duration
 	log       *slog.Logger
 	catalog   atomic.Pointer[catalog.Catalog]
-	server    *fasthttp.Server
-	active    atomic.Int64
+	// watchedParts are the parts of prompts for which the control state must know when an answer begins.
+	watchedParts atomic.Pointer[map[quarantine.Part]struct{}]
+	// recentParts are the parts of prompts under which answers have begun lately.
+	recentParts quarantine.RecentParts
+	server      *fasthttp.Server
+	active      atomic.Int64
 	// stopping is the boot time in nanoseconds at which the stop began, zero before.
 	stopping    atomic.Int64
 	gracePeriod time.Duration
@@ -283,6 +288,7 @@
 	if svc.Engine != nil {
 		r.Pool.Model, r.Pool.Adapter = s.description.Model, s.description.Adapter
 		r.Affinity = s.description.Session
+		r.SharedParts = s.description.SharedParts
 	}
 	return nil
 }
@@ -343,7 +349,7 @@
 	now := boottime.Now()
 	f.metrics.CountRequest(routeName(s.route), r.Status, r.Code, now.Sub(s.arrived))
 	f.log.Info("Request refused.", "request", s.description.ID, "status", r.Status, "reason", r.Code, "ran", r.Ran, "retry_after", r.RetryAfter,
-		"after", now.Sub(s.arrived), "attempts", s.attempt, "route", routeName(s.route), "workspace", s.workspaceID(), "tokens", s.description.PromptTokens+s.description.OutputTokens, "ready_in", s.basis.readyIn, "config", f.configVersion(), "view_age", f.viewAge(now), "model", s.description.Model, "adapter", s.description.Adapter)
+		"after", now.Sub(s.arrived), "attempts", s.attempt, "route", routeName(s.route), "workspace", s.workspaceID(), "tokens", s.description.PromptTokens+s.description.OutputTokens, "ready_in", s.basis.readyIn, "config", f.configVersion(), "view_age", f.viewAge(now), "model", s.description.Model, "adapter", s.description.Adapter, "parts", partIDs(s.basis.quarantined))
 	writeRefusal(&s.ctx.Response, r)
 }
 
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -63,6 +63,7 @@
 		return s.attemptFailed(st, e.result(err), err, began)
 	}
 	e.firstEventAfter = boottime.Now().Sub(s.arrived)
+	s.reportAnswerBegan()
 	s.frontend.metrics.RecordFirstToken(e.firstEventAfter)
 	s.copyHeader(ex)
 	s.ctx.Response.ImmediateHeaderFlush = true
@@ -233,7 +234,7 @@
 			return errCallerLeft
 		}
 		s.frontend.log.Info("Stream interrupted.", "request", s.description.ID, "upstream", e.step.target.ID, "last_event", e.lastID, "err", cause)
-		s.frontend.send(attemptEnded{result: res})
+		s.frontend.send(attemptEnded{result: res, suspect: e.suspect(res)})
 		var st step
 		select {
 		case st = <-s.stepQueue.steps:
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -94,9 +94,11 @@
 	// relays to other hosts.
 	unrelayedRemovals []entity.UpstreamID
 	members           map[entity.HostID]election.Holder
-	election          election.Observation
-	configVersion     int64
-	holderSent        bool
+	// quarantineKeys are the keys of the records about crashes of engines.
+	quarantineKeys map[string]bool
+	election       election.Observation
+	configVersion  int64
+	holderSent     bool
 	// nextRead is when this host reads the changes next; failures counts the failed reads in a row.
 	nextRead time.Time
 	failures int
@@ -137,6 +139,7 @@
 	w.absentUntil = make(map[entity.UpstreamID]time.Time)
 	w.evacuated = make(map[string]bool)
 	w.members = make(map[entity.HostID]election.Holder)
+	w.quarantineKeys = make(map[string]bool)
 }
 
 func (w *watcher) run(ctx context.Context) {
@@ -333,6 +336,9 @@
 	for id := range w.members {
 		addDeletion(w.prefix + membersPrefix + string(id))
 	}
+	for key := range w.quarantineKeys {
+		addDeletion(key)
+	}
 	if w.election.Holder != nil {
 		addDeletion(w.prefix + election.HolderKey)
 	}
--- a/internal/edge/watch_apply.go
+++ b/internal/edge/watch_apply.go
@@ -14,6 +14,7 @@
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/fleet"
 	"github.com/foxtailpass/foxtailpass/internal/kvstore"
+	"github.com/foxtailpass/foxtailpass/internal/quarantine"
 )
 
 // batchResult collects the effects of a batch of changes. members and holder report whether registrations of
@@ -22,6 +23,8 @@
 	upstreams upstreamsChanged
 	members   bool
 	holder    bool
+	// quarantine are the changes of the records about crashes of engines.
+	quarantine []kvstore.Event
 	// relevant are the changes that are relevant to other hosts.
 	relevant []kvstore.Event
 }
@@ -40,6 +43,9 @@
 	if len(out.upstreams.put)+len(out.upstreams.removed) > 0 {
 		w.send(out.upstreams)
 	}
+	if len(out.quarantine) > 0 {
+		w.send(quarantineChanged{changes: out.quarantine})
+	}
 	if out.members {
 		w.send(membersChanged{hosts: w.sortedMembers(), addrs: w.memberAddrs()})
 	}
@@ -75,6 +81,9 @@
 		return w.applyUpstream(e, &out.upstreams)
 	case strings.HasPrefix(key, w.protocol.EvacuationsPrefix()):
 		w.applyEvacuation(e, &out.upstreams)
+	case strings.HasPrefix(key, w.prefix+quarantine.Prefix):
+		w.recordQuarantineKey(e)
+		out.quarantine = append(out.quarantine, e)
 	case strings.HasPrefix(key, w.prefix+membersPrefix):
 		out.members = true
 		w.applyMember(e)
@@ -198,6 +207,16 @@
 	}
 }
 
+// recordQuarantineKey keeps the keys of the records about crashes of engines, so that a complete read shows which of them
+// are gone.
+func (w *watcher) recordQuarantineKey(e kvstore.Event) {
+	if e.Deleted {
+		delete(w.quarantineKeys, e.Pair.Key)
+		return
+	}
+	w.quarantineKeys[e.Pair.Key] = true
+}
+
 func (w *watcher) applyMember(e kvstore.Event) {
 	id := entity.HostID(strings.TrimPrefix(e.Pair.Key, w.prefix+membersPrefix))
 	if e.Deleted {
--- /dev/null
+++ b/internal/quarantine/tracker_test.go
@@ -0,0 +1,281 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
+)
+
+// testTracker is the tracker of one host with the key-value service that it writes to.
+type testTracker struct {
+	*Tracker
+	store *simStore
+	now   time.Time
+	ends  int
+}
+
+func newTestTracker(store *simStore, host string) *testTracker {
+	x := &testTracker{store: store, now: time.Unix(1000, 0)}
+	x.Tracker = New(Options{Host: entity.HostID(host), KeyPrefix: "p/", Rand: rand.New(rand.NewPCG(1, 1)), Recent: &RecentParts{}})
+	x.SetHosts(2)
+	return x
+}
+
+func newTestStore() *simStore { return &simStore{values: make(map[string]kvstore.Pair)} }
+
+// sync writes what is due and applies all changes.
+func (x *testTracker) sync() {
+	x.now = x.now.Add(time.Second)
+	for _, w := range x.TakeWrites(x.now) {
+		_, ok := x.store.txn(w.Txn)
+		x.Written(w.ID, ok, x.now)
+	}
+	x.Apply(x.store.log, x.now)
+}
+
+// engineEnds plays the end of an engine under a request that it had begun to answer.
+func (x *testTracker) engineEnds(parts ...entity.PromptPartID) {
+	x.ends++
+	x.engineEndsOf(simService, parts...)
+}
+
+func (x *testTracker) engineEndsOf(service string, parts ...entity.PromptPartID) {
+	i := Instance{Upstream: entity.UpstreamID(fmt.Sprintf("e%d", x.ends)), BornMillis: int64(x.ends)}
+	x.AttemptBroken(Attempt{Service: simService, Instance: i, Parts: parts, Answering: true})
+	x.Checked(i, true, x.now)
+	x.now = x.now.Add(time.Second)
+}
+
+func (x *testTracker) action(parts ...entity.PromptPartID) Action {
+	return x.Check(simService, parts, x.now).Action
+}
+
+func TestQuarantine(t *testing.T) {
+	x := newTestTracker(newTestStore(), "a")
+	x.engineEnds("f", "s", "d")
+	if x.action("f", "d") != Pass {
+		t.Error("a part is quarantined after the end of one engine")
+	}
+	x.AnswerBegan(simService, []entity.PromptPartID{"f"}, false, x.now)
+	x.engineEnds("g", "d")
+	if x.action("g", "s") != Pass {
+		t.Error("parts that only one engine ended under are quarantined")
+	}
+	if x.action("d") == Pass {
+		t.Error("the part that two engines ended under is not quarantined")
+	}
+	if v := x.Check("other service", []entity.PromptPartID{"d"}, x.now); v.Action != Pass {
+		t.Error("a part is quarantined at the engines of another service")
+	}
+	x.AnswerBegan(simService, []entity.PromptPartID{"d"}, false, x.now)
+	if x.action("d") != Pass {
+		t.Error("a part is quarantined although an answer has begun under it")
+	}
+}
+
+// Guards against suspicion by broken connections alone: an engine that is cut off, frozen or faulty has not ended.
+func TestEngineThatHasNotEndedMakesNoSuspects(t *testing.T) {
+	x := newTestTracker(newTestStore(), "a")
+	for n := range 5 {
+		i := Instance{Upstream: "e", BornMillis: int64(n)}
+		x.AttemptBroken(Attempt{Service: simService, Instance: i, Parts: []entity.PromptPartID{"d"}, Answering: true})
+		x.Checked(i, false, x.now)
+	}
+	if x.action("d") != Pass {
+		t.Error("a part is quarantined although no engine has ended")
+	}
+}
+
+// Guards against a quarantine that is forgotten when hosts restart.
+func TestQuarantineOutlivesHosts(t *testing.T) {
+	store := newTestStore()
+	x := newTestTracker(store, "a")
+	x.engineEnds("d")
+	x.engineEnds("d")
+	x.sync()
+	y := newTestTracker(store, "b")
+	y.sync()
+	if y.action("d") == Pass {
+		t.Error("a host that has just started does not know the quarantined part")
+	}
+}
+
+// Guards against one probe at each host: of all hosts that claim one, one may send it.
+func TestOneHostProbes(t *testing.T) {
+	store := newTestStore()
+	x, y := newTestTracker(store, "a"), newTestTracker(store, "b")
+	x.engineEnds("d")
+	x.engineEnds("d")
+	x.sync()
+	y.sync()
+	granted := 0
+	for _, h := range []*testTracker{x, y} {
+		v := h.Check(simService, []entity.PromptPartID{"d"}, h.now)
+		if v.Action != Probe {
+			t.Fatalf("action %d, want a probe", v.Action)
+		}
+		txn := h.Claim(v)
+		revision, ok := store.txn(txn)
+		h.Claimed(v.Parts, txn, ok, revision, h.now)
+		if ok {
+			granted++
+		}
+	}
+	if granted != 1 {
+		t.Errorf("%d hosts may probe, want 1", granted)
+	}
+	y.sync()
+	if x.action("d") != Refuse || y.action("d") != Refuse {
+		t.Error("another request is sent while the probe runs")
+	}
+}
+
+// Guards against probes that go on for ever: each may cost an engine.
+func TestProbesAreBounded(t *testing.T) {
+	store := newTestStore()
+	x := newTestTracker(store, "a")
+	x.engineEnds("d")
+	x.engineEnds("d")
+	probes := 0
+	for end := x.now.Add(30 * 24 * time.Hour); x.now.Before(end); x.now = x.now.Add(time.Minute) {
+		v := x.Check(simService, []entity.PromptPartID{"d"}, x.now)
+		if v.Action != Probe {
+			continue
+		}
+		probes++
+		txn := x.Claim(v)
+		revision, ok := store.txn(txn)
+		x.Claimed(v.Parts, txn, ok, revision, x.now)
+		x.engineEnds("d")
+		x.sync()
+		if txn, ok := x.Prune(x.now); ok {
+			store.txn(txn)
+		}
+	}
+	if probes != 1+len(probePauses) {
+		t.Errorf("%d probes in thirty days, want %d", probes, 1+len(probePauses))
+	}
+	if v := x.Check(simService, []entity.PromptPartID{"d"}, x.now); v.Action != Refuse || !v.Final {
+		t.Errorf("verdict %+v, want a final refusal", v)
+	}
+}
+
+// Guards against a part that stays quarantined, or is quarantined again for what happened before, after an operator has
+// released it.
+func TestReleasedPart(t *testing.T) {
+	store := newTestStore()
+	x, y := newTestTracker(store, "a"), newTestTracker(store, "b")
+	x.engineEnds("d")
+	x.engineEnds("d")
+	x.sync()
+	y.sync()
+	store.txn(y.Release(Part{Service: simService, ID: "d"}))
+	for range 5 {
+		x.sync()
+		y.sync()
+	}
+	if x.action("d") != Pass || y.action("d") != Pass {
+		t.Error("the released part is still quarantined")
+	}
+	for key := range store.values {
+		if key == "p/"+partKey(Part{Service: simService, ID: "d"}) {
+			t.Error("the record of the released part is still there")
+		}
+	}
+}
+
+// Guards against callers that make up parts: neither the records nor the memory grow, no other part is quarantined, and
+// the part that the requests have in common is found all the same.
+func TestMadeUpPartsFillNothing(t *testing.T) {
+	store := newTestStore()
+	x := newTestTracker(store, "a")
+	n := 0
+	for range maxKnownRecords + 50 {
+		parts := []entity.PromptPartID{"d"}
+		for range 200 {
+			n++
+			parts = append(parts, entity.PromptPartID(fmt.Sprintf("%x", n)))
+		}
+		x.engineEnds(parts...)
+		if x.ends%100 == 0 {
+			x.sync()
+		}
+	}
+	if x.action("d") == Pass {
+		t.Error("the part that all requests have in common is not quarantined")
+	}
+	if len(x.Entries()) != 1 {
+		t.Errorf("%d parts are quarantined, want one", len(x.Entries()))
+	}
+	if len(x.crashes) > maxKnownRecords || len(x.pending) > maxPending {
+		t.Errorf("%d records and %d unchecked engines are kept", len(x.crashes), len(x.pending))
+	}
+	for {
+		x.sync()
+		txn, ok := x.Prune(x.now)
+		if !ok {
+			break
+		}
+		store.txn(txn)
+	}
+	if len(store.values) > maxRecords {
+		t.Errorf("%d records are in the key-value service, want at most %d", len(store.values), maxRecords)
+	}
+}
+
+// Guards against a huge list of parts in which the common one gets lost.
+func TestLongPromptIsBounded(t *testing.T) {
+	x := newTestTracker(newTestStore(), "a")
+	for range 2 {
+		var parts []entity.PromptPartID
+		for n := range 20 * maxPartsPerRecord {
+			parts = append(parts, entity.PromptPartID(fmt.Sprintf("%d-%x", x.ends, n)))
+		}
+		x.engineEnds(parts...)
+	}
+	for key, c := range x.crashes {
+		if len(c.Answering) > maxPartsPerRecord {
+			t.Errorf("record %s has %d parts", key, len(c.Answering))
+		}
+	}
+}
+
+// Guards against records that cannot be read, or are not records, ending the process or condemning anything.
+func TestUnreadableRecordsAreIgnored(t *testing.T) {
+	x := newTestTracker(newTestStore(), "a")
+	var events []kvstore.Event
+	for i, value := range []string{"", "null", "[]", `{"service":1}`, `{"part":"d","probes":-1}`, `{"upstream":""}`, "\xff"} {
+		for _, prefix := range []string{crashesPrefix, partsPrefix} {
+			events = append(events, kvstore.Event{Pair: kvstore.Pair{Key: fmt.Sprintf("p/%s%d", prefix, i), Value: []byte(value), ModRevision: 1}})
+		}
+	}
+	if errs := x.Apply(events, x.now); len(errs) != len(events) {
+		t.Errorf("%d of %d records were ignored", len(errs), len(events))
+	}
+	if len(x.Entries()) != 0 {
+		t.Error("a part is quarantined")
+	}
+}
+
+// Guards against a part that stays quarantined at hosts that learn of its probe and its release at once.
+func TestReleaseIsSeenTogetherWithProbe(t *testing.T) {
+	store := newTestStore()
+	x, y := newTestTracker(store, "a"), newTestTracker(store, "b")
+	x.engineEnds("d")
+	x.engineEnds("d")
+	x.sync()
+	v := x.Check(simService, []entity.PromptPartID{"d"}, x.now)
+	txn := x.Claim(v)
+	revision, ok := store.txn(txn)
+	x.Claimed(v.Parts, txn, ok, revision, x.now)
+	x.AnswerBegan(simService, []entity.PromptPartID{"d"}, true, x.now)
+	x.sync()
+	y.sync()
+	if y.action("d") != Pass {
+		t.Error("the part is still quarantined at another host")
+	}
+}
--- /dev/null
+++ b/internal/quarantine/writes.go
@@ -0,0 +1,115 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
+)
+
+// HasWrites reports whether this host has to write anything, now or soon.
+func (t *Tracker) HasWrites() bool {
+	for _, c := range t.crashes {
+		if c.unwritten {
+			return true
+		}
+	}
+	for _, q := range t.parts {
+		if q.lifted {
+			return true
+		}
+	}
+	return false
+}
+
+// TakeWrites returns the writes that are due. Each result must be passed to Written.
+func (t *Tracker) TakeWrites(now time.Time) []Write {
+	var out []Write
+	if w, ok := t.crashWrite(now); ok {
+		out = append(out, w)
+	}
+	for p, q := range t.parts {
+		if !q.lifted || q.clearing || now.Before(q.clearAt) {
+			continue
+		}
+		q.clearing = true
+		key := t.opts.KeyPrefix + partKey(p)
+		out = append(out, t.newWrite(write{part: p}, kvstore.Txn{
+			Compares: []kvstore.Compare{kvstore.Unchanged(key, q.revision)},
+			Success:  []kvstore.Op{{Kind: kvstore.OpDelete, Key: key}},
+		}))
+	}
+	return out
+}
+
+// crashWrite returns the write of the records that are due. Records without suspects are dropped.
+func (t *Tracker) crashWrite(now time.Time) (Write, bool) {
+	var w write
+	var txn kvstore.Txn
+	for _, key := range slices.Sorted(maps.Keys(t.crashes)) {
+		c := t.crashes[key]
+		switch {
+		case !c.unwritten || c.writing || now.Before(c.writeAt):
+			continue
+		case c.isEmpty():
+			delete(t.crashes, key)
+			continue
+		case len(w.crashes) == maxRecordsPerWrite:
+			continue
+		}
+		c.writing = true
+		w.crashes = append(w.crashes, key)
+		txn.Success = append(txn.Success, kvstore.Put(t.opts.KeyPrefix+key, encode(c.crashRecord)))
+	}
+	if len(w.crashes) == 0 {
+		return Write{}, false
+	}
+	return t.newWrite(w, txn), true
+}
+
+func (t *Tracker) newWrite(w write, txn kvstore.Txn) Write {
+	t.lastWrite++
+	t.inFlight[t.lastWrite] = w
+	return Write{ID: t.lastWrite, Txn: txn}
+}
+
+// Written processes the result of a write. A write that failed, or whose result is not known, is repeated: writing the
+// same record again changes nothing.
+func (t *Tracker) Written(id uint64, succeeded bool, now time.Time) {
+	w := t.inFlight[id]
+	delete(t.inFlight, id)
+	for _, key := range w.crashes {
+		c := t.crashes[key]
+		if c == nil {
+			continue
+		}
+		c.writing = false
+		c.unwritten = !succeeded
+		c.writeAt = now.Add(writeRetryPause)
+	}
+	if q := t.parts[w.part]; q != nil {
+		// The removal of the key is seen like every other change.
+		q.clearing = false
+		q.clearAt = now.Add(writeRetryPause)
+	}
+}
+
+// Prune returns a transaction that removes old records from the key-value service, for the coordinator. It returns
+// false if there are none.
+func (t *Tracker) Prune(now time.Time) (kvstore.Txn, bool) {
+	keys := slices.SortedFunc(maps.Keys(t.crashes), func(a, b string) int {
+		return cmp.Or(t.crashes[a].learnedAt.Compare(t.crashes[b].learnedAt), cmp.Compare(a, b))
+	})
+	var txn kvstore.Txn
+	for i, key := range keys {
+		c := t.crashes[key]
+		tooMany := len(keys)-i > maxRecords
+		if c.unwritten || !tooMany && now.Sub(c.learnedAt) < recordRetention || len(txn.Success) == maxRecordsPerWrite {
+			continue
+		}
+		txn.Success = append(txn.Success, kvstore.Op{Kind: kvstore.OpDelete, Key: t.opts.KeyPrefix + key})
+	}
+	return txn, len(txn.Success) > 0
+}
