foxtailctl: quarantined parts of prompts are listed and released; metrics; explain names the engines

An operator asks any entry host at its operator port: GET /quarantine and POST /quarantine/release, with foxtailctl quarantine list and release. A release is a record that all hosts apply and remove. The timeline of a refused request includes when its part was quarantined, and the engines that ended under it, also if that was long before.

--- a/cmd/foxtailctl/main.go
+++ b/cmd/foxtailctl/main.go
@@ -167,7 +167,7 @@
 			{Name: "status", Usage: "show the active revision and the revision that each host reports", Action: a.withArguments(0, a.status)},
 			a.keysCommand(),
 			a.hostsCommand(),
-			a.explainCommand(),
+			a.explainCommand(), a.quarantineCommand(),
 		},
 	}
 }
--- a/cmd/foxtailctl/main_test.go
+++ b/cmd/foxtailctl/main_test.go
@@ -222,3 +222,32 @@
 		t.Errorf("diff does not list models[assist-000], which only the overlay has: %s", out)
 	}
 }
+
+// Guards against quarantine commands that fail, or report success, whatever the host answers.
+func TestQuarantineCommands(t *testing.T) {
+	var released string
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.URL.Path == "/quarantine":
+			_, _ = io.WriteString(w, `[{"service":"s","part":"5c1e","engines":["e1","e2"],"probes":1}]`)
+		case r.Method == http.MethodPost && r.URL.Query().Get("part") == "5c1e":
+			released = r.URL.RawQuery
+		default:
+			w.WriteHeader(http.StatusNotFound)
+		}
+	}))
+	defer server.Close()
+	host := server.Listener.Addr().String()
+	if out := runCommand(t, exitOK, "quarantine", "list", "--host", host); !strings.Contains(out, `"part": "5c1e"`) || !strings.Contains(out, "e2") {
+		t.Errorf("the quarantined part is not listed: %s", out)
+	}
+	runCommand(t, exitOK, "quarantine", "release", "--host", host, "--service", "s", "5c1e")
+	if released != "part=5c1e&service=s&who=op" {
+		t.Errorf("query of the release %q", released)
+	}
+	runCommand(t, exitFailure, "quarantine", "release", "--host", host, "--service", "s", "other")
+	runCommand(t, exitUsage, "quarantine", "release", "--host", host, "--service", "s")
+	runCommand(t, exitUsage, "quarantine", "list")
+	server.Close()
+	runCommand(t, exitFailure, "quarantine", "list", "--host", host)
+}
--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -106,6 +106,8 @@
 	claims       map[entity.RequestID]*dispatch.Request
 	// brokenAttempts are the attempts whose engines may have ended, by engine. They are processed once that is known.
 	brokenAttempts map[quarantine.Instance][]attemptEnded
+	// suspectedCrashes and probes are counted for the metrics.
+	suspectedCrashes, probes int64
 	// prunedAt is when this host, as the coordinator, last removed old records about crashes.
 	prunedAt time.Time
 
--- a/internal/edge/operator.go
+++ b/internal/edge/operator.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"runtime"
+	"slices"
 	"time"
 
 	"github.com/fasthttp/router"
@@ -11,8 +12,11 @@
 	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/foxtailpass/foxtailpass/internal/boottime"
+	"github.com/foxtailpass/foxtailpass/internal/catalog"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/metrics"
+	"github.com/foxtailpass/foxtailpass/internal/quarantine"
 )
 
 // operatorTimeout bounds reading a request on the operator port.
@@ -42,6 +46,8 @@
 	r := router.New()
 	r.GET("/metrics", fasthttpadaptor.NewFastHTTPHandler(h.opts.Metrics.Handler()))
 	r.GET("/status", h.serveStatus)
+	r.GET("/quarantine", h.serveQuarantine)
+	r.POST("/quarantine/release", h.releasePart)
 	return &fasthttp.Server{Handler: r.Handler, NoDefaultServerHeader: true, ReadTimeout: operatorTimeout, ReadBufferSize: 4 << 10}
 }
 
@@ -111,6 +117,7 @@
 		{"foxtailpass_retry_budget", "Retries that this host may still make, by service.", h.readBudgets},
 		{"foxtailpass_workspace_tokens", "Tokens that this host may admit now, by workspace.", h.readLevels},
 		{"foxtailpass_upstream_back_off_seconds", "Remaining time for which an upstream wants no requests of this host, by upstream.", h.readBackOffs},
+		{"foxtailpass_quarantined_parts", "Parts of prompts whose requests are refused because they crash engines.", one(h.readQuarantined)},
 		{"foxtailpass_upstream_request_limit", "Requests per second that an upstream takes from all hosts, by upstream.", h.readRequestLimits},
 	}
 	counters := []struct {
@@ -120,6 +127,8 @@
 		{"foxtailpass_orders", "Orders to engines by action and answer.", h.readOrders},
 		{"foxtailpass_limited_requests", "Requests sent to an upstream while it had a request limit, by upstream.", h.readLimitSent},
 		{"foxtailpass_limit_asks", "Requests that waited for the coordinator to grant one under the request limit of an upstream, by upstream.", h.readLimitHeld},
+		{"foxtailpass_suspected_crashes", "Ends of engines that this host saw under requests that they had not begun to answer.", one(h.readSuspectedCrashes)},
+		{"foxtailpass_quarantine_probes", "Requests with a quarantined part of the prompt that this host sent.", one(h.readProbes)},
 		{"foxtailpass_store_calls", "Calls to the key-value service by kind.", h.readStoreCalls},
 		{"foxtailpass_mismatched_answers", "Answers of upstreams that carried the ID of another request.", one(h.mismatchedAnswers)},
 		{"foxtailpass_log_lines_dropped", "Log lines that were dropped because nobody read the output.", one(h.logLinesDropped)},
@@ -137,6 +146,57 @@
 	return nil
 }
 
+// serveQuarantine lists the quarantined parts of prompts.
+func (h *Host) serveQuarantine(ctx *fasthttp.RequestCtx) {
+	entries := []quarantine.Entry{}
+	h.queryCore(func(c *core) { entries = c.quarantine.Entries() })
+	b, err := json.Marshal(entries)
+	if err != nil {
+		panic("edge: quarantine cannot be encoded: " + err.Error())
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(b)
+}
+
+// releasePart releases a part of prompts from quarantine, for all hosts. It answers 404 if the part is not quarantined.
+func (h *Host) releasePart(ctx *fasthttp.RequestCtx) {
+	args := ctx.QueryArgs()
+	part := quarantine.Part{Service: catalog.ServiceID(args.Peek("service")), ID: entity.PromptPartID(args.Peek("part"))}
+	who := string(args.Peek("who"))
+	var txn kvstore.Txn
+	known := false
+	h.queryCore(func(c *core) {
+		known = slices.ContainsFunc(c.quarantine.Entries(), func(e quarantine.Entry) bool {
+			return e.Service == part.Service && e.Part == part.ID
+		})
+		txn = c.quarantine.Release(part)
+	})
+	if !known {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	_, err := h.runTxn(txn)
+	h.log.Info("Operator releases a prompt part from quarantine.", "service", part.Service, "part", part.ID, "who", who, "err", err)
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+}
+
+func (h *Host) readQuarantined() (n float64) {
+	h.queryCore(func(c *core) { n = float64(len(c.quarantine.Entries())) })
+	return n
+}
+
+func (h *Host) readSuspectedCrashes() (n float64) {
+	h.queryCore(func(c *core) { n = float64(c.suspectedCrashes) })
+	return n
+}
+
+func (h *Host) readProbes() (n float64) {
+	h.queryCore(func(c *core) { n = float64(c.probes) })
+	return n
+}
+
 func (h *Host) mismatchedAnswers() float64 { return float64(h.frontend.upstreams.Mismatched.Load()) }
 
 func boolToFloat(b bool) float64 {
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -92,6 +92,9 @@
 // something else.
 func (c *core) engineChecked(e engineChecked, now time.Time) {
 	suspects := c.quarantine.Checked(e.instance, e.ended, now)
+	if suspects {
+		c.suspectedCrashes++
+	}
 	c.log.Info("Engine checked after broken attempts.", "upstream", e.instance.Upstream, "ended", e.ended, "suspects", suspects)
 	c.quarantineUpdated(now)
 	ends := c.brokenAttempts[e.instance]
@@ -170,6 +173,7 @@
 	c.log.Info("Probe of quarantined prompt parts.", "request", r.ID, "parts", partIDs(e.parts), "err", e.err)
 	if e.err == nil {
 		r.Probe = true
+		c.probes++
 		c.enqueue(r, now)
 		return
 	}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -21,6 +22,10 @@
 	contextAfter = time.Second
 	// hostStartedMessage is the message that a host logs when its process has started.
 	hostStartedMessage = "Host started."
+	// quarantinedMessage is the message that a host logs when it quarantines a part of prompts, and quarantinedReason the
+	// reason of refusals because of it.
+	quarantinedMessage = "Prompt part quarantined."
+	quarantinedReason  = "prompt_part_quarantined"
 	// maxLineBytes bounds one line of a log.
 	maxLineBytes = 1 << 20
 )
@@ -176,6 +181,7 @@
 		}
 		s.Lines = append(s.Lines, l)
 	}
+	s.addQuarantine(lines, from)
 	sort.SliceStable(s.Lines, func(i, j int) bool { return s.Lines[i].Time.Before(s.Lines[j].Time) })
 	for _, l := range s.Lines {
 		s.namesRequest = append(s.namesRequest, l.Get("request") == request)
@@ -213,6 +219,26 @@
 	}
 }
 
+// addQuarantine adds the lines that tell since when, and because of which engines, the quarantined parts of the request
+// have been quarantined at its hosts, if that was before the timeline begins.
+func (t *Timeline) addQuarantine(lines []Line, before time.Time) {
+	last := make(map[string]Line)
+	for _, refused := range t.Lines {
+		if refused.Get("request") != t.Request || refused.Get("reason") != quarantinedReason {
+			continue
+		}
+		parts := strings.Fields(strings.Trim(refused.Get("parts"), "[]"))
+		for _, l := range lines {
+			if l.Host == refused.Host && l.Msg == quarantinedMessage && l.Time.Before(before) && slices.Contains(parts, l.Get("part")) {
+				last[l.Host+" "+l.Get("part")] = l
+			}
+		}
+	}
+	for _, l := range last {
+		t.Lines = append(t.Lines, l)
+	}
+}
+
 // isRelevant reports whether a line that names no request belongs to the timeline. Relevant lines are:
 //   - on any host, the answers of the request's upstreams to orders;
 //   - on the hosts that handled the request, all lines about these upstreams, and the lines about no upstream
