--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -118,6 +118,13 @@
 			e.recordID(e.buf[e.readyLen:whole])
 			e.readyLen = whole
 		}
+		if errors.Is(err, io.EOF) && e.endsEarly() {
+			if e.readyLen > 0 {
+				// The next read finds the end again.
+				return nil
+			}
+			return io.ErrUnexpectedEOF
+		}
 		if errors.Is(err, io.EOF) {
 			// The upstream ended the answer, so the remaining bytes belong to it.
 			e.ended = true
@@ -137,6 +144,12 @@
 	}
 }
 
+// endsEarly reports whether an answer without framing has ended inside an event or before its first one, so that it has
+// been broken off.
+func (e *eventStream) endsEarly() bool {
+	return e.ex.Unframed() && (len(e.buf) > e.readyLen || !e.begun())
+}
+
 // recordPause records the time since the last events.
 func (e *eventStream) recordPause() {
 	now := boottime.Now()
