edge: a stream for a caller that speaks HTTP/1.0 is sent without chunks

Such a caller got "Transfer-Encoding: chunked", which HTTP/1.0 does not know: it took the lengths of the chunks for the answer, and a stream that was broken off for a complete one. The stream now ends with its connection, which is reset if the stream was broken off.

--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"net"
 	"time"
 
 	"github.com/foxtailpass/foxtailpass/internal/boottime"
@@ -66,11 +67,46 @@
 	s.reportAnswerBegan()
 	s.frontend.metrics.RecordFirstToken(e.firstEventAfter)
 	s.copyHeader(ex)
+	if !s.ctx.Request.Header.IsHTTP11() {
+		s.serveUnframed(e)
+		return true
+	}
 	s.ctx.Response.ImmediateHeaderFlush = true
 	s.ctx.Response.SetBodyStream(e, -1)
 	return true
 }
 
+// serveUnframed passes a stream on to a caller that speaks HTTP/1.0 and does not know chunks: the stream ends with the
+// connection, which is reset if the stream was broken off.
+func (s *requestSession) serveUnframed(e *eventStream) {
+	header := &s.ctx.Response.Header
+	header.SetContentLength(identityLength)
+	head := header.AppendBytes(nil)
+	caller := s.ctx.Conn()
+	s.ctx.HijackSetNoResponse(true)
+	s.ctx.Hijack(func(conn net.Conn) {
+		defer func() { _ = e.Close() }()
+		if _, err := conn.Write(head); err != nil {
+			return
+		}
+		if _, err := io.Copy(conn, e); err != nil {
+			resetCaller(caller)
+		}
+	})
+}
+
+// identityLength is the content length that makes the HTTP library write neither a length nor chunked encoding.
+const identityLength = -2
+
+// resetCaller makes the connection of a caller end with a reset.
+func resetCaller(conn net.Conn) {
+	if c, ok := conn.(*callerConn); ok {
+		if tcp, ok := c.Conn.Conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+	}
+}
+
 // Read implements io.Reader. A panic ends this stream only.
 func (e *eventStream) Read(p []byte) (n int, err error) {
 	defer func() {
