platform: the era of the store is read from its answers and logged

Store-Era rises with each restore. An era that is missing, cannot be read or goes back is logged once, and the last one assumed. It has no effect yet.

--- a/cmd/foxtailedge/main.go
+++ b/cmd/foxtailedge/main.go
@@ -120,7 +120,7 @@
 		func() *logsink.Sink { return logsink.New(stdout) },
 		func(sink *logsink.Sink) (*slog.Logger, *slog.LevelVar, error) { return edge.NewLogger(sink, s.Log) },
 		metrics.New,
-		func() edge.Store { return platform.NewStore(s.Store.Addr, s.Store.Timeout.Std()) },
+		func(l *slog.Logger) edge.Store { return platform.NewStore(s.Store.Addr, s.Store.Timeout.Std(), l) },
 		func() edge.Protocol { return platform.New() },
 		func(l *slog.Logger, sink *logsink.Sink, m *metrics.Metrics, st edge.Store, p edge.Protocol) (*edge.Host, error) {
 			return edge.New(edge.Options{Settings: s, Store: st, Protocol: p, Metrics: m, Log: l, LogDropped: sink.Dropped, Version: version})
