--- a/internal/edge/announce.go
+++ b/internal/edge/announce.go
@@ -8,6 +8,7 @@
 
 	"github.com/foxtailpass/foxtailpass/internal/election"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/peer"
 	"github.com/foxtailpass/foxtailpass/internal/wire"
 )
@@ -56,6 +57,9 @@
 	}
 	w.election.Holder, w.election.Revision = &h, m.Revision
 	w.election.LastHolder, w.election.LastRevision = h.Host, m.Revision
+	if kvstore.EraOf(m.Revision) > kvstore.EraOf(w.revision) {
+		w.readSoon()
+	}
 	w.updateRank()
 	w.observeElection(w.election)
 	w.send(holderChanged{holder: w.election.Holder})
--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -183,6 +183,8 @@
 		c.engineChecked(e, now)
 	case quarantineChanged:
 		c.quarantineChanged(e, now)
+	case quarantineLost:
+		c.quarantine.Restore(e.keys, now)
 	case quarantineWritten:
 		c.quarantineWritten(e, now)
 	case probeClaimed:
--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -53,6 +53,9 @@
 // quarantineChanged holds changes of the records about crashes of engines.
 type quarantineChanged struct{ changes []kvstore.Event }
 
+// quarantineLost names the keys of records that the key-value service has lost in a restore.
+type quarantineLost struct{ keys []string }
+
 // quarantineWritten is the result of a write of this host to these records.
 type quarantineWritten struct {
 	id  uint64
@@ -199,6 +202,7 @@
 func (answerBegan) isEvent()            {}
 func (engineChecked) isEvent()          {}
 func (quarantineChanged) isEvent()      {}
+func (quarantineLost) isEvent()         {}
 func (quarantineWritten) isEvent()      {}
 func (probeClaimed) isEvent()           {}
 func (upstreamStatusReceived) isEvent() {}
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -369,7 +369,7 @@
 
 // announce implements effects.
 func (h *Host) announce(addrs map[entity.HostID]string, lease election.CoordinatorLease) {
-	m := &wire.Announcement{Holder: h.registrar.value, Revision: lease.Token}
+	m := &wire.Announcement{Holder: h.registrar.value, Revision: lease.Revision}
 	go announceToHosts(h.background, addrs, h.opts.Settings.Host, m, h.log)
 }
 
--- a/internal/edge/publish.go
+++ b/internal/edge/publish.go
@@ -8,6 +8,7 @@
 
 	"github.com/foxtailpass/foxtailpass/internal/catalog"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/peer"
 	"github.com/foxtailpass/foxtailpass/internal/relay"
 	"github.com/foxtailpass/foxtailpass/internal/swap"
@@ -281,6 +282,10 @@
 	}
 	frames := make(map[int64]peer.Frame)
 	for _, h := range c.coordinator.hosts {
+		if kvstore.EraOf(h.revision) != kvstore.EraOf(e.revision) {
+			// The host reads the service itself after a restore.
+			h.revision = 0
+		}
 		if h.session == nil || h.revision == 0 {
 			continue
 		}
--- a/internal/edge/register.go
+++ b/internal/edge/register.go
@@ -34,6 +34,8 @@
 	send  func(event)
 	// lease is zero while the host is not registered.
 	lease atomic.Int64
+	// validUntil is the time until which the registration was certain when it was last renewed.
+	validUntil time.Time
 }
 
 func (r *registrar) run(ctx context.Context) {
@@ -68,7 +70,10 @@
 			return err
 		}
 		r.lease.Store(0)
-		r.send(registrationLost{})
+		// A registration that was lost in a restore counts for the other hosts as long as it was certain.
+		if !errors.Is(err, kvstore.ErrRestored) || boottime.Now().After(r.validUntil) {
+			r.send(registrationLost{})
+		}
 	}
 	lease, err := r.store.Grant(ctx, registrationTTL)
 	if err != nil {
@@ -87,7 +92,8 @@
 // began, before the call that granted or renewed it, because the service may have done so at any time during
 // the call.
 func (r *registrar) reportValidity(began time.Time) {
-	r.send(registrationConfirmed{until: began.Add(registrationTTL - registrationMargin)})
+	r.validUntil = began.Add(registrationTTL - registrationMargin)
+	r.send(registrationConfirmed{until: r.validUntil})
 }
 
 // deregister revokes the lease of the registration.
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -39,14 +39,15 @@
 	failurePause        = 150 * time.Millisecond
 	longestStartPause   = time.Second
 	longestFailurePause = 2 * time.Second
+	// restoreReadSpread is the time over which hosts spread their reads when they learn from the coordinator that the
+	// service was restored.
+	restoreReadSpread = 300 * time.Millisecond
 	// pollWait is how long the service may hold a read that finds no changes.
 	pollWait = time.Millisecond
 	// outageThreshold is the duration of an outage beyond which upstreams whose entries are missing afterwards
 	// are not removed at once: the entries may have lapsed during the outage and get entryReturnTime to
 	// reappear.
 	outageThreshold = 1500 * time.Millisecond
-	// entryReturnTime is the time in which the entries of running upstreams reappear after an outage.
-	entryReturnTime = 2200 * time.Millisecond
 )
 
 // membersPrefix is the key prefix of the registrations of hosts, each of which has the lease of its host.
@@ -87,13 +88,16 @@
 	upstreams     map[entity.UpstreamID]*fleet.Upstream
 	// evacuated holds the failure domains whose upstreams must get no new requests.
 	evacuated map[string]bool
-	// absentUntil holds the upstreams whose entries are absent after an outage, and until when each may
-	// reappear.
-	absentUntil map[entity.UpstreamID]time.Time
-	// unrelayedRemovals are upstreams that were removed after an outage and whose removal the next read
-	// relays to other hosts.
-	unrelayedRemovals []entity.UpstreamID
-	members           map[entity.HostID]election.Holder
+	// pending holds the changes by key that are applied later, and unrelayed those of them that were applied and that the
+	// next read relays to other hosts.
+	pending   map[string]pendingChange
+	unrelayed []kvstore.Event
+	// relayAllUntil is until when unchanged entries are relayed, too.
+	relayAllUntil time.Time
+	// keyRevisions holds the revisions of the tracked keys, and deletions those that were deleted lately.
+	keyRevisions map[string]int64
+	deletions    map[string]deletion
+	members      map[entity.HostID]election.Holder
 	// quarantineKeys are the keys of the records about crashes of engines.
 	quarantineKeys map[string]bool
 	election       election.Observation
@@ -114,6 +118,21 @@
 	announcement *wire.Announcement
 }
 
+// relayedRevision returns the revision that a message of the coordinator refers to.
+func (m relayed) relayedRevision() int64 {
+	if m.update != nil {
+		return m.update.To
+	}
+	return m.revision
+}
+
+// readSoon makes this host read the changes itself within a pause that spreads the reads of the hosts.
+func (w *watcher) readSoon() {
+	if at := boottime.Now().Add(time.Duration(rand.Float64() * float64(restoreReadSpread))); at.Before(w.nextRead) {
+		w.nextRead = at
+	}
+}
+
 // freshAt returns the time at which this host's view was last confirmed to be the newest; zero means never.
 func (w *watcher) freshAt() time.Time {
 	at := w.confirmedAt.Load()
@@ -136,7 +155,9 @@
 
 func (w *watcher) init() {
 	w.upstreams = make(map[entity.UpstreamID]*fleet.Upstream)
-	w.absentUntil = make(map[entity.UpstreamID]time.Time)
+	w.pending = make(map[string]pendingChange)
+	w.keyRevisions = make(map[string]int64)
+	w.deletions = make(map[string]deletion)
 	w.evacuated = make(map[string]bool)
 	w.members = make(map[entity.HostID]election.Holder)
 	w.quarantineKeys = make(map[string]bool)
@@ -235,6 +256,13 @@
 		w.applyAnnouncement(m.announcement)
 		return
 	}
+	if kvstore.EraOf(m.relayedRevision()) != kvstore.EraOf(w.revision) {
+		// Each host reads the service itself once after a restore: what it lacks is not known to the coordinator.
+		if kvstore.EraOf(m.relayedRevision()) > kvstore.EraOf(w.revision) {
+			w.readSoon()
+		}
+		return
+	}
 	if m.update != nil {
 		w.applyUpdate(m.update)
 	}
@@ -288,7 +316,7 @@
 		w.outageSince = time.Time{}
 	}
 	w.lastSuccessAt = boottime.Now()
-	w.removeAbsent(w.lastSuccessAt)
+	w.applyPending(w.lastSuccessAt)
 }
 
 // read updates this host's view.
@@ -322,6 +350,10 @@
 		present[p.Key] = true
 		events = append(events, kvstore.Event{Pair: p})
 	}
+	restored := w.revision != 0 && kvstore.EraOf(res.Revision) != kvstore.EraOf(w.revision)
+	if restored {
+		w.startEra(events, res.Revision)
+	}
 	addDeletion := func(key string) {
 		if !present[key] {
 			events = append(events, kvstore.Event{Deleted: true, Pair: kvstore.Pair{Key: key, ModRevision: res.Revision}})
@@ -336,12 +368,19 @@
 	for id := range w.members {
 		addDeletion(w.prefix + membersPrefix + string(id))
 	}
-	for key := range w.quarantineKeys {
-		addDeletion(key)
+	if lost := w.lostKeys(present); restored && len(lost) > 0 {
+		w.send(quarantineLost{keys: lost})
+	} else {
+		for _, key := range lost {
+			addDeletion(key)
+		}
 	}
 	if w.election.Holder != nil {
 		addDeletion(w.prefix + election.HolderKey)
 	}
+	if restored {
+		events = w.deferOutdated(events, boottime.Now())
+	}
 	w.apply(events, res.Revision, began)
 	w.fullyRead.Store(true)
 	return nil
--- a/internal/edge/watch_apply.go
+++ b/internal/edge/watch_apply.go
@@ -14,7 +14,6 @@
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/fleet"
 	"github.com/foxtailpass/foxtailpass/internal/kvstore"
-	"github.com/foxtailpass/foxtailpass/internal/quarantine"
 )
 
 // batchResult collects the effects of a batch of changes. members and holder report whether registrations of
@@ -38,8 +37,19 @@
 			out.relevant = append(out.relevant, e)
 		}
 	}
-	w.addUnrelayedRemovals(revision, &out)
+	for _, e := range w.unrelayed {
+		e.Pair.ModRevision = revision
+		out.relevant = append(out.relevant, e)
+	}
+	w.unrelayed = nil
 	w.advanceRevision(revision)
+	w.sendBatch(out)
+	w.observeElection(w.election)
+	w.send(revisionAdvanced{changes: out.relevant, revision: revision, began: began})
+}
+
+// sendBatch sends the effects of changes to the control state.
+func (w *watcher) sendBatch(out batchResult) {
 	if len(out.upstreams.put)+len(out.upstreams.removed) > 0 {
 		w.send(out.upstreams)
 	}
@@ -56,24 +66,12 @@
 	if out.members || out.holder {
 		w.updateRank()
 	}
-	w.observeElection(w.election)
-	w.send(revisionAdvanced{changes: out.relevant, revision: revision, began: began})
-}
-
-// addUnrelayedRemovals adds the removals of upstreams by removeAbsent since the last batch to the changes that
-// are relayed to other hosts.
-func (w *watcher) addUnrelayedRemovals(revision int64, out *batchResult) {
-	for _, id := range w.unrelayedRemovals {
-		if w.upstreams[id] == nil {
-			out.relevant = append(out.relevant, kvstore.Event{Deleted: true, Pair: kvstore.Pair{Key: w.upstreamKey(id), ModRevision: revision}})
-		}
-	}
-	w.unrelayedRemovals = nil
 }
 
 // applyEvent applies one change and reports whether it is relevant to other hosts.
 func (w *watcher) applyEvent(e kvstore.Event, out *batchResult) bool {
 	key := e.Pair.Key
+	w.trackKey(e)
 	switch {
 	case key == w.protocol.ConfigKey():
 		w.applyConfig(e)
@@ -81,7 +79,7 @@
 		return w.applyUpstream(e, &out.upstreams)
 	case strings.HasPrefix(key, w.protocol.EvacuationsPrefix()):
 		w.applyEvacuation(e, &out.upstreams)
-	case strings.HasPrefix(key, w.prefix+quarantine.Prefix):
+	case w.isQuarantineKey(key):
 		w.recordQuarantineKey(e)
 		out.quarantine = append(out.quarantine, e)
 	case strings.HasPrefix(key, w.prefix+membersPrefix):
@@ -136,18 +134,17 @@
 	former := w.upstreams[id]
 	if u != nil {
 		w.upstreams[id] = u
-		delete(w.absentUntil, id)
 		changed := !u.EqualExceptSequence(former)
 		if changed || w.isCoordinator() {
 			out.addPut(w.withEvacuation(u))
 		}
-		return changed
+		return changed || boottime.Now().Before(w.relayAllUntil)
 	}
 	if former == nil {
 		return false
 	}
 	if e.Deleted && w.endsOutage() {
-		w.absentUntil[id] = boottime.Now().Add(entryReturnTime)
+		w.deferChange(e, entryReturnTime, boottime.Now())
 		return false
 	}
 	delete(w.upstreams, id)
@@ -190,23 +187,6 @@
 	return !w.outageSince.IsZero() && boottime.Now().Sub(w.outageSince) > outageThreshold
 }
 
-// removeAbsent removes the upstreams whose entries have not reappeared in time after an outage.
-func (w *watcher) removeAbsent(now time.Time) {
-	var out upstreamsChanged
-	for id, until := range w.absentUntil {
-		if now.Before(until) {
-			continue
-		}
-		delete(w.absentUntil, id)
-		delete(w.upstreams, id)
-		out.removed = append(out.removed, id)
-	}
-	if len(out.removed) > 0 {
-		w.unrelayedRemovals = append(w.unrelayedRemovals, out.removed...)
-		w.send(out)
-	}
-}
-
 // recordQuarantineKey keeps the keys of the records about crashes of engines, so that a complete read shows which of them
 // are gone.
 func (w *watcher) recordQuarantineKey(e kvstore.Event) {
@@ -242,11 +222,20 @@
 }
 
 func (w *watcher) applyTerm(e kvstore.Event) {
+	known := w.election.LastRevision
 	w.election.LastRevision = e.Pair.ModRevision
-	w.election.LastHolder = ""
-	if h, ok := w.decodeHolder(e.Pair); ok {
-		w.election.LastHolder = h.Host
+	term, token, restored, err := election.DecodeTerm(e.Pair)
+	if err != nil {
+		w.log.Error("Record of the last coordinator cannot be read.", "key", e.Pair.Key, "err", err)
+	}
+	w.election.LastToken = max(w.election.LastToken, token)
+	if kvstore.EraOf(known) != kvstore.EraOf(e.Pair.ModRevision) && kvstore.WithinEra(e.Pair.ModRevision) < kvstore.WithinEra(known) {
+		// A restored copy holds the record of an earlier term than this host knows.
+		w.election.Restored = true
+		return
 	}
+	w.election.Restored = restored
+	w.election.LastHolder = term.Host
 }
 
 func (w *watcher) decodeHolder(p kvstore.Pair) (*election.Holder, bool) {
--- /dev/null
+++ b/internal/edge/watch_pending.go
@@ -0,0 +1,159 @@
+package edge
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/boottime"
+	"github.com/foxtailpass/foxtailpass/internal/election"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
+	"github.com/foxtailpass/foxtailpass/internal/quarantine"
+)
+
+const (
+	// entryReturnTime is the time in which the entries of running upstreams, and what operators wrote, are back after an
+	// outage or a restore of the key-value service.
+	entryReturnTime = 2200 * time.Millisecond
+	// registrationReturnTime is the time in which running hosts have registered again after a restore.
+	registrationReturnTime = registrationRenewInterval + 2*maxRegistrationRetryPause
+	// relayAllTime is how long after an outage or a restore unchanged entries are relayed, too: they cancel pending changes
+	// at other hosts.
+	relayAllTime = entryReturnTime + time.Second
+	// deletionMemory is how long a deleted key is remembered: a restore may bring it back. maxRememberedDeletions bounds
+	// their number.
+	deletionMemory         = time.Minute
+	maxRememberedDeletions = 4096
+)
+
+// pendingChange is a change that was found after an outage or a restore and that is not applied yet: what it undoes is
+// probably about to be written again.
+type pendingChange struct {
+	event kvstore.Event
+	until time.Time
+}
+
+// deletion is a key that was deleted.
+type deletion struct {
+	revision int64
+	at       time.Time
+}
+
+// trackKey records the revision of a key of which this host knows more than a restored copy of the service may hold.
+func (w *watcher) trackKey(e kvstore.Event) {
+	key := e.Pair.Key
+	delete(w.pending, key)
+	if !w.isTracked(key) {
+		return
+	}
+	if !e.Deleted {
+		w.keyRevisions[key] = e.Pair.ModRevision
+		delete(w.deletions, key)
+		return
+	}
+	delete(w.keyRevisions, key)
+	now := boottime.Now()
+	if len(w.deletions) >= maxRememberedDeletions {
+		maps.DeleteFunc(w.deletions, func(_ string, d deletion) bool { return now.Sub(d.at) > deletionMemory })
+	}
+	if len(w.deletions) < maxRememberedDeletions {
+		w.deletions[key] = deletion{revision: e.Pair.ModRevision, at: now}
+	}
+}
+
+// isTracked reports whether the key is one of the list, of evacuations or of registrations.
+func (w *watcher) isTracked(key string) bool {
+	return w.returnTime(key) > 0
+}
+
+// returnTime returns the time in which a key is back after a restore if it exists, and zero for other keys.
+func (w *watcher) returnTime(key string) time.Duration {
+	switch {
+	case strings.HasPrefix(key, w.protocol.UpstreamsPrefix()), strings.HasPrefix(key, w.protocol.EvacuationsPrefix()):
+		return entryReturnTime
+	case strings.HasPrefix(key, w.prefix+membersPrefix):
+		return registrationReturnTime
+	}
+	return 0
+}
+
+// isOutdated reports whether a pair that was read from a restored copy is older than what this host knows of its key.
+// The revisions within the era compare, because the copy holds the state of a moment before the restore.
+func (w *watcher) isOutdated(p kvstore.Pair, now time.Time) bool {
+	known := w.keyRevisions[p.Key]
+	if d, ok := w.deletions[p.Key]; ok && now.Sub(d.at) < deletionMemory {
+		known = d.revision
+	}
+	return known != 0 && kvstore.EraOf(known) != kvstore.EraOf(p.ModRevision) && kvstore.WithinEra(p.ModRevision) < kvstore.WithinEra(known)
+}
+
+// deferOutdated returns the changes of the first read after a restore without those that undo what this host knows
+// better. They are applied later unless their keys are written again.
+func (w *watcher) deferOutdated(events []kvstore.Event, now time.Time) []kvstore.Event {
+	return slices.DeleteFunc(events, func(e kvstore.Event) bool {
+		wait := w.returnTime(e.Pair.Key)
+		if wait == 0 || !e.Deleted && !w.isOutdated(e.Pair, now) {
+			return false
+		}
+		w.deferChange(e, wait, now)
+		return true
+	})
+}
+
+// deferChange makes a change pending.
+func (w *watcher) deferChange(e kvstore.Event, wait time.Duration, now time.Time) {
+	w.pending[e.Pair.Key] = pendingChange{event: e, until: now.Add(wait)}
+	w.relayAllUntil = now.Add(relayAllTime)
+}
+
+// applyPending applies the pending changes that are due.
+func (w *watcher) applyPending(now time.Time) {
+	var due []kvstore.Event
+	for _, key := range slices.Sorted(maps.Keys(w.pending)) {
+		if p := w.pending[key]; !now.Before(p.until) {
+			due = append(due, p.event)
+		}
+	}
+	if len(due) == 0 {
+		return
+	}
+	var out batchResult
+	for _, e := range due {
+		e.Pair.ModRevision = w.revision
+		if w.applyEvent(e, &out) {
+			w.unrelayed = append(w.unrelayed, e)
+		}
+	}
+	w.sendBatch(out)
+}
+
+// lostKeys returns the keys of records about crashes that a restored copy does not hold. The hosts write them again.
+func (w *watcher) lostKeys(present map[string]bool) []string {
+	var lost []string
+	for key := range w.quarantineKeys {
+		if !present[key] {
+			lost = append(lost, key)
+		}
+	}
+	slices.Sort(lost)
+	return lost
+}
+
+// startEra prepares the view for the first complete read after a restore. What the election wrote since the copy is
+// lost: the conditions of a campaign refer to what the service holds now, but the last holder stays known.
+func (w *watcher) startEra(events []kvstore.Event, revision int64) {
+	w.log.Warn("Key-value service was restored from an older copy.", "era", kvstore.EraOf(revision), "former", kvstore.EraOf(w.revision),
+		"revision", kvstore.WithinEra(revision), "former_revision", kvstore.WithinEra(w.revision))
+	w.relayAllUntil = boottime.Now().Add(relayAllTime)
+	hasTerm := slices.ContainsFunc(events, func(e kvstore.Event) bool { return e.Pair.Key == w.prefix+election.TermKey })
+	if !hasTerm && w.election.LastRevision != 0 {
+		w.election.LastRevision = kvstore.JoinRevision(kvstore.EraOf(revision), 0)
+		w.election.Restored = true
+	}
+}
+
+// isQuarantineKey reports whether a key is that of a record about a crash.
+func (w *watcher) isQuarantineKey(key string) bool {
+	return strings.HasPrefix(key, w.prefix+quarantine.Prefix)
+}
--- a/internal/edge/watch_test.go
+++ b/internal/edge/watch_test.go
@@ -212,8 +212,8 @@
 	if err := w.read(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	for id := range w.absentUntil {
-		w.removeAbsent(w.absentUntil[id])
+	for _, p := range w.pending {
+		w.applyPending(p.until)
 	}
 	if !state.upstreams["1"] || state.upstreams["2"] {
 		t.Errorf("upstreams after the time to reappear: %v, want only 1", state.upstreams)
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -79,8 +79,8 @@
 
 // CoordinatorLease describes a coordinator lease that this host holds, which is the right to send orders.
 type CoordinatorLease struct {
-	// Token is the fencing token. It increases with every holder.
-	Token int64
+	// Token is the fencing token. It increases with every holder. Revision is the revision of the record of the lease.
+	Token, Revision int64
 	// From is the time from which orders may be sent.
 	From time.Time
 }
@@ -113,6 +113,8 @@
 	stopped     bool
 	// expiresAt is when this host's coordinator lease expires, zero when it holds none.
 	expiresAt time.Time
+	// lastToken is the fencing token of the newest lease of this process, zero if it has held none.
+	lastToken int64
 }
 
 // New returns a Candidate that does not campaign before Observe is called.
@@ -127,6 +129,11 @@
 	// revision of TermKey. Both are zero when no host has ever held the lease.
 	LastHolder   entity.HostID
 	LastRevision int64
+	// LastToken is the highest fencing token known, and Restored reports whether the key-value service was restored from
+	// an older copy since TermKey was written. Then LastHolder is what this host remembers, and the lease of the last
+	// holder may still run by that host's clock.
+	LastToken int64
+	Restored  bool
 	// Rank is the position of this host among the candidates, zero for the first.
 	Rank int
 	// LastRegistered reports whether the most recent holder is registered.
@@ -184,9 +191,20 @@
 	if o.Holder == nil {
 		return o, true
 	}
-	// The former process of this host has ended, so its coordinator lease can be acquired at once.
+	// The former process of this host has ended, or this process has lost its lease. It can be acquired at once.
 	o.Rank = 0
-	return o, o.Holder.Host == c.opts.Self.Host && o.Holder.Incarnation != c.opts.Self.Incarnation
+	return o, o.Holder.Host == c.opts.Self.Host
+}
+
+// wasLast reports whether the last holder was this host, so that no other host can have sent orders since. After a
+// restore only a process that remembers its own lease knows that.
+func (c *Candidate) wasLast(o Observation) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if o.Restored {
+		return c.lastToken != 0 && c.lastToken == o.LastToken
+	}
+	return o.LastHolder == c.opts.Self.Host
 }
 
 // Run campaigns until ctx ends.
@@ -219,7 +237,7 @@
 // delay returns how long to wait before campaigning. A host waits for the candidates that rank before it,
 // and for a restart of the last holder, because that host may send orders without waiting for the gap.
 func (c *Candidate) delay(o Observation) time.Duration {
-	if o.LastHolder == c.opts.Self.Host && !o.Outranked {
+	if c.wasLast(o) && !o.Outranked {
 		return 0
 	}
 	delay := initialCampaignDelay
@@ -261,44 +279,52 @@
 		c.opts.Log.Warn("Campaign failed.", "step", "grant", "err", err)
 		return nil, 0, sent
 	}
-	value, err := json.Marshal(c.opts.Self)
-	if err != nil {
-		panic("election: holder cannot be encoded: " + err.Error())
-	}
+	term := newTerm(c.opts.Self, o)
 	res, err := c.opts.KV.Txn(cctx, kvstore.Txn{
 		Compares: []kvstore.Compare{
 			kvstore.Unchanged(c.opts.Prefix+HolderKey, o.Revision),
 			kvstore.Unchanged(c.opts.Prefix+TermKey, o.LastRevision),
 		},
 		Success: []kvstore.Op{
-			kvstore.PutLeased(c.opts.Prefix+HolderKey, value, serviceLease),
-			kvstore.Put(c.opts.Prefix+TermKey, value),
+			kvstore.PutLeased(c.opts.Prefix+HolderKey, encode(c.opts.Self), serviceLease),
+			kvstore.Put(c.opts.Prefix+TermKey, encode(term)),
 		},
 	})
-	token := res.Revision
+	revision := res.Revision
 	if errors.Is(err, kvstore.ErrUnknown) {
 		// The answer may be lost: the key shows whether the write took effect.
-		token, err = c.readOwnRevision(ctx)
-		res.Succeeded = err == nil && token > 0
+		revision, err = c.readOwnRevision(ctx)
+		res.Succeeded = err == nil && revision > 0
 	}
 	if err != nil || !res.Succeeded {
 		c.opts.Log.Info("Campaign lost.", "err", err)
 		return nil, 0, sent
 	}
 	from := c.opts.Now()
-	if o.LastRevision > 0 && o.LastHolder != c.opts.Self.Host {
+	if o.LastRevision > 0 && !c.wasLast(o) {
 		// The successful write proves that no host has held the coordinator lease since this host observed
 		// that it was vacant.
-		from = c.firstOrderAt(from)
+		from = c.firstOrderAt(o, from)
 	}
-	return &CoordinatorLease{Token: token, From: from}, serviceLease, sent
+	token := term.token(revision)
+	c.mu.Lock()
+	c.lastToken = token
+	c.mu.Unlock()
+	return &CoordinatorLease{Token: token, Revision: revision, From: from}, serviceLease, sent
 }
 
-// firstOrderAt returns when a successor may send its first order.
-func (c *Candidate) firstOrderAt(now time.Time) time.Time {
+// firstOrderAt returns when a successor may send its first order. The last holder whose record was lost in a restore may
+// have renewed its lease until then.
+func (c *Candidate) firstOrderAt(o Observation, now time.Time) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	from := c.vacantSince.Add(c.opts.OrderGap)
+	from := now.Add(c.opts.OrderGap)
+	if o.Holder == nil {
+		from = c.vacantSince.Add(c.opts.OrderGap)
+	}
+	if o.Restored {
+		from = from.Add(leaseTTL)
+	}
 	if from.Before(now) {
 		return now
 	}
--- /dev/null
+++ b/internal/election/term.go
@@ -0,0 +1,56 @@
+package election
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
+)
+
+// Term is the value of TermKey. Builds that do not know of restores write a Holder only and use the revision of the key
+// as fencing token.
+type Term struct {
+	Holder
+	// Era is that of the key-value service when the term began.
+	Era int64 `json:"era,omitempty"`
+	// TokenFloor is the highest fencing token that was known then. Restored is set if former tokens may have been lost in a
+	// restore of the service; the token then contains the era.
+	TokenFloor int64 `json:"token_floor,omitempty"`
+	Restored   bool  `json:"restored,omitempty"`
+}
+
+// newTerm returns the record of a term that a host begins.
+func newTerm(self Holder, o Observation) Term {
+	return Term{
+		Holder:     self,
+		Era:        int64(kvstore.EraOf(o.LastRevision)),
+		TokenFloor: o.LastToken,
+		Restored:   o.Restored || kvstore.WithinEra(o.LastRevision) == 0,
+	}
+}
+
+// token returns the fencing token of the term whose record has the given revision. It is higher than all that were known
+// when the term began.
+func (t Term) token(revision int64) int64 {
+	if !t.Restored {
+		revision = kvstore.WithinEra(revision)
+	}
+	return max(t.TokenFloor+1, revision)
+}
+
+// DecodeTerm decodes the value of TermKey. restored reports whether the service was restored since it was written.
+func DecodeTerm(p kvstore.Pair) (t Term, token int64, restored bool, err error) {
+	if err := json.Unmarshal(p.Value, &t); err != nil {
+		return t, 0, false, fmt.Errorf("election: term: %w", err)
+	}
+	restored = t.Era != 0 && kvstore.Era(t.Era) != kvstore.EraOf(p.ModRevision)
+	return t, t.token(p.ModRevision), restored, nil
+}
+
+func encode(record any) []byte {
+	b, err := json.Marshal(record)
+	if err != nil {
+		panic("election: record cannot be encoded: " + err.Error())
+	}
+	return b
+}
--- a/internal/kvstore/kv.go
+++ b/internal/kvstore/kv.go
@@ -2,7 +2,7 @@
 //
 // As in etcd, every change raises the revision of the whole store. The ModRevision of a key is the store revision of
 // its last change, its CreateRevision that of its creation, and its Version the number of writes since its creation,
-// including it.
+// including it. Where the service tells its era, revisions contain it (see Era), so that they rise for ever.
 package kvstore
 
 import (
@@ -13,12 +13,14 @@
 
 // Errors of the key-value service. ErrUnavailable means that the call certainly had no effect. ErrUnknown means that
 // a write may have taken effect, so that the caller must read the result back. ErrCompacted means that the service has
-// deleted the history from which a watch or poll was to start.
+// deleted the history from which a watch or poll was to start. ErrRestored means that the service was restored from an
+// older copy during a conditional write, so that a condition that held means nothing.
 var (
 	ErrUnavailable   = errors.New("kvstore: service unavailable")
 	ErrUnknown       = errors.New("kvstore: outcome unknown")
 	ErrCompacted     = errors.New("kvstore: revision compacted")
 	ErrLeaseNotFound = errors.New("kvstore: lease not found")
+	ErrRestored      = errors.New("kvstore: service restored from an older copy")
 )
 
 // LeaseID identifies a lease; zero means no lease.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -37,6 +37,9 @@
 	// up to maxClearDelay. The first of them makes the others needless.
 	clearDelayPerHost = 20 * time.Millisecond
 	maxClearDelay     = 3 * time.Second
+	// ownRestoreSpread is the time over which a host spreads the writes of its own records that the key-value service has
+	// lost.
+	ownRestoreSpread = 300 * time.Millisecond
 	// recordRetention is how long the record of the end of an engine is kept.
 	recordRetention = time.Hour
 )
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -69,6 +69,9 @@
 	lifted   bool
 	clearAt  time.Time
 	clearing bool
+	// lost is set when the key-value service has lost the record. This host writes it again at rewriteAt.
+	lost      bool
+	rewriteAt time.Time
 }
 
 // onlyJoint reports whether no request was sent with the part as the only suspect.
@@ -267,6 +270,7 @@
 	}
 	if known != nil {
 		// The parts that were cleared since then stay cleared.
+		known.unwritten = false
 		return nil
 	}
 	r, err := decodeCrash(e.Pair.Value)
@@ -300,7 +304,14 @@
 	case e.Pair.ModRevision == q.revision:
 		return nil
 	}
-	q.partRecord, q.revision, q.seenAt = *r, e.Pair.ModRevision, now
+	if r.Probes != q.Probes || q.revision == 0 {
+		q.seenAt = now
+	}
+	if !r.Released && kvstore.EraOf(e.Pair.ModRevision) != kvstore.EraOf(q.revision) {
+		// A restored copy may hold an earlier record.
+		r.Probes, r.JointProbes = max(r.Probes, q.Probes), max(r.JointProbes, q.JointProbes)
+	}
+	q.partRecord, q.revision, q.lost = *r, e.Pair.ModRevision, false
 	if r.Released {
 		t.cleared[p] = true
 		t.removeSuspect(p)
--- a/internal/quarantine/writes.go
+++ b/internal/quarantine/writes.go
@@ -4,8 +4,10 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
+	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 )
 
@@ -17,7 +19,7 @@
 		}
 	}
 	for _, q := range t.parts {
-		if q.lifted {
+		if q.lifted || q.lost {
 			return true
 		}
 	}
@@ -31,6 +33,9 @@
 		out = append(out, w)
 	}
 	for p, q := range t.parts {
+		if q.lost && !q.lifted && !now.Before(q.rewriteAt) {
+			out = append(out, t.restoreWrite(p, q, now))
+		}
 		if !q.lifted || q.clearing || now.Before(q.clearAt) {
 			continue
 		}
@@ -44,6 +49,16 @@
 	return out
 }
 
+// restoreWrite returns the write of the record of a part that the key-value service has lost.
+func (t *Tracker) restoreWrite(p Part, q *partState, now time.Time) Write {
+	q.rewriteAt = now.Add(writeRetryPause)
+	key := t.opts.KeyPrefix + partKey(p)
+	return t.newWrite(write{}, kvstore.Txn{
+		Compares: []kvstore.Compare{kvstore.Absent(key)},
+		Success:  []kvstore.Op{kvstore.Put(key, encode(q.partRecord))},
+	})
+}
+
 // crashWrite returns the write of the records that are due. Records without suspects are dropped.
 func (t *Tracker) crashWrite(now time.Time) (Write, bool) {
 	var w write
@@ -69,6 +84,30 @@
 	return t.newWrite(w, txn), true
 }
 
+// Restore makes this host write records again that the key-value service has lost. What other hosts wrote is written by
+// them at once, and by all others a little later, unless it is back by then.
+func (t *Tracker) Restore(keys []string, now time.Time) {
+	for _, full := range keys {
+		key := strings.TrimPrefix(full, t.opts.KeyPrefix)
+		if c := t.crashes[key]; c != nil {
+			c.unwritten, c.writeAt = true, now.Add(t.restoreDelay(c.Host))
+		}
+		if p, known := t.partOf(key); known && t.parts[p] != nil {
+			q := t.parts[p]
+			q.lost, q.rewriteAt = true, now.Add(t.restoreDelay(q.Host))
+		}
+	}
+}
+
+// restoreDelay returns the delay after which this host writes a record of a host again.
+func (t *Tracker) restoreDelay(writer entity.HostID) time.Duration {
+	spread := t.opts.Rand.Float64()
+	if writer == t.opts.Host {
+		return time.Duration(spread * float64(ownRestoreSpread))
+	}
+	return ownRestoreSpread + time.Duration(spread*float64(maxClearDelay))
+}
+
 func (t *Tracker) newWrite(w write, txn kvstore.Txn) Write {
 	t.lastWrite++
 	t.inFlight[t.lastWrite] = w
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -42,11 +42,13 @@
 // End returns the revision up to which the log is complete, or zero if nothing has been added yet.
 func (l *Log) End() int64 { return l.end }
 
-// Add appends the changes up to revision to. The first call sets the start of the log to this revision and
-// ignores the changes.
+// Add appends the changes up to revision to. The first call, and the first one after a restore of the key-value
+// service, sets the start of the log to this revision and ignores the changes.
 func (l *Log) Add(changes []kvstore.Event, to int64) {
-	if l.start == 0 {
+	if l.start == 0 || kvstore.EraOf(to) > kvstore.EraOf(l.end) {
 		l.start, l.end = to, to
+		clear(l.latest)
+		l.deletions = 0
 		return
 	}
 	for _, e := range changes {
--- a/internal/wire/coordination.go
+++ b/internal/wire/coordination.go
@@ -40,8 +40,9 @@
 	Uses        []PoolUse    `msgpack:"u"`
 	// Unreachable lists the upstreams that the host could not reach when it sent the report.
 	Unreachable []entity.UpstreamID `msgpack:"o,omitempty"`
-	// Revision is the newest revision of the key-value service that the host knows.
-	Revision int64 `msgpack:"r,omitempty"`
+	// Revision is the newest revision of the key-value service that the host knows. Builds that do not know of restores
+	// send "r" instead, which means something else.
+	Revision int64 `msgpack:"j,omitempty"`
 	// First marks the first report of a session. Only this report contains FallbackShares: by workspace, the
 	// share of the rate that the host uses while it has no coordinator.
 	First          bool                       `msgpack:"f,omitempty"`
@@ -154,7 +155,7 @@
 	// service at Revision, sent the host all changes found by the read that it may lack, and then sent this
 	// message. Both fields are zero when nothing is confirmed.
 	ConfirmedSentAt int64 `msgpack:"c,omitempty"`
-	Revision        int64 `msgpack:"r,omitempty"`
+	Revision        int64 `msgpack:"j,omitempty"`
 	// Estimates covers all models that requests of this host wait for.
 	Estimates []ModelEstimate `msgpack:"e,omitempty"`
 	// FallbackShares contains the changed fallback shares of the host by workspace. The host returns
@@ -241,7 +242,7 @@
 	// Holder is the record of the coordinator lease that names the coordinator, in JSON. Revision is the revision
 	// of this record in the key-value service. It identifies the period for which the coordinator holds the lease.
 	Holder   []byte `msgpack:"h"`
-	Revision int64  `msgpack:"r"`
+	Revision int64  `msgpack:"j"`
 }
 
 // Kind implements Message.
