edge: a host that starts after a restore of the store waits until what was lost is written again

Callers with a withdrawn key were served by a host that started between a restore and the operator's next write: it knew nothing better than the copy. A process that starts cannot tell whether the store it reads has just come back older. The coordinator now writes which era has settled; a copy holds a former one. Running hosts are not affected: their configuration never goes back.

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -236,8 +236,8 @@
 	if h.stopping.Load() || at.IsZero() || h.frontend.catalog.Load() == nil {
 		return false
 	}
-	keysFresh, _ := h.fresh()
-	return keysFresh && boottime.Now().Sub(at) < maxReadyViewAge
+	keysFresh, viewRead := h.fresh()
+	return keysFresh && viewRead && boottime.Now().Sub(at) < maxReadyViewAge
 }
 
 // Run serves until ctx ends and then stops gracefully.
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -75,7 +75,7 @@
 	confirmedAt atomic.Int64
 	// knownRevision is the revision up to which this host knows all changes.
 	knownRevision atomic.Int64
-	// fullyRead reports whether this host has read all keys at least once.
+	// fullyRead reports whether this host has read all keys at least once, and could trust what it read.
 	fullyRead atomic.Bool
 	// searching is set when the coordinator cannot be reached or its session is lost, until a new session is
 	// established.
@@ -92,6 +92,9 @@
 	// next read relays to other hosts.
 	pending   map[string]pendingChange
 	unrelayed []kvstore.Event
+	// eraSince is when this host first read the service in its current era, and settledEra the value of settledEraKey.
+	eraSince   time.Time
+	settledEra kvstore.Era
 	// relayAllUntil is until when unchanged entries are relayed, too.
 	relayAllUntil time.Time
 	// keyRevisions holds the revisions of the tracked keys, and deletions those that were deleted lately.
@@ -176,6 +179,7 @@
 		case <-timer.C:
 			w.readOnce(ctx)
 		}
+		w.updateSettled(ctx)
 		timer.Reset(w.timeUntilRead(boottime.Now()))
 	}
 }
@@ -196,6 +200,9 @@
 	w.failures = 0
 	w.recordSuccess(began)
 	w.nextRead = boottime.Now().Add(w.pause())
+	if !w.isSettled() {
+		w.nextRead = w.eraSince.Add(entryReturnTime)
+	}
 }
 
 // failurePause returns the pause after a failed read. During an outage a few hosts that read often are
@@ -381,8 +388,8 @@
 	if restored {
 		events = w.deferOutdated(events, boottime.Now())
 	}
+	w.enterEra(res.Revision)
 	w.apply(events, res.Revision, began)
-	w.fullyRead.Store(true)
 	return nil
 }
 
--- a/internal/edge/watch_apply.go
+++ b/internal/edge/watch_apply.go
@@ -79,6 +79,8 @@
 		return w.applyUpstream(e, &out.upstreams)
 	case strings.HasPrefix(key, w.protocol.EvacuationsPrefix()):
 		w.applyEvacuation(e, &out.upstreams)
+	case key == w.prefix+settledEraKey:
+		w.applySettledEra(e)
 	case w.isQuarantineKey(key):
 		w.recordQuarantineKey(e)
 		out.quarantine = append(out.quarantine, e)
