--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -361,8 +361,9 @@
 	if restored {
 		w.startEra(events, res.Revision)
 	}
+	w.dropPending(present, restored)
 	addDeletion := func(key string) {
-		if !present[key] {
+		if _, pending := w.pending[key]; !present[key] && !pending {
 			events = append(events, kvstore.Event{Deleted: true, Pair: kvstore.Pair{Key: key, ModRevision: res.Revision}})
 		}
 	}
--- a/internal/edge/watch_apply.go
+++ b/internal/edge/watch_apply.go
@@ -32,16 +32,14 @@
 // coordinator relayed them.
 func (w *watcher) apply(events []kvstore.Event, revision int64, began time.Time) {
 	var out batchResult
+	if revision > w.revision {
+		out.relevant = w.takeUnrelayed(revision)
+	}
 	for _, e := range events {
 		if w.applyEvent(e, &out) {
 			out.relevant = append(out.relevant, e)
 		}
 	}
-	for _, e := range w.unrelayed {
-		e.Pair.ModRevision = revision
-		out.relevant = append(out.relevant, e)
-	}
-	w.unrelayed = nil
 	w.advanceRevision(revision)
 	w.sendBatch(out)
 	w.observeElection(w.election)
@@ -143,7 +141,8 @@
 		return changed || boottime.Now().Before(w.relayAllUntil)
 	}
 	if former == nil {
-		return false
+		// Another host may know the entry from before a restore.
+		return true
 	}
 	if e.Deleted && w.endsOutage() {
 		w.deferChange(e, entryReturnTime, boottime.Now())
--- a/internal/edge/watch_pending.go
+++ b/internal/edge/watch_pending.go
@@ -128,6 +128,25 @@
 	w.sendBatch(out)
 }
 
+// dropPending drops the pending changes that a complete read decides anew: all after a restore, otherwise all but the
+// deletions of keys that are still absent.
+func (w *watcher) dropPending(present map[string]bool, restored bool) {
+	maps.DeleteFunc(w.pending, func(key string, p pendingChange) bool {
+		return restored || present[key] || !p.event.Deleted
+	})
+}
+
+// takeUnrelayed returns the pending changes that were applied since the last batch, as changes at a revision that no
+// host knows yet.
+func (w *watcher) takeUnrelayed(revision int64) []kvstore.Event {
+	events := w.unrelayed
+	w.unrelayed = nil
+	for i := range events {
+		events[i].Pair.ModRevision = revision
+	}
+	return events
+}
+
 // lostKeys returns the keys of records about crashes that a restored copy does not hold. The hosts write them again.
 func (w *watcher) lostKeys(present map[string]bool) []string {
 	var lost []string
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -279,7 +279,7 @@
 		c.opts.Log.Warn("Campaign failed.", "step", "grant", "err", err)
 		return nil, 0, sent
 	}
-	term := newTerm(c.opts.Self, o)
+	term := NewTerm(c.opts.Self, o)
 	res, err := c.opts.KV.Txn(cctx, kvstore.Txn{
 		Compares: []kvstore.Compare{
 			kvstore.Unchanged(c.opts.Prefix+HolderKey, o.Revision),
@@ -306,7 +306,7 @@
 		// that it was vacant.
 		from = c.firstOrderAt(o, from)
 	}
-	token := term.token(revision)
+	token := term.Token(revision)
 	c.mu.Lock()
 	c.lastToken = token
 	c.mu.Unlock()
--- a/internal/election/term.go
+++ b/internal/election/term.go
@@ -19,8 +19,8 @@
 	Restored   bool  `json:"restored,omitempty"`
 }
 
-// newTerm returns the record of a term that a host begins.
-func newTerm(self Holder, o Observation) Term {
+// NewTerm returns the record of a term that a host begins.
+func NewTerm(self Holder, o Observation) Term {
 	return Term{
 		Holder:     self,
 		Era:        int64(kvstore.EraOf(o.LastRevision)),
@@ -29,9 +29,9 @@
 	}
 }
 
-// token returns the fencing token of the term whose record has the given revision. It is higher than all that were known
+// Token returns the fencing token of the term whose record has the given revision. It is higher than all that were known
 // when the term began.
-func (t Term) token(revision int64) int64 {
+func (t Term) Token(revision int64) int64 {
 	if !t.Restored {
 		revision = kvstore.WithinEra(revision)
 	}
@@ -44,7 +44,7 @@
 		return t, 0, false, fmt.Errorf("election: term: %w", err)
 	}
 	restored = t.Era != 0 && kvstore.Era(t.Era) != kvstore.EraOf(p.ModRevision)
-	return t, t.token(p.ModRevision), restored, nil
+	return t, t.Token(p.ModRevision), restored, nil
 }
 
 func encode(record any) []byte {
