--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -400,3 +400,36 @@
 		t.Errorf("the host of rank 200 campaigns after %v, want at most 7 s", d)
 	}
 }
+
+// Guards against two coordinators after a restore of the key-value service: the record of the last holder may be lost
+// while its lease still runs by its own clock, and a copy may name a process that was not the last holder.
+func TestFirstOrderAfterRestore(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New(Options{Self: Holder{Host: "a"}, OrderGap: 3 * time.Second, Now: func() time.Time { return now }, Log: slog.New(slog.DiscardHandler)})
+	c.vacantSince = now
+	for _, x := range []struct {
+		name string
+		o    Observation
+		want time.Duration
+	}{
+		{"vacant", Observation{LastRevision: 9}, 3 * time.Second},
+		{"vacant after a restore", Observation{LastRevision: 9, Restored: true}, 3*time.Second + leaseTTL},
+		{"copy names this host", Observation{Holder: &Holder{Host: "a"}, LastHolder: "a", LastRevision: 9, Restored: true}, 3*time.Second + leaseTTL},
+	} {
+		if from := c.firstOrderAt(x.o, now); from.Sub(now) != x.want {
+			t.Errorf("%s: first order after %v, want %v", x.name, from.Sub(now), x.want)
+		}
+	}
+	restored := Observation{LastHolder: "a", LastRevision: 9, LastToken: 7, Restored: true}
+	if c.wasLast(restored) || c.delay(restored) == 0 {
+		t.Error("a process that has held no lease takes itself for the last holder because a copy says so")
+	}
+	c.lastToken = 7
+	if !c.wasLast(restored) || c.delay(restored) != 0 {
+		t.Error("the last holder does not go on at once")
+	}
+	restored.LastToken = 8
+	if c.wasLast(restored) {
+		t.Error("a former holder takes itself for the last one although it knows of a later term")
+	}
+}
--- a/test/soak/site_test.go
+++ b/test/soak/site_test.go
@@ -20,6 +20,8 @@
 
 // Bounds that the settings of the hosts configure.
 const (
+	// keyPrefix is the prefix of the keys of the hosts, the default of their settings.
+	keyPrefix       = "foxtailpass/"
 	withdrawalBound = 3 * time.Second
 	drainBound      = 2 * time.Second
 	orderGap        = time.Second
@@ -63,6 +65,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(store.Close)
+	store.SetEra(1)
 	s := &site{t: t, store: store, network: harness.NewNetwork(t), began: time.Now()}
 	for i := range 3 {
 		s.plain = append(s.plain, &standin.Replica{ID: fmt.Sprintf("p%d", i), Service: "plain", Zone: "a", WorkTime: 5 * time.Millisecond})
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -55,10 +55,11 @@
 	rec := &record{}
 	inj := &faultInjector{site: s, rand: rand.New(rand.NewPCG(seed, 99)), record: rec}
 	end := time.Now().Add(*duration)
-	var limits sync.WaitGroup
-	limits.Go(func() { limitUpstreams(s, seed, end) })
+	var series sync.WaitGroup
+	series.Go(func() { limitUpstreams(s, seed, end) })
+	series.Go(func() { restoreStore(s, seed, end) })
 	inj.run(end)
-	limits.Wait()
+	series.Wait()
 	for _, h := range s.hosts {
 		s.await(recoveryLimit, h.name+" is ready after the last fault", h.ready)
 		if t.Failed() {
@@ -167,6 +168,23 @@
 	}
 }
 
+// restoreStore brings back copies of the store that are some seconds old. What operators and upstreams have written since
+// is written again a little later. It has its own random series, so that the faults of a seed stay the same.
+func restoreStore(s *site, seed uint64, end time.Time) {
+	r := rand.New(rand.NewPCG(seed, 77))
+	pause := func(least, most time.Duration) {
+		time.Sleep(least + time.Duration(r.Int64N(int64(most-least))))
+	}
+	for time.Now().Before(end) {
+		pause(time.Second, 5*time.Second)
+		s.store.Copy()
+		pause(500*time.Millisecond, 4*time.Second)
+		rewrite := s.store.Restore(keyPrefix)
+		pause(20*time.Millisecond, 1500*time.Millisecond)
+		rewrite()
+	}
+}
+
 func (inj *faultInjector) logFault(format string, args ...any) {
 	inj.log = append(inj.log, fmt.Sprintf("%.1f ", time.Since(inj.site.began).Seconds())+fmt.Sprintf(format, args...))
 }
