swap: a model that ends each engine that loads it is not loaded at one engine after the other

The ends are now counted by model: after the first one the model is loaded at one engine at a time, after the second one not for 10 s, doubling to 10 minutes with each further one, until a load succeeds.

--- a/internal/swap/decide.go
+++ b/internal/swap/decide.go
@@ -245,7 +245,7 @@
 			continue
 		}
 		for s.storeLoads() < max(s.parallel.maxLoads()-prefetchReserve, 1) && s.canLoadFromStore(id, now) {
-			key, ok := s.nextPrefetch(id, svc.Engine)
+			key, ok := s.nextPrefetch(id, svc.Engine, now)
 			if !ok || !s.startLoad(key, engines, fromStore, now) {
 				break
 			}
@@ -254,12 +254,12 @@
 }
 
 // nextPrefetch returns the model with the highest request rate among those without a copy.
-func (s *Swapper) nextPrefetch(id catalog.ServiceID, e *catalog.Engine) (modelKey, bool) {
+func (s *Swapper) nextPrefetch(id catalog.ServiceID, e *catalog.Engine, now time.Time) (modelKey, bool) {
 	var best modelKey
 	bestRate := -1.0
 	for name := range e.Models {
 		key := modelKey{service: id, model: name}
-		if s.hasCopy(key) || s.loading(key) > 0 || len(s.ready(key)) > 0 {
+		if s.hasCopy(key) || s.loading(key) > 0 || len(s.ready(key)) > 0 || s.loadPaused(key, now) {
 			continue
 		}
 		rate := 0.0
@@ -287,7 +287,7 @@
 // engine can load it now.
 func (s *Swapper) startLoad(key modelKey, engines []*engineState, src source, now time.Time) bool {
 	e := s.engine(key.service)
-	if e == nil || e.Models[key.model] == nil {
+	if e == nil || e.Models[key.model] == nil || s.loadPaused(key, now) {
 		return false
 	}
 	switch {
--- a/internal/swap/orders.go
+++ b/internal/swap/orders.go
@@ -204,6 +204,7 @@
 func (s *Swapper) finishLoad(r *engineState, now time.Time) {
 	t := r.task
 	s.learnFromStoreLoad(r, t, now)
+	delete(s.loadCrashes, modelKey{service: r.upstream.Service, model: t.model})
 	r.task = nil
 	r.nextReadAt = never
 	r.loadedModels[t.model] = &loadedModel{model: t.model, version: 0, adapters: make(map[entity.AdapterID]*adapter), usedAt: now, loadedAt: now}
--- a/internal/swap/sim_test.go
+++ b/internal/swap/sim_test.go
@@ -75,6 +75,9 @@
 	// slowLoads is added to the time of every load.
 	slowLoads  time.Duration
 	ordersSent int
+	// deadly is a model that ends each engine that loads it, and deadlyEnds the number of engines that it has ended.
+	deadly     entity.ModelID
+	deadlyEnds int
 	// reloadsLoadedModel makes engines execute a load of a model that they have loaded as a new load.
 	reloadsLoadedModel bool
 	served             map[entity.ModelID]int
@@ -306,6 +309,12 @@
 		x.born++
 		s.publishEntry(x)
 	}
+	if x.loading != "" && x.loading == s.deadly && !s.now.Before(x.doneAt.Add(-500*time.Millisecond)) {
+		s.deadlyEnds++
+		x.reset()
+		x.born++
+		s.publishEntry(x)
+	}
 	if (x.loading != "" || x.unloading != "" && x.running[x.unloading] == 0) && !s.now.Before(x.doneAt) {
 		if x.unloading != "" {
 			delete(x.models, x.unloading)
--- a/internal/swap/swap.go
+++ b/internal/swap/swap.go
@@ -165,6 +165,8 @@
 	// scansLeft is the number of scans over all engines that the current decision may still make.
 	scansLeft int
 	parallel  parallelism
+	// loadCrashes counts by model the engines that ended while they loaded it.
+	loadCrashes map[modelKey]loadCrashes
 	// version increases with every change of the models that engines have loaded.
 	version uint64
 }
@@ -211,6 +213,7 @@
 		probes:       make(map[uint64]*engineState),
 		storeBudgets: make(map[catalog.ServiceID]*storeBudget),
 		adapterMB:    make(map[catalog.ServiceID]float64),
+		loadCrashes:  make(map[modelKey]loadCrashes),
 		firstOrderAt: firstOrderAt,
 		parallel:     newParallelism(),
 	}
@@ -248,6 +251,7 @@
 	r := s.engineStates[u.ID]
 	if r == nil || r.upstream.Incarnation != u.Incarnation {
 		pause := s.lateOrdersUntil(r)
+		s.recordEnd(r, now)
 		s.removeEngine(r)
 		r = newEngineState(u)
 		r.pausedUntil = pause
--- a/internal/swap/swap_test.go
+++ b/internal/swap/swap_test.go
@@ -220,3 +220,27 @@
 		t.Errorf("%d loads in 80 s, want at least 8", len(s.storeLoadStarts))
 	}
 }
+
+// Guards against a model whose weights end each engine that loads it: it was loaded at one engine after the other for as
+// long as callers asked for it (the class of the incident BUDGET).
+func TestModelThatEndsEnginesIsNotLoadedOnAndOn(t *testing.T) {
+	s := newSim(t, 3, 8, 12, simFaults{})
+	s.runFor(10*time.Second, 2, false)
+	s.deadly = "m11"
+	s.waiting[poolKey{model: s.deadly}] = 4
+	for _, x := range s.engines {
+		delete(x.models, s.deadly)
+		s.publishEntry(x)
+	}
+	s.runFor(60*time.Second, 3, false)
+	// Two engines until the loads are paused, and one after each pause of 10, 20 and 40 s.
+	if s.deadlyEnds > 4 {
+		t.Errorf("%d engines ended in a minute while they loaded the same model, want at most 4", s.deadlyEnds)
+	}
+	before := s.deadlyEnds
+	s.deadly = ""
+	s.runFor(90*time.Second, 0, false)
+	if s.waiting[poolKey{model: "m11"}] > 0 {
+		t.Errorf("requests still wait for the model 90 s after it had become sound; %d engines had ended", before)
+	}
+}
