kvstore: versions and order IDs under a fencing token rise across restores, too

A token with an era in its high bits was shifted out of 64 bits: versions of shares and IDs of orders could repeat those of a former term after a restore.

--- a/internal/kvstore/era.go
+++ b/internal/kvstore/era.go
@@ -16,6 +16,16 @@
 	return int64(era)<<revisionBits | revision
 }
 
+// tokenEraShift is the position of the era in the result of TokenSpace.
+const tokenEraShift = 56
+
+// TokenSpace returns the lowest number of a range that belongs to one fencing token, which is a revision. Its freeBits
+// lowest bits are zero. The numbers of a higher token are higher, up to 256 restores.
+func TokenSpace(token int64, freeBits uint) uint64 {
+	within := uint64(WithinEra(token)) << freeBits
+	return uint64(EraOf(token))<<tokenEraShift | within&(1<<tokenEraShift-1)
+}
+
 // EraOf returns the era of a revision.
 func EraOf(revision int64) Era { return Era(revision >> revisionBits) }
 
--- a/internal/quota/shares.go
+++ b/internal/quota/shares.go
@@ -90,12 +90,10 @@
 	return &FallbackTable{division: d, hosts: make(map[entity.HostID]*hostShares), version: FirstVersion(fence)}
 }
 
-// FirstVersion returns the version below all versions under a fencing token, and above those under lower tokens. The era
-// of the token takes the highest eight bits: after 256 restores of the key-value service they begin anew.
+// FirstVersion returns the version below all versions under a fencing token, and above those under lower tokens.
 func FirstVersion(fence int64) uint64 {
-	const versionBits, eraShift = 20, 56
-	within := uint64(kvstore.WithinEra(fence)) << versionBits
-	return uint64(kvstore.EraOf(fence))<<eraShift | within&(1<<eraShift-1)
+	const versionBits = 20
+	return kvstore.TokenSpace(fence, versionBits)
 }
 
 // SetMembers sets the registered hosts. It removes hosts with neither a registration nor a session, because
--- a/internal/swap/swap.go
+++ b/internal/swap/swap.go
@@ -21,6 +21,7 @@
 	"github.com/foxtailpass/foxtailpass/internal/catalog"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/fleet"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/wire"
 )
 
@@ -205,7 +206,7 @@
 // New returns the Swapper of a coordinator that may send orders from firstOrderAt on under a fencing token.
 func New(firstOrderAt time.Time, token int64) *Swapper {
 	return &Swapper{
-		nextID:       uint64(token) << orderIDBits,
+		nextID:       kvstore.TokenSpace(token, orderIDBits),
 		engineStates: make(map[entity.UpstreamID]*engineState),
 		hosts:        make(map[entity.HostID]receivedReport),
 		models:       make(map[modelKey]*modelDemand),
