quarantine: cleared parts are bounded, and ticks look for writes only when there may be any

Found by reading the change again: the table of cleared parts could grow with the parts that callers name, and each event of the control state went through all records.

--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -84,7 +84,7 @@
 	store   simStore
 	hosts   []*simHost
 	engines []*simEngine
-	// coordinated is the time until which there is no coordinator.
+	// There is no coordinator until uncoordinatedTo.
 	uncoordinatedTo time.Time
 	deadlyCrashes   []time.Time
 	// late counts the requests with the deadly part that hosts in touch sent after the fifth crash.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -54,6 +54,8 @@
 	maxPending      = 64
 	// maxPartsPerRecord bounds the parts in one record.
 	maxPartsPerRecord = 256
+	// maxCleared bounds the parts that are remembered as cleared.
+	maxCleared = 4096
 	// maxJointParts bounds the parts that one request probes.
 	maxJointParts = 8
 	// maxRecordsPerWrite bounds the keys in one transaction.
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -42,7 +42,8 @@
 	// suspected holds the parts that may have ended several engines, quarantined or not.
 	suspected map[Part]bool
 	changes   []Change
-	// inFlight holds the writes that have no result yet.
+	// mayWrite is set while anything may still have to be written. inFlight holds the writes that have no result yet.
+	mayWrite  bool
 	inFlight  map[uint64]write
 	lastWrite uint64
 	// claiming holds the parts whose probe this host is about to claim.
@@ -155,6 +156,7 @@
 		r.add(known.Waiting, false)
 	}
 	t.addCrash(key, &crash{crashRecord: *r, learnedAt: now, unwritten: true, writeAt: now.Add(settleTime)})
+	t.mayWrite = true
 	t.update(now)
 	return true
 }
@@ -201,7 +203,7 @@
 		if _, ok := t.watched[p]; !ok {
 			continue
 		}
-		t.cleared[p] = true
+		t.clear(p)
 		changed = t.removeSuspect(p) || changed
 		if q := t.parts[p]; q != nil && !q.lifted {
 			t.lift(q, probe, now)
@@ -213,6 +215,14 @@
 	}
 }
 
+// clear records that an answer has begun under a part. A full table is emptied: it only spares probes.
+func (t *Tracker) clear(p Part) {
+	if len(t.cleared) >= maxCleared {
+		clear(t.cleared)
+	}
+	t.cleared[p] = true
+}
+
 // removeSuspect removes a part from all records of ends of engines, and reports whether it was in any.
 func (t *Tracker) removeSuspect(p Part) bool {
 	removed := false
@@ -232,6 +242,7 @@
 // lift ends the quarantine of a part at this host, and at all others a little later unless another host is faster.
 func (t *Tracker) lift(q *partState, atOnce bool, now time.Time) {
 	q.lifted = true
+	t.mayWrite = true
 	q.clearAt = now
 	if !atOnce {
 		spread := min(time.Duration(t.hosts)*clearDelayPerHost, maxClearDelay)
@@ -313,7 +324,7 @@
 	}
 	q.partRecord, q.revision, q.lost = *r, e.Pair.ModRevision, false
 	if r.Released {
-		t.cleared[p] = true
+		t.clear(p)
 		t.removeSuspect(p)
 	}
 	if t.cleared[p] && !q.lifted {
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -40,10 +40,6 @@
 // engineEnds plays the end of an engine under a request that it had begun to answer.
 func (x *testTracker) engineEnds(parts ...entity.PromptPartID) {
 	x.ends++
-	x.engineEndsOf(simService, parts...)
-}
-
-func (x *testTracker) engineEndsOf(service string, parts ...entity.PromptPartID) {
 	i := Instance{Upstream: entity.UpstreamID(fmt.Sprintf("e%d", x.ends)), BornMillis: int64(x.ends)}
 	x.AttemptBroken(Attempt{Service: simService, Instance: i, Parts: parts, Answering: true})
 	x.Checked(i, true, x.now)
@@ -54,6 +50,18 @@
 	return x.Check(simService, parts, x.now).Action
 }
 
+// claim claims the probe of a request with the parts, and reports whether it may be sent.
+func (x *testTracker) claim(parts ...entity.PromptPartID) bool {
+	v := x.Check(simService, parts, x.now)
+	if v.Action != Probe {
+		return false
+	}
+	txn := x.Claim(v)
+	revision, ok := x.store.txn(txn)
+	x.Claimed(v.Parts, txn, ok, revision, x.now)
+	return ok
+}
+
 func TestQuarantine(t *testing.T) {
 	x := newTestTracker(newTestStore(), "a")
 	x.engineEnds("f", "s", "d")
@@ -114,14 +122,10 @@
 	y.sync()
 	granted := 0
 	for _, h := range []*testTracker{x, y} {
-		v := h.Check(simService, []entity.PromptPartID{"d"}, h.now)
-		if v.Action != Probe {
-			t.Fatalf("action %d, want a probe", v.Action)
+		if h.action("d") != Probe {
+			t.Fatalf("action %d, want a probe", h.action("d"))
 		}
-		txn := h.Claim(v)
-		revision, ok := store.txn(txn)
-		h.Claimed(v.Parts, txn, ok, revision, h.now)
-		if ok {
+		if h.claim("d") {
 			granted++
 		}
 	}
@@ -142,14 +146,10 @@
 	x.engineEnds("d")
 	probes := 0
 	for end := x.now.Add(30 * 24 * time.Hour); x.now.Before(end); x.now = x.now.Add(time.Minute) {
-		v := x.Check(simService, []entity.PromptPartID{"d"}, x.now)
-		if v.Action != Probe {
+		if !x.claim("d") {
 			continue
 		}
 		probes++
-		txn := x.Claim(v)
-		revision, ok := store.txn(txn)
-		x.Claimed(v.Parts, txn, ok, revision, x.now)
 		x.engineEnds("d")
 		x.sync()
 		if txn, ok := x.Prune(x.now); ok {
@@ -268,10 +268,9 @@
 	x.engineEnds("d")
 	x.engineEnds("d")
 	x.sync()
-	v := x.Check(simService, []entity.PromptPartID{"d"}, x.now)
-	txn := x.Claim(v)
-	revision, ok := store.txn(txn)
-	x.Claimed(v.Parts, txn, ok, revision, x.now)
+	if !x.claim("d") {
+		t.Fatal("no probe")
+	}
 	x.AnswerBegan(simService, []entity.PromptPartID{"d"}, true, x.now)
 	x.sync()
 	y.sync()
--- a/internal/quarantine/writes.go
+++ b/internal/quarantine/writes.go
@@ -11,8 +11,11 @@
 	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 )
 
-// HasWrites reports whether this host has to write anything, now or soon.
-func (t *Tracker) HasWrites() bool {
+// HasWrites reports whether this host may have to write anything, now or soon.
+func (t *Tracker) HasWrites() bool { return t.mayWrite }
+
+// hasUnwritten reports whether anything is still to be written.
+func (t *Tracker) hasUnwritten() bool {
 	for _, c := range t.crashes {
 		if c.unwritten {
 			return true
@@ -28,6 +31,9 @@
 
 // TakeWrites returns the writes that are due. Each result must be passed to Written.
 func (t *Tracker) TakeWrites(now time.Time) []Write {
+	if !t.mayWrite {
+		return nil
+	}
 	var out []Write
 	if w, ok := t.crashWrite(now); ok {
 		out = append(out, w)
@@ -46,6 +52,7 @@
 			Success:  []kvstore.Op{{Kind: kvstore.OpDelete, Key: key}},
 		}))
 	}
+	t.mayWrite = t.hasUnwritten()
 	return out
 }
 
@@ -87,6 +94,7 @@
 // Restore makes this host write records again that the key-value service has lost. What other hosts wrote is written by
 // them at once, and by all others a little later, unless it is back by then.
 func (t *Tracker) Restore(keys []string, now time.Time) {
+	t.mayWrite = true
 	for _, full := range keys {
 		key := strings.TrimPrefix(full, t.opts.KeyPrefix)
 		if c := t.crashes[key]; c != nil {
