quarantine: refusals are final only once a probe has failed

A probe that waited for its model showed nothing for some seconds, and sound callers with the same part were refused for good (422) meanwhile. The record of a part now states how many engines had ended when its probe was claimed: if more have, it has failed, also for a host that starts later. Until then callers are told when the next probe is due.

TestRefusalIsFinalOnceProbeHasFailed. Found by reading the change again.

--- a/internal/quarantine/probes.go
+++ b/internal/quarantine/probes.go
@@ -48,7 +48,7 @@
 
 // probeWait returns the time until a part may be probed by a request; joint is set if the request has several suspected
 // parts. While a probe may still show a result, it is the time in which that is expected. It returns false
-// if the part is not probed soon.
+// if a probe has failed and the next one is not due, or if there will be none.
 func (t *Tracker) probeWait(p Part, joint bool, now time.Time) (wait time.Duration, possible bool) {
 	b, q := t.blocked[p], t.parts[p]
 	if t.claiming[p] {
@@ -60,7 +60,8 @@
 		}
 		return wait, true
 	}
-	if running := q.seenAt.Add(probeTime).Sub(now); running > 0 && !b.crashedAt.After(q.seenAt) {
+	failed := len(b.engines) > q.Ends
+	if running := q.seenAt.Add(probeTime).Sub(now); running > 0 && !failed {
 		return running, true
 	}
 	switch {
@@ -73,7 +74,8 @@
 	if q.Probes > 0 {
 		pause = probePauses[q.Probes-1]
 	}
-	return 0, !now.Before(q.seenAt.Add(pause))
+	wait = max(q.seenAt.Add(pause).Sub(now), 0)
+	return wait, wait == 0 || !failed
 }
 
 // Claim returns the transaction that reserves a probe for this host. Of all hosts that claim a part at the
@@ -90,6 +92,9 @@
 		if v.Joint {
 			r.JointProbes++
 		}
+		if b := t.blocked[p]; b != nil {
+			r.Ends = len(b.engines)
+		}
 		key := t.opts.KeyPrefix + partKey(p)
 		txn.Compares = append(txn.Compares, kvstore.Unchanged(key, revision))
 		txn.Success = append(txn.Success, kvstore.Put(key, encode(r)))
--- a/internal/quarantine/records.go
+++ b/internal/quarantine/records.go
@@ -94,6 +94,9 @@
 	Probes int `json:"probes"`
 	// JointProbes is the number of those that had several suspected parts.
 	JointProbes int `json:"joint_probes,omitempty"`
+	// Ends is the number of engines that were known to have ended under the part when the last of them was claimed. If
+	// more are known, it has failed.
+	Ends int `json:"ends,omitempty"`
 	// Host is the host that sent the last of them.
 	Host entity.HostID `json:"host"`
 	// Released is set if an operator has released the part. The hosts then remove the record.
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -82,8 +82,6 @@
 type blockedPart struct {
 	since   time.Time
 	engines []entity.UpstreamID
-	// crashedAt is when this host learned of the last end of an engine that made the part a suspect.
-	crashedAt time.Time
 }
 
 // write is what a write changes: the crash records or the part.
@@ -385,9 +383,6 @@
 	b := &blockedPart{since: now}
 	for _, i := range s.ends {
 		b.engines = append(b.engines, ends[i].instance.Upstream)
-		if ends[i].learnedAt.After(b.crashedAt) {
-			b.crashedAt = ends[i].learnedAt
-		}
 	}
 	return b
 }
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -278,3 +278,29 @@
 		t.Error("the part is still quarantined at another host")
 	}
 }
+
+// Guards against a final refusal while a probe has shown nothing yet, for example because it waits for its model, and
+// against one that a host forgets with its restart.
+func TestRefusalIsFinalOnceProbeHasFailed(t *testing.T) {
+	store := newTestStore()
+	x := newTestTracker(store, "a")
+	x.engineEnds("d")
+	x.engineEnds("d")
+	x.sync()
+	if !x.claim("d") {
+		t.Fatal("no probe")
+	}
+	x.now = x.now.Add(2 * probeTime)
+	if v := x.Check(simService, []entity.PromptPartID{"d"}, x.now); v.Action != Refuse || v.Final || v.RetryAfter == 0 {
+		t.Errorf("verdict %+v while the probe has shown nothing, want a refusal with a time to return", v)
+	}
+	x.engineEnds("d")
+	x.sync()
+	y := newTestTracker(store, "b")
+	y.sync()
+	for _, h := range []*testTracker{x, y} {
+		if v := h.Check(simService, []entity.PromptPartID{"d"}, h.now); v.Action != Refuse || !v.Final {
+			t.Errorf("verdict %+v after the probe has failed, want a final refusal", v)
+		}
+	}
+}
