edge: only a host that has just started waits with its next read until an era has settled

After a restore the coordinator did not read the store for 2.2 s, so it won its lease again 2.3 s late and callers got refusals as rate_limited meanwhile. The wait that a host needs which has just started applied to all. TestRestoredStoreIsFollowed now also asks for a coordinator 1.6 s after the restore and failed before.

--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -200,7 +200,7 @@
 	w.failures = 0
 	w.recordSuccess(began)
 	w.nextRead = boottime.Now().Add(w.pause())
-	if !w.isSettled() {
+	if !w.fullyRead.Load() && !w.isSettled() {
 		w.nextRead = w.eraSince.Add(entryReturnTime)
 	}
 }
