One check whether the process of an upstream has ended

Host.checkEngine and Exchange.upstreamEnded both dialed the address with a timeout of 250 ms and looked for a refused connection. upstream.Client.HasEnded serves both. The one difference: a connection that the check of an engine establishes is now kept in the pool, as the other check did, instead of closed.

Tests of upstream, edge and platform pass unchanged.

--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
-	"syscall"
 	"time"
 
 	"github.com/foxtailpass/foxtailpass/internal/boottime"
@@ -220,16 +218,10 @@
 	return ids
 }
 
-// checkEngine implements effects. A machine refuses connections to the port of a process that has ended. A process that
-// is frozen, cut off or busy does not.
+// checkEngine implements effects.
 func (h *Host) checkEngine(i quarantine.Instance, addr string) {
 	go func() {
-		d := net.Dialer{Timeout: dialTimeout}
-		conn, err := d.DialContext(h.background, "tcp", addr)
-		if err == nil {
-			_ = conn.Close()
-		}
-		h.send(engineChecked{instance: i, ended: errors.Is(err, syscall.ECONNREFUSED)})
+		h.send(engineChecked{instance: i, ended: h.frontend.upstreams.HasEnded(h.background, addr)})
 	}()
 }
 
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -31,6 +32,8 @@
 	// finishTimeout bounds the wait for the end of the HTTP body after the end marker of a stream has been
 	// read.
 	finishTimeout = 50 * time.Millisecond
+	// endCheckTimeout bounds the check whether the process of an upstream has ended.
+	endCheckTimeout = 250 * time.Millisecond
 )
 
 // Failure is the error of an attempt that failed: no answer was received, or the answer was incomplete, exceeded a
@@ -69,6 +72,16 @@
 // CloseIdle closes the idle connections to all addresses for which keep returns false.
 func (c *Client) CloseIdle(keep func(addr string) bool) { c.pool.closeIdle(keep) }
 
+// HasEnded reports whether the process of the upstream at an address has ended: its machine refuses connections then,
+// but not to a process that is frozen, cut off or busy. A connection that is established is kept for the next request.
+func (c *Client) HasEnded(ctx context.Context, addr string) bool {
+	cn, err := dial(ctx, addr, endCheckTimeout)
+	if err == nil {
+		c.pool.put(addr, cn)
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // Call is one attempt whose answer has been read, or only the header of the answer if the call is streamed. The
 // caller must release it with Close.
 type Call struct {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -10,7 +10,6 @@
 	"os"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -34,8 +33,6 @@
 	// request that must not be repeated. The longer a connection is idle, the likelier the upstream is closing
 	// it.
 	maxIdleForNotRepeatable = 500 * time.Millisecond
-	// endCheckTimeout bounds the check whether an upstream has ended together with an unframed answer.
-	endCheckTimeout = 250 * time.Millisecond
 	// maxBufferedBody is the largest body in bytes that is read into memory or skipped.
 	maxBufferedBody = 16 << 20
 )
@@ -244,7 +241,8 @@
 			return n, terr
 		}
 	}
-	if e.unframed && !e.complete && e.upstreamEnded() {
+	if e.unframed && !e.complete && e.client.HasEnded(context.Background(), e.addr) {
+		// The end of the connection is then no proof that the body is complete.
 		return n, io.ErrUnexpectedEOF
 	}
 	e.complete = true
@@ -254,16 +252,6 @@
 // Unframed reports whether the end of the connection is the end of the body.
 func (e *Exchange) Unframed() bool { return e.unframed }
 
-// upstreamEnded reports whether the upstream refuses connections, because its process has ended. The end of an unframed
-// body is then no proof that the body is complete. A new connection is kept for the next request.
-func (e *Exchange) upstreamEnded() bool {
-	cn, err := dial(context.Background(), e.addr, endCheckTimeout)
-	if err == nil {
-		e.client.pool.put(e.addr, cn)
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
-
 // skipTrailer reads and discards the lines after the last chunk.
 func (e *Exchange) skipTrailer() error {
 	for range maxTrailerLines {
