One computation of the remaining back-off

target.backOff, Scheduler.BackOff and OwnStatuses each computed it from the self-reported status. It is a method of that status now, also without one.

Tests of dispatch, quarantine and edge pass unchanged.

--- a/internal/dispatch/self_reported.go
+++ b/internal/dispatch/self_reported.go
@@ -143,10 +143,15 @@
 
 // backOff returns the remaining time for which this host must send nothing to the upstream.
 func (t *target) backOff(now time.Time) time.Duration {
-	if t.selfReported == nil {
+	return t.selfReported.backOff(now)
+}
+
+// backOff returns the remaining back-off, zero if there is no status.
+func (st *selfReportedStatus) backOff(now time.Time) time.Duration {
+	if st == nil {
 		return 0
 	}
-	return max(t.selfReported.backOffUntil.Sub(now), 0)
+	return max(st.backOffUntil.Sub(now), 0)
 }
 
 // BackOff returns the remaining time for which this host must send nothing to an incarnation of an upstream.
@@ -155,7 +160,7 @@
 	if selfReported == nil || selfReported.bornMillis != bornMillis {
 		return 0
 	}
-	return max(selfReported.backOffUntil.Sub(now), 0)
+	return selfReported.backOff(now)
 }
 
 // OwnStatus is the self-reported status of an upstream that this host has received.
@@ -173,7 +178,7 @@
 	var out []OwnStatus
 	for _, id := range slices.Sorted(maps.Keys(s.selfReported)) {
 		selfReported := s.selfReported[id]
-		st := OwnStatus{Upstream: id, BornMillis: selfReported.bornMillis, Draining: selfReported.draining, BackOff: max(selfReported.backOffUntil.Sub(now), 0)}
+		st := OwnStatus{Upstream: id, BornMillis: selfReported.bornMillis, Draining: selfReported.draining, BackOff: selfReported.backOff(now)}
 		if s.targets[id] != nil && (st.Draining || st.BackOff > 0) {
 			out = append(out, st)
 		}
