Group the ends of engines by evidence first, then by time

groupEnds sorted both kinds of evidence in one list by a mixed key, with a conversion of a bool for it, and looked for their border in the loop. It splits them first now. The groups and their order are the same.

Tests of dispatch, quarantine and edge pass unchanged.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -67,15 +67,25 @@
 
 // groupEnds groups the ends of engines by time. Those with the sharper evidence stay apart from the others.
 func groupEnds(ends []*end) []endGroup {
-	slices.SortFunc(ends, func(a, b *end) int {
-		if a.answering != b.answering {
-			return cmp.Compare(boolToInt(a.answering), boolToInt(b.answering))
+	var answering, waiting []*end
+	for _, e := range ends {
+		if e.answering {
+			answering = append(answering, e)
+		} else {
+			waiting = append(waiting, e)
 		}
+	}
+	return append(groupByTime(waiting), groupByTime(answering)...)
+}
+
+// groupByTime sorts ends of engines by time and groups those that are at most groupGap apart.
+func groupByTime(ends []*end) []endGroup {
+	slices.SortFunc(ends, func(a, b *end) int {
 		return cmp.Or(a.learnedAt.Compare(b.learnedAt), cmp.Compare(a.instance.Upstream, b.instance.Upstream))
 	})
 	var out []endGroup
 	for i, e := range ends {
-		if i == 0 || ends[i-1].answering != e.answering || e.learnedAt.Sub(ends[i-1].learnedAt) > groupGap {
+		if i == 0 || e.learnedAt.Sub(ends[i-1].learnedAt) > groupGap {
 			out = append(out, nil)
 		}
 		last := len(out) - 1
@@ -84,13 +94,6 @@
 	return out
 }
 
-func boolToInt(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // suspect is a part with the ends of engines that it may have caused.
 type suspect struct {
 	part Part
