Ask once for the time of a load when a waiting request is judged

refuseIfUnservable asked Options.ReadyIn again for what estimateWait had just used, only to learn whether the estimate was that of a load. estimateWait says so now. At equal times the load still counts as the reason, as before.

Tests of dispatch and edge pass; one call in a test takes the new result.

--- a/internal/dispatch/refusals.go
+++ b/internal/dispatch/refusals.go
@@ -14,9 +14,8 @@
 		return
 	}
 	s.askForLimited(r, now)
-	wait, known := s.estimateWait(r, now)
-	readyIn, loading := s.readyIn(r.Pool, now)
-	byStatus := known && (!loading || wait < readyIn)
+	wait, known, byLoad := s.estimateWait(r, now)
+	byStatus := known && !byLoad
 	switch {
 	case !s.stopBy.IsZero() && !now.Add(wait).Before(s.stopBy):
 		s.refuse(r, ReasonStopping, minRetryAfter)
@@ -50,8 +49,8 @@
 
 // estimateWait estimates the time until an upstream serves a waiting request: zero if one serves its pool now, even
 // if that upstream has no free slot; otherwise the time to the end of a back-off, to the next request that a limit
-// allows, or to the end of a load. known is false if there is no estimate.
-func (s *Scheduler) estimateWait(r *Request, now time.Time) (wait time.Duration, known bool) {
+// allows, or to the end of a load; byLoad is set then. known is false if there is no estimate.
+func (s *Scheduler) estimateWait(r *Request, now time.Time) (wait time.Duration, known, byLoad bool) {
 	p := r.Pool
 	for _, t := range s.byService[p.Service] {
 		if !t.serves(p, now) {
@@ -63,16 +62,16 @@
 		}
 		remaining := max(t.backOff(now), limitWait)
 		if remaining == 0 {
-			return 0, true
+			return 0, true, false
 		}
 		if !known || remaining < wait {
 			wait, known = remaining, true
 		}
 	}
-	if ready, ok := s.readyIn(p, now); ok && (!known || ready < wait) {
-		return ready, true
+	if ready, ok := s.readyIn(p, now); ok && (!known || ready <= wait) {
+		return ready, true, true
 	}
-	return wait, known
+	return wait, known, false
 }
 
 // refuse removes a waiting request and adds the decision that refuses it.
--- a/internal/dispatch/self_reported_test.go
+++ b/internal/dispatch/self_reported_test.go
@@ -17,7 +17,7 @@
 	s.SetTarget(row, testStart)
 	s.RecordStatus("u", 5, StatusReport{Draining: true}, testStart)
 	served := func() bool {
-		_, ok := s.estimateWait(&Request{Pool: Pool{Service: "s"}}, testStart)
+		_, ok, _ := s.estimateWait(&Request{Pool: Pool{Service: "s"}}, testStart)
 		return ok
 	}
 	if served() {
