--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -46,6 +46,13 @@
 	x.now = x.now.Add(time.Second)
 }
 
+// quarantinePart ends two engines under a part and writes the records.
+func (x *testTracker) quarantinePart(id entity.PromptPartID) {
+	x.engineEnds(id)
+	x.engineEnds(id)
+	x.sync()
+}
+
 func (x *testTracker) action(parts ...entity.PromptPartID) Action {
 	return x.Check(simService, parts, x.now).Action
 }
@@ -102,9 +109,7 @@
 func TestQuarantineOutlivesHosts(t *testing.T) {
 	store := newTestStore()
 	x := newTestTracker(store, "a")
-	x.engineEnds("d")
-	x.engineEnds("d")
-	x.sync()
+	x.quarantinePart("d")
 	y := newTestTracker(store, "b")
 	y.sync()
 	if y.action("d") == Pass {
@@ -116,9 +121,7 @@
 func TestOneHostProbes(t *testing.T) {
 	store := newTestStore()
 	x, y := newTestTracker(store, "a"), newTestTracker(store, "b")
-	x.engineEnds("d")
-	x.engineEnds("d")
-	x.sync()
+	x.quarantinePart("d")
 	y.sync()
 	granted := 0
 	for _, h := range []*testTracker{x, y} {
@@ -169,9 +172,7 @@
 func TestReleasedPart(t *testing.T) {
 	store := newTestStore()
 	x, y := newTestTracker(store, "a"), newTestTracker(store, "b")
-	x.engineEnds("d")
-	x.engineEnds("d")
-	x.sync()
+	x.quarantinePart("d")
 	y.sync()
 	store.txn(y.Release(Part{Service: simService, ID: "d"}))
 	for range 5 {
@@ -265,9 +266,7 @@
 func TestReleaseIsSeenTogetherWithProbe(t *testing.T) {
 	store := newTestStore()
 	x, y := newTestTracker(store, "a"), newTestTracker(store, "b")
-	x.engineEnds("d")
-	x.engineEnds("d")
-	x.sync()
+	x.quarantinePart("d")
 	if !x.claim("d") {
 		t.Fatal("no probe")
 	}
@@ -284,9 +283,7 @@
 func TestRefusalIsFinalOnceProbeHasFailed(t *testing.T) {
 	store := newTestStore()
 	x := newTestTracker(store, "a")
-	x.engineEnds("d")
-	x.engineEnds("d")
-	x.sync()
+	x.quarantinePart("d")
 	if !x.claim("d") {
 		t.Fatal("no probe")
 	}
