foxtailctl asks hosts in one place

The query of a host's status and the calls for quarantined parts each built the request, bounded it by queryTimeout and the answer by its size, and checked the status. askHost serves both. Only a release takes 404 as a part that is not quarantined; a list named that cause for a host without the page, too.

Tests of cmd pass unchanged.

--- a/cmd/foxtailctl/hosts.go
+++ b/cmd/foxtailctl/hosts.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"slices"
 	"sync"
 	"time"
@@ -20,12 +21,12 @@
 const (
 	// pollInterval is the pause between two rounds of status queries to the hosts.
 	pollInterval = 200 * time.Millisecond
-	// queryTimeout limits the status query to one host.
+	// queryTimeout limits the query to one host.
 	queryTimeout = time.Second
 	// maxParallelQueries limits the number of open connections to hosts.
 	maxParallelQueries = 64
-	// maxStatusBytes limits the answer of one host.
-	maxStatusBytes = 1 << 20
+	// maxAnswerBytes limits the answer of one host.
+	maxAnswerBytes = 1 << 20
 )
 
 // hostStatus is the result of a status query to one host.
@@ -122,8 +123,6 @@
 
 func queryHost(ctx context.Context, h config.HostRecord, revision int64) hostStatus {
 	status := hostStatus{Host: h.ID, Incarnation: h.Incarnation, Address: h.OperatorAddr}
-	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
-	defer cancel()
 	var err error
 	if status.Revision, err = fetchRevision(ctx, h.OperatorAddr); err != nil {
 		status.Error = err.Error()
@@ -134,22 +133,14 @@
 }
 
 func fetchRevision(ctx context.Context, addr string) (int64, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/status", nil)
-	if err != nil {
-		return 0, err
-	}
-	resp, err := http.DefaultClient.Do(req)
+	answer, err := askHost(ctx, http.MethodGet, addr, "/status", nil)
 	if err != nil {
 		return 0, err
 	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return 0, fmt.Errorf("status %d", resp.StatusCode)
-	}
 	var body struct {
 		Revision *int64 `json:"config_revision"`
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(&body); err != nil {
+	if err := json.Unmarshal(answer, &body); err != nil {
 		return 0, err
 	}
 	if body.Revision == nil {
@@ -157,3 +148,29 @@
 	}
 	return *body.Revision, nil
 }
+
+// statusError is the status of an answer other than 200.
+type statusError int
+
+// Error implements error.
+func (e statusError) Error() string { return fmt.Sprintf("status %d", int(e)) }
+
+// askHost sends a request to the operator port of a host and returns the body of the answer.
+func askHost(ctx context.Context, method, addr, path string, query url.Values) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	u := url.URL{Scheme: "http", Host: addr, Path: path, RawQuery: query.Encode()}
+	req, err := http.NewRequestWithContext(ctx, method, u.String(), nil)
+	if err != nil {
+		return nil, usageError{err}
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, statusError(resp.StatusCode)
+	}
+	return io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+}
--- a/cmd/foxtailctl/quarantine.go
+++ b/cmd/foxtailctl/quarantine.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strings"
@@ -33,7 +32,7 @@
 func (a *app) listQuarantine(ctx context.Context, cmd *cli.Command) error {
 	body, err := askHost(ctx, http.MethodGet, cmd.String("host"), "/quarantine", nil)
 	if err != nil {
-		return err
+		return hostError(err)
 	}
 	var entries []quarantine.Entry
 	if err := json.Unmarshal(body, &entries); err != nil {
@@ -54,29 +53,17 @@
 func (a *app) releasePart(ctx context.Context, cmd *cli.Command) error {
 	query := url.Values{"service": {cmd.String("service")}, "part": {cmd.Args().First()}, "who": {cmd.String("who")}}
 	_, err := askHost(ctx, http.MethodPost, cmd.String("host"), "/quarantine/release", query)
-	return err
+	if errors.Is(err, statusError(http.StatusNotFound)) {
+		return errors.New("the part is not quarantined at this host")
+	}
+	return hostError(err)
 }
 
-// askHost sends a request to the operator port of a host and returns the body of the answer.
-func askHost(ctx context.Context, method, host, path string, query url.Values) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
-	defer cancel()
-	u := url.URL{Scheme: "http", Host: host, Path: path, RawQuery: query.Encode()}
-	req, err := http.NewRequestWithContext(ctx, method, u.String(), nil)
-	if err != nil {
-		return nil, usageError{err}
+// hostError adds to the status of an answer who gave it.
+func hostError(err error) error {
+	var status statusError
+	if errors.As(err, &status) {
+		return fmt.Errorf("the host answered %w", err)
 	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxStatusBytes))
-	switch {
-	case resp.StatusCode == http.StatusNotFound:
-		return nil, errors.New("the part is not quarantined at this host")
-	case resp.StatusCode != http.StatusOK:
-		return nil, fmt.Errorf("the host answered status %d", resp.StatusCode)
-	}
-	return body, err
+	return err
 }
