Keep in one place whether request limits are coordinated

The control state held a copy of what requestlimit.Host holds, set by the same function. It asks the Host now.

Tests of edge and requestlimit pass unchanged.

--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -48,13 +48,11 @@
 	catalog   *catalog.Catalog
 	scheduler *dispatch.Scheduler
 	limiter   *quota.Limiter
-	// requestLimits holds the request limits of upstreams. limitsCoordinated reports whether there is a session with a
-	// coordinator that keeps them, or this host is the coordinator; linkKeepsLimits whether the coordinator at the
-	// other end of link does. invalidLimits holds the upstreams whose limit could not be read.
-	requestLimits     *requestlimit.Host
-	limitsCoordinated bool
-	linkKeepsLimits   bool
-	invalidLimits     map[entity.UpstreamID]bool
+	// requestLimits holds the request limits of upstreams. linkKeepsLimits reports whether the coordinator at the other
+	// end of link keeps them. invalidLimits holds the upstreams whose limit could not be read.
+	requestLimits   *requestlimit.Host
+	linkKeepsLimits bool
+	invalidLimits   map[entity.UpstreamID]bool
 	// invalidBackOffs holds the upstreams that have requested a back-off which could not be read.
 	invalidBackOffs map[entity.UpstreamID]bool
 	fleet           *fleet.Table
--- a/internal/edge/request_limits.go
+++ b/internal/edge/request_limits.go
@@ -48,19 +48,18 @@
 		case !ch.Limited:
 			msg = "Request limit of an upstream ended."
 		}
-		c.log.Info(msg, "upstream", ch.Upstream, "limit", ch.PerSecond, "former", ch.Former, "by_answer", ch.ByAnswer, "coordinated", c.limitsCoordinated)
+		c.log.Info(msg, "upstream", ch.Upstream, "limit", ch.PerSecond, "former", ch.Former, "by_answer", ch.ByAnswer, "coordinated", c.requestLimits.Coordinated())
 		if !ch.Limited {
 			c.refreshTarget(ch.Upstream, now)
 		}
 	}
 }
 
-// setLimitsCoordinated sets whether there is a session with a coordinator that keeps request limits.
+// setLimitsCoordinated sets whether this host is a coordinator that keeps request limits, or has a session with one.
 func (c *core) setLimitsCoordinated(coordinated bool, now time.Time) {
-	if coordinated == c.limitsCoordinated {
+	if coordinated == c.requestLimits.Coordinated() {
 		return
 	}
-	c.limitsCoordinated = coordinated
 	c.requestLimits.SetCoordinated(coordinated, now)
 	c.scheduler.ForgetLimitAsks()
 }
@@ -71,7 +70,7 @@
 		c.limitAnswered(r, now)
 	}
 	for _, a := range c.scheduler.TakeLimitAsks() {
-		if !c.limitsCoordinated {
+		if !c.requestLimits.Coordinated() {
 			continue
 		}
 		c.unsentDeficits = append(c.unsentDeficits, c.requestLimits.Ask(a.Request, a.Upstream, a.MaxWait, now))
--- a/internal/requestlimit/host.go
+++ b/internal/requestlimit/host.go
@@ -294,6 +294,9 @@
 	h.updateLimiter(now)
 }
 
+// Coordinated reports whether there is a session with a coordinator that keeps request limits.
+func (h *Host) Coordinated() bool { return h.coordinated }
+
 // SetCoordinated sets whether there is a session with a coordinator that keeps request limits.
 func (h *Host) SetCoordinated(coordinated bool, now time.Time) {
 	if coordinated == h.coordinated {
