--- a/review/standins/kit/edge.go
+++ b/review/standins/kit/edge.go
@@ -1,6 +1,7 @@
 package kit
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -232,3 +233,22 @@
 	}
 	return false
 }
+
+// holderKey is the key that a machine writes under a condition when it takes over the orders.
+const holderKey = "foxtailpass/coordinator/holder"
+
+// Holder returns the machine that wrote holderKey last, nil if the key is absent.
+func (s *Site) Holder() *Host {
+	var h struct {
+		Host string `json:"host"`
+	}
+	if json.Unmarshal(s.Store.Get(holderKey), &h) != nil {
+		return nil
+	}
+	for _, x := range s.Hosts {
+		if x.Name == h.Host {
+			return x
+		}
+	}
+	return nil
+}
