--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays the case; exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves out the drill: the store stays as it is.
+# Plays the case; exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves out the drill: the store loses nothing.
 # First run the build line of deploy/system.toml and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/foxtailedge ] && [ -x review/bin/holders ] || { echo "build first" >&2; exit 2; }
--- a/review/standins/kit/store.go
+++ b/review/standins/kit/store.go
@@ -28,8 +28,8 @@
 	leases    map[int64]lease
 	lastLease int64
 	away      bool
+	silent    map[string]bool
 	server    *http.Server
-	addr      string
 }
 
 // item is the value of a key.
@@ -66,20 +66,35 @@
 	taken     time.Time
 }
 
-// NewStore starts a store at an address. Its answers name the given era.
-func NewStore(addr string, era int64) (*Store, error) {
-	ln, err := net.Listen("tcp", addr)
-	if err != nil {
-		return nil, err
-	}
-	s := &Store{items: make(map[string]item), leases: make(map[int64]lease), revision: 100, era: era, addr: ln.Addr().String()}
+// NewStore starts a store. It listens at several addresses, one for each machine, so that it can turn single machines away.
+// Its answers name the given era.
+func NewStore(addrs []string, era int64) (*Store, error) {
+	s := &Store{items: make(map[string]item), leases: make(map[int64]lease), revision: 100, era: era, silent: make(map[string]bool)}
 	s.server = &http.Server{Handler: http.HandlerFunc(s.serve)}
-	go func() { _ = s.server.Serve(ln) }()
+	for _, addr := range addrs {
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
+			return nil, err
+		}
+		go func() { _ = s.server.Serve(ln) }()
+	}
 	return s, nil
 }
 
-// Addr returns the address of the store.
-func (s *Store) Addr() string { return s.addr }
+// SetSilent makes the store leave the calls at an address unanswered and not executed, or ends that.
+func (s *Store) SetSilent(addr string, silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent[addr] = silent
+}
+
+// isSilent reports whether the store leaves a call unanswered.
+func (s *Store) isSilent(r *http.Request) bool {
+	addr, ok := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return ok && s.silent[addr.String()]
+}
 
 // Close stops the store.
 func (s *Store) Close() { _ = s.server.Close() }
@@ -186,6 +201,10 @@
 
 func (s *Store) serve(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(storeAnswerTime)
+	if s.isSilent(r) {
+		<-r.Context().Done()
+		return
+	}
 	s.mu.Lock()
 	w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
 	if s.away {
