--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -62,6 +62,7 @@
 func (s *requestSession) beginStream(ex *upstream.Exchange, st step, began time.Time) bool {
 	e := &eventStream{requestSession: s, ex: ex, step: st, began: began}
 	if err := e.fill(); err != nil {
+		ex.Abort()
 		ex.Close()
 		return s.attemptFailed(st, e.result(err), err, began)
 	}
@@ -158,23 +159,17 @@
 			e.recordID(e.buf[e.readyLen:whole])
 			e.readyLen = whole
 		}
-		if errors.Is(err, io.EOF) && e.endsEarly() {
-			if e.readyLen > 0 {
-				// The next read finds the end again.
-				return nil
-			}
-			return io.ErrUnexpectedEOF
-		}
-		if errors.Is(err, io.EOF) {
-			// The upstream ended the answer, so the remaining bytes belong to it.
+		if errors.Is(err, io.EOF) && !e.endsEarly() {
 			e.ended = true
-			e.readyLen = len(e.buf)
 			return nil
 		}
 		if e.readyLen > 0 {
-			// The next read returns the error again.
+			// The next read finds the end, or returns the error, again.
 			return nil
 		}
+		if errors.Is(err, io.EOF) {
+			return io.ErrUnexpectedEOF
+		}
 		if err != nil {
 			return err
 		}
@@ -184,10 +179,18 @@
 	}
 }
 
-// endsEarly reports whether an answer without framing has ended inside an event or before its first one, so that it has
-// been broken off.
+// endsEarly reports whether the upstream, which has ended its answer, has broken the stream off: inside an event, or before
+// the first one. A proper end of the body proves nothing, because the upstream's HTTP library writes it also when the
+// engine stops early. Only a run that goes on after an event may have nothing left to send.
 func (e *eventStream) endsEarly() bool {
-	return e.ex.Unframed() && (len(e.buf) > e.readyLen || !e.begun())
+	unfinished := bytes.TrimLeft(e.buf[e.readyLen:], "\r\n")
+	if len(unfinished) > 0 {
+		return true
+	}
+	if e.begun() || e.requestSession.ctx.IsHead() {
+		return false
+	}
+	return e.ex.Unframed() || e.requestSession.description.LastEvent == ""
 }
 
 // recordPause records the time since the last events.
@@ -226,16 +229,16 @@
 	return limit, true
 }
 
+// emptyLines are the ends of a line and of the empty line after it, which ends an event.
+var emptyLines = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r")}
+
 // wholeEvents returns the length of the whole events at the start of b.
 func wholeEvents(b []byte) int {
-	lf := bytes.LastIndex(b, []byte("\n\n"))
-	crlf := bytes.LastIndex(b, []byte("\r\n\r\n"))
 	end := 0
-	if lf >= 0 {
-		end = lf + 2
-	}
-	if crlf >= 0 {
-		end = max(end, crlf+4)
+	for _, emptyLine := range emptyLines {
+		if i := bytes.LastIndex(b, emptyLine); i >= 0 {
+			end = max(end, i+len(emptyLine))
+		}
 	}
 	return end
 }
@@ -276,6 +279,7 @@
 // resume continues the stream at another upstream after a failure, if the route allows it.
 func (e *eventStream) resume(cause error) error {
 	s := e.requestSession
+	e.ex.Abort()
 	e.ex.Close()
 	e.buf = e.buf[:0]
 	if !s.route.Resumable {
--- a/internal/edge/stream_test.go
+++ b/internal/edge/stream_test.go
@@ -148,3 +148,23 @@
 	}
 	return longestPause, err
 }
+
+// Guards against whole events being taken for unfinished ones because of the ends of their lines.
+func TestWholeEvents(t *testing.T) {
+	for stream, want := range map[string]int{
+		"":                           0,
+		"data: x":                    0,
+		"data: x\n":                  0,
+		"data: x\n\n":                9,
+		"data: x\n\ndata: y\n":       9,
+		"data: x\r\n\r\n":            11,
+		"data: x\n\r\ndata: y":       10,
+		"data: x\r\rdata: y\r":       9,
+		"data: x\n\ndata: y\r\n\r\n": 20,
+		"data: x\n\n\n":              10,
+	} {
+		if got := wholeEvents([]byte(stream)); got != want {
+			t.Errorf("%q: %d bytes of whole events, want %d", stream, got, want)
+		}
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -234,8 +234,11 @@
 	return n, err
 }
 
-// Read implements io.Reader for the body. It returns io.EOF only after the whole body has been read.
+// Read implements io.Reader for the body. It returns io.EOF only after the whole body has been read, and then each time.
 func (e *Exchange) Read(p []byte) (int, error) {
+	if e.complete {
+		return 0, io.EOF
+	}
 	n, err := e.body.Read(p)
 	if !errors.Is(err, io.EOF) {
 		return n, err
@@ -245,7 +248,7 @@
 			return n, terr
 		}
 	}
-	if e.unframed && !e.complete && e.client.HasEnded(context.Background(), e.addr) {
+	if e.unframed && e.client.HasEnded(context.Background(), e.addr) {
 		// The end of the connection is then no proof that the body is complete.
 		return n, io.ErrUnexpectedEOF
 	}
