--- a/internal/edge/watch_apply.go
+++ b/internal/edge/watch_apply.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"encoding/json"
 	"hash/fnv"
 	"maps"
 	"slices"
@@ -211,8 +210,9 @@
 		delete(w.members, id)
 		return
 	}
-	h, _ := w.decodeHolder(e.Pair)
-	if h == nil {
+	h, err := election.DecodeHolder(e.Pair)
+	if err != nil {
+		w.log.Error("Registration of a host cannot be read.", "key", e.Pair.Key, "err", err)
 		h = &election.Holder{}
 	}
 	h.Host = id
@@ -220,39 +220,15 @@
 }
 
 func (w *watcher) applyHolder(e kvstore.Event) {
-	w.election.Holder, w.election.Revision = nil, 0
-	if e.Deleted {
-		return
-	}
-	if h, ok := w.decodeHolder(e.Pair); ok {
-		w.election.Holder, w.election.Revision = h, e.Pair.ModRevision
+	if err := w.election.ApplyHolder(e); err != nil {
+		w.log.Error("Record of the coordinator cannot be read.", "key", e.Pair.Key, "err", err)
 	}
 }
 
 func (w *watcher) applyTerm(e kvstore.Event) {
-	known := w.election.LastRevision
-	w.election.LastRevision = e.Pair.ModRevision
-	term, token, restored, err := election.DecodeTerm(e.Pair)
-	if err != nil {
+	if err := w.election.ApplyTerm(e.Pair); err != nil {
 		w.log.Error("Record of the last coordinator cannot be read.", "key", e.Pair.Key, "err", err)
 	}
-	w.election.LastToken = max(w.election.LastToken, token)
-	if kvstore.EraOf(known) != kvstore.EraOf(e.Pair.ModRevision) && kvstore.WithinEra(e.Pair.ModRevision) < kvstore.WithinEra(known) {
-		// A restored copy holds the record of an earlier term than this host knows.
-		w.election.Restored = true
-		return
-	}
-	w.election.Restored = restored
-	w.election.LastHolder = term.Host
-}
-
-func (w *watcher) decodeHolder(p kvstore.Pair) (*election.Holder, bool) {
-	var h election.Holder
-	if err := json.Unmarshal(p.Value, &h); err != nil {
-		w.log.Error("Registration of a host cannot be read.", "key", p.Key, "err", err)
-		return nil, false
-	}
-	return &h, true
 }
 
 func (w *watcher) sortedMembers() []entity.HostID {
--- a/internal/edge/watch_pending.go
+++ b/internal/edge/watch_pending.go
@@ -160,17 +160,13 @@
 	return lost
 }
 
-// startEra prepares the view for the first complete read after a restore. What the election wrote since the copy is
-// lost: the conditions of a campaign refer to what the service holds now, but the last holder stays known.
+// startEra prepares the view for the first complete read after a restore.
 func (w *watcher) startEra(events []kvstore.Event, revision int64) {
 	w.log.Warn("Key-value service was restored from an older copy.", "era", kvstore.EraOf(revision), "former", kvstore.EraOf(w.revision),
 		"revision", kvstore.WithinEra(revision), "former_revision", kvstore.WithinEra(w.revision))
 	w.relayAllUntil = boottime.Now().Add(relayAllTime)
 	hasTerm := slices.ContainsFunc(events, func(e kvstore.Event) bool { return e.Pair.Key == w.prefix+election.TermKey })
-	if !hasTerm && w.election.LastRevision != 0 {
-		w.election.LastRevision = kvstore.JoinRevision(kvstore.EraOf(revision), 0)
-		w.election.Restored = true
-	}
+	w.election.StartEra(revision, hasTerm)
 }
 
 // isReleaseKey reports whether a key is that of the record of a release.
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -120,28 +120,6 @@
 // New returns a Candidate that does not campaign before Observe is called.
 func New(o Options) *Candidate { return &Candidate{opts: o, wake: make(chan struct{}, 1)} }
 
-// Observation is the state of the election in the key-value service and among the registered hosts.
-type Observation struct {
-	// Holder is nil when no host holds the coordinator lease. Revision is the revision of HolderKey.
-	Holder   *Holder
-	Revision int64
-	// LastHolder is the most recent holder, even if it has lost the coordinator lease, and LastRevision is the
-	// revision of TermKey. Both are zero when no host has ever held the lease.
-	LastHolder   entity.HostID
-	LastRevision int64
-	// LastToken is the highest fencing token known, and Restored reports whether the key-value service was restored from
-	// an older copy since TermKey was written. Then LastHolder is what this host remembers, and the lease of the last
-	// holder may still run by that host's clock.
-	LastToken int64
-	Restored  bool
-	// Rank is the position of this host among the candidates, zero for the first.
-	Rank int
-	// LastRegistered reports whether the most recent holder is registered.
-	LastRegistered bool
-	// Outranked reports whether a much stronger host is registered.
-	Outranked bool
-}
-
 // Observe replaces the observed state of the election.
 func (c *Candidate) Observe(o Observation) {
 	c.mu.Lock()
--- /dev/null
+++ b/internal/election/observation.go
@@ -0,0 +1,79 @@
+package election
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
+)
+
+// Observation is the state of the election in the key-value service and among the registered hosts.
+type Observation struct {
+	// Holder is nil when no host holds the coordinator lease. Revision is the revision of HolderKey.
+	Holder   *Holder
+	Revision int64
+	// LastHolder is the most recent holder, even if it has lost the coordinator lease, and LastRevision is the
+	// revision of TermKey. Both are zero when no host has ever held the lease.
+	LastHolder   entity.HostID
+	LastRevision int64
+	// LastToken is the highest fencing token known, and Restored reports whether the key-value service was restored from
+	// an older copy since TermKey was written. Then LastHolder is what this host remembers, and the lease of the last
+	// holder may still run by that host's clock.
+	LastToken int64
+	Restored  bool
+	// Rank is the position of this host among the candidates, zero for the first.
+	Rank int
+	// LastRegistered reports whether the most recent holder is registered.
+	LastRegistered bool
+	// Outranked reports whether a much stronger host is registered.
+	Outranked bool
+}
+
+// StartEra prepares for the first complete read after a restore, at a revision. What the election wrote since the copy is
+// lost: the conditions of a campaign refer to what the service holds now, but the last holder stays known. hasTerm reports
+// whether the service holds TermKey.
+func (o *Observation) StartEra(revision int64, hasTerm bool) {
+	if !hasTerm && o.LastRevision != 0 {
+		o.LastRevision = kvstore.JoinRevision(kvstore.EraOf(revision), 0)
+		o.Restored = true
+	}
+}
+
+// ApplyHolder applies a change of HolderKey.
+func (o *Observation) ApplyHolder(e kvstore.Event) error {
+	o.Holder, o.Revision = nil, 0
+	if e.Deleted {
+		return nil
+	}
+	h, err := DecodeHolder(e.Pair)
+	if err == nil {
+		o.Holder, o.Revision = h, e.Pair.ModRevision
+	}
+	return err
+}
+
+// ApplyTerm applies a value of TermKey.
+func (o *Observation) ApplyTerm(p kvstore.Pair) error {
+	known := o.LastRevision
+	o.LastRevision = p.ModRevision
+	term, token, restored, err := DecodeTerm(p)
+	o.LastToken = max(o.LastToken, token)
+	if kvstore.EraOf(known) != kvstore.EraOf(p.ModRevision) && kvstore.WithinEra(p.ModRevision) < kvstore.WithinEra(known) {
+		// A restored copy holds the record of an earlier term than this host knows.
+		o.Restored = true
+		return err
+	}
+	o.Restored = restored
+	o.LastHolder = term.Host
+	return err
+}
+
+// DecodeHolder decodes a Holder, the value of HolderKey or of the registration of a host.
+func DecodeHolder(p kvstore.Pair) (*Holder, error) {
+	var h Holder
+	if err := json.Unmarshal(p.Value, &h); err != nil {
+		return nil, fmt.Errorf("election: holder: %w", err)
+	}
+	return &h, nil
+}
