--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"log/slog"
 	"sync"
@@ -115,6 +114,8 @@
 	expiresAt time.Time
 	// lastToken is the fencing token of the newest lease of this process, zero if it has held none.
 	lastToken int64
+	// ordersFrom is the earliest time at which this process may send orders, as far as its campaigns have found.
+	ordersFrom time.Time
 }
 
 // New returns a Candidate that does not campaign before Observe is called.
@@ -257,6 +258,7 @@
 		c.opts.Log.Warn("Campaign failed.", "step", "grant", "err", err)
 		return nil, 0, sent
 	}
+	from := c.firstOrderAt(o, c.opts.Now())
 	term := NewTerm(c.opts.Self, o)
 	res, err := c.opts.KV.Txn(cctx, kvstore.Txn{
 		Compares: []kvstore.Compare{
@@ -268,22 +270,19 @@
 			kvstore.Put(c.opts.Prefix+TermKey, encode(term)),
 		},
 	})
-	revision := res.Revision
+	revision, won := res.Revision, err == nil && res.Succeeded
 	if errors.Is(err, kvstore.ErrUnknown) {
-		// The answer may be lost: the key shows whether the write took effect.
-		revision, err = c.readOwnRevision(ctx)
-		res.Succeeded = err == nil && revision > 0
+		revision, won, err = c.readOwnTerm(ctx, term)
+		c.opts.Log.Warn("Answer to a campaign lost.", "done", won, "campaign", term.Campaign, "lease", serviceLease, "err", err)
+		if !won {
+			// A write that is done late would bind the right to a lease that nobody renews.
+			c.release(serviceLease)
+		}
 	}
-	if err != nil || !res.Succeeded {
+	if !won {
 		c.opts.Log.Info("Campaign lost.", "err", err)
 		return nil, 0, sent
 	}
-	from := c.opts.Now()
-	if o.LastRevision > 0 && !c.wasLast(o) {
-		// The successful write proves that no host has held the coordinator lease since this host observed
-		// that it was vacant.
-		from = c.firstOrderAt(o, from)
-	}
 	token := term.Token(revision)
 	c.mu.Lock()
 	c.lastToken = token
@@ -291,11 +290,25 @@
 	return &CoordinatorLease{Token: token, Revision: revision, From: from}, serviceLease, sent
 }
 
-// firstOrderAt returns when a successor may send its first order. The last holder whose record was lost in a restore may
-// have renewed its lease until then.
+// firstOrderAt returns when a holder that campaigns now may send its first order, if it wins: the successful write proves
+// that no host has held the coordinator lease since this host observed that it was vacant. A campaign whose answer was lost
+// may have been won, so a later one must not take its record for a proof that this host has already waited.
 func (c *Candidate) firstOrderAt(o Observation, now time.Time) time.Time {
+	last := c.wasLast(o)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if from := c.successorFrom(o, now); o.LastRevision > 0 && !last && from.After(c.ordersFrom) {
+		c.ordersFrom = from
+	}
+	if c.ordersFrom.After(now) {
+		return c.ordersFrom
+	}
+	return now
+}
+
+// successorFrom returns when a successor of another host may send its first order. The last holder whose record was lost in
+// a restore may have renewed its lease until then. The caller must hold c.mu.
+func (c *Candidate) successorFrom(o Observation, now time.Time) time.Time {
 	from := now.Add(c.opts.OrderGap)
 	if o.Holder == nil {
 		from = c.vacantSince.Add(c.opts.OrderGap)
@@ -303,28 +316,23 @@
 	if o.Restored {
 		from = from.Add(leaseTTL)
 	}
-	if from.Before(now) {
-		return now
-	}
 	return from
 }
 
-// readOwnRevision returns the revision of the holder key if it names this process, else 0.
-func (c *Candidate) readOwnRevision(ctx context.Context) (int64, error) {
+// readOwnTerm reads whether a campaign whose answer was lost was won, and the revision of its record. Only the identity of
+// the campaign proves that: after a restore the records name this process because they hold what it wrote long ago.
+func (c *Candidate) readOwnTerm(ctx context.Context, own Term) (revision int64, won bool, err error) {
 	cctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	pair, _, err := c.opts.KV.Get(cctx, c.opts.Prefix+HolderKey)
+	pair, _, err := c.opts.KV.Get(cctx, c.opts.Prefix+TermKey)
 	if err != nil || pair == nil {
-		return 0, err
+		return 0, false, err
 	}
-	var h Holder
-	if err := json.Unmarshal(pair.Value, &h); err != nil {
-		return 0, err
-	}
-	if h != c.opts.Self {
-		return 0, nil
+	term, _, _, err := DecodeTerm(*pair)
+	if err != nil {
+		return 0, false, err
 	}
-	return pair.ModRevision, nil
+	return pair.ModRevision, term.Campaign == own.Campaign, nil
 }
 
 // holdUntilLost keeps the coordinator lease until it is lost or released, or ctx ends.
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -416,7 +416,7 @@
 		{"vacant after a restore", Observation{LastRevision: 9, Restored: true}, 3*time.Second + leaseTTL},
 		{"copy names this host", Observation{Holder: &Holder{Host: "a"}, LastHolder: "a", LastRevision: 9, Restored: true}, 3*time.Second + leaseTTL},
 	} {
-		if from := c.firstOrderAt(x.o, now); from.Sub(now) != x.want {
+		if from := c.successorFrom(x.o, now); from.Sub(now) != x.want {
 			t.Errorf("%s: first order after %v, want %v", x.name, from.Sub(now), x.want)
 		}
 	}
--- a/internal/election/term.go
+++ b/internal/election/term.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 
+	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 )
 
@@ -11,6 +12,8 @@
 // as fencing token.
 type Term struct {
 	Holder
+	// Campaign identifies the write of this record among all that any process has made.
+	Campaign string `json:"campaign,omitempty"`
 	// Era is that of the key-value service when the term began.
 	Era int64 `json:"era,omitempty"`
 	// TokenFloor is the highest fencing token that was known then. Restored is set if former tokens may have been lost in a
@@ -19,10 +22,14 @@
 	Restored   bool  `json:"restored,omitempty"`
 }
 
+// campaignIDBytes is the length of the identity of a campaign.
+const campaignIDBytes = 16
+
 // NewTerm returns the record of a term that a host begins.
 func NewTerm(self Holder, o Observation) Term {
 	return Term{
 		Holder:     self,
+		Campaign:   entity.RandomHex(campaignIDBytes),
 		Era:        int64(kvstore.EraOf(o.LastRevision)),
 		TokenFloor: o.LastToken,
 		Restored:   o.Restored || kvstore.WithinEra(o.LastRevision) == 0,
