--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -342,7 +342,7 @@
 	}
 	c.opts.Log.Info("Right to give orders won.", "token", coordinatorLease.Token, "from_in", coordinatorLease.From.Sub(c.opts.Now()))
 	c.opts.OnChange(&coordinatorLease)
-	reason := c.renewUntilLost(ctx, serviceLease)
+	reason := c.renewUntilLost(ctx, coordinatorLease, serviceLease)
 	c.mu.Lock()
 	c.expiresAt = time.Time{}
 	// The observation from before the loss is out of date.
@@ -367,12 +367,12 @@
 	err  error
 }
 
-// renewUntilLost renews the service lease until the service reports that it has expired, the holder yields,
-// or the host stops. While the service does not answer, the coordinator lease expires by this host's clock.
+// renewUntilLost renews the service lease until the service reports that it has expired, the records of the election show
+// that the holder key has gone, the holder yields, or the host stops. While the service does not answer, the coordinator lease expires by this host's clock.
 // A renewal that succeeds afterwards proves that the service lease, and with it the holder key, still
 // exists, so no other host can have held the coordinator lease in the meantime. After a restore of the service no
 // renewal of the lease succeeds.
-func (c *Candidate) renewUntilLost(ctx context.Context, serviceLease kvstore.LeaseID) string {
+func (c *Candidate) renewUntilLost(ctx context.Context, coordinatorLease CoordinatorLease, serviceLease kvstore.LeaseID) string {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan renewalResult)
@@ -390,6 +390,10 @@
 			if c.outranked() {
 				return reasonYielded
 			}
+		case <-c.wake:
+			if c.superseded(coordinatorLease) {
+				return "the holder key has gone"
+			}
 		case <-due.C:
 			go c.renew(ctx, serviceLease, answers)
 			due.Reset(renewHedgeDelay)
@@ -410,6 +414,19 @@
 	}
 }
 
+// superseded reports whether the observation shows that the holder key of a lease has gone: the key is the right, and a
+// service lease that is renewed proves nothing without it.
+func (c *Candidate) superseded(l CoordinatorLease) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o := c.observation
+	if !c.hasObservation || o.LastRevision < l.Revision {
+		// The observation is from before the campaign.
+		return false
+	}
+	return o.LastRevision > l.Revision || o.Holder == nil || o.Revision != l.Revision
+}
+
 // outranked reports whether a much stronger host is registered.
 func (c *Candidate) outranked() bool {
 	c.mu.Lock()
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -320,6 +320,35 @@
 	return res, err
 }
 
+// Guards against a holder that goes on because its service lease is renewed, although its key has gone or belongs to another
+// host (issue 40, ONE).
+func TestHolderEndsWithItsKey(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		op   kvstore.Op
+		want bool
+	}{
+		{"key deleted", kvstore.Op{Kind: kvstore.OpDelete, Key: HolderKey}, true},
+		{"term of another host", kvstore.Put(TermKey, encode(Holder{Host: "b"})), true},
+		{"something else written", kvstore.Put("noise", nil), false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runWithStore(t, func(ctx context.Context, store *kv.Store) {
+				a := newTestNode(ctx, store, "a", "1", 0)
+				time.Sleep(2 * time.Second)
+				if _, err := store.Txn(ctx, kvstore.Txn{Success: []kvstore.Op{c.op}}); err != nil {
+					t.Fatal(err)
+				}
+				a.Stop()
+				time.Sleep(time.Second)
+				if a.HoldsLease() == c.want {
+					t.Errorf("the host holds the right: %v, want %v", a.HoldsLease(), !c.want)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a lease that its holder does not use because the answer to the campaign was lost.
 func TestLostCampaignAnswerIsReadBack(t *testing.T) {
 	runWithStore(t, func(ctx context.Context, store *kv.Store) {
