--- a/internal/edge/watch_apply.go
+++ b/internal/edge/watch_apply.go
@@ -42,6 +42,7 @@
 		}
 	}
 	w.advanceRevision(revision)
+	w.election.Era = kvstore.EraOf(w.revision)
 	w.sendBatch(out)
 	w.observeElection(w.election)
 	w.send(revisionAdvanced{changes: out.relevant, revision: revision, began: began})
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -297,7 +297,7 @@
 	last := c.wasLast(o)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if from := c.successorFrom(o, now); o.LastRevision > 0 && !last && from.After(c.ordersFrom) {
+	if from := c.successorFrom(o, now); o.mayHavePredecessor() && !last && from.After(c.ordersFrom) {
 		c.ordersFrom = from
 	}
 	if c.ordersFrom.After(now) {
@@ -313,7 +313,7 @@
 	if o.Holder == nil {
 		from = c.vacantSince.Add(c.opts.OrderGap)
 	}
-	if o.Restored {
+	if o.Restored || o.LastRevision == 0 {
 		from = from.Add(leaseTTL)
 	}
 	return from
--- a/internal/election/model_test.go
+++ b/internal/election/model_test.go
@@ -25,6 +25,8 @@
 	modelReadPause = 400 * time.Millisecond
 	// sampleInterval is how often the rights of the hosts are compared.
 	sampleInterval = 20 * time.Millisecond
+	// startTime is the time before the first event. The first holder sends orders by then.
+	startTime = 6 * time.Second
 	// settleTime is the time after the last event in which the rights are still compared.
 	settleTime = 14 * time.Second
 	// lateWrite is how late a write without an answer is done.
@@ -343,6 +345,7 @@
 // observe applies a complete read at a revision to an observation that was made at an earlier one.
 func observe(o *Observation, items map[string]kvstore.Pair, former, now int64) {
 	era := kvstore.EraOf(now)
+	o.Era = era
 	term, hasTerm := items[TermKey]
 	if former != 0 && kvstore.EraOf(former) != era {
 		o.StartEra(now, hasTerm)
@@ -483,7 +486,7 @@
 			n.start(ctx)
 		}
 		p.sender, p.former = p.nodes[0], p.nodes[1]
-		p.wait(3 * time.Second)
+		p.wait(startTime)
 		for _, s := range steps {
 			p.wait(s.gap)
 			s.event.play(ctx, p)
@@ -537,3 +540,13 @@
 		}
 	}
 }
+
+// Guards against a process that starts after a restore and believes the copy that it was the last holder, where the copy
+// holds the first term of a site (issue 40, review case 2: two holders at once).
+func TestProcessStartedAfterRestoreOfFirstTermWaits(t *testing.T) {
+	for _, gap := range eventGaps {
+		reportFault(t, []modelStep{step(gap, "holder ends"), step(900*time.Millisecond, "restore after a long absence")})
+		reportFault(t, []modelStep{step(gap, "restore after a long absence"), step(50*time.Millisecond, "former holder restarts")})
+		reportFault(t, []modelStep{step(gap, "restore after a long absence"), step(900*time.Millisecond, "former holder restarts")})
+	}
+}
--- a/internal/election/observation.go
+++ b/internal/election/observation.go
@@ -22,6 +22,8 @@
 	// holder may still run by that host's clock.
 	LastToken int64
 	Restored  bool
+	// Era is that of the key-value service when it was last read.
+	Era kvstore.Era
 	// Rank is the position of this host among the candidates, zero for the first.
 	Rank int
 	// LastRegistered reports whether the most recent holder is registered.
@@ -30,6 +32,10 @@
 	Outranked bool
 }
 
+// mayHavePredecessor reports whether a host may have held the coordinator lease before. Where the service names its era, it
+// may have come back from a copy that is older than the first term.
+func (o Observation) mayHavePredecessor() bool { return o.LastRevision > 0 || o.Era > 0 }
+
 // StartEra prepares for the first complete read after a restore, at a revision. What the election wrote since the copy is
 // lost: the conditions of a campaign refer to what the service holds now, but the last holder stays known. hasTerm reports
 // whether the service holds TermKey.
--- a/internal/election/term.go
+++ b/internal/election/term.go
@@ -30,7 +30,7 @@
 	return Term{
 		Holder:     self,
 		Campaign:   entity.RandomHex(campaignIDBytes),
-		Era:        int64(kvstore.EraOf(o.LastRevision)),
+		Era:        int64(o.Era),
 		TokenFloor: o.LastToken,
 		Restored:   o.Restored || kvstore.WithinEra(o.LastRevision) == 0,
 	}
@@ -45,12 +45,13 @@
 	return max(t.TokenFloor+1, revision)
 }
 
-// DecodeTerm decodes the value of TermKey. restored reports whether the service was restored since it was written.
+// DecodeTerm decodes the value of TermKey. restored reports whether the service was restored since it was written. A record
+// that names no era tells nothing where the service does, so it counts as restored.
 func DecodeTerm(p kvstore.Pair) (t Term, token int64, restored bool, err error) {
 	if err := json.Unmarshal(p.Value, &t); err != nil {
 		return t, 0, false, fmt.Errorf("election: term: %w", err)
 	}
-	restored = t.Era != 0 && kvstore.Era(t.Era) != kvstore.EraOf(p.ModRevision)
+	restored = kvstore.Era(t.Era) != kvstore.EraOf(p.ModRevision)
 	return t, t.Token(p.ModRevision), restored, nil
 }
 
