--- a/internal/edge/watch_apply.go
+++ b/internal/edge/watch_apply.go
@@ -96,6 +96,8 @@
 	case key == w.prefix+election.HolderKey:
 		out.holder = true
 		w.applyHolder(e)
+	case key == w.prefix+election.OrdersKey:
+		w.election.ApplyOrders(e)
 	case key == w.prefix+election.TermKey && !e.Deleted:
 		out.holder = true
 		w.applyTerm(e)
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -58,6 +58,9 @@
 	// TermKey is written with every change of the holder and is never deleted. If it is absent, no host has
 	// ever held the coordinator lease.
 	TermKey = "coordinator/term"
+	// OrdersKey names the campaign of the last holder that has waited for its predecessor. A process that starts anew on
+	// the host of a holder need not wait again then.
+	OrdersKey = "coordinator/orders"
 )
 
 // Holder is the value of HolderKey.
@@ -82,6 +85,9 @@
 	Token, Revision int64
 	// From is the time from which orders may be sent.
 	From time.Time
+	// campaign identifies the campaign, and waits is set if From was later than it.
+	campaign string
+	waits    bool
 }
 
 // Options configures a Candidate.
@@ -114,6 +120,8 @@
 	expiresAt time.Time
 	// lastToken is the fencing token of the newest lease of this process, zero if it has held none.
 	lastToken int64
+	// lastCampaign is the identity of the newest campaign of this process, won or not.
+	lastCampaign string
 	// ordersFrom is the earliest time at which this process may send orders, as far as its campaigns have found.
 	ordersFrom time.Time
 }
@@ -175,15 +183,19 @@
 	return o, o.Holder.Host == c.opts.Self.Host
 }
 
-// wasLast reports whether the last holder was this host, so that no other host can have sent orders since. After a
-// restore only a process that remembers its own lease knows that.
+// wasLast reports whether the last holder was this host, so that no other host can have sent orders since. A term that
+// began with a wait proves that only once the wait was over, or to the process that remembers it. After a restore only a
+// process that remembers its own lease knows.
 func (c *Candidate) wasLast(o Observation) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if o.Restored {
 		return c.lastToken != 0 && c.lastToken == o.LastToken
 	}
-	return o.LastHolder == c.opts.Self.Host
+	if o.LastHolder != c.opts.Self.Host {
+		return false
+	}
+	return o.ordersBegan() || o.LastCampaign == c.lastCampaign
 }
 
 // Run campaigns until ctx ends.
@@ -258,8 +270,13 @@
 		c.opts.Log.Warn("Campaign failed.", "step", "grant", "err", err)
 		return nil, 0, sent
 	}
-	from := c.firstOrderAt(o, c.opts.Now())
+	now := c.opts.Now()
+	from := c.firstOrderAt(o, now)
 	term := NewTerm(c.opts.Self, o)
+	term.Waits = from.After(now)
+	c.mu.Lock()
+	c.lastCampaign = term.Campaign
+	c.mu.Unlock()
 	res, err := c.opts.KV.Txn(cctx, kvstore.Txn{
 		Compares: []kvstore.Compare{
 			kvstore.Unchanged(c.opts.Prefix+HolderKey, o.Revision),
@@ -287,7 +304,7 @@
 	c.mu.Lock()
 	c.lastToken = token
 	c.mu.Unlock()
-	return &CoordinatorLease{Token: token, Revision: revision, From: from}, serviceLease, sent
+	return &CoordinatorLease{Token: token, Revision: revision, From: from, campaign: term.Campaign, waits: term.Waits}, serviceLease, sent
 }
 
 // firstOrderAt returns when a holder that campaigns now may send its first order, if it wins: the successful write proves
@@ -382,6 +399,8 @@
 	var lastErr error
 	yield := time.NewTicker(yieldCheckInterval)
 	defer yield.Stop()
+	ordersBegin := time.NewTimer(coordinatorLease.From.Sub(c.opts.Now()))
+	defer ordersBegin.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -394,6 +413,10 @@
 			if c.superseded(coordinatorLease) {
 				return "the holder key has gone"
 			}
+		case <-ordersBegin.C:
+			if coordinatorLease.waits {
+				go c.recordOrdersBegin(ctx, coordinatorLease)
+			}
 		case <-due.C:
 			go c.renew(ctx, serviceLease, answers)
 			due.Reset(renewHedgeDelay)
@@ -414,6 +437,19 @@
 	}
 }
 
+// recordOrdersBegin records that the wait of a holder is over. If it fails, a process that starts anew waits once more.
+func (c *Candidate) recordOrdersBegin(ctx context.Context, l CoordinatorLease) {
+	cctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := c.opts.KV.Txn(cctx, kvstore.Txn{
+		Compares: []kvstore.Compare{kvstore.Unchanged(c.opts.Prefix+TermKey, l.Revision)},
+		Success:  []kvstore.Op{kvstore.Put(c.opts.Prefix+OrdersKey, []byte(l.campaign))},
+	})
+	if err != nil {
+		c.opts.Log.Warn("Start of orders not recorded.", "err", err)
+	}
+}
+
 // superseded reports whether the observation shows that the holder key of a lease has gone: the key is the right, and a
 // service lease that is renewed proves nothing without it.
 func (c *Candidate) superseded(l CoordinatorLease) bool {
--- a/internal/election/model_test.go
+++ b/internal/election/model_test.go
@@ -353,6 +353,8 @@
 	holder, hasHolder := items[HolderKey]
 	holder.ModRevision = kvstore.JoinRevision(era, holder.ModRevision)
 	_ = o.ApplyHolder(kvstore.Event{Deleted: !hasHolder, Pair: holder})
+	orders, hasOrders := items[OrdersKey]
+	o.ApplyOrders(kvstore.Event{Deleted: !hasOrders, Pair: orders})
 	term.ModRevision = kvstore.JoinRevision(era, term.ModRevision)
 	if hasTerm && term.ModRevision != o.LastRevision {
 		_ = o.ApplyTerm(term)
@@ -375,11 +377,13 @@
 	{"holder ends", func(ctx context.Context, p *modelPlay) { p.restart(ctx, p.holder(), 5*time.Second) }},
 	{"former holder restarts", func(ctx context.Context, p *modelPlay) { p.restart(ctx, p.former, 300*time.Millisecond) }},
 	{"holder is turned away", func(_ context.Context, p *modelPlay) { p.holder().turnAway(4 * time.Second) }},
+	{"holder is turned away for long", func(_ context.Context, p *modelPlay) { p.holder().turnAway(9 * time.Second) }},
+	{"every host restarts", func(ctx context.Context, p *modelPlay) { p.restartAll(ctx, 300*time.Millisecond) }},
 	{"holder stands still", func(_ context.Context, p *modelPlay) { p.holder().freeze(3 * time.Second) }},
 }
 
 // eventGaps are the times between an event and the one before it.
-var eventGaps = []time.Duration{50 * time.Millisecond, 900 * time.Millisecond, 4 * time.Second}
+var eventGaps = []time.Duration{50 * time.Millisecond, 900 * time.Millisecond, 4 * time.Second, 7 * time.Second}
 
 func (n *modelNode) turnAway(d time.Duration) {
 	n.mu.Lock()
@@ -429,6 +433,12 @@
 	})
 }
 
+func (p *modelPlay) restartAll(ctx context.Context, down time.Duration) {
+	for _, n := range p.nodes {
+		p.restart(ctx, n, down)
+	}
+}
+
 // canOrder returns the fencing token of a host that has the right to send orders, zero if it has none.
 func (n *modelNode) canOrder() int64 {
 	n.mu.Lock()
@@ -550,3 +560,11 @@
 		reportFault(t, []modelStep{step(gap, "restore after a long absence"), step(900*time.Millisecond, "former holder restarts")})
 	}
 }
+
+// Guards against a process that starts on the host of a holder which still waited for its predecessor, and sends orders at
+// once (issue 40, ONE: an early handover).
+func TestProcessStartedDuringWaitOfHolderWaits(t *testing.T) {
+	for gap := 3400 * time.Millisecond; gap < 5*time.Second; gap += 200 * time.Millisecond {
+		reportFault(t, []modelStep{step(900*time.Millisecond, "holder is turned away"), step(gap, "former holder restarts")})
+	}
+}
--- a/internal/election/observation.go
+++ b/internal/election/observation.go
@@ -17,6 +17,11 @@
 	// revision of TermKey. Both are zero when no host has ever held the lease.
 	LastHolder   entity.HostID
 	LastRevision int64
+	// LastCampaign identifies the last term, and LastWaits reports whether its holder had to wait for its predecessor.
+	// OrdersCampaign is the value of OrdersKey.
+	LastCampaign   string
+	LastWaits      bool
+	OrdersCampaign string
 	// LastToken is the highest fencing token known, and Restored reports whether the key-value service was restored from
 	// an older copy since TermKey was written. Then LastHolder is what this host remembers, and the lease of the last
 	// holder may still run by that host's clock.
@@ -72,9 +77,23 @@
 	}
 	o.Restored = restored
 	o.LastHolder = term.Host
+	o.LastCampaign, o.LastWaits = term.Campaign, term.Waits
 	return err
 }
 
+// ApplyOrders applies a change of OrdersKey.
+func (o *Observation) ApplyOrders(e kvstore.Event) {
+	o.OrdersCampaign = ""
+	if !e.Deleted {
+		o.OrdersCampaign = string(e.Pair.Value)
+	}
+}
+
+// ordersBegan reports whether the last holder had no predecessor to wait for, or its wait is over.
+func (o Observation) ordersBegan() bool {
+	return !o.LastWaits || o.OrdersCampaign == o.LastCampaign
+}
+
 // DecodeHolder decodes a Holder, the value of HolderKey or of the registration of a host.
 func DecodeHolder(p kvstore.Pair) (*Holder, error) {
 	var h Holder
--- a/internal/election/term.go
+++ b/internal/election/term.go
@@ -14,6 +14,8 @@
 	Holder
 	// Campaign identifies the write of this record among all that any process has made.
 	Campaign string `json:"campaign,omitempty"`
+	// Waits is set if the holder had to wait for its predecessor before its first order.
+	Waits bool `json:"waits,omitempty"`
 	// Era is that of the key-value service when the term began.
 	Era int64 `json:"era,omitempty"`
 	// TokenFloor is the highest fencing token that was known then. Restored is set if former tokens may have been lost in a
