--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -120,6 +120,10 @@
 	expiresAt time.Time
 	// lastToken is the fencing token of the newest lease of this process, zero if it has held none.
 	lastToken int64
+	// leaseUntil is the earliest time at which the service can have ended the newest lease, and eraSeenAt is when this
+	// process first observed the service in its current era.
+	leaseUntil time.Time
+	eraSeenAt  time.Time
 	// lastCampaign is the identity of the newest campaign of this process, won or not.
 	lastCampaign string
 	// ordersFrom is the earliest time at which this process may send orders, as far as its campaigns have found.
@@ -135,6 +139,9 @@
 	if o.Holder == nil && (!c.hasObservation || c.observation.Holder != nil || c.observation.LastRevision != o.LastRevision) {
 		c.vacantSince = c.opts.Now()
 	}
+	if c.eraSeenAt.IsZero() || c.observation.Era != o.Era {
+		c.eraSeenAt = c.opts.Now()
+	}
 	c.hasObservation = true
 	c.observation = o
 	c.mu.Unlock()
@@ -185,12 +192,12 @@
 
 // wasLast reports whether the last holder was this host, so that no other host can have sent orders since. A term that
 // began with a wait proves that only once the wait was over, or to the process that remembers it. After a restore only a
-// process that remembers its own lease knows.
+// process knows whose lease had not ended before it.
 func (c *Candidate) wasLast(o Observation) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if o.Restored {
-		return c.lastToken != 0 && c.lastToken == o.LastToken
+		return c.lastToken != 0 && c.lastToken == o.LastToken && !c.eraSeenAt.After(c.leaseUntil)
 	}
 	if o.LastHolder != c.opts.Self.Host {
 		return false
@@ -487,6 +494,9 @@
 func (c *Candidate) extend(sent time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if until := sent.Add(leaseTTL); until.After(c.leaseUntil) {
+		c.leaseUntil = until
+	}
 	if expiresAt := sent.Add(leaseTTL - safetyMargin); expiresAt.After(c.expiresAt) {
 		c.expiresAt = expiresAt
 	}
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -453,10 +453,15 @@
 	if c.wasLast(restored) || c.delay(restored) == 0 {
 		t.Error("a process that has held no lease takes itself for the last holder because a copy says so")
 	}
-	c.lastToken = 7
+	c.lastToken, c.eraSeenAt, c.leaseUntil = 7, now, now
 	if !c.wasLast(restored) || c.delay(restored) != 0 {
 		t.Error("the last holder does not go on at once")
 	}
+	c.eraSeenAt = now.Add(time.Millisecond)
+	if c.wasLast(restored) {
+		t.Error("a holder whose lease may have ended before the restore takes itself for the last one")
+	}
+	c.eraSeenAt = now
 	restored.LastToken = 8
 	if c.wasLast(restored) {
 		t.Error("a former holder takes itself for the last one although it knows of a later term")
--- a/internal/election/model_test.go
+++ b/internal/election/model_test.go
@@ -568,3 +568,19 @@
 		reportFault(t, []modelStep{step(900*time.Millisecond, "holder is turned away"), step(gap, "former holder restarts")})
 	}
 }
+
+// Guards against a former holder that goes on at once after a restore because the copy names it, although its lease had ended
+// before and another host holds the right by its clock (issue 40, ONE).
+func TestFormerHolderWaitsAfterRestore(t *testing.T) {
+	reportFault(t, []modelStep{
+		step(50*time.Millisecond, "holder restarts"),
+		step(7*time.Second, "holder is turned away"),
+		step(4*time.Second, "restore after a long absence"),
+	})
+	reportFault(t, []modelStep{
+		step(900*time.Millisecond, "holder stands still"),
+		step(4*time.Second, "lost answer, done late"),
+		step(4*time.Second, "holder is turned away for long"),
+		step(7*time.Second, "restore after a long absence"),
+	})
+}
