--- a/internal/edge/frontend.go
+++ b/internal/edge/frontend.go
@@ -89,7 +89,9 @@
 		NoDefaultContentType:  true,
 		CloseOnShutdown:       true,
 		ErrorHandler:          f.handleReadError,
-		Logger:                debugLogger{f.log},
+		// Upstreams get the bytes of a body as they came. A form that the library has parsed is encoded anew.
+		DisablePreParseMultipartForm: true,
+		Logger:                       debugLogger{f.log},
 	}
 	return f
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -114,6 +114,8 @@
 		CloseOnShutdown:       true,
 		ErrorHandler:          g.handleReadError,
 		Logger:                quietLogger{o.Log},
+		// Upstreams get the bytes of a body as they came. A form that the library has parsed is encoded anew.
+		DisablePreParseMultipartForm: true,
 	}
 	return g
 }
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -148,12 +148,13 @@
 	}
 	ln := listener.New(tcp)
 	server := &fasthttp.Server{
-		Handler:               s.handle,
-		MaxRequestBodySize:    maxBodyBytes,
-		ReadBufferSize:        16 << 10,
-		NoDefaultServerHeader: true,
-		CloseOnShutdown:       true,
-		Logger:                discard{},
+		Handler:                      s.handle,
+		MaxRequestBodySize:           maxBodyBytes,
+		ReadBufferSize:               16 << 10,
+		NoDefaultServerHeader:        true,
+		CloseOnShutdown:              true,
+		DisablePreParseMultipartForm: true,
+		Logger:                       discard{},
 	}
 	done := make(chan struct{})
 	s.addr, s.ln, s.server, s.done = ln.Addr().String(), ln, server, done
--- a/test/faults/callers_input_test.go
+++ b/test/faults/callers_input_test.go
@@ -62,6 +62,7 @@
 		{"large header", with(post(path, good), "X-Large", strings.Repeat("h", 20<<10)), 431, "header_too_large"},
 		{"body larger than the configured limit", post(path, strings.Repeat("x", 2<<20)), 413, "body_too_large"},
 		{"method", harness.Request{Method: "DELETE", Path: path, Key: key}, 405, "method_not_allowed"},
+		{"body that only says it is a form", with(harness.Request{Method: "POST", Path: "/open/x", Body: "no form"}, "Content-Type", "multipart/form-data; boundary=b"), 200, ""},
 		{"HEAD on an open route", harness.Request{Method: "HEAD", Path: "/open/x"}, 200, ""},
 	} {
 		a := s.Hosts[0].Do(c.request)
