--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -242,6 +242,6 @@
 		case "connection", "keep-alive", "transfer-encoding", "content-length", "trailer", "upgrade", "proxy-connection":
 			continue
 		}
-		resp.Header.SetBytesKV(key, value)
+		resp.Header.AddBytesKV(key, value)
 	}
 }
