--- a/cmd/foxtailedge/main.go
+++ b/cmd/foxtailedge/main.go
@@ -99,6 +99,9 @@
 // serve runs the host. The first SIGTERM or SIGINT begins its graceful stop, and serve returns when the host
 // has stopped.
 func serve(s edge.Settings, path string, stdout io.Writer) error {
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(s.RuntimeMemoryLimit())
+	}
 	c := dig.New()
 	for _, p := range providers(s, stdout) {
 		if err := c.Provide(p); err != nil {
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -210,25 +210,24 @@
 	return *staleRefusal()
 }
 
-// forwardWholeAnswer reads an answer completely and passes it on to the caller. It returns true when the session
-// has ended.
+// forwardWholeAnswer passes an answer that is not a stream on to the caller: once it has been read completely, or, if it is
+// too large to be kept, as it arrives. It returns true when the session has ended or the answer has been handed over.
 func (s *requestSession) forwardWholeAnswer(ex *upstream.Exchange, st step, began time.Time) bool {
-	body, err := ex.ReadBody()
+	body, memory, whole, err := s.keepAnswer(ex)
 	if err != nil {
+		memory.Release()
 		ex.Close()
 		return s.attemptFailed(st, dispatch.AttemptResult{Outcome: entity.AttemptUnknown, Broken: true}, err, began)
 	}
-	status := ex.Header.StatusCode()
-	if status < fasthttp.StatusMultipleChoices {
-		s.reportAnswerBegan()
+	large := &largeAnswerBody{requestSession: s, step: st, kept: body, memory: memory, ex: ex}
+	if !whole || len(body) > largeAnswer {
+		s.passLargeAnswer(large, whole)
+		return true
 	}
-	s.reportAnswerCompleted()
 	s.copyHeader(ex)
 	s.ctx.Response.SetBody(body)
+	large.end(dispatch.AttemptResult{Request: s.request.ID, Outcome: entity.Completed, Status: ex.Header.StatusCode()})
 	ex.Close()
-	s.frontend.metrics.CountRequest(s.route.Name, status, "", boottime.Now().Sub(s.arrived))
-	s.frontend.log.Info("Request answered.", "request", s.description.ID, "status", status, "upstream", st.target.ID, "after", boottime.Now().Sub(s.arrived))
-	s.frontend.send(attemptEnded{result: dispatch.AttemptResult{Request: s.request.ID, Outcome: entity.Completed, Status: status}})
 	s.release()
 	return true
 }
--- a/internal/edge/caller.go
+++ b/internal/edge/caller.go
@@ -7,14 +7,24 @@
 	"time"
 
 	"github.com/foxtailpass/foxtailpass/internal/accept"
+	"github.com/foxtailpass/foxtailpass/internal/membudget"
 )
 
 // writeTimeout is how long a write to a caller may take. A connection whose caller reads nothing for that
 // long is closed.
 const writeTimeout = 10 * time.Second
 
-// callerListener wraps the connections of a listener.
-type callerListener struct{ net.Listener }
+// largeRequest is the length in bytes from which a request counts against the memory of all requests.
+const largeRequest = 64 << 10
+
+// errNoMemory ends the reading of a request for which there is no memory.
+var errNoMemory = errors.New("edge: no memory for a request")
+
+// callerListener wraps the connections of a listener. memory is that of the requests of all connections.
+type callerListener struct {
+	net.Listener
+	memory *membudget.Budget
+}
 
 // Accept implements net.Listener.
 func (l callerListener) Accept() (net.Conn, error) {
@@ -22,7 +32,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: accept.Conn{Conn: conn}}, nil
+	return &callerConn{Conn: accept.Conn{Conn: conn}, requestMemory: l.memory.Reserve()}, nil
 }
 
 // callerConn is a caller's connection that can be watched while its request is served. The HTTP server reads
@@ -32,6 +42,11 @@
 	accept.Conn
 	pipelined    [1]byte
 	hasPipelined bool
+	// requestBytes is the number of bytes that were read since the last answer, and requestMemory the memory that they
+	// occupy beyond largeRequest. outOfMemory is set when there was none left.
+	requestBytes  int64
+	requestMemory *membudget.Reservation
+	outOfMemory   bool
 }
 
 // Read implements net.Conn.
@@ -41,7 +56,31 @@
 		p[0] = c.pipelined[0]
 		return 1, nil
 	}
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	c.requestBytes += int64(n)
+	if c.requestBytes > largeRequest && !c.requestMemory.GrowTo(c.requestBytes) {
+		c.outOfMemory = true
+		return 0, errNoMemory
+	}
+	return n, err
+}
+
+// requestEnded returns the memory of a request that has been answered.
+func (c *callerConn) requestEnded() {
+	c.requestBytes = 0
+	c.requestMemory.Release()
+}
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	c.requestMemory.Release()
+	return c.Conn.Close()
+}
+
+// outOfMemory reports whether there was no memory for the request of a connection.
+func outOfMemory(c net.Conn) bool {
+	conn, ok := c.(*callerConn)
+	return ok && conn.outOfMemory
 }
 
 // Write implements net.Conn.
--- a/internal/edge/frontend.go
+++ b/internal/edge/frontend.go
@@ -19,6 +19,7 @@
 	"github.com/foxtailpass/foxtailpass/internal/catalog"
 	"github.com/foxtailpass/foxtailpass/internal/dispatch"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/membudget"
 	"github.com/foxtailpass/foxtailpass/internal/metrics"
 	"github.com/foxtailpass/foxtailpass/internal/quarantine"
 	"github.com/foxtailpass/foxtailpass/internal/releases"
@@ -67,8 +68,11 @@
 	streams     *releases.Streams
 	releases    atomic.Pointer[map[catalog.ServiceID][]entity.Release]
 	readRelease func(ctx context.Context, id entity.RequestID, service catalog.ServiceID, known []entity.Release) (releases.ServiceRelease, error)
-	server      *fasthttp.Server
-	active      atomic.Int64
+	// answerMemory and requestMemory bound what the bodies of all answers and of all requests occupy.
+	answerMemory, requestMemory *membudget.Budget
+
+	server *fasthttp.Server
+	active atomic.Int64
 	// stopping is the boot time in nanoseconds at which the stop began, zero before.
 	stopping    atomic.Int64
 	gracePeriod time.Duration
@@ -103,6 +107,8 @@
 	var smallBuffer *fasthttp.ErrSmallBuffer
 	var timeout net.Error
 	switch {
+	case outOfMemory(ctx.Conn()):
+		refusal = entity.Refusal{Status: fasthttp.StatusServiceUnavailable, Code: "no_memory", RetryAfter: startingRetryAfter}
 	case errors.As(err, &smallBuffer):
 		refusal = entity.Refusal{Status: fasthttp.StatusRequestHeaderFieldsTooLarge, Code: "header_too_large"}
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
@@ -196,6 +202,9 @@
 		return
 	}
 	s.ended = true
+	if conn, ok := s.ctx.Conn().(*callerConn); ok {
+		conn.requestEnded()
+	}
 	s.stopWatch()
 	s.cancel()
 	s.frontend.active.Add(-1)
@@ -349,12 +358,17 @@
 // endForCallerLeft ends the session of a caller that has closed its connection.
 func (s *requestSession) endForCallerLeft() {
 	s.frontend.log.Info("Caller left.", "request", s.request.ID, "after", boottime.Now().Sub(s.arrived), "attempt", s.attempt)
-	s.frontend.metrics.CountRequest(s.route.Name, statusCallerLeft, "caller_left", boottime.Now().Sub(s.arrived))
-	s.frontend.send(callerLeft{id: s.request.ID})
+	s.reportCallerLeft()
 	s.ctx.SetConnectionClose()
 	s.release()
 }
 
+// reportCallerLeft ends the request of a caller that has closed its connection.
+func (s *requestSession) reportCallerLeft() {
+	s.frontend.metrics.CountRequest(s.route.Name, statusCallerLeft, "caller_left", boottime.Now().Sub(s.arrived))
+	s.frontend.send(callerLeft{id: s.request.ID})
+}
+
 // refuse writes a final answer that comes from this host itself.
 func (s *requestSession) refuse(r entity.Refusal) {
 	f := s.frontend
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -26,6 +26,7 @@
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/fleet"
 	"github.com/foxtailpass/foxtailpass/internal/kvstore"
+	"github.com/foxtailpass/foxtailpass/internal/membudget"
 	"github.com/foxtailpass/foxtailpass/internal/metrics"
 	"github.com/foxtailpass/foxtailpass/internal/peer"
 	"github.com/foxtailpass/foxtailpass/internal/releases"
@@ -160,6 +161,9 @@
 		viewAge:     h.viewAge,
 		streams:     releases.NewStreams(h.opts.Settings.Store.Prefix),
 		readRelease: h.readRelease,
+
+		answerMemory:  membudget.New(h.opts.Settings.bodyMemory()),
+		requestMemory: membudget.New(h.opts.Settings.bodyMemory()),
 	})
 }
 
@@ -273,7 +277,9 @@
 	start(func(ctx context.Context) error { h.writeStreams(ctx); return nil })
 	start(h.candidate.Run)
 	start(func(context.Context) error { return peer.Accept(h.peers, h.serveHost) })
-	start(func(context.Context) error { return h.frontend.server.Serve(callerListener{h.callers}) })
+	start(func(context.Context) error {
+		return h.frontend.server.Serve(callerListener{h.callers, h.frontend.requestMemory})
+	})
 	operator := h.newOperatorServer()
 	start(func(context.Context) error { return operator.Serve(h.operators) })
 	readiness := &fasthttp.Server{Handler: h.answerReady, NoDefaultServerHeader: true, Concurrency: 64, ReadBufferSize: 2048}
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -31,7 +31,8 @@
 	// relative speed of one core. Hosts with much more processor capacity are preferred as coordinator.
 	Cores     float64 `json:"cores" default:"1" validate:"gt=0"`
 	CoreSpeed float64 `json:"core_speed" default:"1" validate:"gt=0"`
-	// MemoryMB bounds the memory of the process; the runtime collects garbage more often near it.
+	// MemoryMB bounds the memory of the process; the runtime collects garbage more often near it. A quarter each is for
+	// the bodies of requests and of answers.
 	MemoryMB int64 `json:"memory_mb" default:"256" validate:"min=32"`
 	// BalancerLag is the time after which the balancer sends no new connections to a host that is not ready; a
 	// stopping host accepts connections for at least that long. The balancer checks once a second and needs two
@@ -41,6 +42,19 @@
 	Log LogSettings `json:"log"`
 }
 
+const (
+	// bodyMemoryShare is the share of the memory that the bodies of all requests, or of all answers, may occupy.
+	bodyMemoryShare = 4
+	// runtimeMemoryPercent is the share of the memory at which the runtime collects garbage more often, in percent.
+	runtimeMemoryPercent = 85
+)
+
+// bodyMemory returns the memory in bytes for the bodies of all requests, or of all answers.
+func (s Settings) bodyMemory() int64 { return s.MemoryMB << 20 / bodyMemoryShare }
+
+// RuntimeMemoryLimit returns the memory limit in bytes for the runtime of the process.
+func (s Settings) RuntimeMemoryLimit() int64 { return s.MemoryMB << 20 / 100 * runtimeMemoryPercent }
+
 // StoreSettings configures the access to the key-value service.
 type StoreSettings struct {
 	Addr string `json:"addr" validate:"required,ip_port"`
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -11,6 +11,7 @@
 	"github.com/foxtailpass/foxtailpass/internal/catalog"
 	"github.com/foxtailpass/foxtailpass/internal/dispatch"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/membudget"
 	"github.com/foxtailpass/foxtailpass/internal/upstream"
 )
 
@@ -24,6 +25,7 @@
 
 var (
 	errEventTooLong = errors.New("edge: event of a stream is too long")
+	errEventMemory  = errors.New("edge: no memory for an event of a stream")
 	errCallerLeft   = errors.New("edge: caller has left")
 	errStreamBroken = errors.New("edge: stream broken")
 )
@@ -39,7 +41,9 @@
 	// buf holds what has been read and not passed on; readyLen is the length of its whole events.
 	buf      []byte
 	readyLen int
-	lastID   string
+	// memory is that of buf beyond its first largeAnswer bytes.
+	memory *membudget.Reservation
+	lastID string
 	// firstEventAfter is the time from the request's arrival to its first event.
 	firstEventAfter time.Duration
 	// lastAt is when the last events were read, and longestPause the longest time between two reads.
@@ -60,8 +64,9 @@
 // beginStream waits for the first event and then hands the stream to the HTTP server. It returns true when
 // the session has ended or the stream has been handed over.
 func (s *requestSession) beginStream(ex *upstream.Exchange, st step, began time.Time) bool {
-	e := &eventStream{requestSession: s, ex: ex, step: st, began: began}
+	e := &eventStream{requestSession: s, ex: ex, step: st, began: began, memory: s.frontend.answerMemory.Reserve()}
 	if err := e.fill(); err != nil {
+		e.memory.Release()
 		ex.Abort()
 		ex.Close()
 		return s.attemptFailed(st, e.result(err), err, began)
@@ -81,20 +86,20 @@
 	return true
 }
 
-// serveUnframed passes a stream on to a caller that speaks HTTP/1.0 and does not know chunks: the stream ends with the
-// connection, which is reset if the stream was broken off.
-func (s *requestSession) serveUnframed(e *eventStream) {
+// serveUnframed passes an answer of unknown length on to a caller that speaks HTTP/1.0 and does not know chunks: the answer
+// ends with the connection, which is reset if the answer was broken off.
+func (s *requestSession) serveUnframed(body io.ReadCloser) {
 	header := &s.ctx.Response.Header
 	header.SetContentLength(identityLength)
 	head := header.AppendBytes(nil)
 	caller := s.ctx.Conn()
 	s.ctx.HijackSetNoResponse(true)
 	s.ctx.Hijack(func(conn net.Conn) {
-		defer func() { _ = e.Close() }()
+		defer func() { _ = body.Close() }()
 		if _, err := conn.Write(head); err != nil {
 			return
 		}
-		if _, err := io.Copy(conn, e); err != nil {
+		if _, err := io.Copy(conn, body); err != nil {
 			resetCaller(caller)
 		}
 	})
@@ -148,8 +153,8 @@
 func (e *eventStream) fill() error {
 	e.setSilenceTimeout()
 	for {
-		if cap(e.buf)-len(e.buf) < 512 {
-			e.buf = append(make([]byte, 0, 2*cap(e.buf)+2048), e.buf...)
+		if cap(e.buf)-len(e.buf) < 512 && !e.growBuffer() {
+			return errEventMemory
 		}
 		n, err := e.ex.Read(e.buf[len(e.buf):cap(e.buf)])
 		e.buf = e.buf[:len(e.buf)+n]
@@ -179,6 +184,16 @@
 	}
 }
 
+// growBuffer enlarges the buffer, and reports whether the memory of all answers allows it.
+func (e *eventStream) growBuffer() bool {
+	size := 2*cap(e.buf) + 2048
+	if size > largeAnswer && !e.memory.GrowTo(int64(size)) {
+		return false
+	}
+	e.buf = append(make([]byte, 0, size), e.buf...)
+	return true
+}
+
 // endsEarly reports whether the upstream, which has ended its answer, has broken the stream off: inside an event, or before
 // the first one. A proper end of the body proves nothing, because the upstream's HTTP library writes it also when the
 // engine stops early. Only a run that goes on after an event may have nothing left to send.
@@ -364,14 +379,14 @@
 	if !e.completed && !e.failed {
 		// The caller has left or reads nothing; closing the connection stops the upstream.
 		s.frontend.log.Info("Caller left.", "request", s.request.ID, "first_after", e.firstEventAfter, "after", boottime.Now().Sub(s.arrived), "last_event", e.lastID)
-		s.frontend.metrics.CountRequest(s.route.Name, statusCallerLeft, "caller_left", boottime.Now().Sub(s.arrived))
-		s.frontend.send(callerLeft{id: s.request.ID})
+		s.reportCallerLeft()
 	}
 	if !e.completed {
 		s.reportStreamEnded(false)
 		e.ex.Abort()
 		e.ex.Close()
 	}
+	e.memory.Release()
 	s.release()
 	return nil
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -116,6 +117,8 @@
 	// ReadIdleTimeout ends the call when no byte of the answer has been received for this long. Zero means
 	// that only Deadline applies.
 	ReadIdleTimeout time.Duration
+	// MaxAnswer is the largest accepted body of an answer that is not streamed, in bytes; zero means maxWholeAnswer.
+	MaxAnswer int
 	// Allowed, if not nil, is called after the connection is established, just before the first byte is
 	// written. If it returns false, nothing is sent and the call fails.
 	Allowed func() bool
@@ -161,7 +164,7 @@
 	call.Response.StreamBody = o.Stream
 	// The answer to HEAD may have a Content-Length but has no body.
 	call.Response.SkipBody = req.Header.IsHead()
-	if err := call.Response.ReadLimitBody(cn.r, maxWholeAnswer); err != nil {
+	if err := call.Response.ReadLimitBody(cn.r, cmp.Or(o.MaxAnswer, maxWholeAnswer)); err != nil {
 		return call.failure("read", err)
 	}
 	if o.RequestID != "" && string(call.Response.Header.Peek(RequestIDHeader)) != string(o.RequestID) {
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"runtime"
@@ -121,6 +122,7 @@
 		return err
 	}
 	defer ex.Close()
-	_, err = ex.ReadBody()
+	ex.LimitBody(endlessBytes / 4)
+	_, err = io.Copy(io.Discard, ex)
 	return err
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -33,8 +33,8 @@
 	// request that must not be repeated. The longer a connection is idle, the likelier the upstream is closing
 	// it.
 	maxIdleForNotRepeatable = 500 * time.Millisecond
-	// maxBufferedBody is the largest body in bytes that is read into memory or skipped.
-	maxBufferedBody = 16 << 20
+	// maxSkippedBody is the largest body in bytes of an answer to another request that is skipped.
+	maxSkippedBody = 16 << 20
 )
 
 // ErrAnswerTimeout is wrapped in a Failure when a byte of the request was sent, but sending the rest or reading
@@ -90,8 +90,10 @@
 	body    io.Reader
 	chunked bool
 	// complete is set when the whole body has been read.
-	complete  bool
-	singleUse bool
+	complete bool
+	// bodyBytes is the number of bytes of the body that have been read, and bodyLimit the largest one, zero for none.
+	bodyBytes, bodyLimit int64
+	singleUse            bool
 	// unframed is set when the body has neither a length nor chunked encoding: the end of the connection is the
 	// end of the body.
 	unframed bool
@@ -187,8 +189,8 @@
 
 // skipBody reads and discards the body of an answer to another request.
 func (e *Exchange) skipBody() error {
-	n, err := io.Copy(io.Discard, io.LimitReader(e, maxBufferedBody+1))
-	if err == nil && n > maxBufferedBody {
+	n, err := io.Copy(io.Discard, io.LimitReader(e, maxSkippedBody+1))
+	if err == nil && n > maxSkippedBody {
 		err = errUnbounded
 	}
 	return err
@@ -240,6 +242,10 @@
 		return 0, io.EOF
 	}
 	n, err := e.body.Read(p)
+	e.bodyBytes += int64(n)
+	if e.bodyLimit > 0 && e.bodyBytes > e.bodyLimit {
+		return 0, errUnbounded
+	}
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
@@ -256,6 +262,9 @@
 	return n, err
 }
 
+// LimitBody bounds the body of the answer to a number of bytes. Reading more is an error.
+func (e *Exchange) LimitBody(bytes int64) { e.bodyBytes, e.bodyLimit = 0, bytes }
+
 // Unframed reports whether the end of the connection is the end of the body.
 func (e *Exchange) Unframed() bool { return e.unframed }
 
@@ -276,13 +285,31 @@
 	return errUnbounded
 }
 
-// ReadBody returns the rest of the body, or an error if it is longer than maxBufferedBody.
-func (e *Exchange) ReadBody() ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(e, maxBufferedBody+1))
-	if err == nil && len(b) > maxBufferedBody {
-		err = errors.New("upstream: answer too large")
+// firstBodyBuffer is the size in bytes of the first buffer for a body.
+const firstBodyBuffer = 4 << 10
+
+// ReadUpTo reads the body into memory while it is not longer than limit bytes and mayKeep allows the size of the buffer.
+// whole reports whether the body has been read completely; otherwise Read continues after it.
+func (e *Exchange) ReadUpTo(limit int, mayKeep func(size int) bool) (body []byte, whole bool, err error) {
+	body = make([]byte, 0, firstBodyBuffer)
+	for {
+		n, err := e.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, true, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+		if len(body) < cap(body) {
+			continue
+		}
+		size := 2 * cap(body)
+		if size > limit || !mayKeep(size) {
+			return body, false, nil
+		}
+		body = append(make([]byte, 0, size), body...)
 	}
-	return b, err
 }
 
 // SetReadDeadline sets the deadline of the following reads of the body. It replaces ExchangeOptions.Deadline,
--- a/internal/upstream/single_use_test.go
+++ b/internal/upstream/single_use_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"io"
 	"net"
 	"sync"
 	"testing"
@@ -32,7 +33,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, err := ex.ReadBody(); err != nil {
+		if _, err := io.ReadAll(ex); err != nil {
 			t.Fatal(err)
 		}
 		ex.Close()
