--- a/internal/dispatch/refusals.go
+++ b/internal/dispatch/refusals.go
@@ -17,7 +17,7 @@
 	wait, known, byLoad := s.estimateWait(r, now)
 	byStatus := known && !byLoad
 	switch {
-	case !s.stopBy.IsZero() && !now.Add(wait).Before(s.stopBy):
+	case s.isTooLate(r, now.Add(wait)):
 		s.refuse(r, ReasonStopping, minRetryAfter)
 	case known && wait < timeLeft:
 	case byStatus && s.keptByLimit(r, now):
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -81,10 +81,10 @@
 	// selfReported holds the status that upstreams have reported of themselves. It is kept when an upstream
 	// is removed from targets.
 	selfReported map[entity.UpstreamID]*selfReportedStatus
-	// stopBy is the time by which an upstream must serve a waiting request, zero unless the host is stopping.
-	// Requests that no upstream is expected to serve by then are refused.
-	stopBy    time.Time
-	decisions []Decision
+	// stopBy is the time by which an upstream must be sent a request that may last longer than until stopEnd, the end of the
+	// process. Both are zero unless the host is stopping.
+	stopBy, stopEnd time.Time
+	decisions       []Decision
 	// limitAsks are the requests to limited upstreams that must be asked for.
 	limitAsks []LimitAsk
 }
@@ -237,13 +237,19 @@
 	return s.takeDecisions()
 }
 
-// StopBy starts the stop of this host. Waiting requests that no upstream is expected to serve before the given
-// time are refused at once, so that their callers retry at another host.
-func (s *Scheduler) StopBy(at, now time.Time) []Decision {
-	s.stopBy = at
+// StopBy starts the stop of this host, whose process ends at end. From sendBy on, no request is sent to an upstream whose
+// deadline is later than end, because it might be cut. Requests that no upstream is expected to serve in time are refused at
+// once, so that their callers retry at another host.
+func (s *Scheduler) StopBy(sendBy, end, now time.Time) []Decision {
+	s.stopBy, s.stopEnd = sendBy, end
 	return s.Tick(now)
 }
 
+// isTooLate reports whether a request that is sent to an upstream at the given time might be cut by the end of this host.
+func (s *Scheduler) isTooLate(r *Request, at time.Time) bool {
+	return !s.stopBy.IsZero() && !at.Before(s.stopBy) && r.Deadline.After(s.stopEnd)
+}
+
 // Idle reports whether no requests wait, so that Tick has nothing to do.
 func (s *Scheduler) Idle() bool { return len(s.queues) == 0 }
 
@@ -259,6 +265,10 @@
 // dispatchPool dispatches the waiting requests of a pool while upstreams accept them.
 func (s *Scheduler) dispatchPool(q *queue, now time.Time) {
 	for r := q.head(); r != nil; r = q.head() {
+		if s.isTooLate(r, now) {
+			s.refuse(r, ReasonStopping, minRetryAfter)
+			continue
+		}
 		t := s.chooseTarget(r, now)
 		if t == nil {
 			return
--- a/internal/dispatch/scheduler_test.go
+++ b/internal/dispatch/scheduler_test.go
@@ -305,7 +305,7 @@
 			t.Fatalf("model %s: decisions %+v before the stop, want none", m, ds)
 		}
 	}
-	d := onlyDecision(t, s.StopBy(testStart.Add(4*time.Second), testStart))
+	d := onlyDecision(t, s.StopBy(testStart.Add(4*time.Second), testStart.Add(8*time.Second), testStart))
 	if waiting[d.Request.ID] != "slow" || d.Refusal == nil || d.Reason != ReasonStopping {
 		t.Fatalf("decision of the stop: %+v, want a refusal of the request for the slow model", d)
 	}
@@ -325,6 +325,32 @@
 	}
 }
 
+// Guards against requests that are sent to an upstream so late in the stop of a host that the end of its process cuts them,
+// because an upstream accepts them at once: new ones and retries (issue 40, LOST).
+func TestStopRefusesLateRequests(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		at       time.Duration
+		deadline time.Duration
+		reason   Reason
+	}{
+		{"in time", 3900 * time.Millisecond, 20 * time.Second, ""},
+		{"late", 4 * time.Second, 20 * time.Second, ReasonStopping},
+		{"late, but answered before the end", 4 * time.Second, 8 * time.Second, ""},
+		{"late, answered just after the end", 4 * time.Second, 8*time.Second + time.Millisecond, ReasonStopping},
+	} {
+		s := newTestScheduler(nil)
+		s.SetTarget(plainTarget("u"), testStart)
+		s.StopBy(testStart.Add(4*time.Second), testStart.Add(8*time.Second), testStart)
+		r := newRequest(catalog.NonIdempotent, Pool{Service: "s"}, testStart.Add(c.at))
+		r.Deadline = testStart.Add(c.deadline)
+		d := onlyDecision(t, s.Enqueue(r, testStart.Add(c.at)))
+		if d.Reason != c.reason || (d.Refusal != nil) != (c.reason != "") {
+			t.Errorf("%s: decision %+v, want the reason %q", c.name, d, c.reason)
+		}
+	}
+}
+
 // Guards against an interrupted stream being held until its caller has no time left to take it up again, and against it
 // being broken off before the coordinator has been asked for an estimate.
 func TestInterruptedStreamWaitsShortly(t *testing.T) {
--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -256,7 +256,7 @@
 	case engineReportRead:
 		c.engineReportRead(e, now)
 	case stopRequested:
-		c.applyDecisions(c.scheduler.StopBy(e.sendBy, now), now)
+		c.applyDecisions(c.scheduler.StopBy(e.sendBy, e.end, now), now)
 	case query:
 		e.run(c, now)
 		close(e.done)
--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -199,8 +199,8 @@
 
 // stopRequested starts the graceful stop.
 type stopRequested struct {
-	// sendBy is when the last request may be sent to an upstream.
-	sendBy time.Time
+	// sendBy is when the last request may be sent to an upstream that might still run at end, when the process ends.
+	sendBy, end time.Time
 }
 
 // query is a function to run with the control state.
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -310,7 +310,8 @@
 	h.stopping.Store(true)
 	h.frontend.stopping.Store(boottime.Now().UnixNano())
 	h.candidate.Stop()
-	h.send(stopRequested{sendBy: boottime.Now().Add(h.frontend.gracePeriod - exitMargin - runningRequestsTime)})
+	lastAnswer := boottime.Now().Add(h.frontend.gracePeriod - exitMargin)
+	h.send(stopRequested{sendBy: lastAnswer.Add(-runningRequestsTime), end: lastAnswer})
 	h.log.Info("Host stopping.", "active", h.frontend.active.Load())
 	for time.Now().Before(end) {
 		if time.Since(began) > h.opts.Settings.BalancerLag.Std() && h.frontend.active.Load() == 0 {
