--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -83,7 +83,7 @@
 		SingleUse:     s.description.ID == "",
 		DialTimeout:   min(dialTimeout, left),
 		Deadline:      time.Now().Add(left + deadlineGrace),
-		Allowed:       s.keyValid,
+		Allowed:       func() bool { return s.keyValid() && s.mayContinue(lastEvent) },
 		IsStray: func(h *fasthttp.ResponseHeader) bool {
 			id := s.frontend.protocol.ParseAnswer(h).Request
 			return id != "" && id != s.description.ID
@@ -190,9 +190,9 @@
 	}
 	s.frontend.log.Info("Attempt failed.", fields...)
 	s.frontend.metrics.CountAttempt(res.Outcome.String())
-	if !s.keyValid() && res.Outcome == entity.AttemptNotRun {
+	if res.Outcome == entity.AttemptNotRun && !(s.keyValid() && s.mayContinue(s.description.LastEvent)) {
 		s.frontend.send(callerLeft{id: s.request.ID})
-		s.refuse(s.staleKeyRefusal())
+		s.refuse(s.staleViewRefusal())
 		s.release()
 		return true
 	}
@@ -200,10 +200,10 @@
 	return false
 }
 
-// staleKeyRefusal returns the refusal of a request whose key could no longer be proven valid while the request
-// waited for another attempt. The refusal states that the request has not run only if no earlier attempt may
+// staleViewRefusal returns the refusal of a request whose key, or the release of whose upstream, could no longer be proven
+// while the request waited for another attempt. The refusal states that the request has not run only if no earlier attempt may
 // have run.
-func (s *requestSession) staleKeyRefusal() entity.Refusal {
+func (s *requestSession) staleViewRefusal() entity.Refusal {
 	if s.mayHaveRun {
 		return entity.Refusal{Status: 502, Code: string(dispatch.ReasonStale), Ran: entity.RanUnknown}
 	}
--- a/internal/edge/releases.go
+++ b/internal/edge/releases.go
@@ -19,6 +19,9 @@
 	streamWriteInterval = 50 * time.Millisecond
 	// releaseMargin is added to twice the longest timeout of a stream to get the time for which its release must be known.
 	releaseMargin = 20 * time.Second
+	// maxReleaseAge is the age of the view beyond which it does not prove the release of an upstream: an upstream may start
+	// again at another release under the same ID and address.
+	maxReleaseAge = 2 * time.Second
 	// maxReleaseReads bounds the reads of releases at a time. Callers decide how many there are.
 	maxReleaseReads = 16
 	// maxReleaseRetention bounds that time. The key-value service grants no longer leases.
@@ -116,6 +119,30 @@
 	return (*services)[service]
 }
 
+// releaseProven reports whether the view proves the releases of the upstreams of the request's service, which it need not
+// while there is only one.
+func (s *requestSession) releaseProven() bool {
+	if !s.route.Resumable || len(s.frontend.recordedReleases(s.request.Pool.Service)) < 2 {
+		return true
+	}
+	age := s.frontend.viewAge(boottime.Now())
+	return age >= 0 && age <= maxReleaseAge
+}
+
+// mayContinue reports whether the request begins a stream, or goes on with one at an upstream whose release is proven. It is
+// checked just before the first byte is sent to an upstream.
+func (s *requestSession) mayContinue(lastEvent string) bool {
+	return lastEvent == "" || s.releaseProven()
+}
+
+// beganRelease returns the release that a stream is recorded to have begun at.
+func (s *requestSession) beganRelease(listed entity.Release) entity.Release {
+	if !s.releaseProven() {
+		return entity.ReleaseUnproven
+	}
+	return listed
+}
+
 // reportStreamBegan records that the first event of a stream has arrived from a release.
 func (s *requestSession) reportStreamBegan(release entity.Release) {
 	if s.route.Resumable {
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -72,7 +72,7 @@
 		return s.attemptFailed(st, e.result(err), err, began)
 	}
 	e.firstEventAfter = boottime.Now().Sub(s.arrived)
-	e.release = st.target.Release
+	e.release = s.beganRelease(st.target.Release)
 	s.reportStreamBegan(e.release)
 	s.reportAnswerBegan()
 	s.frontend.metrics.RecordFirstToken(e.firstEventAfter)
--- a/internal/entity/entity.go
+++ b/internal/entity/entity.go
@@ -40,6 +40,10 @@
 // releases write does not fit together.
 type Release string
 
+// ReleaseUnproven stands for the release of a stream that began at an upstream whose release was not proven then. No upstream
+// has it, so the stream is continued nowhere.
+const ReleaseUnproven Release = "?"
+
 // RequestDigest identifies the content of a request: its caller, target and body. A request that a caller sends again
 // has the same digest and another RequestID.
 type RequestDigest string
