--- a/internal/edge/register.go
+++ b/internal/edge/register.go
@@ -34,6 +34,9 @@
 	send  func(event)
 	// lease is zero while the host is not registered.
 	lease atomic.Int64
+	// abandoned is the lease of a registration whose outcome is not known, zero if there is none. If it were written late,
+	// it would take the place of a later one and end with a lease that nobody renews.
+	abandoned kvstore.LeaseID
 	// validUntil is the time until which the registration was certain when it was last renewed.
 	validUntil time.Time
 }
@@ -75,11 +78,15 @@
 			r.send(registrationLost{})
 		}
 	}
+	if err := r.endAbandoned(ctx); err != nil {
+		return err
+	}
 	lease, err := r.store.Grant(ctx, registrationTTL)
 	if err != nil {
 		return err
 	}
 	if _, err := r.store.Txn(ctx, kvstore.Txn{Success: []kvstore.Op{kvstore.PutLeased(r.key, r.value, lease)}}); err != nil {
+		r.abandoned = lease
 		return err
 	}
 	r.lease.Store(int64(lease))
@@ -88,6 +95,18 @@
 	return nil
 }
 
+// endAbandoned ends the lease of a registration whose outcome is not known, so that it cannot be written any more.
+func (r *registrar) endAbandoned(ctx context.Context) error {
+	if r.abandoned == 0 {
+		return nil
+	}
+	if err := r.store.Revoke(ctx, r.abandoned); err != nil && !errors.Is(err, kvstore.ErrLeaseNotFound) {
+		return err
+	}
+	r.abandoned = 0
+	return nil
+}
+
 // reportValidity reports to the control state until when the registration is certain. The lease counts from
 // began, before the call that granted or renewed it, because the service may have done so at any time during
 // the call.
