--- a/internal/edge/frontend.go
+++ b/internal/edge/frontend.go
@@ -359,10 +359,17 @@
 func (s *requestSession) endForCallerLeft() {
 	s.frontend.log.Info("Caller left.", "request", s.request.ID, "after", boottime.Now().Sub(s.arrived), "attempt", s.attempt)
 	s.reportCallerLeft()
-	s.ctx.SetConnectionClose()
+	s.closeWithoutAnswer()
 	s.release()
 }
 
+// closeWithoutAnswer makes the HTTP server close the connection after the handler without a response. A caller that has closed
+// only its own side of the connection would read it, and the response as it stands is a success.
+func (s *requestSession) closeWithoutAnswer() {
+	s.ctx.HijackSetNoResponse(true)
+	s.ctx.Hijack(func(net.Conn) {})
+}
+
 // reportCallerLeft ends the request of a caller that has closed its connection.
 func (s *requestSession) reportCallerLeft() {
 	s.frontend.metrics.CountRequest(s.route.Name, statusCallerLeft, "caller_left", boottime.Now().Sub(s.arrived))
