--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -93,6 +93,9 @@
 	// knownRevision is the revision of the key-value service up to which this host knows all changes, and
 	// changeLog holds the changes that it can relay to other hosts.
 	knownRevision *atomic.Int64
+	// readableSince is the boot time, in nanoseconds, since which this host has known of no outage of the key-value service,
+	// zero during one.
+	readableSince *atomic.Int64
 	changeLog     *relay.Log
 	// members are the registered hosts, and addrs the addresses at which they serve other hosts.
 	members []entity.HostID
@@ -146,6 +149,7 @@
 		states:          make(map[entity.UpstreamID]wire.UpstreamState),
 		indexes:         make(map[int]entity.UpstreamID),
 		knownRevision:   new(atomic.Int64),
+		readableSince:   new(atomic.Int64),
 		changeLog:       relay.NewLog(),
 		earlyReports:    make(map[*peer.Session]*wire.HostReport),
 		estimates:       make(map[dispatch.Pool]readyEstimate),
--- a/internal/edge/dialer.go
+++ b/internal/edge/dialer.go
@@ -123,8 +123,8 @@
 	case *wire.ListUpdate:
 		accepted = d.enqueueRelayed(relayed{update: m})
 	case *wire.HostState:
-		if m.ConfirmedSentAt != 0 {
-			accepted = d.enqueueRelayed(relayed{confirmedAt: m.ConfirmedSentAt, revision: m.Revision})
+		if m.ConfirmedSentAt != 0 || m.StoreReadableFor > 0 {
+			accepted = d.enqueueRelayed(relayed{confirmedAt: m.ConfirmedSentAt, revision: m.Revision, storeReadableFor: m.StoreReadableFor})
 		}
 		d.send(hostStateReceived{state: m})
 	}
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -128,6 +128,7 @@
 	h.watcher = h.newWatcher(self)
 	h.core = newCore(s.Host, s.FailureDomain, s.Store.Prefix, &h.frontend.recentTraits, s.Bounds, o.Log.With("prefix", "control"), h)
 	h.core.knownRevision = &h.watcher.knownRevision
+	h.core.readableSince = &h.watcher.readableSince
 	h.core.watchedTraits = &h.frontend.watchedTraits
 	h.dialer = &dialer{log: o.Log.With("prefix", "peer"), send: h.send, wake: make(chan struct{}, 1), searching: &h.watcher.searching, enqueueRelayed: h.watcher.enqueueRelayed}
 	if err := h.registerMetrics(); err != nil {
--- a/internal/edge/publish.go
+++ b/internal/edge/publish.go
@@ -221,6 +221,9 @@
 		c.hostStateReceived(m, now)
 		return
 	}
+	if since := c.readableSince.Load(); since != 0 {
+		m.StoreReadableFor = max(now.Sub(time.Unix(0, since)), 0)
+	}
 	if err := h.session.Send(m); err != nil {
 		c.log.Debug("Message not sent.", "host", h.host, "err", err)
 	}
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -48,6 +48,9 @@
 	// are not removed at once: the entries may have lapsed during the outage and get entryReturnTime to
 	// reappear.
 	outageThreshold = 1500 * time.Millisecond
+	// maxReadGap is the time without a confirmed view beyond which this host, which may have stood still, cannot exclude an
+	// outage meanwhile.
+	maxReadGap = 4 * time.Second
 )
 
 // membersPrefix is the key prefix of the registrations of hosts, each of which has the lease of its host.
@@ -77,6 +80,9 @@
 	knownRevision atomic.Int64
 	// fullyRead reports whether this host has read all keys at least once, and could trust what it read.
 	fullyRead atomic.Bool
+	// readableSince is the boot time, in nanoseconds, since which this host has known of no outage of the key-value service,
+	// zero during one and before the first view.
+	readableSince atomic.Int64
 	// searching is set when the coordinator cannot be reached or its session is lost, until a new session is
 	// established.
 	searching atomic.Bool
@@ -119,6 +125,8 @@
 	confirmedAt  int64
 	revision     int64
 	announcement *wire.Announcement
+	// storeReadableFor is how long the coordinator has read the key-value service without an outage, zero if unknown.
+	storeReadableFor time.Duration
 }
 
 // relayedRevision returns the revision that a message of the coordinator refers to.
@@ -263,6 +271,12 @@
 		w.applyAnnouncement(m.announcement)
 		return
 	}
+	if now := boottime.Now(); m.storeReadableFor > 0 {
+		w.applyAfterOwnOutage(now.Add(-m.storeReadableFor), now)
+	}
+	if m.update == nil && m.confirmedAt == 0 {
+		return
+	}
 	if kvstore.EraOf(m.relayedRevision()) != kvstore.EraOf(w.revision) {
 		// Each host reads the service itself once after a restore: what it lacks is not known to the coordinator.
 		if kvstore.EraOf(m.relayedRevision()) > kvstore.EraOf(w.revision) {
@@ -307,6 +321,7 @@
 func (w *watcher) recordFailure(err error, now time.Time) {
 	if w.outageSince.IsZero() && isNotCanceled(err) {
 		w.outageSince = now
+		w.readableSince.Store(0)
 		w.log.Warn("Key-value service lost.", "err", err, "revision", w.revision)
 	}
 }
@@ -322,7 +337,11 @@
 		w.log.Info("Key-value service regained.", "after", at.Sub(w.outageSince), "revision", w.revision)
 		w.outageSince = time.Time{}
 	}
-	w.lastSuccessAt = boottime.Now()
+	now := boottime.Now()
+	if w.readableSince.Load() == 0 || now.Sub(w.lastSuccessAt) > maxReadGap {
+		w.readableSince.Store(at.UnixNano())
+	}
+	w.lastSuccessAt = now
 	w.applyPending(w.lastSuccessAt)
 }
 
--- a/internal/edge/watch_apply.go
+++ b/internal/edge/watch_apply.go
@@ -155,7 +155,7 @@
 		return true
 	}
 	if e.Deleted && w.endsOutage() {
-		w.deferChange(e, entryReturnTime, boottime.Now())
+		w.deferChange(e, w.outageSince, entryReturnTime, boottime.Now())
 		return false
 	}
 	delete(w.upstreams, id)
--- a/internal/edge/watch_pending.go
+++ b/internal/edge/watch_pending.go
@@ -33,6 +33,8 @@
 type pendingChange struct {
 	event kvstore.Event
 	until time.Time
+	// outageSince is when the outage began that the change was found after, zero after a restore.
+	outageSince time.Time
 }
 
 // deletion is a key that was deleted.
@@ -97,14 +99,14 @@
 		if wait == 0 || !e.Deleted && !w.isOutdated(e.Pair, now) {
 			return false
 		}
-		w.deferChange(e, wait, now)
+		w.deferChange(e, time.Time{}, wait, now)
 		return true
 	})
 }
 
-// deferChange makes a change pending.
-func (w *watcher) deferChange(e kvstore.Event, wait time.Duration, now time.Time) {
-	w.pending[e.Pair.Key] = pendingChange{event: e, until: now.Add(wait)}
+// deferChange makes a change pending. outageSince is when the outage began that it was found after, zero after a restore.
+func (w *watcher) deferChange(e kvstore.Event, outageSince time.Time, wait time.Duration, now time.Time) {
+	w.pending[e.Pair.Key] = pendingChange{event: e, until: now.Add(wait), outageSince: outageSince}
 	w.relayAllUntil = now.Add(relayAllTime)
 }
 
@@ -129,6 +131,23 @@
 	w.sendBatch(out)
 }
 
+// applyAfterOwnOutage applies at once the pending changes that were found after an outage which only this host had: another
+// host could read the service from the given time on, so that no entry can have lapsed because the service was away.
+func (w *watcher) applyAfterOwnOutage(readableSince, now time.Time) {
+	due := false
+	for key, p := range w.pending {
+		if !p.outageSince.IsZero() && !readableSince.After(p.outageSince) {
+			p.until = now
+			w.pending[key] = p
+			due = true
+		}
+	}
+	if due {
+		w.log.Info("Outage of this host only. Missing entries are taken for gone.", "pending", len(w.pending), "readable_since", now.Sub(readableSince))
+		w.applyPending(now)
+	}
+}
+
 // dropPending drops the pending changes that a complete read decides anew: all after a restore, otherwise all but the
 // deletions of keys that are still absent.
 func (w *watcher) dropPending(present map[string]bool, restored bool) {
--- a/internal/edge/watch_test.go
+++ b/internal/edge/watch_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/foxtailpass/foxtailpass/internal/boottime"
 	"github.com/foxtailpass/foxtailpass/internal/catalog"
 	"github.com/foxtailpass/foxtailpass/internal/dispatch"
 	"github.com/foxtailpass/foxtailpass/internal/election"
@@ -271,3 +272,76 @@
 		t.Errorf("rank %d, outranked %v with a stronger host, want 1, true", rank, outranked)
 	}
 }
+
+// Guards against an upstream that has left being used for seconds by a host that was cut off, because its missing entry might
+// have lapsed while the key-value service was away: the coordinator knows that it was not (issue 40, DRAIN).
+func TestMissingEntryAfterOwnOutage(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// readableFor is how long the coordinator has read the service without an outage.
+		readableFor time.Duration
+		gone        bool
+	}{
+		{"service was away", time.Second, false},
+		{"only this host was cut off", 10 * time.Second, true},
+		{"not known", 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := &testStore{items: make(map[string]kvstore.Pair), revision: 1}
+			state := &recordedState{upstreams: make(map[entity.UpstreamID]bool)}
+			w := newTestWatcher(s, state)
+			s.put("up/gone", "x")
+			s.put("up/there", "x")
+			read := func() {
+				if err := w.read(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+				w.recordSuccess(boottime.Now())
+			}
+			read()
+			w.outageSince = boottime.Now().Add(-5 * time.Second)
+			s.remove("up/gone")
+			read()
+			if !state.upstreams["gone"] {
+				t.Fatal("an entry that is missing after an outage was removed at once")
+			}
+			w.applyRelayed(relayed{storeReadableFor: c.readableFor})
+			if !state.upstreams["there"] || state.upstreams["gone"] == c.gone {
+				t.Errorf("upstreams %v; want the missing one gone: %v", state.upstreams, c.gone)
+			}
+			w.endReturnTimeOfTest()
+			if state.upstreams["gone"] {
+				t.Error("the entry is still there after the time in which entries return")
+			}
+		})
+	}
+}
+
+// endReturnTimeOfTest makes the time pass in which entries are back after an outage.
+func (w *watcher) endReturnTimeOfTest() { w.applyPending(boottime.Now().Add(entryReturnTime)) }
+
+// Guards against a coordinator that vouches for the key-value service although it could not read it, or stood still.
+func TestReadableSince(t *testing.T) {
+	w := newTestWatcher(&testStore{items: make(map[string]kvstore.Pair), revision: 1}, &recordedState{upstreams: make(map[entity.UpstreamID]bool)})
+	first := boottime.Now()
+	w.recordSuccess(first)
+	w.recordSuccess(first.Add(time.Second))
+	if got := w.readableSince.Load(); got != first.UnixNano() {
+		t.Errorf("readable since %d after two reads, want %d", got, first.UnixNano())
+	}
+	w.recordFailure(kvstore.ErrUnavailable, boottime.Now())
+	if w.readableSince.Load() != 0 {
+		t.Error("readable during an outage")
+	}
+	later := first.Add(2 * time.Second)
+	w.recordSuccess(later)
+	if got := w.readableSince.Load(); got != later.UnixNano() {
+		t.Errorf("readable since %d after an outage, want %d", got, later.UnixNano())
+	}
+	w.lastSuccessAt = boottime.Now().Add(-maxReadGap - time.Second)
+	last := later.Add(time.Minute)
+	w.recordSuccess(last)
+	if got := w.readableSince.Load(); got != last.UnixNano() {
+		t.Errorf("readable since %d after the host stood still, want %d", got, last.UnixNano())
+	}
+}
--- a/internal/wire/coordination.go
+++ b/internal/wire/coordination.go
@@ -160,6 +160,8 @@
 	// message. Both fields are zero when nothing is confirmed.
 	ConfirmedSentAt int64 `msgpack:"c,omitempty"`
 	Revision        int64 `msgpack:"j,omitempty"`
+	// StoreReadableFor is how long the coordinator has read the key-value service without an outage.
+	StoreReadableFor time.Duration `msgpack:"r,omitempty"`
 	// Estimates covers all models that requests of this host wait for.
 	Estimates []ModelEstimate `msgpack:"e,omitempty"`
 	// FallbackShares contains the changed fallback shares of the host by workspace. The host returns
