--- a/internal/edge/large_answer.go
+++ b/internal/edge/large_answer.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/foxtailpass/foxtailpass/internal/boottime"
 	"github.com/foxtailpass/foxtailpass/internal/dispatch"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
@@ -99,7 +101,7 @@
 	b.reported = true
 	s := b.requestSession
 	if res.Outcome == entity.Completed {
-		if res.Status < 300 {
+		if res.Status < fasthttp.StatusMultipleChoices {
 			s.reportAnswerBegan()
 		}
 		s.reportAnswerCompleted()
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -319,6 +319,12 @@
 			s.frontend.log.Info("Stream not resumed.", "request", s.description.ID, "reason", st.reason)
 			return errStreamBroken
 		}
+		if !s.mayContinue(e.lastID) {
+			e.failed = true
+			s.frontend.log.Info("Stream not resumed.", "request", s.description.ID, "reason", dispatch.ReasonStale)
+			s.frontend.send(callerLeft{id: s.request.ID})
+			return errStreamBroken
+		}
 		e.step = st
 		s.attempt = st.attempt
 		ex, err := s.sendAttempt(s.alive, st, e.lastID)
