--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -392,7 +392,8 @@
 }
 
 // renewUntilLost renews the service lease until the service reports that it has expired, the records of the election show
-// that the holder key has gone, the holder yields, or the host stops. While the service does not answer, the coordinator lease expires by this host's clock.
+// that the holder key has gone, the holder yields, or the host stops. While the service does not answer, the coordinator lease
+// expires by this host's clock.
 // A renewal that succeeds afterwards proves that the service lease, and with it the holder key, still
 // exists, so no other host can have held the coordinator lease in the meantime. After a restore of the service no
 // renewal of the lease succeeds.
