--- a/internal/election/model_store_test.go
+++ b/internal/election/model_store_test.go
@@ -178,17 +178,10 @@
 }
 
 func (c *modelClient) Txn(ctx context.Context, t kvstore.Txn) (kvstore.TxnResult, error) {
-	for _, cmp := range t.Compares {
-		if cmp.Value != 0 && kvstore.EraOf(cmp.Value) != c.known {
-			return kvstore.TxnResult{}, nil
-		}
-	}
-	for _, op := range t.Success {
-		if op.Lease != 0 && c.mine[op.Lease] != c.known {
-			return kvstore.TxnResult{}, kvstore.ErrLeaseNotFound
-		}
+	started, possible, err := c.check(t)
+	if !possible || err != nil {
+		return kvstore.TxnResult{}, err
 	}
-	started := c.known
 	if err := c.enter(ctx); err != nil {
 		return kvstore.TxnResult{}, err
 	}
@@ -217,6 +210,23 @@
 	return kvstore.TxnResult{Succeeded: done, Revision: kvstore.JoinRevision(c.known, c.store.state.revision)}, nil
 }
 
+// check returns the era that the process knows, and whether a transaction can succeed in it.
+func (c *modelClient) check(t kvstore.Txn) (known kvstore.Era, possible bool, err error) {
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	for _, cmp := range t.Compares {
+		if cmp.Value != 0 && kvstore.EraOf(cmp.Value) != c.known {
+			return c.known, false, nil
+		}
+	}
+	for _, op := range t.Success {
+		if op.Lease != 0 && c.mine[op.Lease] != c.known {
+			return c.known, false, kvstore.ErrLeaseNotFound
+		}
+	}
+	return c.known, true, nil
+}
+
 // write does a transaction if its conditions hold and its leases exist. The caller holds mu.
 func (s *modelStore) write(t kvstore.Txn) bool {
 	for _, cmp := range t.Compares {
