Answers with a status that HTTP does not have are refused wherever upstream reads answers

What callers saw: a replica in trouble sent an answer with status 000, and its caller got "HTTP/1.1 200 OK" with the replica's signature and body, on orders and look-ups each time. A resumable stream that had broken off went on with the events of such an answer and ended as if it were complete. Also: the statuses 600 and 999 were passed on; 001, 099 and 101 were skipped like interim answers, and the answer behind them passed on.

Inside the host the same answers spoke for a success: an order to an engine counted as done, a report was believed, and each call to the platform's store (get, range, transaction, lease) as executed; a poll answered 101 made the watch start anew. What such an answer named beside it, Server-Leaving or Store-Era, was believed too.

Cause: the HTTP library keeps the parsed status and reports 200 where it is zero, so that no code behind it can tell 000 from 200. It does not check the range, and what is below 200 was taken for interim.

Fix: the new package httphead checks the lines of a head as they arrive, before the library parses them. A status must be a number from 100 to 599 (RFC 9110, section 15), and 101 answers only requests for another protocol, which nothing here sends. Both ways to send a request, Exchange and Do, read their heads through it, also those of interim answers and of answers to other requests that are skipped. The failure has an unknown outcome, because such an answer is neither a success nor word that the request has not run. The two kept a loop over interim answers and the reading of trailers each; now they share them.

--- /dev/null
+++ b/internal/httphead/checker.go
@@ -0,0 +1,87 @@
+package httphead
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+)
+
+// ErrMalformed is wrapped in the errors about a head that HTTP/1.1 does not allow. The answer then states nothing: neither a
+// success nor whether the request ran.
+var ErrMalformed = errors.New("malformed head of an HTTP answer")
+
+const (
+	// statusDigits is the number of digits of a status code.
+	statusDigits = 3
+	// statusSwitchingProtocols answers only requests to change the protocol, which no client here sends.
+	statusSwitchingProtocols = "101"
+)
+
+// checker checks one head line by line as its bytes arrive.
+type checker struct {
+	// line holds the bytes of a line whose end has not arrived.
+	line []byte
+	// statusSeen is set after the status line, and interim if it announces that another head follows.
+	statusSeen bool
+	interim    bool
+}
+
+// feed checks the next bytes. It returns how many of them belong to the head, and whether the head is complete.
+func (c *checker) feed(b []byte) (n int, complete bool, err error) {
+	for n < len(b) {
+		length := bytes.IndexByte(b[n:], '\n')
+		if length < 0 {
+			c.line = append(c.line, b[n:]...)
+			return len(b), false, nil
+		}
+		line := b[n : n+length]
+		n += length + 1
+		if len(c.line) > 0 {
+			line = append(c.line, line...)
+			c.line = line[:0]
+		}
+		complete, err := c.checkLine(bytes.TrimSuffix(line, []byte("\r")))
+		if complete || err != nil {
+			return n, complete, err
+		}
+	}
+	return n, false, nil
+}
+
+// checkLine checks one line. It returns true for the empty line at the end of the head. Empty lines before the status line
+// are skipped, as the HTTP library does.
+func (c *checker) checkLine(line []byte) (end bool, err error) {
+	switch {
+	case len(line) == 0:
+		return c.statusSeen, nil
+	case !c.statusSeen:
+		c.statusSeen = true
+		c.interim, err = checkStatusLine(line)
+		return false, err
+	}
+	return false, nil
+}
+
+// checkStatusLine checks that a line is the status line of an answer with a status from 100 to 599, and reports whether that
+// is an interim one.
+func checkStatusLine(line []byte) (interim bool, err error) {
+	_, rest, _ := bytes.Cut(line, []byte(" "))
+	status, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	if !isStatus(status) || string(status) == statusSwitchingProtocols {
+		return false, fmt.Errorf("%w: status line %q", ErrMalformed, line)
+	}
+	return status[0] == '1', nil
+}
+
+// isStatus reports whether b is a number from 100 to 599.
+func isStatus(b []byte) bool {
+	if len(b) != statusDigits || b[0] < '1' || b[0] > '5' {
+		return false
+	}
+	for _, digit := range b {
+		if digit < '0' || digit > '9' {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -164,7 +164,7 @@
 	call.Response.StreamBody = o.Stream
 	// The answer to HEAD may have a Content-Length but has no body.
 	call.Response.SkipBody = req.Header.IsHead()
-	if err := call.Response.ReadLimitBody(cn.r, cmp.Or(o.MaxAnswer, maxWholeAnswer)); err != nil {
+	if err := readAnswer(cn.r, call.Response, cmp.Or(o.MaxAnswer, maxWholeAnswer)); err != nil {
 		return call.failure("read", err)
 	}
 	if o.RequestID != "" && string(call.Response.Header.Peek(RequestIDHeader)) != string(o.RequestID) {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -23,10 +23,6 @@
 	maxInlineBody = 8 << 10
 	// maxStrayAnswers bounds the answers to other requests that an exchange skips before it fails.
 	maxStrayAnswers = 3
-	// maxInterimAnswers bounds the answers with status 1xx before the final one, and maxTrailerLines the lines
-	// after the last chunk.
-	maxInterimAnswers = 16
-	maxTrailerLines   = 64
 	// keepAliveMargin is how long before the idle timeout announced by the upstream a connection is discarded.
 	keepAliveMargin = time.Second
 	// maxIdleForNotRepeatable is the longest idle time after which a pooled connection is still used for a
@@ -41,8 +37,6 @@
 // the header of the answer timed out.
 var ErrAnswerTimeout = errors.New("upstream: no answer in time")
 
-var errUnbounded = errors.New("upstream: answer exceeds its size limits")
-
 // ExchangeOptions configures one attempt. The request is already encoded by the caller.
 type ExchangeOptions struct {
 	Addr string
@@ -160,17 +154,10 @@
 
 // readHead reads the header of the answer. It skips interim answers and answers to other requests.
 func (e *Exchange) readHead(o ExchangeOptions) error {
-	for stray, interim := 0, 0; ; {
-		if err := e.Header.Read(e.conn.r); err != nil {
+	for stray := 0; ; {
+		if err := readFinalHead(e.conn.r, &e.Header); err != nil {
 			return err
 		}
-		status := e.Header.StatusCode()
-		if status < fasthttp.StatusOK {
-			if interim++; interim > maxInterimAnswers {
-				return errUnbounded
-			}
-			continue
-		}
 		e.prepareBody(o.NoBody)
 		if o.IsStray == nil || !o.IsStray(&e.Header) {
 			return nil
@@ -198,15 +185,14 @@
 
 // prepareBody sets the reader of the body according to the framing in the header.
 func (e *Exchange) prepareBody(noBody bool) {
-	status := e.Header.StatusCode()
 	length := e.Header.ContentLength()
 	e.chunked, e.unframed = false, false
 	switch {
-	case noBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified:
+	case noBody || hasNoBody(e.Header.StatusCode()):
 		e.body = bytes.NewReader(nil)
 	case length >= 0:
 		e.body = &exactReader{r: e.conn.r, remaining: int64(length)}
-	case length == -1:
+	case length == chunkedLength:
 		e.chunked = true
 		e.body = httputil.NewChunkedReader(e.conn.r)
 	default:
@@ -250,7 +236,7 @@
 		return n, err
 	}
 	if e.chunked {
-		if terr := e.skipTrailer(); terr != nil {
+		if terr := skipTrailer(e.conn.r); terr != nil {
 			return n, terr
 		}
 	}
@@ -268,23 +254,6 @@
 // Unframed reports whether the end of the connection is the end of the body.
 func (e *Exchange) Unframed() bool { return e.unframed }
 
-// skipTrailer reads and discards the lines after the last chunk.
-func (e *Exchange) skipTrailer() error {
-	for range maxTrailerLines {
-		line, err := e.conn.r.ReadSlice('\n')
-		if errors.Is(err, io.EOF) {
-			err = io.ErrUnexpectedEOF
-		}
-		if err != nil {
-			return err
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return nil
-		}
-	}
-	return errUnbounded
-}
-
 // firstBodyBuffer is the size in bytes of the first buffer for a body.
 const firstBodyBuffer = 4 << 10
 
--- /dev/null
+++ b/internal/upstream/malformed_test.go
@@ -0,0 +1,85 @@
+package upstream
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/foxtailpass/foxtailpass/internal/command"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/httphead"
+)
+
+// malformedHeads are status lines and fields of heads that are none in HTTP/1.1. Without the malformed part each would be the
+// head of a success.
+var malformedHeads = map[string]string{
+	"status 000":         "HTTP/1.1 000 OK\r\n",
+	"interim status 099": "HTTP/1.1 099 Processing\r\n\r\nHTTP/1.1 200 OK\r\n",
+	"status 600":         "HTTP/1.1 600 OK\r\n",
+	"protocol switched":  "HTTP/1.1 101 Switching Protocols\r\n",
+}
+
+// malformedAnswer returns an answer whose body fits every kind of call.
+func malformedAnswer(head string) string {
+	const body = `{}`
+	return fmt.Sprintf("%s%s: no\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", head, EngineRanHeader, len(body), body)
+}
+
+// Guards against an answer with a malformed head being taken for a success, or for word that the request has not run, by each
+// of the ways to send a request (issue 52).
+func TestMalformedHeadSaysNothing(t *testing.T) {
+	for name, head := range malformedHeads {
+		t.Run(name, func(t *testing.T) {
+			client, addr := NewClient(), serveOnce(t, malformedAnswer(head))
+			deadline := time.Now().Add(5 * time.Second)
+			_, err := client.Exchange(t.Context(), ExchangeOptions{Addr: addr, Head: []byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"), Deadline: deadline})
+			checkMalformed(t, "exchange", err)
+			for _, stream := range []bool{false, true} {
+				_, err := client.Do(t.Context(), getRequest(addr), Options{Addr: addr, Deadline: deadline, Stream: stream})
+				checkMalformed(t, fmt.Sprintf("call, stream %t", stream), err)
+			}
+			if _, err := client.State(t.Context(), addr, deadline); err == nil {
+				t.Error("the answer was taken for a report")
+			}
+			if outcome, _ := client.SendOrder(t.Context(), addr, command.Order{}, deadline); outcome != command.OrderUnknown {
+				t.Errorf("the outcome of an order is %v, want unknown", outcome)
+			}
+		})
+	}
+}
+
+// checkMalformed checks that an attempt failed because of a malformed head and may have run.
+func checkMalformed(t *testing.T, way string, err error) {
+	t.Helper()
+	var f *Failure
+	if !errors.As(err, &f) || f.Outcome != entity.AttemptUnknown || !errors.Is(err, httphead.ErrMalformed) {
+		t.Errorf("%s: error %v, want a failure that names a malformed head and an unknown outcome", way, err)
+	}
+}
+
+func getRequest(addr string) *fasthttp.Request {
+	var req fasthttp.Request
+	req.SetRequestURI("http://" + addr + "/")
+	return &req
+}
+
+// Guards against a malformed answer to another request being skipped, so that the answer after it is taken for that to the
+// request (issue 52).
+func TestMalformedStrayAnswerEndsExchange(t *testing.T) {
+	for name, head := range malformedHeads {
+		t.Run(name, func(t *testing.T) {
+			const own = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown"
+			addr := serveOnce(t, head+"Other: 1\r\nContent-Length: 0\r\n\r\n"+own)
+			_, err := NewClient().Exchange(t.Context(), ExchangeOptions{
+				Addr:     addr,
+				Head:     []byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
+				Deadline: time.Now().Add(5 * time.Second),
+				IsStray:  func(h *fasthttp.ResponseHeader) bool { return len(h.Peek("Other")) > 0 },
+			})
+			checkMalformed(t, "exchange", err)
+		})
+	}
+}
