Answers with a malformed field in their head or trailer are refused wherever upstream reads answers

What callers saw: a replica in trouble sent an answer in whose head the name of a field held a blank, such as "X Odd: 1" or "Content -Length: 3". Callers of orders and look-ups got its 200 with that line, at each of four places in the head; behind an interim answer with such a line they got the 200 that followed; and a stream that had broken off elsewhere went on with its events. A line that begins with a blank was joined to the field before it, so that callers got a changed signature ("sig X-Odd: 1"). Control bytes, DEL, bytes beyond ASCII, names that are missing and lines without a colon were refused before; their tests stay.

As with invalid statuses, the host itself believed such answers of engines and of the store. An answer in chunks counted as complete when the lines after its last chunk were no fields, for instance the head of an error.

Cause: the HTTP library accepts blanks inside of names and only marks the connection for closing, and joins lines that continue a field. Trailers were skipped line by line without a look at them.

Fix: the strict reading of heads checks each line: it must be a field whose name is a token (RFC 9112, section 5.1), by httpguts, which is the check of the Go HTTP/2 library. Lines that continue a field are refused, which section 5.2 allows a proxy. A blank between name and colon is allowed and not passed on, as section 5.1 wants it; neither the framing nor the request that an answer belongs to depends on it (TestBlankBeforeColonIsRemoved, held before). Trailers are checked by the same function.

--- a/internal/httphead/checker.go
+++ b/internal/httphead/checker.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"errors"
 	"fmt"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrMalformed is wrapped in the errors about a head that HTTP/1.1 does not allow. The answer then states nothing: neither a
@@ -59,7 +61,7 @@
 		c.interim, err = checkStatusLine(line)
 		return false, err
 	}
-	return false, nil
+	return false, CheckField(line)
 }
 
 // checkStatusLine checks that a line is the status line of an answer with a status from 100 to 599, and reports whether that
@@ -85,3 +87,14 @@
 	}
 	return true
 }
+
+// CheckField checks that a line of a head or of a trailer, without the end of the line, is a field with a valid name. Blanks
+// between the name and the colon are allowed, because a proxy removes them from answers. A line that continues the field before
+// it is malformed: a proxy may refuse such answers, and the line might as well be a field whose name begins with a blank.
+func CheckField(line []byte) error {
+	name, _, found := bytes.Cut(line, []byte(":"))
+	if !found || !httpguts.ValidHeaderFieldName(string(bytes.TrimRight(name, " \t"))) {
+		return fmt.Errorf("%w: field %q", ErrMalformed, line)
+	}
+	return nil
+}
--- a/internal/httphead/read.go
+++ b/internal/httphead/read.go
@@ -1,5 +1,5 @@
-// Package httphead reads the heads of HTTP answers strictly. The HTTP library accepts some heads that HTTP/1.1 does not allow;
-// among others, it takes the status 000 for 200. Here such a head is an error.
+// Package httphead reads the heads of HTTP answers strictly. The HTTP library accepts some heads that HTTP/1.1 does not allow:
+// it takes the status 000 for 200, and accepts names of fields with a blank inside. Here such a head is an error.
 package httphead
 
 import (
--- a/internal/httphead/read_test.go
+++ b/internal/httphead/read_test.go
@@ -26,6 +26,22 @@
 	"HTTP/1.1 0200 OK\r\n\r\n",
 	"HTTP/1.1 -20 OK\r\n\r\n",
 	"HTTP/1.1\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nX Odd: 1\r\n\r\n",
+	"HTTP/1.1 200 OK\nX Odd: 1\n\n",
+	"HTTP/1.1 200 OK\r\nX-Odd: 1\r\nContent -Length: 3\r\n\r\n",
+	"HTTP/1.1 200 OK\r\n X-Odd: 1\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nX-Odd: 1\r\n X-Even: 2\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nX-Odd: 1\r\n\tX-Even: 2\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nX\tOdd: 1\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nX\x00Odd: 1\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nX\rOdd: 1\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nX\x7fOdd: 1\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nX\x80Odd: 1\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nX(Odd): 1\r\n\r\n",
+	"HTTP/1.1 200 OK\r\n: 1\r\n\r\n",
+	"HTTP/1.1 200 OK\r\n : 1\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nX-Odd\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nHTTP/1.1 500 Internal Server Error\r\n\r\n",
 }
 
 // readers are the ways in which the bytes of a head arrive.
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -20,6 +20,9 @@
 	"interim status 099": "HTTP/1.1 099 Processing\r\n\r\nHTTP/1.1 200 OK\r\n",
 	"status 600":         "HTTP/1.1 600 OK\r\n",
 	"protocol switched":  "HTTP/1.1 101 Switching Protocols\r\n",
+	"blank in a name":    "HTTP/1.1 200 OK\r\nX Odd: 1\r\n",
+	"folded field":       "HTTP/1.1 200 OK\r\nX-Odd: 1\r\n Content-Length: 7\r\n",
+	"interim answer":     "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\nHTTP/1.1 200 OK\r\n",
 }
 
 // malformedAnswer returns an answer whose body fits every kind of call.
@@ -83,3 +86,21 @@
 		})
 	}
 }
+
+// Guards against an answer in chunks that counts as complete although the lines after its last chunk are no fields, such as the
+// head of another answer (issue 52).
+func TestMalformedTrailerIsIncomplete(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n"
+	for _, trailer := range []string{"HTTP/1.1 500 Internal Server Error\r\n\r\n", "X Odd: 1\r\n\r\n", "X-Odd\r\n\r\n", " X-Odd: 1\r\n\r\n"} {
+		addr := serveOnce(t, head+trailer)
+		if err := readWhole(t, addr); !errors.Is(err, httphead.ErrMalformed) {
+			t.Errorf("exchange, %q: error %v, want that it is malformed", trailer, err)
+		}
+		_, err := NewClient().Do(t.Context(), getRequest(addr), Options{Addr: addr, Deadline: time.Now().Add(5 * time.Second)})
+		checkMalformed(t, fmt.Sprintf("call, %q", trailer), err)
+	}
+	addr := serveOnce(t, head+"X-Odd: 1\r\nX-Even : 2\r\n\r\n")
+	if err := readWhole(t, addr); err != nil {
+		t.Errorf("a proper trailer: %v", err)
+	}
+}
--- a/internal/upstream/read.go
+++ b/internal/upstream/read.go
@@ -58,7 +58,7 @@
 	return status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
 }
 
-// skipTrailer reads and discards the lines after the last chunk.
+// skipTrailer reads and discards the fields after the last chunk.
 func skipTrailer(r *bufio.Reader) error {
 	for range maxTrailerLines {
 		line, err := r.ReadSlice('\n')
@@ -68,9 +68,13 @@
 		if err != nil {
 			return err
 		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 {
 			return nil
 		}
+		if err := httphead.CheckField(line); err != nil {
+			return err
+		}
 	}
 	return errUnbounded
 }
