Answers are refused whose version of HTTP does not have their framing

What callers saw: a replica answered with HTTP/1.0 and a transfer encoding of chunks, and its caller got a 200 with the replica's signature and a body in which the lengths of the chunks stood as text; with a length beside it, this text was also cut. Answers of HTTP/0.9, 1.2 and 2.0 were passed on too.

Cause: the HTTP library ignores the field Transfer-Encoding unless the version is HTTP/1.1, and accepts any digits as a version.

Fix: the strict reading of heads accepts the versions 1.0 and 1.1, which are those that the library frames, and no transfer encoding in HTTP/1.0 (RFC 9112, section 6.1: such framing is faulty). Other encodings, repeated or malformed lengths and encodings were refused before; their tests stay.

--- a/internal/httphead/checker.go
+++ b/internal/httphead/checker.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"strings"
 
+	"github.com/valyala/fasthttp"
 	"golang.org/x/net/http/httpguts"
 )
 
@@ -26,6 +28,8 @@
 	// statusSeen is set after the status line, and interim if it announces that another head follows.
 	statusSeen bool
 	interim    bool
+	// http10 is set if the answer has version 1.0 of HTTP.
+	http10 bool
 }
 
 // feed checks the next bytes. It returns how many of them belong to the head, and whether the head is complete.
@@ -58,21 +62,30 @@
 		return c.statusSeen, nil
 	case !c.statusSeen:
 		c.statusSeen = true
-		c.interim, err = checkStatusLine(line)
-		return false, err
+		return false, c.checkStatusLine(line)
 	}
-	return false, CheckField(line)
+	return false, c.checkField(line)
 }
 
-// checkStatusLine checks that a line is the status line of an answer with a status from 100 to 599, and reports whether that
-// is an interim one.
-func checkStatusLine(line []byte) (interim bool, err error) {
-	_, rest, _ := bytes.Cut(line, []byte(" "))
+// checkStatusLine checks that a line is the status line of an HTTP/1 answer with a status from 100 to 599.
+func (c *checker) checkStatusLine(line []byte) error {
+	version, rest, _ := bytes.Cut(line, []byte(" "))
 	status, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
-	if !isStatus(status) || string(status) == statusSwitchingProtocols {
-		return false, fmt.Errorf("%w: status line %q", ErrMalformed, line)
+	c.http10 = string(version) == "HTTP/1.0"
+	if !c.http10 && string(version) != "HTTP/1.1" || !isStatus(status) || string(status) == statusSwitchingProtocols {
+		return fmt.Errorf("%w: status line %q", ErrMalformed, line)
 	}
-	return status[0] == '1', nil
+	c.interim = status[0] == '1'
+	return nil
+}
+
+// checkField checks a field. HTTP/1.0 has no transfer encoding, so the end of a body that has one is not known.
+func (c *checker) checkField(line []byte) error {
+	name, err := fieldName(line)
+	if err == nil && c.http10 && strings.EqualFold(string(name), fasthttp.HeaderTransferEncoding) {
+		return fmt.Errorf("%w: field %q in HTTP/1.0", ErrMalformed, line)
+	}
+	return err
 }
 
 // isStatus reports whether b is a number from 100 to 599.
@@ -88,13 +101,20 @@
 	return true
 }
 
-// CheckField checks that a line of a head or of a trailer, without the end of the line, is a field with a valid name. Blanks
-// between the name and the colon are allowed, because a proxy removes them from answers. A line that continues the field before
-// it is malformed: a proxy may refuse such answers, and the line might as well be a field whose name begins with a blank.
+// CheckField checks that a line of a head or of a trailer, without the end of the line, is a field with a valid name.
 func CheckField(line []byte) error {
+	_, err := fieldName(line)
+	return err
+}
+
+// fieldName returns the name of a field. Blanks between the name and the colon are allowed, because a proxy removes them from
+// answers. A line that continues the field before it is malformed: a proxy may refuse such answers, and the line might as well be
+// a field whose name begins with a blank.
+func fieldName(line []byte) ([]byte, error) {
 	name, _, found := bytes.Cut(line, []byte(":"))
-	if !found || !httpguts.ValidHeaderFieldName(string(bytes.TrimRight(name, " \t"))) {
-		return fmt.Errorf("%w: field %q", ErrMalformed, line)
+	name = bytes.TrimRight(name, " \t")
+	if !found || !httpguts.ValidHeaderFieldName(string(name)) {
+		return nil, fmt.Errorf("%w: field %q", ErrMalformed, line)
 	}
-	return nil
+	return name, nil
 }
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -20,6 +20,8 @@
 	"interim status 099": "HTTP/1.1 099 Processing\r\n\r\nHTTP/1.1 200 OK\r\n",
 	"status 600":         "HTTP/1.1 600 OK\r\n",
 	"protocol switched":  "HTTP/1.1 101 Switching Protocols\r\n",
+	"HTTP/2.0":           "HTTP/2.0 200 OK\r\n",
+	"chunks in HTTP/1.0": "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
 	"blank in a name":    "HTTP/1.1 200 OK\r\nX Odd: 1\r\n",
 	"folded field":       "HTTP/1.1 200 OK\r\nX-Odd: 1\r\n Content-Length: 7\r\n",
 	"interim answer":     "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\nHTTP/1.1 200 OK\r\n",
