kvstore refuses responses with a malformed head

What callers saw: nothing directly. A key-value service in trouble that answers with status 000, or with a blank in the name of a field, made the etcd program take a transaction for done, a lease for granted and a watch for confirmed, with the batches in that answer. Claims, limits and the configuration rest on these.

This client leaves the reading of responses to the HTTP library altogether.

Fix: httphead.Conn checks the heads of answers on their way from the connection to the library, and closes the connection at a malformed one. The call then fails like one whose response is lost: unknown for a write, unavailable for a read or a watch.

--- /dev/null
+++ b/internal/httphead/headtest/headtest.go
@@ -0,0 +1,49 @@
+// Package headtest is a stand-in for upstreams and stores in trouble, which answer with malformed heads.
+package headtest
+
+import (
+	"io"
+	"net"
+	"testing"
+)
+
+// Malformed holds the beginnings of heads that are none in HTTP/1.1. Without the malformed part each would be that of a success.
+// Any fields, an empty line and a body may follow.
+var Malformed = map[string]string{
+	"status 000":          "HTTP/1.1 000 OK\r\n",
+	"status 600":          "HTTP/1.1 600 OK\r\n",
+	"interim status 099":  "HTTP/1.1 099 Processing\r\n\r\nHTTP/1.1 200 OK\r\n",
+	"protocol switched":   "HTTP/1.1 101 Switching Protocols\r\n",
+	"HTTP/2.0":            "HTTP/2.0 200 OK\r\n",
+	"blank in a name":     "HTTP/1.1 200 OK\r\nX Odd: 1\r\n",
+	"control in a name":   "HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\n",
+	"continued field":     "HTTP/1.1 200 OK\r\nX-Odd: 1\r\n X-Even: 2\r\n",
+	"interim with blank":  "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\nHTTP/1.1 200 OK\r\n",
+	"interim, then blank": "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nX Odd: 1\r\n",
+}
+
+// requestBytes is the size in bytes of the longest request that Serve reads.
+const requestBytes = 4096
+
+// Serve starts a server that answers the first request of each connection with fixed bytes and keeps the connection open until
+// the test ends. It returns the server's address.
+func Serve(t testing.TB, answer string) (addr string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = c.Close() })
+			_, _ = c.Read(make([]byte, requestBytes))
+			_, _ = io.WriteString(c, answer)
+		}
+	}()
+	return ln.Addr().String()
+}
--- a/internal/kvstore/client.go
+++ b/internal/kvstore/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/foxtailpass/foxtailpass/internal/httphead"
 	gw "github.com/foxtailpass/foxtailpass/internal/kvstore/gatewayjson"
 )
 
@@ -98,13 +99,14 @@
 	}
 }
 
-// dial marks its errors with errNotSent, because nothing has been sent when the connection fails.
+// dial returns a connection that accepts only responses with a well-formed head: the outcome of a call with another response is
+// unknown. It marks its errors with errNotSent, because nothing has been sent when the connection fails.
 func (c *Client) dial(addr string) (net.Conn, error) {
 	conn, err := net.DialTimeout("tcp", addr, c.opt.Timeout)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errNotSent, err)
 	}
-	return conn, nil
+	return httphead.NewConn(conn), nil
 }
 
 // Counts returns the counters of attempts. A call that is attempted at two endpoints is counted twice.
