foxtailload counts an answer with a malformed head as failed

What was seen: the load generator counted an answer with status 000, or with a blank in the name of a field, as complete, and skipped those below 200; a status of 600 counted as a refusal of the target. Its reports would have hidden what callers get.

The request counts as one whose connection broke.

--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/httphead"
 	"github.com/foxtailpass/foxtailpass/internal/standin/engine"
 	"github.com/foxtailpass/foxtailpass/internal/standin/service"
 	"github.com/valyala/fasthttp"
@@ -81,14 +82,22 @@
 			RetryIfErr:                    func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 			DisablePathNormalizing:        true,
 			DisableHeaderNamesNormalizing: false,
-			Dial: func(a string) (net.Conn, error) {
-				return fasthttp.DialTimeout(a, connectTimeout)
-			},
+			Dial:                          dial,
 		}
 	}
 	return &client{addr: addr, http: host(false), sse: host(true)}
 }
 
+// dial returns a connection that accepts only answers with a well-formed head. An answer with another one counts as a broken
+// connection.
+func dial(addr string) (net.Conn, error) {
+	conn, err := fasthttp.DialTimeout(addr, connectTimeout)
+	if err != nil {
+		return nil, err
+	}
+	return httphead.NewConn(conn), nil
+}
+
 // send sends the request and reads the answer to its end. All durations are measured from intended, the
 // scheduled send time.
 func (c *client) send(r *request, intended time.Time, timeout time.Duration, check bool) result {
