foxtailctl refuses answers of hosts that have a malformed head

What operators saw: a host whose answer had a blank in the name of a field, a continued field or another version of HTTP counted as having a configuration revision, or as having released a request from quarantine.

Cause: net/http accepts such heads as well. It refuses status 000, since that is not 200.

Fix: the requests to operator ports go through the upstream client, which reads heads strictly; an answer that is too long is now an error, where it was cut before.

--- a/cmd/foxtailctl/hosts.go
+++ b/cmd/foxtailctl/hosts.go
@@ -6,16 +6,19 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/foxtailpass/foxtailpass/internal/config"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/kvstore"
+	"github.com/foxtailpass/foxtailpass/internal/upstream"
 )
 
 const (
@@ -155,22 +158,26 @@
 // Error implements error.
 func (e statusError) Error() string { return fmt.Sprintf("status %d", int(e)) }
 
+// hostClient sends requests to the operator ports of hosts. It accepts only answers with a well-formed head.
+var hostClient = upstream.NewClient()
+
 // askHost sends a request to the operator port of a host and returns the body of the answer.
 func askHost(ctx context.Context, method, addr, path string, query url.Values) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
-	defer cancel()
-	u := url.URL{Scheme: "http", Host: addr, Path: path, RawQuery: query.Encode()}
-	req, err := http.NewRequestWithContext(ctx, method, u.String(), nil)
-	if err != nil {
+	if _, _, err := net.SplitHostPort(addr); err != nil {
 		return nil, usageError{err}
 	}
-	resp, err := http.DefaultClient.Do(req)
+	u := url.URL{Scheme: "http", Host: addr, Path: path, RawQuery: query.Encode()}
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.SetMethod(method)
+	req.SetRequestURI(u.String())
+	call, err := hostClient.Do(ctx, req, upstream.Options{Addr: addr, Deadline: time.Now().Add(queryTimeout), MaxAnswer: maxAnswerBytes})
 	if err != nil {
 		return nil, err
 	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return nil, statusError(resp.StatusCode)
+	defer call.Close()
+	if status := call.Response.StatusCode(); status != http.StatusOK {
+		return nil, statusError(status)
 	}
-	return io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	return slices.Clone(call.Response.Body()), nil
 }
--- a/cmd/foxtailctl/main_test.go
+++ b/cmd/foxtailctl/main_test.go
@@ -20,6 +20,7 @@
 	"github.com/foxtailpass/foxtailpass/internal/config"
 	"github.com/foxtailpass/foxtailpass/internal/config/check"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/httphead/headtest"
 	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/settings"
 	"github.com/foxtailpass/foxtailpass/platform"
@@ -286,6 +287,21 @@
 	}
 }
 
+// Guards against a host that counts as having a configuration, or as having released a request, because of an answer with a
+// malformed head (issue 52).
+func TestMalformedAnswerOfHostIsRefused(t *testing.T) {
+	const body = `{"config_revision":7}`
+	for name, head := range headtest.Malformed {
+		t.Run(name, func(t *testing.T) {
+			host := headtest.Serve(t, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body))
+			if revision, err := fetchRevision(t.Context(), host); err == nil {
+				t.Errorf("the host counts as having revision %d", revision)
+			}
+			runCommand(t, exitFailure, "quarantine", "release", "--host", host, "caa6")
+		})
+	}
+}
+
 // Guards against quarantine commands that fail, or report success, whatever the host answers.
 func TestQuarantineCommands(t *testing.T) {
 	var released string
