An answer without a body to a call for a stream does not end the host

What callers saw: an engine or service that answered a call for a stream with 204 or 304 ended the process of the etcd program, with all its connections: a nil reader was read in the handler of the request.

Cause: the HTTP library gives no reader of the body for these statuses.

Fix: such a body is empty. The other program reads bodies by itself and was not affected.

Evidence: without the change TestStreamWithoutBodyIsEmpty ends with a nil dereference.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -172,13 +173,21 @@
 		return &Failure{Outcome: entity.AttemptUnknown, Reason: "mismatched_answer"}
 	}
 	if o.Stream {
-		call.body = call.Response.BodyStream()
+		call.body = bodyStream(call.Response)
 		return nil
 	}
 	call.complete = true
 	return nil
 }
 
+// bodyStream returns the unread body of an answer, which is empty if its status allows none.
+func bodyStream(resp *fasthttp.Response) io.Reader {
+	if body := resp.BodyStream(); body != nil {
+		return body
+	}
+	return bytes.NewReader(nil)
+}
+
 // failure wraps an I/O error. The outcome is AttemptNotRun if no byte of the request was written, and
 // AttemptUnknown otherwise.
 func (call *Call) failure(reason string, err error) *Failure {
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -92,3 +94,18 @@
 		}
 	}
 }
+
+// Guards against a host that ends because an upstream answers a call for a stream with a status that has no body.
+func TestStreamWithoutBodyIsEmpty(t *testing.T) {
+	for _, status := range []string{"204 No Content", "304 Not Modified"} {
+		client, addr := NewClient(), headtest.Serve(t, "HTTP/1.1 "+status+"\r\nContent-Length: 5\r\n\r\n")
+		call, err := client.Do(t.Context(), getRequest(addr), Options{Addr: addr, Stream: true, Deadline: time.Now().Add(5 * time.Second)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n, err := call.Body().Read(make([]byte, 1)); n != 0 || !errors.Is(err, io.EOF) {
+			t.Errorf("status %s: read %d bytes, error %v; want the end of the body", status, n, err)
+		}
+		call.Close()
+	}
+}
