A body whose reading has failed does not end as complete at the next read

What callers saw: a replica that stopped in the middle of a stream in chunks and sent the head of an error behind a last chunk got its stream passed on as complete, though the lines behind the chunk are no trailer.

Cause: a stream keeps events that it has read when a read fails, and reads on for the error. The body had already ended for the reader of chunks, so that the second read looked at the rest of the malformed trailer and found its end.

Fix: Exchange keeps the first failure of a body other than a timeout, and returns it each time, as it does with the end.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -83,8 +83,9 @@
 	// body reads the body of the answer, which has chunked encoding if chunked is set.
 	body    io.Reader
 	chunked bool
-	// complete is set when the whole body has been read.
+	// complete is set when the whole body has been read, and bodyErr when reading it has failed.
 	complete bool
+	bodyErr  error
 	// bodyBytes is the number of bytes of the body that have been read, and bodyLimit the largest one, zero for none.
 	bodyBytes, bodyLimit int64
 	singleUse            bool
@@ -222,11 +223,23 @@
 	return n, err
 }
 
-// Read implements io.Reader for the body. It returns io.EOF only after the whole body has been read, and then each time.
+// Read implements io.Reader for the body. It returns io.EOF only after the whole body has been read, and then each time. A failure
+// other than a timeout is final, too.
 func (e *Exchange) Read(p []byte) (int, error) {
-	if e.complete {
+	switch {
+	case e.complete:
 		return 0, io.EOF
+	case e.bodyErr != nil:
+		return 0, e.bodyErr
+	}
+	n, err := e.read(p)
+	if err != nil && !e.complete && !errors.Is(err, os.ErrDeadlineExceeded) {
+		e.bodyErr = err
 	}
+	return n, err
+}
+
+func (e *Exchange) read(p []byte) (int, error) {
 	n, err := e.body.Read(p)
 	e.bodyBytes += int64(n)
 	if e.bodyLimit > 0 && e.bodyBytes > e.bodyLimit {
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"testing"
 	"time"
 
@@ -85,6 +86,7 @@
 		if err := readWhole(t, addr); !errors.Is(err, httphead.ErrMalformed) {
 			t.Errorf("exchange, %q: error %v, want that it is malformed", trailer, err)
 		}
+		checkBodyStaysBroken(t, addr)
 		_, err := NewClient().Do(t.Context(), getRequest(addr), Options{Addr: addr, Deadline: time.Now().Add(5 * time.Second)})
 		checkMalformed(t, fmt.Sprintf("call, %q", trailer), err)
 	}
@@ -93,3 +95,18 @@
 		t.Errorf("a proper trailer: %v", err)
 	}
 }
+
+// checkBodyStaysBroken reads a malformed body on after its error.
+func checkBodyStaysBroken(t *testing.T, addr string) {
+	t.Helper()
+	ex, err := NewClient().Exchange(t.Context(), ExchangeOptions{Addr: addr, Head: []byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"), Deadline: time.Now().Add(5 * time.Second)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ex.Close()
+	for range 2 {
+		if _, err := io.Copy(io.Discard, ex); !errors.Is(err, httphead.ErrMalformed) {
+			t.Errorf("reading a malformed body on gives error %v, want that it is malformed", err)
+		}
+	}
+}
