A success of another media type does not go on with a stream

What callers saw: a resumable stream had begun and broke off, and the next replica answered with status 200, its signature and a text or JSON about its failure. The text stood in the stream, which then ended as if it were complete; also where the caller had taken the stream up at another host.

Cause: an answer with status 200 was taken for the rest of the stream, and an empty line in its body for the end of an event.

Fix: an answer that goes on with a stream must be text/event-stream if it states a media type. Otherwise the attempt counts as broken, and another one may follow. An answer that states none is accepted as before.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -153,13 +153,18 @@
 	case status >= fasthttp.StatusInternalServerError && s.route.Repeatable() && s.attempt < s.route.MaxAttempts:
 		res.Outcome = entity.AttemptFailed
 		return res, true
-	case !info.Signed || info.Encoded:
+	case !info.Signed || info.Encoded || s.takesUpStream() && status == fasthttp.StatusOK && !continuesStream(&ex.Header):
 		res.Broken = true
 		return res, true
 	}
 	return res, false
 }
 
+// takesUpStream reports whether the caller wants a stream to go on that it has had the beginning of.
+func (s *requestSession) takesUpStream() bool {
+	return s.route.Kind == catalog.Streaming && s.description.LastEvent != ""
+}
+
 // failedResult returns the result of an attempt whose exchange failed without an answer.
 func failedResult(err error) dispatch.AttemptResult {
 	res := dispatch.AttemptResult{Outcome: entity.AttemptUnknown, Broken: true}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -4,9 +4,12 @@
 	"bytes"
 	"errors"
 	"io"
+	"mime"
 	"net"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/foxtailpass/foxtailpass/internal/boottime"
 	"github.com/foxtailpass/foxtailpass/internal/catalog"
 	"github.com/foxtailpass/foxtailpass/internal/dispatch"
@@ -343,7 +346,7 @@
 			res.Request = s.request.ID
 			continue
 		}
-		if bad, isBad := s.classifyAnswer(ex, s.frontend.protocol.ParseAnswer(&ex.Header)); isBad || ex.Header.StatusCode() != 200 {
+		if bad, isBad := s.classifyAnswer(ex, s.frontend.protocol.ParseAnswer(&ex.Header)); isBad || !continuesStream(&ex.Header) {
 			ex.Abort()
 			ex.Close()
 			cause, res = errStreamBroken, bad
@@ -359,6 +362,23 @@
 	}
 }
 
+// eventStreamType is the media type of a stream of events.
+const eventStreamType = "text/event-stream"
+
+// continuesStream reports whether an answer goes on with a stream that another upstream has begun: a success whose media type,
+// if it states one, is that of events.
+func continuesStream(h *fasthttp.ResponseHeader) bool {
+	if h.StatusCode() != fasthttp.StatusOK {
+		return false
+	}
+	contentType := h.ContentType()
+	if len(contentType) == 0 {
+		return true
+	}
+	mediaType, _, err := mime.ParseMediaType(string(contentType))
+	return err == nil && mediaType == eventStreamType
+}
+
 // fail ends a request whose stream is permanently broken.
 func (e *eventStream) fail(cause error) {
 	s := e.requestSession
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -103,6 +103,8 @@
 	}
 	cn.limitReads(0, time.Time{})
 	e := &Exchange{client: c, conn: cn, addr: o.Addr, singleUse: o.SingleUse}
+	// An answer without a media type must not look as if it had one.
+	e.Header.SetNoDefaultContentType(true)
 	e.stop = context.AfterFunc(ctx, e.Abort)
 	_ = cn.SetDeadline(o.Deadline)
 	if err := e.exchange(o); err != nil {
