--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -153,16 +153,18 @@
 	case status >= fasthttp.StatusInternalServerError && s.route.Repeatable() && s.attempt < s.route.MaxAttempts:
 		res.Outcome = entity.AttemptFailed
 		return res, true
-	case !info.Signed || info.Encoded || s.takesUpStream() && status == fasthttp.StatusOK && !continuesStream(&ex.Header):
+	case !info.Signed || info.Encoded || s.lacksRestOfStream(&ex.Header):
 		res.Broken = true
 		return res, true
 	}
 	return res, false
 }
 
-// takesUpStream reports whether the caller wants a stream to go on that it has had the beginning of.
-func (s *requestSession) takesUpStream() bool {
-	return s.route.Kind == catalog.Streaming && s.description.LastEvent != ""
+// lacksRestOfStream reports whether an answer is a success although its body is not the rest of a stream that the caller has had
+// the beginning of.
+func (s *requestSession) lacksRestOfStream(h *fasthttp.ResponseHeader) bool {
+	takenUp := s.route.Kind == catalog.Streaming && s.description.LastEvent != ""
+	return takenUp && h.StatusCode() == fasthttp.StatusOK && !continuesStream(h)
 }
 
 // failedResult returns the result of an attempt whose exchange failed without an answer.
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -4,14 +4,10 @@
 	"bytes"
 	"errors"
 	"io"
-	"mime"
 	"net"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"github.com/foxtailpass/foxtailpass/internal/boottime"
-	"github.com/foxtailpass/foxtailpass/internal/catalog"
 	"github.com/foxtailpass/foxtailpass/internal/dispatch"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/membudget"
@@ -21,9 +17,6 @@
 const (
 	// maxEventBytes bounds one event of a stream.
 	maxEventBytes = 1 << 20
-	// soleUpstreamWaitShare is the share of the maximum wait of callers (Route.MaxFirstEventWait) for which
-	// this host waits for a silent stream that no other upstream could resume.
-	soleUpstreamWaitShare = 0.7
 )
 
 var (
@@ -229,33 +222,6 @@
 // pauseReading records that the host does not wait for the upstream until fill is called again.
 func (e *eventStream) pauseReading() { e.pace.idleSince = boottime.Now() }
 
-// setSilenceTimeout bounds the next read of a stream that can be resumed at another upstream.
-func (e *eventStream) setSilenceTimeout() {
-	limit, limited := silenceTimeout(e.requestSession.route, e.step, e.anySent)
-	if !limited {
-		return
-	}
-	left := e.requestSession.request.Deadline.Sub(boottime.Now()) + deadlineGrace
-	e.ex.SetReadDeadline(time.Now().Add(min(limit, left)))
-}
-
-// silenceTimeout returns how long a stream may be silent before it is resumed at another upstream. The last
-// attempt has no such limit, because no other attempt could follow it. If no other upstream serves the
-// request, the attempt is given up only shortly before its caller would leave.
-func silenceTimeout(r *catalog.Route, st step, sent bool) (limit time.Duration, limited bool) {
-	if !r.Resumable || st.lastAttempt {
-		return 0, false
-	}
-	limit = eventTimeout
-	if !sent {
-		limit = firstEventTimeout
-	}
-	if st.alternatives == 0 {
-		limit = max(limit, time.Duration(soleUpstreamWaitShare*float64(r.MaxFirstEventWait)))
-	}
-	return limit, true
-}
-
 // emptyLines are the ends of a line and of the empty line after it, which ends an event.
 var emptyLines = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r")}
 
@@ -303,82 +269,6 @@
 // begun reports whether an event of the stream has arrived, from any upstream.
 func (e *eventStream) begun() bool { return !e.lastAt.IsZero() }
 
-// resume continues the stream at another upstream after a failure, if the route allows it.
-func (e *eventStream) resume(cause error) error {
-	s := e.requestSession
-	e.ex.Abort()
-	e.ex.Close()
-	e.buf = e.buf[:0]
-	e.pace = paceMeter{samples: e.pace.samples}
-	if !s.route.Resumable {
-		e.fail(cause)
-		return errStreamBroken
-	}
-	res := e.result(cause)
-	for {
-		if s.alive.Err() != nil {
-			return errCallerLeft
-		}
-		s.frontend.log.Info("Stream interrupted.", "request", s.description.ID, "upstream", e.step.target.ID, "last_event", e.lastID, "digest", s.request.Digest, "err", cause)
-		s.frontend.send(attemptEnded{result: res, suspect: s.suspect(e.step, res, e.begun())})
-		var st step
-		select {
-		case st = <-s.stepQueue.steps:
-		case <-s.alive.Done():
-			return errCallerLeft
-		}
-		if st.refusal != nil {
-			e.failed = true
-			s.frontend.log.Info("Stream not resumed.", "request", s.description.ID, "reason", st.reason)
-			return errStreamBroken
-		}
-		if !s.mayContinue(e.lastID) {
-			e.failed = true
-			s.frontend.log.Info("Stream not resumed.", "request", s.description.ID, "reason", dispatch.ReasonStale)
-			s.frontend.send(callerLeft{id: s.request.ID})
-			return errStreamBroken
-		}
-		e.step = st
-		s.attempt = st.attempt
-		ex, err := s.sendAttempt(s.alive, st, e.lastID)
-		if err != nil {
-			cause, res = err, failedResult(err)
-			res.Request = s.request.ID
-			continue
-		}
-		if bad, isBad := s.classifyAnswer(ex, s.frontend.protocol.ParseAnswer(&ex.Header)); isBad || !continuesStream(&ex.Header) {
-			ex.Abort()
-			ex.Close()
-			cause, res = errStreamBroken, bad
-			res.Request = s.request.ID
-			if !isBad {
-				res.Outcome, res.Broken = entity.AttemptFailed, true
-			}
-			continue
-		}
-		s.frontend.log.Info("Stream resumed.", "request", s.description.ID, "upstream", st.target.ID, "release", st.target.Release, "last_event", e.lastID)
-		e.ex = ex
-		return nil
-	}
-}
-
-// eventStreamType is the media type of a stream of events.
-const eventStreamType = "text/event-stream"
-
-// continuesStream reports whether an answer goes on with a stream that another upstream has begun: a success whose media type,
-// if it states one, is that of events.
-func continuesStream(h *fasthttp.ResponseHeader) bool {
-	if h.StatusCode() != fasthttp.StatusOK {
-		return false
-	}
-	contentType := h.ContentType()
-	if len(contentType) == 0 {
-		return true
-	}
-	mediaType, _, err := mime.ParseMediaType(string(contentType))
-	return err == nil && mediaType == eventStreamType
-}
-
 // fail ends a request whose stream is permanently broken.
 func (e *eventStream) fail(cause error) {
 	s := e.requestSession
