--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The concurrent packages run under the race detector; the rest runs without it to stay fast.
-RACE_PKGS = ./platform ./platform/standin/... ./internal/accept/... ./internal/membudget/... ./internal/edge/... ./internal/election/... ./internal/kvstore/... ./internal/view/... ./internal/peer/... ./internal/gateway/... ./internal/upstream/... ./internal/host/... ./internal/standin/... ./internal/claims/... ./internal/load/... ./internal/config/...
+RACE_PKGS = ./platform ./platform/standin/... ./internal/accept/... ./internal/httphead/... ./internal/membudget/... ./internal/edge/... ./internal/election/... ./internal/kvstore/... ./internal/view/... ./internal/peer/... ./internal/gateway/... ./internal/upstream/... ./internal/host/... ./internal/standin/... ./internal/claims/... ./internal/load/... ./internal/config/...
 
 # Tests with a known fault, see KNOWN-RED.txt. They are skipped and printed.
 KNOWN_RED = $(shell sed -n 's/^skip: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
