--- a/internal/httphead/checker.go
+++ b/internal/httphead/checker.go
@@ -19,6 +19,8 @@
 	statusDigits = 3
 	// statusSwitchingProtocols answers only requests to change the protocol, which no client here sends.
 	statusSwitchingProtocols = "101"
+	// maxQuoted is the number of bytes of a malformed line that an error quotes.
+	maxQuoted = 64
 )
 
 // checker checks one head line by line as its bytes arrive.
@@ -73,7 +75,7 @@
 	status, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
 	c.http10 = string(version) == "HTTP/1.0"
 	if !c.http10 && string(version) != "HTTP/1.1" || !isStatus(status) || string(status) == statusSwitchingProtocols {
-		return fmt.Errorf("%w: status line %q", ErrMalformed, line)
+		return malformed("status line", line)
 	}
 	c.interim = status[0] == '1'
 	return nil
@@ -83,7 +85,7 @@
 func (c *checker) checkField(line []byte) error {
 	name, err := fieldName(line)
 	if err == nil && c.http10 && strings.EqualFold(string(name), fasthttp.HeaderTransferEncoding) {
-		return fmt.Errorf("%w: field %q in HTTP/1.0", ErrMalformed, line)
+		return malformed("field of HTTP/1.0", line)
 	}
 	return err
 }
@@ -114,7 +116,12 @@
 	name, _, found := bytes.Cut(line, []byte(":"))
 	name = bytes.TrimRight(name, " \t")
 	if !found || !httpguts.ValidHeaderFieldName(string(name)) {
-		return nil, fmt.Errorf("%w: field %q", ErrMalformed, line)
+		return nil, malformed("field", line)
 	}
 	return name, nil
 }
+
+// malformed returns an error that wraps ErrMalformed and quotes the beginning of a line.
+func malformed(kind string, line []byte) error {
+	return fmt.Errorf("%w: %s %q", ErrMalformed, kind, line[:min(len(line), maxQuoted)])
+}
--- a/internal/httphead/read_test.go
+++ b/internal/httphead/read_test.go
@@ -69,6 +69,17 @@
 	}
 }
 
+// Guards against logs that fill with the bytes of a replica in trouble.
+func TestErrorQuotesBeginningOfLine(t *testing.T) {
+	for _, head := range []string{strings.Repeat("x", 4000) + "\r\n", "HTTP/1.1 200 OK\r\n" + strings.Repeat("x y", 1000) + "\r\n"} {
+		var h fasthttp.ResponseHeader
+		err := Read(bufio.NewReader(strings.NewReader(head)), &h)
+		if !errors.Is(err, ErrMalformed) || len(err.Error()) > 200 {
+			t.Errorf("error %v of %d bytes; want a short one", err, len(err.Error()))
+		}
+	}
+}
+
 // Guards against a sound head that is refused, or read too far.
 func TestSoundHeadIsRead(t *testing.T) {
 	for _, head := range []string{
