--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -83,9 +83,8 @@
 	// body reads the body of the answer, which has chunked encoding if chunked is set.
 	body    io.Reader
 	chunked bool
-	// complete is set when the whole body has been read, and bodyErr when reading it has failed.
-	complete bool
-	bodyErr  error
+	// bodyErr is the error with which the body has ended: io.EOF if it has been read completely.
+	bodyErr error
 	// bodyBytes is the number of bytes of the body that have been read, and bodyLimit the largest one, zero for none.
 	bodyBytes, bodyLimit int64
 	singleUse            bool
@@ -173,7 +172,6 @@
 		if err := e.skipBody(); err != nil {
 			return err
 		}
-		e.complete = false
 	}
 }
 
@@ -189,7 +187,7 @@
 // prepareBody sets the reader of the body according to the framing in the header.
 func (e *Exchange) prepareBody(noBody bool) {
 	length := e.Header.ContentLength()
-	e.chunked, e.unframed = false, false
+	e.chunked, e.unframed, e.bodyErr = false, false, nil
 	switch {
 	case noBody || hasNoBody(e.Header.StatusCode()):
 		e.body = bytes.NewReader(nil)
@@ -225,17 +223,14 @@
 	return n, err
 }
 
-// Read implements io.Reader for the body. It returns io.EOF only after the whole body has been read, and then each time. A failure
-// other than a timeout is final, too.
+// Read implements io.Reader for the body. It returns io.EOF only after the whole body has been read. Every error but a timeout is
+// final: all further reads return it.
 func (e *Exchange) Read(p []byte) (int, error) {
-	switch {
-	case e.complete:
-		return 0, io.EOF
-	case e.bodyErr != nil:
+	if e.bodyErr != nil {
 		return 0, e.bodyErr
 	}
 	n, err := e.read(p)
-	if err != nil && !e.complete && !errors.Is(err, os.ErrDeadlineExceeded) {
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		e.bodyErr = err
 	}
 	return n, err
@@ -259,7 +254,6 @@
 		// The end of the connection is then no proof that the body is complete.
 		return n, io.ErrUnexpectedEOF
 	}
-	e.complete = true
 	return n, err
 }
 
@@ -320,7 +314,7 @@
 // written, the whole answer has been read, and no further bytes have been received on it.
 func (e *Exchange) Close() {
 	stopped := e.stop()
-	reuse := e.complete && stopped && !e.singleUse && !e.unframed && !e.Header.ConnectionClose() && e.conn.r.Buffered() == 0 && e.bodySent()
+	reuse := errors.Is(e.bodyErr, io.EOF) && stopped && !e.singleUse && !e.unframed && !e.Header.ConnectionClose() && e.conn.r.Buffered() == 0 && e.bodySent()
 	idle := e.idleLimitFromHeader()
 	if !reuse || idle <= 0 {
 		_ = e.conn.Close()
