--- a/internal/httphead/read_test.go
+++ b/internal/httphead/read_test.go
@@ -107,7 +107,7 @@
 
 // Guards against a head that ends early being taken for a whole one.
 func TestCutHeadIsRefused(t *testing.T) {
-	const head = "HTTP/1.1 200 OK\r\nX-Foxtailpass-Response-Signature: sig\r\nContent-Length: 0\r\n\r\n"
+	const head = "HTTP/1.1 200 OK\r\nX-Odd: 1\r\nContent-Length: 0\r\n\r\n"
 	for n := range len(head) {
 		for name, reader := range readers {
 			var h fasthttp.ResponseHeader
