--- a/internal/edge/coordinator_test.go
+++ b/internal/edge/coordinator_test.go
@@ -15,6 +15,7 @@
 	"github.com/foxtailpass/foxtailpass/internal/peer"
 	"github.com/foxtailpass/foxtailpass/internal/quarantine"
 	"github.com/foxtailpass/foxtailpass/internal/relay"
+	"github.com/foxtailpass/foxtailpass/internal/releases"
 	"github.com/foxtailpass/foxtailpass/internal/swap"
 	"github.com/foxtailpass/foxtailpass/internal/wire"
 )
@@ -31,6 +32,7 @@
 func (noEffects) writeQuarantine(quarantine.Write)                             {}
 func (noEffects) writeRelease(kvstore.Txn)                                     {}
 func (noEffects) setReleases(map[catalog.ServiceID][]entity.Release)           {}
+func (noEffects) setListing(releases.Listing)                                  {}
 func (noEffects) claimProbe(entity.RequestID, []quarantine.Trait, kvstore.Txn) {}
 
 var testStart = time.Unix(1000, 0)
--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -46,6 +46,8 @@
 	// goroutines of requests.
 	writeRelease(txn kvstore.Txn)
 	setReleases(services map[catalog.ServiceID][]entity.Release)
+	// setListing passes what the list states about upstreams to the goroutines of requests.
+	setListing(list releases.Listing)
 }
 
 // core is the control state of one host. Only one goroutine uses it.
--- a/internal/edge/frontend.go
+++ b/internal/edge/frontend.go
@@ -63,11 +63,15 @@
 	watchedTraits atomic.Pointer[map[quarantine.Trait]struct{}]
 	// recentTraits are the traits that answers have lately shown to be harmless.
 	recentTraits quarantine.RecentTraits
-	// streams holds the releases of the streams of this host, and releases the recorded releases by service. readRelease
-	// reads the release of a stream of another process.
-	streams     *releases.Streams
-	releases    atomic.Pointer[map[catalog.ServiceID][]entity.Release]
-	readRelease func(ctx context.Context, id entity.RequestID, service catalog.ServiceID, known []entity.Release) (releases.ServiceRelease, error)
+	// streams holds the origins of the streams of this host, and releases the recorded releases by service. readOrigin reads
+	// the origin of a stream of another process.
+	streams    *releases.Streams
+	releases   atomic.Pointer[map[catalog.ServiceID][]entity.Release]
+	readOrigin func(ctx context.Context, id entity.RequestID, service catalog.ServiceID, known []entity.Release) (releases.Origin, error)
+	// listing is what the list states about the upstreams of resumable routes, and provesListing reports whether it proves
+	// origins.
+	listing       atomic.Pointer[releases.Listing]
+	provesListing func(now time.Time) listingProof
 	// memory bounds what connections, requests and answers occupy.
 	memory *membudget.Budget
 
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -164,7 +164,9 @@
 		metrics:     h.opts.Metrics,
 		viewAge:     h.viewAge,
 		streams:     releases.NewStreams(h.opts.Settings.Store.Prefix),
-		readRelease: h.readRelease,
+		readOrigin:  h.readOrigin,
+
+		provesListing: h.provesListing,
 
 		learnsSpeeds: h.opts.Settings.Sharing.ReplicaSpeeds,
 		memory:       h.memory,
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -11,6 +11,7 @@
 	"github.com/foxtailpass/foxtailpass/internal/dispatch"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/membudget"
+	"github.com/foxtailpass/foxtailpass/internal/releases"
 	"github.com/foxtailpass/foxtailpass/internal/upstream"
 )
 
@@ -50,8 +51,8 @@
 	ended bool
 	// anySent reports whether events have been passed on.
 	anySent bool
-	// release is that of the upstream that sent the first event, empty before.
-	release entity.Release
+	// origin is where the stream began, known once the first event has arrived.
+	origin releases.Origin
 	// failed reports whether the stream is permanently broken and Close has nothing more to report, and completed
 	// whether the stream was passed on completely.
 	failed    bool
@@ -70,8 +71,8 @@
 	}
 	e.firstEventAfter = boottime.Now().Sub(s.arrived)
 	s.reportFirst(st, began)
-	e.release = s.beganRelease(st.target.Release)
-	s.reportStreamBegan(e.release)
+	e.origin = s.originAt(st.target)
+	s.reportStreamBegan(e.origin)
 	s.reportAnswerBegan()
 	s.frontend.metrics.RecordFirstToken(e.firstEventAfter)
 	s.copyHeader(ex)
@@ -262,10 +263,18 @@
 		Broken:   !silent,
 		// The head of the answer has arrived.
 		Answering: !silent && !e.begun(),
-		Release:   e.release,
+		Release:   e.release(),
 	}
 }
 
+// release returns the release at which the stream may go on, empty before the first event.
+func (e *eventStream) release() entity.Release {
+	if e.origin.Release == "" {
+		return ""
+	}
+	return e.requestSession.releaseToContinueAt(e.origin)
+}
+
 // begun reports whether an event of the stream has arrived, from any upstream.
 func (e *eventStream) begun() bool { return !e.lastAt.IsZero() }
 
--- /dev/null
+++ b/internal/releases/origin_test.go
@@ -0,0 +1,77 @@
+package releases
+
+import (
+	"testing"
+	"time"
+
+	"github.com/foxtailpass/foxtailpass/internal/catalog"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
+	"github.com/foxtailpass/foxtailpass/internal/fleet"
+)
+
+// unproven returns the origin of a stream that began at an upstream which an old list stated to be of v1.
+func unproven() Origin {
+	return Origin{ServiceRelease: v1, Unproven: true, Upstream: fleet.Incarnation{ID: "u", BornMillis: 7}}
+}
+
+// Guards against a stream that is proven by another incarnation of its upstream, and one that stays unknown although the
+// list states the incarnation that began it.
+func TestOriginIsProvenByItsIncarnationOnly(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		list Listing
+		want entity.Release
+		// undecided is set if a later list may still prove the origin.
+		undecided bool
+	}{
+		{"same incarnation", Listing{"u": {BornMillis: 7, Release: "v1"}}, "v1", false},
+		{"started again", Listing{"u": {BornMillis: 8, Release: "v1"}}, entity.ReleaseUnproven, false},
+		{"started again at another release", Listing{"u": {BornMillis: 8, Release: "v2"}}, entity.ReleaseUnproven, false},
+		{"another release without a new start", Listing{"u": {BornMillis: 7, Release: "v2"}}, entity.ReleaseUnproven, false},
+		{"not listed", Listing{"w": {BornMillis: 7, Release: "v1"}}, "v1", true},
+	} {
+		if o := unproven().Prove(c.list); o.Release != c.want || o.Unproven != c.undecided {
+			t.Errorf("%s: release %q, unproven %v", c.name, o.Release, o.Unproven)
+		}
+	}
+}
+
+// Guards against a record of an unproven stream that is read as proven, also by a build that knows no unproven streams.
+func TestRecordOfUnprovenStream(t *testing.T) {
+	for _, o := range []Origin{unproven(), {ServiceRelease: v2}} {
+		got, err := DecodeStream(encodeStream(o))
+		if err != nil || got != o {
+			t.Errorf("decoded %+v, error %v, want %+v", got, err, o)
+		}
+	}
+	if x, err := Decode(encodeStream(unproven())); err != nil || x.Release != entity.ReleaseUnproven {
+		t.Errorf("a build that knows no unproven streams reads release %q, error %v", x.Release, err)
+	}
+}
+
+// Guards against a record that stays unprovable after a newer list has proven the origin of its stream (review, case 10).
+func TestProvenOriginIsWrittenAgain(t *testing.T) {
+	began := time.Unix(1000, 0)
+	s := NewStreams("p/")
+	s.SetServices(map[catalog.ServiceID][]entity.Release{"s": {"v1", "v2"}})
+	s.Begin("a", unproven(), began)
+	w, _ := s.TakeWrite(7, began)
+	list := Listing{"u": {BornMillis: 7, Release: "v1"}}
+	s.Prove(list, began.Add(-time.Second))
+	if !s.HasUnproven() {
+		t.Fatal("a list from before the stream proves its origin")
+	}
+	s.Prove(list, began)
+	s.Written(w)
+	w, ok := s.TakeWrite(7, began)
+	if !ok || len(w.Ops) != 1 {
+		t.Fatal("the proven origin is not written")
+	}
+	if o, err := DecodeStream(w.Ops[0].Value); err != nil || o != (Origin{ServiceRelease: v1}) {
+		t.Errorf("record %+v, error %v, want the proven v1", o, err)
+	}
+	s.Written(w)
+	if _, ok := s.TakeWrite(7, began); ok {
+		t.Error("a record is written again without a reason")
+	}
+}
--- a/internal/releases/releases.go
+++ b/internal/releases/releases.go
@@ -9,16 +9,15 @@
 // each stream is written to the key-value service, so that any host can continue the stream, also when all hosts have
 // been restarted. What was not written in time is not continued.
 //
+// A host whose list of upstreams is old does not know for certain at which release a stream begins. The origin of such a
+// stream names the incarnation of the upstream that the old list stated. Any list that is certainly newer than the stream
+// proves the release if it states the same incarnation.
+//
 // The types of this package do no I/O. Time is passed in.
 package releases
 
 import (
 	"cmp"
-	"crypto/sha256"
-	"encoding/hex"
-	"encoding/json"
-	"errors"
-	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -28,13 +27,6 @@
 	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 )
 
-// Keys below the prefix of the installation.
-const (
-	// Prefix is common to the records of releases, and streamsPrefix to those of streams.
-	Prefix        = "releases/"
-	streamsPrefix = "streams/"
-)
-
 const (
 	// recordSpread is the time over which hosts that are not the coordinator spread the writes of a record.
 	recordSpread = 2 * time.Second
@@ -46,48 +38,6 @@
 	maxRecords = 1024
 )
 
-// keyDigestBytes is the length of the digests in keys. Names may contain any character.
-const keyDigestBytes = 12
-
-func digest(name string) string {
-	sum := sha256.Sum256([]byte(name))
-	return hex.EncodeToString(sum[:keyDigestBytes])
-}
-
-// ServiceRelease is a release of one service.
-type ServiceRelease struct {
-	Service catalog.ServiceID `json:"service"`
-	Release entity.Release    `json:"release"`
-}
-
-// ServicePrefix returns the prefix of the keys of the releases of a service, without that of the installation.
-func ServicePrefix(service catalog.ServiceID) string { return Prefix + digest(string(service)) + "/" }
-
-// StreamKey returns the key of the record of a stream, without the prefix of the installation.
-func StreamKey(id entity.RequestID) string { return streamsPrefix + digest(string(id)) }
-
-func (x ServiceRelease) key() string { return ServicePrefix(x.Service) + digest(string(x.Release)) }
-
-// Decode decodes the record of a release, or of a stream.
-func Decode(value []byte) (ServiceRelease, error) {
-	var x ServiceRelease
-	if err := json.Unmarshal(value, &x); err != nil {
-		return ServiceRelease{}, fmt.Errorf("releases: %w", err)
-	}
-	if x.Service == "" || x.Release == "" {
-		return ServiceRelease{}, errors.New("releases: record is invalid")
-	}
-	return x, nil
-}
-
-func encode(x ServiceRelease) []byte {
-	b, err := json.Marshal(x)
-	if err != nil {
-		panic("releases: record cannot be encoded: " + err.Error())
-	}
-	return b
-}
-
 // Known is the table of the recorded releases. It is not safe for concurrent use.
 type Known struct {
 	keyPrefix string
--- a/internal/releases/releases_test.go
+++ b/internal/releases/releases_test.go
@@ -141,14 +141,14 @@
 	now := time.Unix(1000, 0)
 	s := NewStreams("p/")
 	s.SetServices(map[catalog.ServiceID][]entity.Release{"s": {"v1"}})
-	s.Begin("a", v1)
-	s.Begin("broken", v1)
+	s.Begin("a", Origin{ServiceRelease: v1}, now)
+	s.Begin("broken", Origin{ServiceRelease: v1}, now)
 	s.End("broken", false, time.Minute, now)
 	if s.HasWrites() {
 		t.Error("a stream is written while there is one release")
 	}
 	s.SetServices(map[catalog.ServiceID][]entity.Release{"s": {"v1", "v2"}})
-	s.Begin("b", v2)
+	s.Begin("b", Origin{ServiceRelease: v2}, now)
 	w, ok := s.TakeWrite(7, now)
 	if !ok || len(w.Ops) != 3 {
 		t.Fatalf("%d records are written, want those of three streams", len(w.Ops))
@@ -163,7 +163,7 @@
 		t.Error("records whose write has failed are not written again")
 	}
 	s.End("a", true, time.Minute, now)
-	s.Begin("c", v2)
+	s.Begin("c", Origin{ServiceRelease: v2}, now)
 	w, _ = s.TakeWrite(8, now.Add(completedTime+time.Second))
 	removed := 0
 	for _, op := range w.Ops {
@@ -174,10 +174,10 @@
 	if removed != 1 {
 		t.Errorf("%d records are removed, want that of the completed stream", removed)
 	}
-	if release, ok := s.Release("broken", "s"); !ok || release != "v1" {
-		t.Errorf("release %q of a broken stream, want v1", release)
+	if o, ok := s.Origin("broken", "s"); !ok || o.Release != "v1" {
+		t.Errorf("release %q of a broken stream, want v1", o.Release)
 	}
-	if _, ok := s.Release("broken", "other service"); ok {
+	if _, ok := s.Origin("broken", "other service"); ok {
 		t.Error("the release of a stream counts for another service")
 	}
 }
@@ -187,7 +187,7 @@
 	s := NewStreams("p/")
 	s.SetServices(map[catalog.ServiceID][]entity.Release{"s": {"v1", "v2"}})
 	for n := range maxStreams + 100 {
-		s.Begin(entity.RequestID(fmt.Sprint(n)), v1)
+		s.Begin(entity.RequestID(fmt.Sprint(n)), Origin{ServiceRelease: v1}, time.Unix(1000, 0))
 	}
 	if len(s.streams) > maxStreams || len(s.unwritten) > maxStreams {
 		t.Errorf("%d streams and %d writes are kept", len(s.streams), len(s.unwritten))
--- a/internal/releases/streams.go
+++ b/internal/releases/streams.go
@@ -24,6 +24,8 @@
 	keyPrefix string
 	mu        sync.Mutex
 	streams   map[entity.RequestID]*stream
+	// unproven are the streams whose origin is unproven.
+	unproven map[entity.RequestID]*stream
 	// several are the services with several recorded releases. Their streams are written to the key-value service.
 	several map[catalog.ServiceID]bool
 	// unwritten are the streams whose record has to be written, in the order of time. removed are the keys of the records
@@ -32,36 +34,54 @@
 	removed   []string
 }
 
-// stream is one stream. Its record is needed until forgetAt, which is zero while it runs.
+// stream is one stream, whose first event arrived at beganAt. Its record is needed until forgetAt, which is zero while it
+// runs.
 type stream struct {
-	ServiceRelease
-	forgetAt time.Time
-	// queued is set once the record is to be written.
-	queued bool
+	Origin
+	beganAt, forgetAt time.Time
+	record            recordState
 }
 
+// recordState is the state of the record of a stream in the key-value service.
+type recordState uint8
+
+const (
+	// recordNotNeeded: no record has been written.
+	recordNotNeeded recordState = iota
+	// recordQueued: the record waits for a write.
+	recordQueued
+	// recordWriting: a write with the record has been sent and has no answer yet.
+	recordWriting
+	// recordWritten: the key-value service has acknowledged the record.
+	recordWritten
+)
+
 // NewStreams returns an empty table.
 func NewStreams(keyPrefix string) *Streams {
-	return &Streams{keyPrefix: keyPrefix, streams: make(map[entity.RequestID]*stream)}
+	return &Streams{keyPrefix: keyPrefix, streams: make(map[entity.RequestID]*stream), unproven: make(map[entity.RequestID]*stream)}
 }
 
-// Begin records that the first event of a stream has been received from an upstream of a release.
-func (t *Streams) Begin(id entity.RequestID, x ServiceRelease) {
+// Begin records that the first event of a stream has been received.
+func (t *Streams) Begin(id entity.RequestID, o Origin, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.streams) >= maxStreams {
 		return
 	}
-	s := &stream{ServiceRelease: x}
+	s := &stream{Origin: o, beganAt: now}
 	t.streams[id] = s
-	if t.several[x.Service] {
+	if o.Unproven {
+		t.unproven[id] = s
+	}
+	if t.several[o.Service] {
 		t.queue(id, s)
 	}
 }
 
+// queue makes the record of a stream wait for the next write.
 func (t *Streams) queue(id entity.RequestID, s *stream) {
-	if !s.queued {
-		s.queued = true
+	if s.record != recordQueued {
+		s.record = recordQueued
 		t.unwritten = append(t.unwritten, id)
 	}
 }
@@ -80,15 +100,41 @@
 	s.forgetAt = now.Add(retention)
 }
 
-// Release returns the release that began a stream, and false if the table does not contain the stream.
-func (t *Streams) Release(id entity.RequestID, service catalog.ServiceID) (entity.Release, bool) {
+// Origin returns the origin of a stream, and false if the table does not contain the stream.
+func (t *Streams) Origin(id entity.RequestID, service catalog.ServiceID) (Origin, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.streams[id]
 	if s == nil || s.Service != service {
-		return "", false
+		return Origin{}, false
+	}
+	return s.Origin, true
+}
+
+// Prove proves the origins of the streams that began until the given time by a list that is certainly newer.
+func (t *Streams) Prove(list Listing, until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, s := range t.unproven {
+		if s.beganAt.After(until) {
+			continue
+		}
+		s.Origin = s.Prove(list)
+		if s.Unproven {
+			continue
+		}
+		delete(t.unproven, id)
+		if s.record != recordNotNeeded {
+			t.queue(id, s)
+		}
 	}
-	return s.Release, true
+}
+
+// HasUnproven reports whether the origins of streams are unproven.
+func (t *Streams) HasUnproven() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.unproven) > 0
 }
 
 // SetServices sets the recorded releases by service. The streams of a service that has several of them from now on are
@@ -101,7 +147,7 @@
 		t.several[service] = len(releases) > 1
 	}
 	for id, s := range t.streams {
-		if t.several[s.Service] {
+		if t.several[s.Service] && s.record == recordNotNeeded {
 			t.queue(id, s)
 		}
 	}
@@ -126,8 +172,9 @@
 		id := t.unwritten[0]
 		t.unwritten = t.unwritten[1:]
 		if s := t.streams[id]; s != nil {
+			s.record = recordWriting
 			w.streams = append(w.streams, id)
-			w.Ops = append(w.Ops, kvstore.PutLeased(t.keyPrefix+StreamKey(id), encode(s.ServiceRelease), lease))
+			w.Ops = append(w.Ops, kvstore.PutLeased(t.keyPrefix+StreamKey(id), encodeStream(s.Origin), lease))
 		}
 	}
 	if len(w.Ops) == 0 && len(t.removed) < maxOpsPerWrite {
@@ -147,18 +194,36 @@
 func (t *Streams) forget(now time.Time) {
 	maps.DeleteFunc(t.streams, func(id entity.RequestID, s *stream) bool {
 		over := !s.forgetAt.IsZero() && now.After(s.forgetAt)
-		if over && s.queued {
+		if over {
+			delete(t.unproven, id)
+		}
+		if over && s.record != recordNotNeeded {
 			t.removed = append(t.removed, t.keyPrefix+StreamKey(id))
 		}
 		return over
 	})
 }
 
+// Written records that the key-value service has acknowledged a write.
+func (t *Streams) Written(w Write) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, id := range w.streams {
+		if s := t.streams[id]; s != nil && s.record == recordWriting {
+			s.record = recordWritten
+		}
+	}
+}
+
 // Failed puts the records of a write that failed back, to be written again.
 func (t *Streams) Failed(w Write) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.unwritten = append(w.streams, t.unwritten...)
+	for _, id := range w.streams {
+		if s := t.streams[id]; s != nil && s.record == recordWriting {
+			t.queue(id, s)
+		}
+	}
 	t.removed = append(w.removed, t.removed...)
 }
 
