--- a/internal/edge/coordinator_test.go
+++ b/internal/edge/coordinator_test.go
@@ -31,7 +31,8 @@
 func (noEffects) checkReplica(quarantine.Instance, string)                     {}
 func (noEffects) writeQuarantine(quarantine.Write)                             {}
 func (noEffects) writeRelease(kvstore.Txn)                                     {}
-func (noEffects) setReleases(map[catalog.ServiceID][]entity.Release)           {}
+func (noEffects) setReleases(map[catalog.ServiceID]releases.Service)           {}
+func (noEffects) viewProvesReleases() bool                                     { return true }
 func (noEffects) setListing(releases.Listing)                                  {}
 func (noEffects) claimProbe(entity.RequestID, []quarantine.Trait, kvstore.Txn) {}
 
--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -45,7 +45,9 @@
 	// writeRelease runs a transaction on the records of releases, and setReleases passes the recorded releases to the
 	// goroutines of requests.
 	writeRelease(txn kvstore.Txn)
-	setReleases(services map[catalog.ServiceID][]entity.Release)
+	setReleases(services map[catalog.ServiceID]releases.Service)
+	// viewProvesReleases reports whether the view is so new that its list and its records of releases are the present ones.
+	viewProvesReleases() bool
 	// setListing passes what the list states about upstreams to the goroutines of requests.
 	setListing(list releases.Listing)
 }
@@ -128,6 +130,9 @@
 
 	// releases holds the releases at which streams may have begun.
 	releases *releases.Known
+	// recorded are the recorded releases by service, and storeAway is set while this host cannot read the key-value service.
+	recorded  map[catalog.ServiceID]releases.Service
+	storeAway bool
 	// quarantine holds the traits of requests that are suspected of crashing replicas, and watchedTraits the traits for
 	// which the goroutines of requests report answers. claims holds the requests for which a probe is claimed.
 	quarantine    *quarantine.Tracker
@@ -311,6 +316,7 @@
 	c.tickRateUrgency(now)
 	c.applyDecisions(c.scheduler.Tick(now), now)
 	c.writeQuarantine(now)
+	c.updateStoreAway(now)
 	c.writeReleases(now)
 	if c.coordinator != nil {
 		c.tickCoordinator(now)
--- a/internal/edge/frontend.go
+++ b/internal/edge/frontend.go
@@ -66,8 +66,8 @@
 	// streams holds the origins of the streams of this host, and releases the recorded releases by service. readOrigin reads
 	// the origin of a stream of another process.
 	streams    *releases.Streams
-	releases   atomic.Pointer[map[catalog.ServiceID][]entity.Release]
-	readOrigin func(ctx context.Context, id entity.RequestID, service catalog.ServiceID, known []entity.Release) (releases.Origin, error)
+	releases   atomic.Pointer[map[catalog.ServiceID]releases.Service]
+	readOrigin func(ctx context.Context, id entity.RequestID, service catalog.ServiceID) (releases.Origin, error)
 	// listing is what the list states about the upstreams of resumable routes, and provesListing reports whether it proves
 	// origins.
 	listing       atomic.Pointer[releases.Listing]
--- a/internal/edge/releases.go
+++ b/internal/edge/releases.go
@@ -1,11 +1,11 @@
 package edge
 
 import (
+	"slices"
 	"time"
 
 	"github.com/foxtailpass/foxtailpass/internal/catalog"
 	"github.com/foxtailpass/foxtailpass/internal/dispatch"
-	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/releases"
 )
@@ -29,14 +29,20 @@
 	}
 	listed := make(map[releases.ServiceRelease]bool)
 	listing := make(releases.Listing)
+	changedInPlace := false
 	for _, u := range c.fleet.Rows() {
 		if _, resumable := c.catalog.Resumable(u.Service); resumable {
-			listed[releases.ServiceRelease{Service: u.Service, Release: u.Release}] = true
+			x := releases.ServiceRelease{Service: u.Service, Release: u.Release}
+			listed[x] = true
 			listing[u.ID] = releases.Listed{BornMillis: u.BornMillis, Release: u.Release}
+			changedInPlace = c.releases.ObserveUpstream(u.ID, x, now) || changedInPlace
 		}
 	}
 	c.releases.SetListed(listed, now)
 	c.effects.setListing(listing)
+	if changedInPlace {
+		c.publishReleases()
+	}
 }
 
 // hasUpstreamOf reports whether an upstream of the release of a pool is listed that takes requests.
@@ -54,9 +60,35 @@
 	for _, err := range c.releases.Apply(e.changes, now) {
 		c.log.Warn("Record of a release ignored.", "err", err)
 	}
-	services := c.releases.Services()
-	c.effects.setReleases(services)
-	c.log.Info("Releases recorded.", "releases", services)
+	c.publishReleases()
+	c.log.Info("Releases recorded.", "releases", c.recorded)
+	c.refreshTargets(now)
+}
+
+// publishReleases passes the recorded releases to the goroutines of requests.
+func (c *core) publishReleases() {
+	c.recorded = c.releases.Services()
+	c.effects.setReleases(c.recorded)
+}
+
+// mayBegin reports whether streams may begin at a release. While the key-value service is away, none may begin where it needs
+// a record first.
+func (c *core) mayBegin(x releases.ServiceRelease) bool {
+	service := c.recorded[x.Service]
+	return slices.Contains(service.Releases, x.Release) && !(c.storeAway && service.NeedsRecord(x.Release))
+}
+
+// updateStoreAway notes whether the key-value service is away.
+func (c *core) updateStoreAway(now time.Time) {
+	away := c.readableSince.Load() == 0
+	if away == c.storeAway {
+		return
+	}
+	c.storeAway = away
+	c.refreshTargets(now)
+}
+
+func (c *core) refreshTargets(now time.Time) {
 	for id := range c.fleet.Rows() {
 		c.refreshTarget(id, now)
 	}
@@ -67,16 +99,22 @@
 	if c.catalog == nil {
 		return
 	}
-	for _, txn := range c.releases.TakeWrites(c.effects.holdsLease(), releaseRetention(c.catalog), now) {
+	o := releases.WriteOptions{
+		Coordinator: c.effects.holdsLease(),
+		ViewIsFresh: c.effects.viewProvesReleases(),
+		Retention:   releaseRetention(c.catalog),
+		Era:         kvstore.EraOf(c.knownRevision.Load()),
+	}
+	for _, txn := range c.releases.TakeWrites(o, now) {
 		c.effects.writeRelease(txn)
 	}
 }
 
-// recordedReleases returns the recorded releases of a service.
-func (f *frontend) recordedReleases(service catalog.ServiceID) []entity.Release {
+// recorded returns what is recorded of the releases of a service.
+func (f *frontend) recorded(service catalog.ServiceID) releases.Service {
 	services := f.releases.Load()
 	if services == nil {
-		return nil
+		return releases.Service{}
 	}
 	return (*services)[service]
 }
@@ -90,10 +128,13 @@
 }
 
 // setReleases implements effects.
-func (h *Host) setReleases(services map[catalog.ServiceID][]entity.Release) {
+func (h *Host) setReleases(services map[catalog.ServiceID]releases.Service) {
 	h.frontend.releases.Store(&services)
 	h.frontend.streams.SetServices(services)
 }
 
+// viewProvesReleases implements effects.
+func (h *Host) viewProvesReleases() bool { return h.frontend.viewProvesReleases() }
+
 // setListing implements effects.
 func (h *Host) setListing(list releases.Listing) { h.frontend.listing.Store(&list) }
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -64,15 +64,15 @@
 func (s *requestSession) beginStream(ex *upstream.Exchange, st step, began time.Time) bool {
 	e := &eventStream{requestSession: s, ex: ex, step: st, began: began, memory: s.reserveAnswer()}
 	if err := e.fill(); err != nil {
-		e.memory.Release()
-		ex.Abort()
-		ex.Close()
-		return s.attemptFailed(st, e.result(err), err, began)
+		return e.abandon(err, e.result(err))
 	}
+	origin := s.originAt(st.target)
+	if !s.reportStreamBegan(origin) {
+		return e.abandon(errNoStreamRecord, dispatch.AttemptResult{Outcome: entity.AttemptUnknown})
+	}
+	e.origin = origin
 	e.firstEventAfter = boottime.Now().Sub(s.arrived)
 	s.reportFirst(st, began)
-	e.origin = s.originAt(st.target)
-	s.reportStreamBegan(e.origin)
 	s.reportAnswerBegan()
 	s.frontend.metrics.RecordFirstToken(e.firstEventAfter)
 	s.copyHeader(ex)
@@ -85,6 +85,14 @@
 	return true
 }
 
+// abandon ends the attempt of a stream of which nothing has been passed on. It returns true when the session has ended.
+func (e *eventStream) abandon(cause error, res dispatch.AttemptResult) bool {
+	e.memory.Release()
+	e.ex.Abort()
+	e.ex.Close()
+	return e.requestSession.attemptFailed(e.step, res, cause, e.began)
+}
+
 // serveUnframed passes an answer of unknown length on to a caller that speaks HTTP/1.0 and does not know chunks: the answer
 // ends with the connection, which is reset if the answer was broken off.
 func (s *requestSession) serveUnframed(body io.ReadCloser) {
--- a/internal/edge/stream_origin.go
+++ b/internal/edge/stream_origin.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"github.com/foxtailpass/foxtailpass/internal/boottime"
@@ -21,6 +20,8 @@
 	maxReleaseAge = 2 * time.Second
 	// maxReleaseReads bounds the reads of releases at a time. Callers decide how many there are.
 	maxReleaseReads = 16
+	// maxRecordWait is how long a first event waits for the record of its stream. Another upstream may then begin it.
+	maxRecordWait = time.Second
 )
 
 var (
@@ -30,6 +31,8 @@
 	errReleaseUnknown = errors.New("edge: release of the stream is unknown")
 	// errReleaseUnproven reports that the list does not prove yet which release began a stream.
 	errReleaseUnproven = errors.New("edge: release of the stream is not proven yet")
+	// errNoStreamRecord reports that a stream did not get its record in time.
+	errNoStreamRecord = errors.New("edge: no record of the stream")
 )
 
 // pinRelease finds out which release began the stream that the caller takes up again, so that it goes on there. It returns
@@ -58,15 +61,14 @@
 
 // releaseOf returns the release of a service that began a stream, which this host or another one has served.
 func (f *frontend) releaseOf(ctx context.Context, id entity.RequestID, service catalog.ServiceID) (entity.Release, error) {
-	known := f.recordedReleases(service)
 	origin, own := f.streams.Origin(id, service)
 	if !own {
 		var err error
-		if origin, err = f.readOrigin(ctx, id, service, known); err != nil {
+		if origin, err = f.readOrigin(ctx, id, service); err != nil {
 			return "", err
 		}
 	}
-	if own && len(known) < 2 {
+	if own && !f.recorded(service).Several() {
 		return origin.Release, nil
 	}
 	return f.prove(origin)
@@ -94,7 +96,7 @@
 
 // hasSeveralReleases reports whether streams of the request's service may have begun at several releases.
 func (s *requestSession) hasSeveralReleases() bool {
-	return len(s.frontend.recordedReleases(s.request.Pool.Service)) > 1
+	return s.frontend.recorded(s.request.Pool.Service).Several()
 }
 
 // mayContinue reports whether the request begins a stream, or goes on with one at an upstream whose release is proven, which
@@ -125,11 +127,27 @@
 	return o.Release
 }
 
-// reportStreamBegan records that the first event of a stream has arrived.
-func (s *requestSession) reportStreamBegan(o releases.Origin) {
-	if s.route.Resumable {
-		s.frontend.streams.Begin(s.request.ID, o, boottime.Now())
+// reportStreamBegan records that the first event of a stream has arrived, and waits for the record of the stream if the event
+// must not be passed on before. It returns false if there is no record in time.
+func (s *requestSession) reportStreamBegan(o releases.Origin) bool {
+	if !s.route.Resumable {
+		return true
+	}
+	s.frontend.streams.Begin(s.request.ID, o, boottime.Now())
+	// A stream that is taken up has the record of its first attempt.
+	takenUp := s.description.LastEvent != ""
+	if takenUp || !s.frontend.recorded(o.Service).NeedsRecord(o.Release) {
+		return true
 	}
+	timer := time.NewTimer(maxRecordWait)
+	defer timer.Stop()
+	select {
+	case <-s.frontend.streams.Written(s.request.ID):
+		return true
+	case <-s.alive.Done():
+	case <-timer.C:
+	}
+	return false
 }
 
 // reportStreamEnded records the end of a stream.
@@ -167,9 +185,8 @@
 	}
 }
 
-// readOrigin reads where a stream of a service began: as its record states, or at the only release of which the service has
-// had upstreams lately. known are the releases that this host knows of; a view that lags may lack some.
-func (h *Host) readOrigin(ctx context.Context, id entity.RequestID, service catalog.ServiceID, known []entity.Release) (releases.Origin, error) {
+// readOrigin reads where a stream of a service began: as its record states, or, if it has none, where all such streams did.
+func (h *Host) readOrigin(ctx context.Context, id entity.RequestID, service catalog.ServiceID) (releases.Origin, error) {
 	if h.releaseReads.Add(1) > maxReleaseReads {
 		h.releaseReads.Add(-1)
 		return releases.Origin{}, errTooManyReads
@@ -177,27 +194,12 @@
 	defer h.releaseReads.Add(-1)
 	ctx, cancel := context.WithTimeout(ctx, h.opts.Settings.Store.Timeout.Std())
 	defer cancel()
-	if len(known) < 2 {
-		only, err := h.readOnlyRelease(ctx, service)
-		if err != nil {
-			return releases.Origin{}, err
-		}
-		differs := func(r entity.Release) bool { return r != only.Release }
-		if only.Release != "" && !slices.ContainsFunc(known, differs) {
-			return releases.Origin{ServiceRelease: only}, nil
-		}
-	}
-	return h.readStreamRecord(ctx, id, service)
-}
-
-// readStreamRecord reads the record of a stream of a service.
-func (h *Host) readStreamRecord(ctx context.Context, id entity.RequestID, service catalog.ServiceID) (releases.Origin, error) {
 	pair, _, err := h.opts.Store.Get(ctx, h.opts.Settings.Store.Prefix+releases.StreamKey(id))
 	if err != nil {
 		return releases.Origin{}, err
 	}
 	if pair == nil {
-		return releases.Origin{}, errReleaseUnknown
+		return h.originWithoutRecord(ctx, service)
 	}
 	o, err := releases.DecodeStream(pair.Value)
 	if err != nil || o.Service != service {
@@ -206,15 +208,20 @@
 	return o, nil
 }
 
-// readOnlyRelease reads the recorded releases of a service, and returns the release if there is only one.
-func (h *Host) readOnlyRelease(ctx context.Context, service catalog.ServiceID) (releases.ServiceRelease, error) {
+// originWithoutRecord returns where the streams of a service that have no record began. The records of releases are read
+// after that of the stream: a host that has begun the stream since may rely on what they state now.
+func (h *Host) originWithoutRecord(ctx context.Context, service catalog.ServiceID) (releases.Origin, error) {
 	res, err := h.opts.Store.Range(ctx, kvstore.RangeRequest{Prefix: h.opts.Settings.Store.Prefix + releases.ServicePrefix(service)})
-	if err != nil || len(res.Pairs) != 1 {
-		return releases.ServiceRelease{}, err
-	}
-	x, err := releases.Decode(res.Pairs[0].Value)
 	if err != nil {
+		return releases.Origin{}, err
+	}
+	read, errs := releases.DecodeService(res.Pairs, kvstore.EraOf(res.Revision))
+	for _, err := range errs {
 		h.log.Warn("Record of a release ignored.", "err", err)
 	}
-	return x, nil
+	release, known := h.frontend.recorded(service).WithoutRecord(read)
+	if !known || len(errs) > 0 {
+		return releases.Origin{}, errReleaseUnknown
+	}
+	return releases.Origin{ServiceRelease: releases.ServiceRelease{Service: service, Release: release}}, nil
 }
--- a/internal/edge/stream_records.go
+++ b/internal/edge/stream_records.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// streamWriteInterval is how often the records of streams are written.
+	// streamWriteInterval is how often the records of streams are written at most.
 	streamWriteInterval = 50 * time.Millisecond
 	// streamWriteRetryPause is the pause after a write that has failed.
 	streamWriteRetryPause = 250 * time.Millisecond
@@ -25,7 +25,7 @@
 	host       *Host
 	lease      kvstore.LeaseID
 	leaseUntil time.Time
-	// failures counts the failed writes in a row. The next one is made at nextAt or later.
+	// failures counts the failed writes in a row. The next write is made at nextAt or later.
 	failures int
 	nextAt   time.Time
 }
@@ -41,8 +41,9 @@
 			return
 		case <-ticker.C:
 			h.proveStreams(boottime.Now())
-			w.tick(ctx, boottime.Now())
+		case <-h.frontend.streams.Urgent():
 		}
+		w.tick(ctx, boottime.Now())
 	}
 }
 
@@ -64,6 +65,7 @@
 		return
 	}
 	w.failures = 0
+	w.nextAt = now.Add(streamWriteInterval)
 }
 
 // timeout returns the timeout of the next write.
@@ -97,6 +99,6 @@
 		streams.Failed(batch)
 		return err
 	}
-	streams.Written(batch)
+	streams.Acknowledged(batch)
 	return nil
 }
--- a/internal/edge/targets.go
+++ b/internal/edge/targets.go
@@ -44,7 +44,7 @@
 		Slots:      u.Slots,
 		Draining:   u.Draining,
 
-		NoStreamsBegin: !c.releases.IsRecorded(releases.ServiceRelease{Service: u.Service, Release: u.Release}),
+		NoStreamsBegin: !c.mayBegin(releases.ServiceRelease{Service: u.Service, Release: u.Release}),
 		LoadedModels:   make(map[entity.ModelID][]entity.AdapterID),
 	}
 	t.Source = "list"
--- a/internal/releases/origin_test.go
+++ b/internal/releases/origin_test.go
@@ -4,7 +4,6 @@
 	"testing"
 	"time"
 
-	"github.com/foxtailpass/foxtailpass/internal/catalog"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/fleet"
 )
@@ -44,7 +43,7 @@
 			t.Errorf("decoded %+v, error %v, want %+v", got, err, o)
 		}
 	}
-	if x, err := Decode(encodeStream(unproven())); err != nil || x.Release != entity.ReleaseUnproven {
+	if x, err := decode(encodeStream(unproven())); err != nil || x.Release != entity.ReleaseUnproven {
 		t.Errorf("a build that knows no unproven streams reads release %q, error %v", x.Release, err)
 	}
 }
@@ -53,7 +52,7 @@
 func TestProvenOriginIsWrittenAgain(t *testing.T) {
 	began := time.Unix(1000, 0)
 	s := NewStreams("p/")
-	s.SetServices(map[catalog.ServiceID][]entity.Release{"s": {"v1", "v2"}})
+	s.SetServices(twoReleases)
 	s.Begin("a", unproven(), began)
 	w, _ := s.TakeWrite(7, began)
 	list := Listing{"u": {BornMillis: 7, Release: "v1"}}
@@ -62,7 +61,7 @@
 		t.Fatal("a list from before the stream proves its origin")
 	}
 	s.Prove(list, began)
-	s.Written(w)
+	s.Acknowledged(w)
 	w, ok := s.TakeWrite(7, began)
 	if !ok || len(w.Ops) != 1 {
 		t.Fatal("the proven origin is not written")
@@ -70,7 +69,7 @@
 	if o, err := DecodeStream(w.Ops[0].Value); err != nil || o != (Origin{ServiceRelease: v1}) {
 		t.Errorf("record %+v, error %v, want the proven v1", o, err)
 	}
-	s.Written(w)
+	s.Acknowledged(w)
 	if _, ok := s.TakeWrite(7, began); ok {
 		t.Error("a record is written again without a reason")
 	}
--- a/internal/releases/record.go
+++ b/internal/releases/record.go
@@ -10,6 +10,7 @@
 	"github.com/foxtailpass/foxtailpass/internal/catalog"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/fleet"
+	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 )
 
 // Keys below the prefix of the installation.
@@ -41,8 +42,29 @@
 
 func (x ServiceRelease) key() string { return ServicePrefix(x.Service) + digest(string(x.Release)) }
 
-// Decode decodes the record of a release.
-func Decode(value []byte) (ServiceRelease, error) {
+// releaseRecord is the record of a release. Baseline, if it is set, is the release at which all streams of the service that
+// have no record began; that holds in one era of the key-value service.
+type releaseRecord struct {
+	ServiceRelease
+	Baseline entity.Release `json:"baseline,omitempty"`
+	Era      kvstore.Era    `json:"era,omitempty"`
+}
+
+func decodeRelease(value []byte) (releaseRecord, error) {
+	x, err := decode(value)
+	if err != nil {
+		return releaseRecord{}, err
+	}
+	var r releaseRecord
+	if err := json.Unmarshal(value, &r); err != nil {
+		return releaseRecord{}, fmt.Errorf("releases: %w", err)
+	}
+	r.ServiceRelease = x
+	return r, nil
+}
+
+// decode decodes what the records of releases and of streams have in common.
+func decode(value []byte) (ServiceRelease, error) {
 	var x ServiceRelease
 	if err := json.Unmarshal(value, &x); err != nil {
 		return ServiceRelease{}, fmt.Errorf("releases: %w", err)
@@ -69,7 +91,7 @@
 
 // DecodeStream decodes the record of a stream.
 func DecodeStream(value []byte) (Origin, error) {
-	x, err := Decode(value)
+	x, err := decode(value)
 	if err != nil {
 		return Origin{}, err
 	}
--- a/internal/releases/releases.go
+++ b/internal/releases/releases.go
@@ -2,12 +2,25 @@
 // side by side, and what two releases write does not fit together.
 //
 // Known is the table of the releases whose replicas may have begun streams, with a durable record of each. A release gets
-// its record before the first stream begins there, and loses it when no such stream can be continued any more. While a
-// service has one record, each of its streams was begun by that release, and nothing else has to be known.
+// its record before the first stream begins there, and loses it when no such stream can be continued any more.
 //
 // Streams is the table of the streams that this host has begun. While a service has several records, the release of
 // each stream is written to the key-value service, so that any host can continue the stream, also when all hosts have
-// been restarted. What was not written in time is not continued.
+// been restarted.
+//
+// What a host may conclude that has not served a stream itself:
+//
+//   - The record of the stream, if there is one, states its origin.
+//   - While the service has one recorded release, each of its streams began there. Such streams have no records.
+//   - When a second release comes, hosts that have ended, stand still or are cut off write no records of these streams any
+//     more. The record of the second release therefore names the first one as the baseline: while it does, a stream without
+//     a record began at the baseline. So that this is true, no event of a stream that begins at another release is passed
+//     on before the stream has its record.
+//   - Otherwise a stream without a record may have begun anywhere.
+//
+// The baseline ends after a retention, when all streams of before are over. It ends sooner when it has no upstreams left,
+// when an upstream starts again at another release under its ID, because hosts with an old list take it for what it was,
+// and when the key-value service is restored from an older copy, which may lack records.
 //
 // A host whose list of upstreams is old does not know for certain at which release a stream begins. The origin of such a
 // stream names the incarnation of the upstream that the old list stated. Any list that is certainly newer than the stream
@@ -36,6 +49,11 @@
 	recordRetryPause = time.Second
 	// maxRecords bounds the records of releases. Releases beyond it begin no streams that may be continued.
 	maxRecords = 1024
+	// minSoleTime is how long a service must have had one recorded release for it to become the baseline: records that
+	// other hosts write meanwhile are seen by then.
+	minSoleTime = 3 * time.Second
+	// goneTime is how long no upstream of a baseline must have been listed for it to end.
+	goneTime = 3 * time.Second
 )
 
 // Known is the table of the recorded releases. It is not safe for concurrent use.
@@ -47,6 +65,22 @@
 	// listed are the releases of the listed upstreams, and missing those whose record has to be written.
 	listed  map[ServiceRelease]bool
 	missing map[ServiceRelease]*missingRecord
+	// soleSince is since when a service has had one recorded release.
+	soleSince map[catalog.ServiceID]time.Time
+	// lastListed are the releases at which upstreams were listed last, and changedInPlace is when an upstream of a service
+	// was last listed at another release than before.
+	lastListed     map[entity.UpstreamID]lastListing
+	changedInPlace map[catalog.ServiceID]time.Time
+	// era is the era of the key-value service once eraKnown is set, and restoredAt when it last rose, zero if it has not.
+	era        kvstore.Era
+	eraKnown   bool
+	restoredAt time.Time
+}
+
+// lastListing is the release at which an upstream was listed last, at a time.
+type lastListing struct {
+	ServiceRelease
+	at time.Time
 }
 
 // missingRecord is a record that this host writes at dueAt, and at once as the coordinator. sentAt is when it was last
@@ -55,39 +89,79 @@
 
 // record is the record of a release.
 type record struct {
+	releaseRecord
 	revision int64
+	// baselineSince is since when this host has known that the record names a baseline, zero if it names none.
+	baselineSince time.Time
+	// endSentAt is when this host last wrote that the baseline has ended.
+	endSentAt time.Time
 	// unlistedSince is since when no upstream of the release has been listed, zero if one is.
 	unlistedSince time.Time
 }
 
 // NewKnown returns an empty table. spread returns a random number from 0 to 1.
 func NewKnown(keyPrefix string, spread func() float64) *Known {
-	return &Known{keyPrefix: keyPrefix, spread: spread, records: make(map[ServiceRelease]*record), missing: make(map[ServiceRelease]*missingRecord)}
+	return &Known{
+		keyPrefix:      keyPrefix,
+		spread:         spread,
+		records:        make(map[ServiceRelease]*record),
+		missing:        make(map[ServiceRelease]*missingRecord),
+		soleSince:      make(map[catalog.ServiceID]time.Time),
+		lastListed:     make(map[entity.UpstreamID]lastListing),
+		changedInPlace: make(map[catalog.ServiceID]time.Time),
+	}
 }
 
 // Apply applies changes of the records, and returns an error for each that cannot be read.
 func (k *Known) Apply(events []kvstore.Event, now time.Time) []error {
 	var errs []error
 	for _, e := range events {
+		k.enterEra(kvstore.EraOf(e.Pair.ModRevision), now)
 		if e.Deleted {
 			k.remove(e.Pair.Key)
 			continue
 		}
-		x, err := Decode(e.Pair.Value)
+		rec, err := decodeRelease(e.Pair.Value)
 		if err != nil {
 			errs = append(errs, err)
 			continue
 		}
-		if len(k.records) >= maxRecords && k.records[x] == nil {
+		if len(k.records) >= maxRecords && k.records[rec.ServiceRelease] == nil {
 			continue
 		}
-		k.records[x] = &record{revision: e.Pair.ModRevision}
-		delete(k.missing, x)
+		k.put(rec, e.Pair.ModRevision, now)
 	}
 	k.SetListed(k.listed, now)
+	k.updateSole(now)
 	return errs
 }
 
+func (k *Known) put(rec releaseRecord, revision int64, now time.Time) {
+	r := &record{releaseRecord: rec, revision: revision}
+	if rec.Baseline != "" {
+		r.baselineSince = now
+		if former := k.records[rec.ServiceRelease]; former != nil && former.releaseRecord == rec {
+			r.baselineSince = former.baselineSince
+		}
+	}
+	k.records[rec.ServiceRelease] = r
+	delete(k.missing, rec.ServiceRelease)
+}
+
+// updateSole updates since when services have had one recorded release.
+func (k *Known) updateSole(now time.Time) {
+	counts := make(map[catalog.ServiceID]int)
+	for x := range k.records {
+		counts[x.Service]++
+	}
+	maps.DeleteFunc(k.soleSince, func(s catalog.ServiceID, _ time.Time) bool { return counts[s] != 1 })
+	for service, n := range counts {
+		if _, known := k.soleSince[service]; n == 1 && !known {
+			k.soleSince[service] = now
+		}
+	}
+}
+
 func (k *Known) remove(key string) {
 	maps.DeleteFunc(k.records, func(x ServiceRelease, _ *record) bool { return k.keyPrefix+x.key() == key })
 }
@@ -120,6 +194,25 @@
 	}
 }
 
+// ObserveUpstream notes the release at which an upstream is listed, and reports whether it was another one before.
+func (k *Known) ObserveUpstream(id entity.UpstreamID, x ServiceRelease, now time.Time) bool {
+	last, seen := k.lastListed[id]
+	changed := seen && last.ServiceRelease != x
+	if changed {
+		k.changedInPlace[x.Service] = now
+	}
+	k.lastListed[id] = lastListing{ServiceRelease: x, at: now}
+	return changed
+}
+
+// forgetUpstreams forgets the upstreams that have not been listed for the retention, and changes in place that are as old.
+func (k *Known) forgetUpstreams(retention time.Duration, now time.Time) {
+	maps.DeleteFunc(k.lastListed, func(_ entity.UpstreamID, l lastListing) bool {
+		return !k.listed[l.ServiceRelease] && now.Sub(l.at) > retention
+	})
+	maps.DeleteFunc(k.changedInPlace, func(_ catalog.ServiceID, at time.Time) bool { return now.Sub(at) > retention })
+}
+
 func (k *Known) newMissing(now time.Time) *missingRecord {
 	return &missingRecord{dueAt: now.Add(recordDelay + time.Duration(k.spread()*float64(recordSpread)))}
 }
@@ -127,25 +220,17 @@
 // IsRecorded reports whether a release has a record, so that streams may begin there.
 func (k *Known) IsRecorded(x ServiceRelease) bool { return k.records[x] != nil }
 
-// Of returns the recorded releases of a service, sorted.
-func (k *Known) Of(service catalog.ServiceID) []entity.Release {
-	var out []entity.Release
-	for x := range k.records {
-		if x.Service == service {
-			out = append(out, x.Release)
-		}
+// Services returns what is recorded of the releases of each service. The result is not modified later.
+func (k *Known) Services() map[catalog.ServiceID]Service {
+	records := make(map[catalog.ServiceID][]releaseRecord)
+	for _, r := range k.records {
+		records[r.Service] = append(records[r.Service], r.releaseRecord)
 	}
-	slices.Sort(out)
-	return out
-}
-
-// Services returns the recorded releases by service. The result is not modified later.
-func (k *Known) Services() map[catalog.ServiceID][]entity.Release {
-	out := make(map[catalog.ServiceID][]entity.Release)
-	for x := range k.records {
-		if out[x.Service] == nil {
-			out[x.Service] = k.Of(x.Service)
-		}
+	out := make(map[catalog.ServiceID]Service, len(records))
+	for id, recs := range records {
+		s := newService(recs, k.era)
+		_, s.ChangedInPlace = k.changedInPlace[id]
+		out[id] = s
 	}
 	return out
 }
@@ -153,35 +238,120 @@
 // HasWrites reports whether this host may have to write a record soon.
 func (k *Known) HasWrites() bool { return len(k.missing) > 0 }
 
-// TakeWrites returns the transactions that are due. The coordinator writes records at once, and removes those of releases
-// whose upstreams have been gone for the retention, after which no stream can be continued there.
-func (k *Known) TakeWrites(coordinator bool, retention time.Duration, now time.Time) []kvstore.Txn {
+// WriteOptions describes the host that writes records.
+type WriteOptions struct {
+	// Coordinator is set if this host is the coordinator, which writes records at once.
+	Coordinator bool
+	// ViewIsFresh is set if this host knows all records that others have written, but for the last moment.
+	ViewIsFresh bool
+	// Retention is how long after its begin a stream may be continued at most.
+	Retention time.Duration
+	// Era is the era of the key-value service.
+	Era kvstore.Era
+}
+
+// TakeWrites returns the transactions that are due. The coordinator writes records at once, ends baselines, and removes the
+// records of releases whose upstreams have been gone for the retention, after which no stream can be continued there.
+func (k *Known) TakeWrites(o WriteOptions, now time.Time) []kvstore.Txn {
+	k.enterEra(o.Era, now)
+	k.forgetUpstreams(o.Retention, now)
 	var out []kvstore.Txn
 	for _, x := range sorted(maps.Keys(k.missing)) {
 		m := k.missing[x]
 		answered := now.Sub(m.sentAt) >= recordRetryPause
-		if !answered || !coordinator && now.Before(m.dueAt) || len(k.records) >= maxRecords {
+		if !answered || !o.Coordinator && now.Before(m.dueAt) || len(k.records) >= maxRecords {
 			continue
 		}
 		m.sentAt = now
-		key := k.keyPrefix + x.key()
-		out = append(out, kvstore.Txn{Compares: []kvstore.Compare{kvstore.Absent(key)}, Success: []kvstore.Op{kvstore.Put(key, encode(x))}})
+		out = append(out, k.create(x, o, now))
 	}
-	if !coordinator {
+	if !o.Coordinator {
 		return out
 	}
 	for _, x := range sorted(maps.Keys(k.records)) {
-		r := k.records[x]
-		if r.unlistedSince.IsZero() || now.Sub(r.unlistedSince) < retention {
-			continue
+		if txn, due := k.maintain(k.records[x], o, now); due {
+			out = append(out, txn)
 		}
-		r.unlistedSince = now
-		key := k.keyPrefix + x.key()
-		out = append(out, kvstore.Txn{Compares: []kvstore.Compare{kvstore.Unchanged(key, r.revision)}, Success: []kvstore.Op{{Kind: kvstore.OpDelete, Key: key}}})
 	}
 	return out
 }
 
+// enterEra records that the key-value service is in an era.
+func (k *Known) enterEra(era kvstore.Era, now time.Time) {
+	if k.eraKnown && era > k.era {
+		k.restoredAt = now
+	}
+	k.era, k.eraKnown = max(era, k.era), true
+}
+
+// create returns the transaction that writes the record of a release. Where the service has one record, it writes that one
+// again, so that of two hosts that each add a release to it one fails and looks again.
+func (k *Known) create(x ServiceRelease, o WriteOptions, now time.Time) kvstore.Txn {
+	rec := releaseRecord{ServiceRelease: x}
+	key := k.keyPrefix + x.key()
+	txn := kvstore.Txn{Compares: []kvstore.Compare{kvstore.Absent(key)}}
+	if sole := k.sole(x.Service); sole != nil && sole.ServiceRelease != x {
+		soleKey := k.keyPrefix + sole.key()
+		txn.Compares = append(txn.Compares, kvstore.Unchanged(soleKey, sole.revision))
+		txn.Success = append(txn.Success, kvstore.Put(soleKey, encode(releaseRecord{ServiceRelease: sole.ServiceRelease})))
+		if k.mayBeBaseline(x.Service, o, now) {
+			rec.Baseline, rec.Era = sole.Release, k.era
+		}
+	}
+	txn.Success = append(txn.Success, kvstore.Put(key, encode(rec)))
+	return txn
+}
+
+// sole returns the only record of a service, nil if there are several or none.
+func (k *Known) sole(service catalog.ServiceID) *record {
+	if _, ok := k.soleSince[service]; !ok {
+		return nil
+	}
+	for x, r := range k.records {
+		if x.Service == service {
+			return r
+		}
+	}
+	return nil
+}
+
+// mayBeBaseline reports whether all streams of a service that have no record began at its only recorded release.
+func (k *Known) mayBeBaseline(service catalog.ServiceID, o WriteOptions, now time.Time) bool {
+	_, changed := k.changedInPlace[service]
+	restored := !k.restoredAt.IsZero() && now.Sub(k.restoredAt) < o.Retention
+	return o.ViewIsFresh && !changed && !restored && now.Sub(k.soleSince[service]) >= minSoleTime
+}
+
+// maintain returns the transaction that ends the baseline of a record, or that removes the record, if one is due.
+func (k *Known) maintain(r *record, o WriteOptions, now time.Time) (txn kvstore.Txn, due bool) {
+	key := k.keyPrefix + r.key()
+	unchanged := []kvstore.Compare{kvstore.Unchanged(key, r.revision)}
+	switch {
+	case !r.unlistedSince.IsZero() && now.Sub(r.unlistedSince) >= o.Retention:
+		r.unlistedSince = now
+		return kvstore.Txn{Compares: unchanged, Success: []kvstore.Op{{Kind: kvstore.OpDelete, Key: key}}}, true
+	case k.baselineEnds(r, o, now) && now.Sub(r.endSentAt) >= recordRetryPause:
+		r.endSentAt = now
+		return kvstore.Txn{Compares: unchanged, Success: []kvstore.Op{kvstore.Put(key, encode(releaseRecord{ServiceRelease: r.ServiceRelease}))}}, true
+	}
+	return kvstore.Txn{}, false
+}
+
+// baselineEnds reports whether the baseline that a record names is over.
+func (k *Known) baselineEnds(r *record, o WriteOptions, now time.Time) bool {
+	if r.Baseline == "" {
+		return false
+	}
+	_, changed := k.changedInPlace[r.Service]
+	return changed || r.Era != k.era || now.Sub(r.baselineSince) >= o.Retention || k.isGone(ServiceRelease{Service: r.Service, Release: r.Baseline}, now)
+}
+
+// isGone reports whether no upstream of a release has been listed for so long that none is about to be listed again.
+func (k *Known) isGone(x ServiceRelease, now time.Time) bool {
+	r := k.records[x]
+	return r == nil || !r.unlistedSince.IsZero() && now.Sub(r.unlistedSince) >= goneTime
+}
+
 func sorted(keys func(func(ServiceRelease) bool)) []ServiceRelease {
 	return slices.SortedFunc(keys, func(a, b ServiceRelease) int {
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Release, b.Release))
--- a/internal/releases/releases_test.go
+++ b/internal/releases/releases_test.go
@@ -16,6 +16,15 @@
 	v2 = ServiceRelease{Service: "s", Release: "v2"}
 )
 
+// oneRelease and twoReleases are recorded releases of the service s.
+var (
+	oneRelease  = map[catalog.ServiceID]Service{"s": {Releases: []entity.Release{"v1"}}}
+	twoReleases = map[catalog.ServiceID]Service{"s": {Releases: []entity.Release{"v1", "v2"}}}
+)
+
+// releasesOf returns the recorded releases of the service s.
+func releasesOf(k *Known) string { return fmt.Sprint(k.Services()["s"].Releases) }
+
 // testStore is a key-value service that hosts write to one after the other.
 type testStore struct {
 	revision int64
@@ -57,7 +66,7 @@
 		now = now.Add(100 * time.Millisecond)
 		for i, h := range hosts {
 			h.SetListed(listed, now)
-			for _, txn := range h.TakeWrites(i == 0, retention, now) {
+			for _, txn := range h.TakeWrites(WriteOptions{Coordinator: i == 0, ViewIsFresh: true, Retention: retention}, now) {
 				writes++
 				store.run(txn)
 			}
@@ -77,7 +86,7 @@
 	for range 5 {
 		step(both)
 	}
-	if got := fmt.Sprint(hosts[4].Of("s")); got != "[v1 v2]" || writes != 2 {
+	if got := releasesOf(hosts[4]); got != "[v1 v2]" || writes != 2 {
 		t.Errorf("releases %s after %d writes, want both after two", got, writes)
 	}
 	left := now
@@ -90,7 +99,7 @@
 	for range 30 {
 		step(map[ServiceRelease]bool{v2: true})
 	}
-	if got := fmt.Sprint(hosts[4].Of("s")); got != "[v2]" {
+	if got := releasesOf(hosts[4]); got != "[v2]" {
 		t.Errorf("releases %s, want v2 alone", got)
 	}
 }
@@ -100,10 +109,10 @@
 	k := NewKnown("p/", func() float64 { return 1 })
 	now := time.Unix(1000, 0)
 	k.SetListed(map[ServiceRelease]bool{v1: true}, now)
-	if len(k.TakeWrites(false, time.Minute, now)) != 0 {
+	if len(k.TakeWrites(WriteOptions{Retention: time.Minute}, now)) != 0 {
 		t.Error("a host writes at once, beside the coordinator")
 	}
-	if len(k.TakeWrites(false, time.Minute, now.Add(recordDelay+recordSpread))) != 1 {
+	if len(k.TakeWrites(WriteOptions{Retention: time.Minute}, now.Add(recordDelay+recordSpread))) != 1 {
 		t.Error("no record is written")
 	}
 }
@@ -117,7 +126,7 @@
 	k.SetListed(map[ServiceRelease]bool{v2: true}, now)
 	k.Restore([]string{"p/" + v1.key()}, now)
 	found := false
-	for _, txn := range k.TakeWrites(true, time.Minute, now.Add(time.Second)) {
+	for _, txn := range k.TakeWrites(WriteOptions{Coordinator: true, Retention: time.Minute}, now.Add(time.Second)) {
 		found = found || txn.Success[0].Key == "p/"+v1.key()
 	}
 	if !found {
@@ -140,14 +149,14 @@
 func TestStreamsAreWrittenWhileThereAreTwoReleases(t *testing.T) {
 	now := time.Unix(1000, 0)
 	s := NewStreams("p/")
-	s.SetServices(map[catalog.ServiceID][]entity.Release{"s": {"v1"}})
+	s.SetServices(oneRelease)
 	s.Begin("a", Origin{ServiceRelease: v1}, now)
 	s.Begin("broken", Origin{ServiceRelease: v1}, now)
 	s.End("broken", false, time.Minute, now)
 	if s.HasWrites() {
 		t.Error("a stream is written while there is one release")
 	}
-	s.SetServices(map[catalog.ServiceID][]entity.Release{"s": {"v1", "v2"}})
+	s.SetServices(twoReleases)
 	s.Begin("b", Origin{ServiceRelease: v2}, now)
 	w, ok := s.TakeWrite(7, now)
 	if !ok || len(w.Ops) != 3 {
@@ -185,7 +194,7 @@
 // Guards against a table of streams that grows without end.
 func TestStreamsAreBounded(t *testing.T) {
 	s := NewStreams("p/")
-	s.SetServices(map[catalog.ServiceID][]entity.Release{"s": {"v1", "v2"}})
+	s.SetServices(twoReleases)
 	for n := range maxStreams + 100 {
 		s.Begin(entity.RequestID(fmt.Sprint(n)), Origin{ServiceRelease: v1}, time.Unix(1000, 0))
 	}
--- a/internal/releases/streams.go
+++ b/internal/releases/streams.go
@@ -26,12 +26,15 @@
 	streams   map[entity.RequestID]*stream
 	// unproven are the streams whose origin is unproven.
 	unproven map[entity.RequestID]*stream
-	// several are the services with several recorded releases. Their streams are written to the key-value service.
-	several map[catalog.ServiceID]bool
+	// services are the recorded releases by service. The streams of services that have several are written to the key-value
+	// service.
+	services map[catalog.ServiceID]Service
 	// unwritten are the streams whose record has to be written, in the order of time. removed are the keys of the records
 	// that are no longer needed.
 	unwritten []entity.RequestID
 	removed   []string
+	// urgent receives a value when a record is waited for.
+	urgent chan struct{}
 }
 
 // stream is one stream, whose first event arrived at beganAt. Its record is needed until forgetAt, which is zero while it
@@ -40,6 +43,8 @@
 	Origin
 	beganAt, forgetAt time.Time
 	record            recordState
+	// written is closed once the record has been acknowledged, nil if nobody waits for that.
+	written chan struct{}
 }
 
 // recordState is the state of the record of a stream in the key-value service.
@@ -58,7 +63,7 @@
 
 // NewStreams returns an empty table.
 func NewStreams(keyPrefix string) *Streams {
-	return &Streams{keyPrefix: keyPrefix, streams: make(map[entity.RequestID]*stream), unproven: make(map[entity.RequestID]*stream)}
+	return &Streams{keyPrefix: keyPrefix, streams: make(map[entity.RequestID]*stream), unproven: make(map[entity.RequestID]*stream), urgent: make(chan struct{}, 1)}
 }
 
 // Begin records that the first event of a stream has been received.
@@ -73,11 +78,51 @@
 	if o.Unproven {
 		t.unproven[id] = s
 	}
-	if t.several[o.Service] {
+	if t.services[o.Service].Several() {
 		t.queue(id, s)
 	}
 }
 
+// Written returns a channel that is closed once the record of a stream that has begun is acknowledged. The record is written
+// soon. It returns nil for a stream that the table does not contain, for which the channel would never be closed.
+func (t *Streams) Written(id entity.RequestID) <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.streams[id]
+	if s == nil {
+		return nil
+	}
+	if s.written == nil {
+		s.written = make(chan struct{})
+	}
+	switch s.record {
+	case recordWritten:
+		s.closeWritten()
+	case recordNotNeeded:
+		t.queue(id, s)
+	}
+	select {
+	case t.urgent <- struct{}{}:
+	default:
+	}
+	return s.written
+}
+
+// closeWritten notifies those who wait for the record.
+func (s *stream) closeWritten() {
+	if s.written == nil {
+		return
+	}
+	select {
+	case <-s.written:
+	default:
+		close(s.written)
+	}
+}
+
+// Urgent returns a channel that receives a value when a record is waited for.
+func (t *Streams) Urgent() <-chan struct{} { return t.urgent }
+
 // queue makes the record of a stream wait for the next write.
 func (t *Streams) queue(id entity.RequestID, s *stream) {
 	if s.record != recordQueued {
@@ -137,17 +182,14 @@
 	return len(t.unproven) > 0
 }
 
-// SetServices sets the recorded releases by service. The streams of a service that has several of them from now on are
-// written to the key-value service.
-func (t *Streams) SetServices(services map[catalog.ServiceID][]entity.Release) {
+// SetServices sets the recorded releases by service, which are not modified later. The streams of a service that has several
+// of them from now on are written to the key-value service.
+func (t *Streams) SetServices(services map[catalog.ServiceID]Service) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.several = make(map[catalog.ServiceID]bool)
-	for service, releases := range services {
-		t.several[service] = len(releases) > 1
-	}
+	t.services = services
 	for id, s := range t.streams {
-		if t.several[s.Service] && s.record == recordNotNeeded {
+		if t.services[s.Service].Several() && s.record == recordNotNeeded {
 			t.queue(id, s)
 		}
 	}
@@ -204,13 +246,14 @@
 	})
 }
 
-// Written records that the key-value service has acknowledged a write.
-func (t *Streams) Written(w Write) {
+// Acknowledged records that the key-value service has acknowledged a write.
+func (t *Streams) Acknowledged(w Write) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, id := range w.streams {
 		if s := t.streams[id]; s != nil && s.record == recordWriting {
 			s.record = recordWritten
+			s.closeWritten()
 		}
 	}
 }
