--- a/internal/edge/frontend.go
+++ b/internal/edge/frontend.go
@@ -68,10 +68,10 @@
 	streams    *releases.Streams
 	releases   atomic.Pointer[map[catalog.ServiceID]releases.Service]
 	readOrigin func(ctx context.Context, id entity.RequestID, service catalog.ServiceID) (releases.Origin, error)
-	// listing is what the list states about the upstreams of resumable routes, and provesListing reports whether it proves
-	// origins.
-	listing       atomic.Pointer[releases.Listing]
-	provesListing func(now time.Time) listingProof
+	// listing is what the list states about the upstreams of resumable routes, and untilListingProves returns the time after
+	// which it proves origins.
+	listing            atomic.Pointer[releases.Listing]
+	untilListingProves func(now time.Time) time.Duration
 	// memory bounds what connections, requests and answers occupy.
 	memory *membudget.Budget
 
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -66,6 +66,8 @@
 type Store interface {
 	kvstore.KV
 	kvstore.Poller
+	// Era returns the era of the service, as far as its answers have told.
+	Era() kvstore.Era
 	// Counts returns the number of calls made, by kind.
 	Counts() map[string]int64
 }
@@ -99,8 +101,10 @@
 	// memory is that of connections, requests and answers.
 	memory   *membudget.Budget
 	stopping atomic.Bool
-	// releaseReads counts the running reads of releases.
-	releaseReads atomic.Int64
+	// keptStreams are the records of the streams of all hosts.
+	keptStreams *releases.Kept
+	// originReads holds a value for each running read of the origin of a stream.
+	originReads chan struct{}
 	// coreStopped is closed when the control state has stopped.
 	coreStopped chan struct{}
 	// background is the context of the host's goroutines. It is canceled at the end of Run.
@@ -116,6 +120,8 @@
 		incarnation: entity.NewIncarnation(),
 		events:      make(chan event, eventQueueSize),
 		coreStopped: make(chan struct{}),
+		keptStreams: releases.NewKept(s.Store.Prefix),
+		originReads: make(chan struct{}, maxOriginReads),
 	}
 	if err := h.listen(); err != nil {
 		return nil, err
@@ -166,7 +172,7 @@
 		streams:     releases.NewStreams(h.opts.Settings.Store.Prefix),
 		readOrigin:  h.readOrigin,
 
-		provesListing: h.provesListing,
+		untilListingProves: h.untilListingProves,
 
 		learnsSpeeds: h.opts.Settings.Sharing.ReplicaSpeeds,
 		memory:       h.memory,
@@ -183,6 +189,7 @@
 		send:            h.send,
 		observeElection: h.candidate.Observe,
 		self:            self,
+		keptStreams:     h.keptStreams,
 		ownReadAge:      min(time.Duration(ownReadDrainShare*float64(s.Bounds.DrainMillis)*float64(time.Millisecond)), maxOwnReadAge),
 		relayed:         make(chan relayed, relayQueueSize),
 		setCatalog:      func(c *catalog.Catalog) { h.frontend.catalog.Store(c) },
--- a/internal/edge/stream_origin.go
+++ b/internal/edge/stream_origin.go
@@ -18,23 +18,29 @@
 	// maxReleaseAge is the age of the view beyond which it does not prove the release of an upstream: an upstream may start
 	// again at another release under the same ID and address.
 	maxReleaseAge = 2 * time.Second
-	// maxReleaseReads bounds the reads of releases at a time. Callers decide how many there are.
-	maxReleaseReads = 16
+	// maxOriginReads bounds the reads of origins at a time. Callers decide how many there are; further ones wait.
+	maxOriginReads = 16
 	// maxRecordWait is how long a first event waits for the record of its stream. Another upstream may then begin it.
 	maxRecordWait = time.Second
+	// recordReturnTime is the time in which the records of streams are written after an outage or a restore of the key-value
+	// service, and recordReturnRetryAfter is when a caller should ask again meanwhile.
+	recordReturnTime       = 4 * time.Second
+	recordReturnRetryAfter = time.Second
 )
 
 var (
-	// errTooManyReads reports that maxReleaseReads reads are running.
-	errTooManyReads = errors.New("edge: too many reads of releases")
 	// errReleaseUnknown reports that it is not known which release began a stream.
 	errReleaseUnknown = errors.New("edge: release of the stream is unknown")
-	// errReleaseUnproven reports that the list does not prove yet which release began a stream.
-	errReleaseUnproven = errors.New("edge: release of the stream is not proven yet")
 	// errNoStreamRecord reports that a stream did not get its record in time.
 	errNoStreamRecord = errors.New("edge: no record of the stream")
 )
 
+// releaseUndecidedError reports that it is not known yet which release began a stream, and in what time it may be.
+type releaseUndecidedError struct{ retryAfter time.Duration }
+
+// Error implements error.
+func (releaseUndecidedError) Error() string { return "edge: release of the stream is not known yet" }
+
 // pinRelease finds out which release began the stream that the caller takes up again, so that it goes on there. It returns
 // a refusal if that is not known.
 func (s *requestSession) pinRelease() *entity.Refusal {
@@ -48,10 +54,11 @@
 		return nil
 	}
 	refusal := entity.Refusal{Status: 503, Code: string(dispatch.ReasonReleaseUnknown), Ran: entity.NotRun}
+	var undecided releaseUndecidedError
 	switch {
 	case errors.Is(err, errReleaseUnknown):
-	case errors.Is(err, errReleaseUnproven):
-		refusal.RetryAfter = s.frontend.provesListing(boottime.Now()).in
+	case errors.As(err, &undecided):
+		refusal.RetryAfter = undecided.retryAfter
 	default:
 		s.frontend.log.Warn("Release of a stream not read.", "request", s.description.ID, "resumes", s.description.Resumes, "err", err)
 		refusal.RetryAfter = staleRetryAfter
@@ -76,8 +83,10 @@
 
 // prove returns the release of an origin, if it is proven or the list proves it.
 func (f *frontend) prove(o releases.Origin) (entity.Release, error) {
-	if o.Unproven && !f.provesListing(boottime.Now()).now {
-		return "", errReleaseUnproven
+	if o.Unproven {
+		if wait := f.untilListingProves(boottime.Now()); wait > 0 {
+			return "", releaseUndecidedError{retryAfter: wait}
+		}
 	}
 	if list := f.listing.Load(); list != nil {
 		o = o.Prove(*list)
@@ -157,43 +166,36 @@
 	}
 }
 
-// listingProof states whether the list of this host's view proves the release at which a stream began elsewhere, and if not,
-// in what time it may.
-type listingProof struct {
-	now bool
-	in  time.Duration
-}
-
-// provesListing reports whether the list is certainly that of the upstreams: the view is fresh, and upstreams that started
-// again while the key-value service could not be read have written their entries meanwhile.
-func (h *Host) provesListing(now time.Time) listingProof {
+// untilListingProves returns the time after which the list of this host's view proves the release at which a stream began, zero
+// if it does now: the view is fresh, and upstreams that started again while the key-value service could not be read have
+// written their entries meanwhile.
+func (h *Host) untilListingProves(now time.Time) time.Duration {
 	readableSince := h.watcher.readableSince.Load()
 	if readableSince == 0 || !h.frontend.viewProvesReleases() {
-		return listingProof{in: entryReturnTime}
-	}
-	if readable := now.Sub(time.Unix(0, readableSince)); readable < entryReturnTime {
-		return listingProof{in: entryReturnTime - readable}
+		return entryReturnTime
 	}
-	return listingProof{now: true}
+	readable := now.Sub(time.Unix(0, readableSince))
+	return max(entryReturnTime-readable, 0)
 }
 
 // proveStreams proves the origins of streams that began while the view of this host was old.
 func (h *Host) proveStreams(now time.Time) {
 	list := h.frontend.listing.Load()
-	if list != nil && h.frontend.streams.HasUnproven() && h.provesListing(now).now {
+	if list != nil && h.frontend.streams.HasUnproven() && h.untilListingProves(now) == 0 {
 		h.frontend.streams.Prove(*list, now.Add(-entryReturnTime))
 	}
 }
 
 // readOrigin reads where a stream of a service began: as its record states, or, if it has none, where all such streams did.
 func (h *Host) readOrigin(ctx context.Context, id entity.RequestID, service catalog.ServiceID) (releases.Origin, error) {
-	if h.releaseReads.Add(1) > maxReleaseReads {
-		h.releaseReads.Add(-1)
-		return releases.Origin{}, errTooManyReads
-	}
-	defer h.releaseReads.Add(-1)
 	ctx, cancel := context.WithTimeout(ctx, h.opts.Settings.Store.Timeout.Std())
 	defer cancel()
+	select {
+	case h.originReads <- struct{}{}:
+		defer func() { <-h.originReads }()
+	case <-ctx.Done():
+		return releases.Origin{}, ctx.Err()
+	}
 	pair, _, err := h.opts.Store.Get(ctx, h.opts.Settings.Store.Prefix+releases.StreamKey(id))
 	if err != nil {
 		return releases.Origin{}, err
@@ -220,8 +222,23 @@
 		h.log.Warn("Record of a release ignored.", "err", err)
 	}
 	release, known := h.frontend.recorded(service).WithoutRecord(read)
-	if !known || len(errs) > 0 {
+	switch {
+	case known && len(errs) == 0:
+	case h.recordsReturn(kvstore.EraOf(res.Revision), boottime.Now()):
+		return releases.Origin{}, releaseUndecidedError{retryAfter: recordReturnRetryAfter}
+	default:
 		return releases.Origin{}, errReleaseUnknown
 	}
 	return releases.Origin{ServiceRelease: releases.ServiceRelease{Service: service, Release: release}}, nil
 }
+
+// recordsReturn reports whether the key-value service, which has been read in an era, was away or restored so lately that
+// records of streams are still being written.
+func (h *Host) recordsReturn(era kvstore.Era, now time.Time) bool {
+	if era > kvstore.EraOf(h.watcher.knownRevision.Load()) {
+		return true
+	}
+	isRecent := func(at int64) bool { return at != 0 && now.Sub(time.Unix(0, at)) < recordReturnTime }
+	readableSince := h.watcher.readableSince.Load()
+	return readableSince == 0 || isRecent(readableSince) || isRecent(h.watcher.restoredAt.Load())
+}
--- a/internal/edge/stream_records.go
+++ b/internal/edge/stream_records.go
@@ -28,6 +28,8 @@
 	// failures counts the failed writes in a row. The next write is made at nextAt or later.
 	failures int
 	nextAt   time.Time
+	// forgetAt is when records of the streams of other hosts are next forgotten.
+	forgetAt time.Time
 }
 
 // writeStreams writes the records of streams until ctx ends.
@@ -50,8 +52,17 @@
 // tick makes the next write if one is due.
 func (w *streamRecordWriter) tick(ctx context.Context, now time.Time) {
 	f := w.host.frontend
+	if f.streams.EnterEra(w.host.opts.Store.Era()) {
+		// The lease may be gone, and its ID may be given out again.
+		w.leaseUntil = time.Time{}
+	}
 	cat := f.catalog.Load()
-	if cat == nil || now.Before(w.nextAt) || !f.streams.HasWrites() {
+	if cat != nil && now.After(w.forgetAt) {
+		retention := releaseRetention(cat)
+		w.host.keptStreams.Forget(retention, now)
+		w.forgetAt = now.Add(retention)
+	}
+	if cat == nil || now.Before(w.nextAt) || !f.streams.HasWrites() && !w.writesLost(now) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, w.timeout())
@@ -68,6 +79,12 @@
 	w.nextAt = now.Add(streamWriteInterval)
 }
 
+// writesLost reports whether this host, as the coordinator, has to write records of the streams of others that a restore has
+// lost.
+func (w *streamRecordWriter) writesLost(now time.Time) bool {
+	return w.host.candidate.HoldsLease() && w.host.keptStreams.HasLost(now)
+}
+
 // timeout returns the timeout of the next write.
 func (w *streamRecordWriter) timeout() time.Duration {
 	longest := w.host.opts.Settings.Store.Timeout.Std()
@@ -91,6 +108,11 @@
 		}
 		w.lease, w.leaseUntil = id, now.Add(retention)
 	}
+	if w.writesLost(now) {
+		if _, err := store.Txn(ctx, kvstore.Txn{Success: w.host.keptStreams.TakeLost(w.lease, now)}); err != nil {
+			return err
+		}
+	}
 	batch, ok := streams.TakeWrite(w.lease, now)
 	if !ok {
 		return nil
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -16,6 +16,7 @@
 	"github.com/foxtailpass/foxtailpass/internal/fleet"
 	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/relay"
+	"github.com/foxtailpass/foxtailpass/internal/releases"
 	"github.com/foxtailpass/foxtailpass/internal/wire"
 )
 
@@ -83,6 +84,9 @@
 	// readableSince is the boot time, in nanoseconds, since which this host has known of no outage of the key-value service,
 	// zero during one and before the first view.
 	readableSince atomic.Int64
+	// restoredAt is the boot time, in nanoseconds, at which this host first read the key-value service after its last restore,
+	// zero if it has seen none.
+	restoredAt atomic.Int64
 	// searching is set when the coordinator cannot be reached or its session is lost, until a new session is
 	// established.
 	searching atomic.Bool
@@ -108,7 +112,9 @@
 	deletions    map[string]deletion
 	members      map[entity.HostID]election.Holder
 	// recordKeys are the keys of the records about crashes and of releases, which the hosts write together.
-	recordKeys    map[string]bool
+	recordKeys map[string]bool
+	// keptStreams are the records of streams as this host has read them.
+	keptStreams   *releases.Kept
 	election      election.Observation
 	configVersion int64
 	holderSent    bool
@@ -379,6 +385,7 @@
 	restored := w.revision != 0 && kvstore.EraOf(res.Revision) != kvstore.EraOf(w.revision)
 	if restored {
 		w.startEra(events, res.Revision)
+		w.keptStreams.Restored(present, boottime.Now())
 	}
 	w.dropPending(present, restored)
 	addDeletion := func(key string) {
--- a/internal/edge/watch_apply.go
+++ b/internal/edge/watch_apply.go
@@ -90,6 +90,9 @@
 	case w.isReleaseKey(key):
 		w.recordKey(e)
 		out.releases = append(out.releases, e)
+	case w.keptStreams.IsStreamKey(key):
+		w.keptStreams.Apply(e, boottime.Now())
+		return false
 	case strings.HasPrefix(key, w.prefix+membersPrefix):
 		out.members = true
 		w.applyMember(e)
--- a/internal/edge/watch_pending.go
+++ b/internal/edge/watch_pending.go
@@ -183,7 +183,9 @@
 func (w *watcher) startEra(events []kvstore.Event, revision int64) {
 	w.log.Warn("Key-value service was restored from an older copy.", "era", kvstore.EraOf(revision), "former", kvstore.EraOf(w.revision),
 		"revision", kvstore.WithinEra(revision), "former_revision", kvstore.WithinEra(w.revision))
-	w.relayAllUntil = boottime.Now().Add(relayAllTime)
+	now := boottime.Now()
+	w.relayAllUntil = now.Add(relayAllTime)
+	w.restoredAt.Store(now.UnixNano())
 	hasTerm := slices.ContainsFunc(events, func(e kvstore.Event) bool { return e.Pair.Key == w.prefix+election.TermKey })
 	w.election.StartEra(revision, hasTerm)
 }
--- a/internal/edge/watch_test.go
+++ b/internal/edge/watch_test.go
@@ -19,6 +19,7 @@
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/fleet"
 	"github.com/foxtailpass/foxtailpass/internal/kvstore"
+	"github.com/foxtailpass/foxtailpass/internal/releases"
 	"github.com/foxtailpass/foxtailpass/internal/swap"
 )
 
@@ -116,6 +117,7 @@
 
 func newTestWatcher(s *testStore, state *recordedState) *watcher {
 	w := &watcher{
+		keptStreams:     releases.NewKept("foxtailpass/"),
 		store:           s,
 		protocol:        testProtocol{},
 		prefix:          "own/",
--- a/internal/releases/origin_test.go
+++ b/internal/releases/origin_test.go
@@ -74,3 +74,35 @@
 		t.Error("a record is written again without a reason")
 	}
 }
+
+// Guards against records that a restore of the key-value service has lost and that are not written again: those that were
+// acknowledged, and those whose write was on its way (review, case 8).
+func TestRecordsAreWrittenAgainAfterRestore(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := NewStreams("p/")
+	s.EnterEra(1)
+	s.SetServices(twoReleases)
+	write := func() Write {
+		w, _ := s.TakeWrite(7, now)
+		return w
+	}
+	s.Begin("acknowledged", Origin{ServiceRelease: v1}, now)
+	s.Acknowledged(write())
+	s.Begin("answered late", Origin{ServiceRelease: v1}, now)
+	late := write()
+	s.Begin("lost", Origin{ServiceRelease: v1}, now)
+	lost := write()
+	if !s.EnterEra(2) || s.EnterEra(2) || s.EnterEra(1) {
+		t.Error("eras are not told apart")
+	}
+	s.Acknowledged(late)
+	s.Failed(lost)
+	if w := write(); len(w.Ops) != 3 {
+		t.Errorf("%d records are written again, want 3", len(w.Ops))
+	}
+	s.Begin("single", Origin{ServiceRelease: ServiceRelease{Service: "other", Release: "v1"}}, now)
+	s.EnterEra(3)
+	if w := write(); len(w.Ops) != 3 {
+		t.Errorf("%d records after a second restore, want 3: a service with one release has none", len(w.Ops))
+	}
+}
--- a/internal/releases/streams.go
+++ b/internal/releases/streams.go
@@ -33,6 +33,8 @@
 	// that are no longer needed.
 	unwritten []entity.RequestID
 	removed   []string
+	// era is the era of the key-value service in which records have been written.
+	era kvstore.Era
 	// urgent receives a value when a record is waited for.
 	urgent chan struct{}
 }
@@ -175,6 +177,23 @@
 	}
 }
 
+// EnterEra records that the key-value service is in an era, and reports whether it is a new one. The copy from which the
+// service was restored may lack any record, so all of them are written again.
+func (t *Streams) EnterEra(era kvstore.Era) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if era <= t.era {
+		return false
+	}
+	t.era = era
+	for id, s := range t.streams {
+		if s.record != recordNotNeeded {
+			t.queue(id, s)
+		}
+	}
+	return true
+}
+
 // HasUnproven reports whether the origins of streams are unproven.
 func (t *Streams) HasUnproven() bool {
 	t.mu.Lock()
