--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -506,9 +506,10 @@
 }
 
 func (c *core) upstreamsChanged(e upstreamsChanged, now time.Time) {
-	defer c.listReleases(now)
+	relisted := len(e.removed) > 0
 	for _, u := range e.put {
 		ch := c.fleet.Put(u)
+		relisted = relisted || startsAnew(ch)
 		c.logUpstream(ch)
 		c.setUpstreamSpeed(u.ID)
 		if c.coordinator != nil {
@@ -531,6 +532,15 @@
 	if len(e.removed) > 0 {
 		c.requestLimits.RemoveOld(c.isListed, now)
 	}
+	if relisted {
+		c.listReleases(now)
+	}
+}
+
+// startsAnew reports whether a change is that of an upstream which was not listed before, or that has started again.
+func startsAnew(ch fleet.Change) bool {
+	before, after := ch.Before, ch.After
+	return before == nil || before.Incarnation != after.Incarnation || before.Service != after.Service || before.Release != after.Release
 }
 
 func (c *core) logUpstream(ch fleet.Change) {
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -68,6 +68,8 @@
 	}
 	origin := s.originAt(st.target)
 	if !s.reportStreamBegan(origin) {
+		// Nothing has been passed on, so nobody takes the stream up.
+		s.reportStreamEnded(true)
 		return e.abandon(errNoStreamRecord, dispatch.AttemptResult{Outcome: entity.AttemptUnknown})
 	}
 	e.origin = origin
--- a/internal/edge/stream_origin.go
+++ b/internal/edge/stream_origin.go
@@ -69,14 +69,12 @@
 // releaseOf returns the release of a service that began a stream, which this host or another one has served.
 func (f *frontend) releaseOf(ctx context.Context, id entity.RequestID, service catalog.ServiceID) (entity.Release, error) {
 	origin, own := f.streams.Origin(id, service)
-	if !own {
-		var err error
-		if origin, err = f.readOrigin(ctx, id, service); err != nil {
-			return "", err
-		}
+	if own {
+		return f.prove(origin)
 	}
-	if own && !f.recorded(service).Several() {
-		return origin.Release, nil
+	origin, err := f.readOrigin(ctx, id, service)
+	if err != nil {
+		return "", err
 	}
 	return f.prove(origin)
 }
@@ -117,7 +115,7 @@
 // originAt returns the origin of a stream whose first event has just arrived from an upstream.
 func (s *requestSession) originAt(t *dispatch.Target) releases.Origin {
 	o := releases.Origin{ServiceRelease: releases.ServiceRelease{Service: s.request.Pool.Service, Release: t.Release}}
-	if s.route.Resumable && !s.frontend.viewProvesReleases() {
+	if s.route.Resumable && s.frontend.untilListingProves(boottime.Now()) > 0 {
 		o.Unproven = true
 		o.Upstream = fleet.Incarnation{ID: t.ID, BornMillis: t.BornMillis}
 	}
@@ -170,12 +168,14 @@
 // if it does now: the view is fresh, and upstreams that started again while the key-value service could not be read have
 // written their entries meanwhile.
 func (h *Host) untilListingProves(now time.Time) time.Duration {
-	readableSince := h.watcher.readableSince.Load()
-	if readableSince == 0 || !h.frontend.viewProvesReleases() {
+	if h.watcher.readableSince.Load() == 0 || !h.frontend.viewProvesReleases() {
 		return entryReturnTime
 	}
-	readable := now.Sub(time.Unix(0, readableSince))
-	return max(entryReturnTime-readable, 0)
+	regainedAt := h.watcher.regainedAt.Load()
+	if regainedAt == 0 {
+		return 0
+	}
+	return max(entryReturnTime-now.Sub(time.Unix(0, regainedAt)), 0)
 }
 
 // proveStreams proves the origins of streams that began while the view of this host was old.
@@ -222,7 +222,11 @@
 		h.log.Warn("Record of a release ignored.", "err", err)
 	}
 	release, known := h.frontend.recorded(service).WithoutRecord(read)
+	wait := h.untilListingProves(boottime.Now())
 	switch {
+	case known && read.Several() && wait > 0:
+		// An upstream may have started again at another release under its ID, and this host may not know yet.
+		return releases.Origin{}, releaseUndecidedError{retryAfter: wait}
 	case known && len(errs) == 0:
 	case h.recordsReturn(kvstore.EraOf(res.Revision), boottime.Now()):
 		return releases.Origin{}, releaseUndecidedError{retryAfter: recordReturnRetryAfter}
@@ -239,6 +243,5 @@
 		return true
 	}
 	isRecent := func(at int64) bool { return at != 0 && now.Sub(time.Unix(0, at)) < recordReturnTime }
-	readableSince := h.watcher.readableSince.Load()
-	return readableSince == 0 || isRecent(readableSince) || isRecent(h.watcher.restoredAt.Load())
+	return h.watcher.readableSince.Load() == 0 || isRecent(h.watcher.regainedAt.Load()) || isRecent(h.watcher.restoredAt.Load())
 }
--- a/internal/edge/stream_records.go
+++ b/internal/edge/stream_records.go
@@ -57,12 +57,11 @@
 		w.leaseUntil = time.Time{}
 	}
 	cat := f.catalog.Load()
-	if cat != nil && now.After(w.forgetAt) {
-		retention := releaseRetention(cat)
-		w.host.keptStreams.Forget(retention, now)
-		w.forgetAt = now.Add(retention)
+	if cat == nil {
+		return
 	}
-	if cat == nil || now.Before(w.nextAt) || !f.streams.HasWrites() && !w.writesLost(now) {
+	w.forgetKept(releaseRetention(cat), now)
+	if now.Before(w.nextAt) || !f.streams.HasWrites() && !w.writesLost(now) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, w.timeout())
@@ -79,6 +78,15 @@
 	w.nextAt = now.Add(streamWriteInterval)
 }
 
+// forgetKept forgets the records of the streams of other hosts that are no longer needed, once a retention.
+func (w *streamRecordWriter) forgetKept(retention time.Duration, now time.Time) {
+	if now.Before(w.forgetAt) {
+		return
+	}
+	w.forgetAt = now.Add(retention)
+	w.host.keptStreams.Forget(retention, now)
+}
+
 // writesLost reports whether this host, as the coordinator, has to write records of the streams of others that a restore has
 // lost.
 func (w *streamRecordWriter) writesLost(now time.Time) bool {
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -84,6 +84,9 @@
 	// readableSince is the boot time, in nanoseconds, since which this host has known of no outage of the key-value service,
 	// zero during one and before the first view.
 	readableSince atomic.Int64
+	// regainedAt is the boot time, in nanoseconds, at which this host first read the key-value service again after an outage,
+	// zero if it has known of none.
+	regainedAt atomic.Int64
 	// restoredAt is the boot time, in nanoseconds, at which this host first read the key-value service after its last restore,
 	// zero if it has seen none.
 	restoredAt atomic.Int64
@@ -339,12 +342,16 @@
 	if n := at.UnixNano(); n > w.confirmedAt.Load() {
 		w.confirmedAt.Store(n)
 	}
+	now := boottime.Now()
+	stoodStill := !w.lastSuccessAt.IsZero() && now.Sub(w.lastSuccessAt) > maxReadGap
+	if stoodStill || !w.outageSince.IsZero() {
+		w.regainedAt.Store(at.UnixNano())
+	}
 	if !w.outageSince.IsZero() {
 		w.log.Info("Key-value service regained.", "after", at.Sub(w.outageSince), "revision", w.revision)
 		w.outageSince = time.Time{}
 	}
-	now := boottime.Now()
-	if w.readableSince.Load() == 0 || now.Sub(w.lastSuccessAt) > maxReadGap {
+	if w.readableSince.Load() == 0 || stoodStill {
 		w.readableSince.Store(at.UnixNano())
 	}
 	w.lastSuccessAt = now
--- a/internal/releases/streams.go
+++ b/internal/releases/streams.go
@@ -232,7 +232,7 @@
 	for len(t.unwritten) > 0 && len(w.Ops) < maxOpsPerWrite {
 		id := t.unwritten[0]
 		t.unwritten = t.unwritten[1:]
-		if s := t.streams[id]; s != nil {
+		if s := t.streams[id]; s != nil && s.record == recordQueued {
 			s.record = recordWriting
 			w.streams = append(w.streams, id)
 			w.Ops = append(w.Ops, kvstore.PutLeased(t.keyPrefix+StreamKey(id), encodeStream(s.Origin), lease))
