The table of releases forgets upstreams that have long gone; one call passes the list to it

Cause: the upstreams whose release is remembered, to notice one that changes it under its ID, were kept for as long as their release was listed, so that the table grew with each replica that came and went.

Change: SetUpstreams takes the whole list, remembers since when an upstream is not listed, and forgets it after the retention.

Measured: TestUpstreamsAreForgotten; 1,500 plays of TestModelOfOrigins hold.

--- a/internal/edge/releases.go
+++ b/internal/edge/releases.go
@@ -6,6 +6,7 @@
 
 	"github.com/foxtailpass/foxtailpass/internal/catalog"
 	"github.com/foxtailpass/foxtailpass/internal/dispatch"
+	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 	"github.com/foxtailpass/foxtailpass/internal/releases"
 )
@@ -22,25 +23,21 @@
 	return min(2*cat.LongestResumable()+releaseMargin, maxReleaseRetention)
 }
 
-// listReleases passes the releases of the listed upstreams of resumable routes to the table of releases.
+// listReleases passes the listed upstreams of resumable routes to the table of releases and to the goroutines of requests.
 func (c *core) listReleases(now time.Time) {
 	if c.catalog == nil {
 		return
 	}
-	listed := make(map[releases.ServiceRelease]bool)
+	upstreams := make(map[entity.UpstreamID]releases.ServiceRelease)
 	listing := make(releases.Listing)
-	changedInPlace := false
 	for _, u := range c.fleet.Rows() {
 		if _, resumable := c.catalog.Resumable(u.Service); resumable {
-			x := releases.ServiceRelease{Service: u.Service, Release: u.Release}
-			listed[x] = true
+			upstreams[u.ID] = releases.ServiceRelease{Service: u.Service, Release: u.Release}
 			listing[u.ID] = releases.Listed{BornMillis: u.BornMillis, Release: u.Release}
-			changedInPlace = c.releases.ObserveUpstream(u.ID, x, now) || changedInPlace
 		}
 	}
-	c.releases.SetListed(listed, now)
 	c.effects.setListing(listing)
-	if changedInPlace {
+	if c.releases.SetUpstreams(upstreams, now) {
 		c.publishReleases()
 	}
 }
--- a/internal/releases/baseline_test.go
+++ b/internal/releases/baseline_test.go
@@ -38,6 +38,15 @@
 	}
 }
 
+// listAt lists an upstream at a release, beside those of the list.
+func (h *testHost) listAt(id entity.UpstreamID, x ServiceRelease) {
+	upstreams := map[entity.UpstreamID]ServiceRelease{id: x}
+	for r := range h.listed {
+		upstreams[entity.UpstreamID("other-"+r.Release)] = r
+	}
+	h.SetUpstreams(upstreams, h.now)
+}
+
 func (h *testHost) options() WriteOptions {
 	return WriteOptions{Coordinator: true, ViewIsFresh: h.fresh, Retention: testRetention, Era: h.era}
 }
@@ -45,7 +54,7 @@
 // step lets some time pass, and writes and reads records.
 func (h *testHost) step(d time.Duration) {
 	h.now = h.now.Add(d)
-	h.SetListed(h.listed, h.now)
+	h.setListed(h.listed, h.now)
 	for _, txn := range h.TakeWrites(h.options(), h.now) {
 		h.store.run(txn)
 	}
@@ -77,13 +86,14 @@
 		{"one release for a moment", time.Second, nil, ""},
 		{"old view", 5 * time.Second, func(h *testHost) { h.fresh = false }, ""},
 		{"upstream started again at another release", 5 * time.Second, func(h *testHost) {
-			h.ObserveUpstream("u", v1, h.now)
-			h.ObserveUpstream("u", v2, h.now)
+			h.listAt("u", v1)
+			h.listAt("u", v2)
 		}, ""},
 		{"restored lately", 5 * time.Second, func(h *testHost) { h.era = 1 }, ""},
 		{"upstream listed again at its release", 5 * time.Second, func(h *testHost) {
-			h.ObserveUpstream("u", v1, h.now)
-			h.ObserveUpstream("u", v1, h.now)
+			h.listAt("u", v1)
+			h.SetUpstreams(nil, h.now)
+			h.listAt("u", v1)
 		}, "v1"},
 	} {
 		h := newTestHost(c.sole)
@@ -93,8 +103,8 @@
 		h.list(v1, v2)
 		h.step(100 * time.Millisecond)
 		h.step(100 * time.Millisecond)
-		if got := h.baseline(); got != c.want || !h.IsRecorded(v2) {
-			t.Errorf("%s: baseline %q, want %q; v2 recorded %v", c.name, got, c.want, h.IsRecorded(v2))
+		if got := h.baseline(); got != c.want || h.records[v2] == nil {
+			t.Errorf("%s: baseline %q, want %q; v2 recorded %v", c.name, got, c.want, h.records[v2] != nil)
 		}
 	}
 }
@@ -109,8 +119,8 @@
 	}{
 		{"streams of before are over", func(*testHost) {}, testRetention},
 		{"upstream started again at another release", func(h *testHost) {
-			h.ObserveUpstream("u", v1, h.now)
-			h.ObserveUpstream("u", v2, h.now)
+			h.listAt("u", v1)
+			h.listAt("u", v2)
 		}, 0},
 		{"restored", func(h *testHost) { h.era = 1 }, 0},
 		{"no upstream of the baseline left", func(h *testHost) { h.list(v2) }, goneTime},
@@ -141,8 +151,8 @@
 	for _, p := range a.store.pairs {
 		b.Apply([]kvstore.Event{{Pair: p}}, a.now.Add(-10*time.Second))
 	}
-	a.SetListed(map[ServiceRelease]bool{v1: true, v2: true}, a.now)
-	b.SetListed(map[ServiceRelease]bool{v1: true, v3: true}, b.now)
+	a.setListed(map[ServiceRelease]bool{v1: true, v2: true}, a.now)
+	b.setListed(map[ServiceRelease]bool{v1: true, v3: true}, b.now)
 	first := a.TakeWrites(a.options(), a.now)
 	second := b.TakeWrites(b.options(), b.now)
 	if len(first) != 1 || len(second) != 1 || !a.store.run(first[0]) {
@@ -219,3 +229,21 @@
 		t.Error("a stream that is not in the table gets a record")
 	}
 }
+
+// Guards against a table of upstreams that grows without end, and one that forgets the release of an upstream whose entry
+// has only lapsed.
+func TestUpstreamsAreForgotten(t *testing.T) {
+	h := newTestHost(5 * time.Second)
+	h.listAt("u", v1)
+	h.step(2 * testRetention)
+	h.SetUpstreams(nil, h.now)
+	h.step(testRetention / 2)
+	if !h.SetUpstreams(map[entity.UpstreamID]ServiceRelease{"u": v2}, h.now) {
+		t.Error("an upstream that was back at another release is not noticed")
+	}
+	h.SetUpstreams(nil, h.now)
+	h.step(2 * testRetention)
+	if len(h.upstreams) > 0 || len(h.changedInPlace) > 0 {
+		t.Errorf("%d upstreams and %d changes are kept after the retention", len(h.upstreams), len(h.changedInPlace))
+	}
+}
--- a/internal/releases/model_test.go
+++ b/internal/releases/model_test.go
@@ -312,17 +312,15 @@
 // readList updates the list of a host. What a restored copy states of an upstream that the host knows better waits until the
 // upstream has written its entry again.
 func (m *model) readList(h *modelHost) {
-	listed := make(map[ServiceRelease]bool)
+	upstreams := make(map[entity.UpstreamID]ServiceRelease)
 	for _, id := range slices.Sorted(maps.Keys(m.store.entries)) {
 		e := m.store.entries[id]
 		if _, known := h.list[id]; !known || e.era == m.store.era {
 			h.list[id] = e.Listed
 		}
-		x := ServiceRelease{Service: "s", Release: h.list[id].Release}
-		listed[x] = true
-		h.ObserveUpstream(id, x, m.now)
+		upstreams[id] = ServiceRelease{Service: "s", Release: h.list[id].Release}
 	}
-	h.SetListed(listed, m.now)
+	h.SetUpstreams(upstreams, m.now)
 }
 
 // serves reports whether a host serves requests. One that has just started waits until what a restore may have lost is written
--- a/internal/releases/releases.go
+++ b/internal/releases/releases.go
@@ -67,9 +67,9 @@
 	missing map[ServiceRelease]*missingRecord
 	// soleSince is since when a service has had one recorded release.
 	soleSince map[catalog.ServiceID]time.Time
-	// lastListed are the releases at which upstreams were listed last, and changedInPlace is when an upstream of a service
-	// was last listed at another release than before.
-	lastListed     map[entity.UpstreamID]lastListing
+	// upstreams are the upstreams that are listed or were so lately, and changedInPlace is when an upstream of a service was
+	// last listed at another release than before.
+	upstreams      map[entity.UpstreamID]*listedUpstream
 	changedInPlace map[catalog.ServiceID]time.Time
 	// era is the era of the key-value service once eraKnown is set, and restoredAt when it last rose, zero if it has not.
 	era        kvstore.Era
@@ -77,10 +77,10 @@
 	restoredAt time.Time
 }
 
-// lastListing is the release at which an upstream was listed last, at a time.
-type lastListing struct {
+// listedUpstream is the release at which an upstream is listed, or was until unlistedSince.
+type listedUpstream struct {
 	ServiceRelease
-	at time.Time
+	unlistedSince time.Time
 }
 
 // missingRecord is a record that this host writes at dueAt, and at once as the coordinator. sentAt is when it was last
@@ -107,7 +107,7 @@
 		records:        make(map[ServiceRelease]*record),
 		missing:        make(map[ServiceRelease]*missingRecord),
 		soleSince:      make(map[catalog.ServiceID]time.Time),
-		lastListed:     make(map[entity.UpstreamID]lastListing),
+		upstreams:      make(map[entity.UpstreamID]*listedUpstream),
 		changedInPlace: make(map[catalog.ServiceID]time.Time),
 	}
 }
@@ -131,7 +131,7 @@
 		}
 		k.put(rec, e.Pair.ModRevision, now)
 	}
-	k.SetListed(k.listed, now)
+	k.setListed(k.listed, now)
 	k.updateSole(now)
 	return errs
 }
@@ -175,8 +175,8 @@
 	}
 }
 
-// SetListed sets the releases of the listed upstreams.
-func (k *Known) SetListed(listed map[ServiceRelease]bool, now time.Time) {
+// setListed sets the releases of the listed upstreams.
+func (k *Known) setListed(listed map[ServiceRelease]bool, now time.Time) {
 	k.listed = listed
 	for x := range listed {
 		if _, waits := k.missing[x]; !waits && k.records[x] == nil {
@@ -194,21 +194,30 @@
 	}
 }
 
-// ObserveUpstream notes the release at which an upstream is listed, and reports whether it was another one before.
-func (k *Known) ObserveUpstream(id entity.UpstreamID, x ServiceRelease, now time.Time) bool {
-	last, seen := k.lastListed[id]
-	changed := seen && last.ServiceRelease != x
-	if changed {
-		k.changedInPlace[x.Service] = now
+// SetUpstreams sets the listed upstreams with their releases, and reports whether one has changed its release under its ID.
+func (k *Known) SetUpstreams(upstreams map[entity.UpstreamID]ServiceRelease, now time.Time) (changed bool) {
+	listed := make(map[ServiceRelease]bool)
+	for id, x := range upstreams {
+		listed[x] = true
+		if former := k.upstreams[id]; former != nil && former.ServiceRelease != x {
+			k.changedInPlace[x.Service] = now
+			changed = true
+		}
+		k.upstreams[id] = &listedUpstream{ServiceRelease: x}
 	}
-	k.lastListed[id] = lastListing{ServiceRelease: x, at: now}
+	for id, u := range k.upstreams {
+		if _, ok := upstreams[id]; !ok && u.unlistedSince.IsZero() {
+			u.unlistedSince = now
+		}
+	}
+	k.setListed(listed, now)
 	return changed
 }
 
-// forgetUpstreams forgets the upstreams that have not been listed for the retention, and changes in place that are as old.
+// forgetUpstreams forgets the upstreams that have not been listed for the retention, and changes of releases that are as old.
 func (k *Known) forgetUpstreams(retention time.Duration, now time.Time) {
-	maps.DeleteFunc(k.lastListed, func(_ entity.UpstreamID, l lastListing) bool {
-		return !k.listed[l.ServiceRelease] && now.Sub(l.at) > retention
+	maps.DeleteFunc(k.upstreams, func(_ entity.UpstreamID, u *listedUpstream) bool {
+		return !u.unlistedSince.IsZero() && now.Sub(u.unlistedSince) > retention
 	})
 	maps.DeleteFunc(k.changedInPlace, func(_ catalog.ServiceID, at time.Time) bool { return now.Sub(at) > retention })
 }
@@ -217,9 +226,6 @@
 	return &missingRecord{dueAt: now.Add(recordDelay + time.Duration(k.spread()*float64(recordSpread)))}
 }
 
-// IsRecorded reports whether a release has a record, so that streams may begin there.
-func (k *Known) IsRecorded(x ServiceRelease) bool { return k.records[x] != nil }
-
 // Services returns what is recorded of the releases of each service. The result is not modified later.
 func (k *Known) Services() map[catalog.ServiceID]Service {
 	records := make(map[catalog.ServiceID][]releaseRecord)
--- a/internal/releases/releases_test.go
+++ b/internal/releases/releases_test.go
@@ -65,7 +65,7 @@
 	step := func(listed map[ServiceRelease]bool) {
 		now = now.Add(100 * time.Millisecond)
 		for i, h := range hosts {
-			h.SetListed(listed, now)
+			h.setListed(listed, now)
 			for _, txn := range h.TakeWrites(WriteOptions{Coordinator: i == 0, ViewIsFresh: true, Retention: retention}, now) {
 				writes++
 				store.run(txn)
@@ -79,7 +79,7 @@
 			}
 		}
 	}
-	if hosts[0].IsRecorded(v1) {
+	if hosts[0].records[v1] != nil {
 		t.Error("a release is recorded before it is written")
 	}
 	both := map[ServiceRelease]bool{v1: true, v2: true}
@@ -93,7 +93,7 @@
 	for now.Before(left.Add(retention - time.Second)) {
 		step(map[ServiceRelease]bool{v2: true})
 	}
-	if !hosts[4].IsRecorded(v1) {
+	if hosts[4].records[v1] == nil {
 		t.Error("a release lost its record while a stream might be continued")
 	}
 	for range 30 {
@@ -108,7 +108,7 @@
 func TestReleaseIsRecordedWithoutCoordinator(t *testing.T) {
 	k := NewKnown("p/", func() float64 { return 1 })
 	now := time.Unix(1000, 0)
-	k.SetListed(map[ServiceRelease]bool{v1: true}, now)
+	k.setListed(map[ServiceRelease]bool{v1: true}, now)
 	if len(k.TakeWrites(WriteOptions{Retention: time.Minute}, now)) != 0 {
 		t.Error("a host writes at once, beside the coordinator")
 	}
@@ -123,7 +123,7 @@
 	k := NewKnown("p/", func() float64 { return 0 })
 	now := time.Unix(1000, 0)
 	k.Apply([]kvstore.Event{{Pair: kvstore.Pair{Key: "p/" + v1.key(), Value: encode(v1), ModRevision: 1}}}, now)
-	k.SetListed(map[ServiceRelease]bool{v2: true}, now)
+	k.setListed(map[ServiceRelease]bool{v2: true}, now)
 	k.Restore([]string{"p/" + v1.key()}, now)
 	found := false
 	for _, txn := range k.TakeWrites(WriteOptions{Coordinator: true, Retention: time.Minute}, now.Add(time.Second)) {
