Retry-After of an undecided take-up allows for hosts that notice the end of an outage later

They had waited as told and asked another host, which was told to wait 0.18 s more; a caller retries only once.

Cause: each host counts the time from when it has itself read the store again.

Change: half a second is added. The refusal has a function of its own.

--- a/internal/edge/stream_origin.go
+++ b/internal/edge/stream_origin.go
@@ -26,6 +26,9 @@
 	// service, and recordReturnRetryAfter is when a caller should ask again meanwhile.
 	recordReturnTime       = 4 * time.Second
 	recordReturnRetryAfter = time.Second
+	// undecidedMargin is added to the time after which this host will know the release of a stream: the caller may ask another
+	// host, which has noticed the end of an outage later.
+	undecidedMargin = 500 * time.Millisecond
 )
 
 var (
@@ -53,17 +56,27 @@
 		pool.Release = release
 		return nil
 	}
-	refusal := entity.Refusal{Status: 503, Code: string(dispatch.ReasonReleaseUnknown), Ran: entity.NotRun}
+	refusal, failed := refuseUnknownRelease(err)
+	if failed {
+		s.frontend.log.Warn("Release of a stream not read.", "request", s.description.ID, "resumes", s.description.Resumes, "err", err)
+	}
+	return &refusal
+}
+
+// refuseUnknownRelease returns the refusal of a caller whose stream cannot be taken up because of an error, and whether a read
+// has failed.
+func refuseUnknownRelease(err error) (refusal entity.Refusal, failed bool) {
+	refusal = entity.Refusal{Status: 503, Code: string(dispatch.ReasonReleaseUnknown), Ran: entity.NotRun}
 	var undecided releaseUndecidedError
 	switch {
 	case errors.Is(err, errReleaseUnknown):
+		return refusal, false
 	case errors.As(err, &undecided):
-		refusal.RetryAfter = undecided.retryAfter
-	default:
-		s.frontend.log.Warn("Release of a stream not read.", "request", s.description.ID, "resumes", s.description.Resumes, "err", err)
-		refusal.RetryAfter = staleRetryAfter
+		refusal.RetryAfter = undecided.retryAfter + undecidedMargin
+		return refusal, false
 	}
-	return &refusal
+	refusal.RetryAfter = staleRetryAfter
+	return refusal, true
 }
 
 // releaseOf returns the release of a service that began a stream, which this host or another one has served.
