--- a/review/standins-3/replica.go
+++ b/review/standins-3/replica.go
@@ -28,10 +28,13 @@
 	id, service, zone, version string
 	slots                      int
 	// room is the number of models that fit, and disk are the models with a copy on the disk. diskLoad is the time of a load from
-	// there, and storeLoad that of one from the weight store.
+	// there, and storeLoad that of one from the weight store. memoryMB is the memory for weights and adapters, which have
+	// modelMB and adapterMB each; zero is not counted.
 	room                int
 	disk                []string
 	diskLoad, storeLoad time.Duration
+	memoryMB            float64
+	modelMB, adapterMB  float64
 	// events is the number of events of a stream and pause the time between two. prefill is the time to the head of its answer.
 	// work is the time of a plain request.
 	events               int
@@ -45,11 +48,14 @@
 	sequence int64
 	busy     bool
 	models   map[string]bool
-	running  int
-	runs     []*run
-	conns    map[net.Conn]struct{}
-	ln       net.Listener
-	ended    chan struct{}
+	adapters map[string]bool
+	// overloaded is set when the replica was ordered to load more than it holds; it crashes then.
+	overloaded bool
+	running    int
+	runs       []*run
+	conns      map[net.Conn]struct{}
+	ln         net.Listener
+	ended      chan struct{}
 }
 
 // start starts the replica, with the models that it has loaded. After an end it starts again at its address.
@@ -62,7 +68,8 @@
 	check(err)
 	r.mu.Lock()
 	r.ln, r.addr, r.born, r.state, r.sequence, r.busy, r.running = ln, ln.Addr().String(), time.Now().UnixMilli(), "ready", 0, false, 0
-	r.models, r.conns, r.ended = make(map[string]bool), make(map[net.Conn]struct{}), make(chan struct{})
+	r.models, r.adapters = make(map[string]bool), make(map[string]bool)
+	r.conns, r.ended = make(map[net.Conn]struct{}), make(chan struct{})
 	for _, m := range models {
 		r.models[m] = true
 	}
@@ -142,7 +149,13 @@
 func (r *replica) loaded() []map[string]any {
 	out := []map[string]any{}
 	for m := range r.models {
-		out = append(out, map[string]any{"name": m, "version": 1, "adapters": []string{}})
+		adapters := []string{}
+		for a := range r.adapters {
+			if of, name, _ := strings.Cut(a, "/"); of == m {
+				adapters = append(adapters, name)
+			}
+		}
+		out = append(out, map[string]any{"name": m, "version": 1, "adapters": adapters})
 	}
 	return out
 }
@@ -186,23 +199,45 @@
 		return
 	}
 	r.mu.Lock()
-	status := r.accept(o.Operation, o.Model, o.Expected)
+	status := r.accept(o.Operation, o.Model, o.Adapter, o.Expected)
+	used, overloaded := r.usedMB(), r.overloaded
 	r.mu.Unlock()
-	logf("order at %s (%s): %s %s by %s token %d -> %d", r.id, r.version, o.Operation, o.Model, o.LeaseHolder, o.FencingToken, status)
+	logf("order at %s (%s): %s %s/%s by %s token %d -> %d, %.0f MB in use", r.id, r.version, o.Operation, o.Model, o.Adapter, o.LeaseHolder, o.FencingToken, status, used)
+	if overloaded {
+		logf("%s was ordered to load more than %.0f MB and crashes with %d requests", r.id, r.memoryMB, r.running)
+		r.end()
+		return
+	}
 	w.WriteHeader(status)
 }
 
-func (r *replica) accept(operation, model string, expected *int64) int {
+// usedMB returns the memory of the models and adapters.
+func (r *replica) usedMB() float64 {
+	return r.modelMB*float64(len(r.models)) + r.adapterMB*float64(len(r.adapters))
+}
+
+func (r *replica) accept(operation, model, adapter string, expected *int64) int {
 	load := operation == "model_load"
 	switch {
 	case r.busy || expected != nil && *expected != r.sequence:
 		return http.StatusConflict
+	case adapter != "":
+		return r.acceptAdapter(load, model, adapter)
 	case r.models[model] == load:
 		return http.StatusOK
 	}
 	r.sequence++
 	if !load {
 		delete(r.models, model)
+		for a := range r.adapters {
+			if strings.HasPrefix(a, model+"/") {
+				delete(r.adapters, a)
+			}
+		}
+		return http.StatusAccepted
+	}
+	if r.memoryMB > 0 && r.usedMB()+r.modelMB > r.memoryMB {
+		r.overloaded = true
 		return http.StatusAccepted
 	}
 	r.busy = true
@@ -227,13 +262,33 @@
 	return http.StatusAccepted
 }
 
+// acceptAdapter loads or unloads an adapter of a model. The adapter is there at once: it takes some milliseconds.
+func (r *replica) acceptAdapter(load bool, model, adapter string) int {
+	name := model + "/" + adapter
+	switch {
+	case !r.models[model]:
+		return http.StatusBadRequest
+	case r.adapters[name] == load:
+		return http.StatusOK
+	}
+	r.sequence++
+	if !load {
+		delete(r.adapters, name)
+		return http.StatusOK
+	}
+	r.adapters[name] = true
+	r.overloaded = r.memoryMB > 0 && r.usedMB() > r.memoryMB
+	return http.StatusAccepted
+}
+
 func (r *replica) serve(w http.ResponseWriter, q *http.Request) {
 	h := w.Header()
 	h.Set("X-Foxtailpass-Attempt-Id", q.Header.Get("X-Foxtailpass-Attempt-Id"))
 	r.mu.Lock()
-	model, _, _ := strings.Cut(q.Header.Get("X-Foxtailpass-Model"), "/")
+	name := q.Header.Get("X-Foxtailpass-Model")
+	model, _, hasAdapter := strings.Cut(name, "/")
 	switch {
-	case r.room > 0 && !r.models[model]:
+	case r.room > 0 && (!r.models[model] || hasAdapter && !r.adapters[name]):
 		r.mu.Unlock()
 		h.Set("X-Foxtailpass-Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
