--- a/review/standins-3/client.go
+++ b/review/standins-3/client.go
@@ -54,9 +54,14 @@
 
 // send sends a request to a host on a new connection and reads its answer.
 func send(h *host, q request) response {
-	id := fmt.Sprintf("%016x", rand.Uint64())
 	transport := &http.Transport{DisableKeepAlives: true}
 	defer transport.CloseIdleConnections()
+	return sendOn(transport, h, q)
+}
+
+// sendOn sends a request on a kept connection of a transport, if it has one.
+func sendOn(transport *http.Transport, h *host, q request) response {
+	id := fmt.Sprintf("%016x", rand.Uint64())
 	ctx, cancel := context.WithTimeout(context.Background(), q.deadline)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, q.method, h.frontend()+q.path, strings.NewReader(q.body))
