An unframed answer is whole only if its request was written to its end

The caller got the part as the complete answer, with the signature.

Cause: the kernel reports a reset to one system call. Exchange writes a long body in a goroutine of its own while it reads the answer. When the pending error of the connection goes to that write, the read behind it finds a proper end, and the end of the connection was taken for the end of the body. The check beside it only asks whether the process of the upstream has ended; here it lives.

Change: the writer of a long body has a type of its own, upload. The end of the connection counts as the end of an unframed body only if the upload was complete. A running write is awaited for a second at most, because an upstream that answers early may end its side properly and still read the rest.

Why it works: the reset has one receiver. If the write gets it, the upload is not complete, and the answer is broken; if the upload was complete, the write got no error, and the read gets it. The result may come after the end was read, therefore it is awaited. What follows is that of any broken answer: an order gets 502, an idempotent request goes to another replica, what is already passed on is cut, a resumable stream goes on elsewhere.

Kept as before: early answers with a length or chunks arrive whole, whichever way the connection ends (TestFramedEarlyAnswerArrives, TestEarlyRefusalArrives), an unframed one whose upstream reads on, too (TestUnframedEarlyAnswerIsWholeIfRequestWasWritten). An unframed one whose upstream ends its side and reads nothing more counts as broken: it can't be told from a part.

The refusals of the host itself while a caller still sends reach it whole: they did before (TestHostRefusesLongUpload).

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -19,8 +19,11 @@
 
 const (
 	// maxInlineBody is the largest request body in bytes that is written before reading the answer. A longer
-	// body is written concurrently, because an upstream may answer before it has read the whole body.
+	// body is written concurrently.
 	maxInlineBody = 8 << 10
+	// uploadEndTimeout bounds the wait for the end of the request when the connection has ended behind an answer. An
+	// upstream that has answered early may still read the rest.
+	uploadEndTimeout = time.Second
 	// maxStrayAnswers bounds the answers to other requests that an exchange skips before it fails.
 	maxStrayAnswers = 3
 	// keepAliveMargin is how long before the idle timeout announced by the upstream a connection is discarded.
@@ -75,9 +78,8 @@
 	// stop cancels the callback that aborts the exchange when the context ends. It returns false if the
 	// callback has already started.
 	stop func() bool
-	// bodyWriteResult receives the result of writing the request body in the background. It is nil if the body
-	// was written before the answer was read.
-	bodyWriteResult chan error
+	// upload writes a request body that is longer than maxInlineBody.
+	upload *upload
 	// Header is the header of the answer.
 	Header fasthttp.ResponseHeader
 	// body reads the body of the answer, which has chunked encoding if chunked is set.
@@ -146,11 +148,7 @@
 	if _, err := e.conn.Write(o.Head); err != nil {
 		return err
 	}
-	e.bodyWriteResult = make(chan error, 1)
-	go func() {
-		_, err := e.conn.Conn.Write(o.Body)
-		e.bodyWriteResult <- err
-	}()
+	e.upload = startUpload(e.conn.Conn, o.Body)
 	return nil
 }
 
@@ -250,13 +248,20 @@
 			return n, terr
 		}
 	}
-	if e.unframed && e.client.HasEnded(context.Background(), e.addr) {
-		// The end of the connection is then no proof that the body is complete.
+	if e.unframed && !e.endOfConnectionIsEndOfBody() {
 		return n, io.ErrUnexpectedEOF
 	}
 	return n, err
 }
 
+// endOfConnectionIsEndOfBody reports whether the end of the connection, which has been read, proves that an unframed body is
+// complete. It does not if the request was not written to its end: the kernel reports a reset of the connection to one system
+// call only, and when the write gets it, a read finds a proper end. Nor does it if the process of the upstream has ended.
+func (e *Exchange) endOfConnectionIsEndOfBody() bool {
+	e.upload.await(uploadEndTimeout)
+	return e.upload.complete() && !e.client.HasEnded(context.Background(), e.addr)
+}
+
 // LimitBody bounds the body of the answer to a number of bytes. Reading more is an error.
 func (e *Exchange) LimitBody(bytes int64) { e.bodyBytes, e.bodyLimit = 0, bytes }
 
@@ -314,7 +319,7 @@
 // written, the whole answer has been read, and no further bytes have been received on it.
 func (e *Exchange) Close() {
 	stopped := e.stop()
-	reuse := errors.Is(e.bodyErr, io.EOF) && stopped && !e.singleUse && !e.unframed && !e.Header.ConnectionClose() && e.conn.r.Buffered() == 0 && e.bodySent()
+	reuse := errors.Is(e.bodyErr, io.EOF) && stopped && !e.singleUse && !e.unframed && !e.Header.ConnectionClose() && e.conn.r.Buffered() == 0 && e.upload.complete()
 	idle := e.idleLimitFromHeader()
 	if !reuse || idle <= 0 {
 		_ = e.conn.Close()
@@ -324,19 +329,6 @@
 	e.client.pool.put(e.addr, e.conn)
 }
 
-// bodySent reports whether the whole request body has been written. It does not wait for a running write.
-func (e *Exchange) bodySent() bool {
-	if e.bodyWriteResult == nil {
-		return true
-	}
-	select {
-	case err := <-e.bodyWriteResult:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // idleLimitFromHeader returns how long the connection may be idle: the shorter of idleTimeout and, if the answer
 // has a Keep-Alive header with a timeout, that timeout minus keepAliveMargin. The result may be negative.
 func (e *Exchange) idleLimitFromHeader() time.Duration {
