Tests: servers with malformed heads and those that answer early share their loop

headtest.Serve repeated the listener of earlyanswer.Serve. It now uses it, and keeps the connection open as before.

--- a/internal/httphead/headtest/headtest.go
+++ b/internal/httphead/headtest/headtest.go
@@ -2,9 +2,9 @@
 package headtest
 
 import (
-	"io"
-	"net"
 	"testing"
+
+	"github.com/foxtailpass/foxtailpass/internal/standin/earlyanswer"
 )
 
 // Malformed holds the beginnings of heads that are none in HTTP/1.1. Without the malformed part each would be that of a success.
@@ -22,28 +22,9 @@
 	"interim, then blank": "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nX Odd: 1\r\n",
 }
 
-// requestBytes is the size in bytes of the longest request that Serve reads.
-const requestBytes = 4096
-
 // Serve starts a server that answers the first request of each connection with fixed bytes and keeps the connection open until
 // the test ends. It returns the server's address.
 func Serve(t testing.TB, answer string) (addr string) {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { _ = c.Close() })
-			_, _ = c.Read(make([]byte, requestBytes))
-			_, _ = io.WriteString(c, answer)
-		}
-	}()
-	return ln.Addr().String()
+	return earlyanswer.Serve(t, earlyanswer.Answer{Text: answer, Ending: earlyanswer.KeepOpen})
 }
--- a/internal/standin/earlyanswer/server.go
+++ b/internal/standin/earlyanswer/server.go
@@ -22,11 +22,13 @@
 	HalfClose
 	// HalfCloseUnread ends the server's side properly, and reads nothing more until the test ends.
 	HalfCloseUnread
+	// KeepOpen leaves the connection open until the test ends.
+	KeepOpen
 )
 
 // String returns the name of the ending.
 func (e Ending) String() string {
-	return [...]string{"reset", "close", "half-close", "half-close, rest unread"}[e]
+	return [...]string{"reset", "close", "half-close", "half-close, rest unread", "keep open"}[e]
 }
 
 // Answer is what a server sends when the head of a request has arrived.
