Test of an unframed early answer: a request that the kernel cannot buffer

Traced: the test took 4,000,000 bytes for more than the kernel buffers. The server's end was a proper one. So the product kept its rule, and the check was wrong: the request had been written to its end.

The check stays as strict with a request of 32 MiB, which the send buffer cannot take: the answer must not count as whole, and the exchange must fail in half its deadline.

--- a/internal/standin/earlyanswer/server.go
+++ b/internal/standin/earlyanswer/server.go
@@ -20,7 +20,8 @@
 	Close
 	// HalfClose ends the server's side of the connection properly, and reads the rest of the request.
 	HalfClose
-	// HalfCloseUnread ends the server's side properly, and reads nothing more until the test ends.
+	// HalfCloseUnread ends the server's side properly, and reads nothing more until the test ends. The buffers of the kernel
+	// may still take some megabytes of the request.
 	HalfCloseUnread
 	// KeepOpen leaves the connection open until the test ends.
 	KeepOpen
--- a/internal/upstream/early_answer_test.go
+++ b/internal/upstream/early_answer_test.go
@@ -13,8 +13,11 @@
 )
 
 const (
-	// uploadBytes is the length of a request body that does not fit into the buffers of the kernel.
+	// uploadBytes is the length of a request body that a client usually still writes when its answer arrives. The buffers of
+	// the kernel may take it at once.
 	uploadBytes = 4_000_000
+	// unbufferedBytes is the length of a request body that is longer than the send buffer of a connection can grow.
+	unbufferedBytes = 32 << 20
 	// answerPart is a part of an answer.
 	answerPart = "part"
 	// answerPause is the time in which a client reads an answer while it still writes the request.
@@ -140,7 +143,7 @@
 }
 
 // Guards against an answer that ends with its connection being lost although the upstream has read the whole request, and against
-// one that counts as whole, or keeps its caller waiting, although the upstream does not read on.
+// one that counts as whole, or keeps its caller waiting, although the request could not be written to its end.
 func TestUnframedEarlyAnswerIsWholeIfRequestWasWritten(t *testing.T) {
 	const body = "refused"
 	for name, head := range unframedHeads {
@@ -154,11 +157,11 @@
 			}
 			addr = earlyanswer.Serve(t, earlyanswer.Answer{Text: head + body, Ending: earlyanswer.HalfCloseUnread})
 			began := time.Now()
-			if got, err := exchangeUpload(t, addr, uploadBytes); err == nil {
-				t.Errorf("the request was not read: %q counts as the whole answer", got)
+			if got, err := exchangeUpload(t, addr, unbufferedBytes); err == nil {
+				t.Errorf("the request was not written to its end: %q counts as the whole answer", got)
 			}
 			if waited := time.Since(began); waited > earlyDeadline/2 {
-				t.Errorf("the request was not read: the exchange failed after %v only", waited)
+				t.Errorf("the request was not written to its end: the exchange failed after %v only", waited)
 			}
 		})
 	}
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -34,7 +34,8 @@
 	}
 }
 
-// complete reports whether the whole body has been written without an error. It does not wait for a running write.
+// complete reports whether the whole body has been written without an error: the kernel has taken it, the upstream may not have
+// read it. It does not wait for a running write.
 func (u *upload) complete() bool {
 	if u == nil {
 		return true
