The only release in a restored copy proves nothing for 3 s

Cause: one recorded release stood for "each stream began there" also while hosts were still writing the records of others again.

Change: for 3 s after a restore, in which records of releases are written again, the only release without a baseline leaves the origin undecided: 503 with Retry-After. At other times nothing changes.

--- a/internal/edge/stream_origin.go
+++ b/internal/edge/stream_origin.go
@@ -240,6 +240,9 @@
 	case known && read.Several() && wait > 0:
 		// An upstream may have started again at another release under its ID, and this host may not know yet.
 		return releases.Origin{}, releaseUndecidedError{retryAfter: wait}
+	case known && read.Baseline == "" && h.restoredWithin(releases.ReturnTime, kvstore.EraOf(res.Revision), boottime.Now()):
+		// The copy may lack the records of other releases.
+		return releases.Origin{}, releaseUndecidedError{retryAfter: recordReturnRetryAfter}
 	case known && len(errs) == 0:
 	case h.recordsReturn(kvstore.EraOf(res.Revision), boottime.Now()):
 		return releases.Origin{}, releaseUndecidedError{retryAfter: recordReturnRetryAfter}
@@ -252,9 +255,16 @@
 // recordsReturn reports whether the key-value service, which has been read in an era, was away or restored so lately that
 // records of streams are still being written.
 func (h *Host) recordsReturn(era kvstore.Era, now time.Time) bool {
+	regainedAt := h.watcher.regainedAt.Load()
+	regained := regainedAt != 0 && now.Sub(time.Unix(0, regainedAt)) < recordReturnTime
+	return h.watcher.readableSince.Load() == 0 || regained || h.restoredWithin(recordReturnTime, era, now)
+}
+
+// restoredWithin reports whether the key-value service, which has been read in an era, was restored within the last d.
+func (h *Host) restoredWithin(d time.Duration, era kvstore.Era, now time.Time) bool {
 	if era > kvstore.EraOf(h.watcher.knownRevision.Load()) {
 		return true
 	}
-	isRecent := func(at int64) bool { return at != 0 && now.Sub(time.Unix(0, at)) < recordReturnTime }
-	return h.watcher.readableSince.Load() == 0 || isRecent(h.watcher.regainedAt.Load()) || isRecent(h.watcher.restoredAt.Load())
+	at := h.watcher.restoredAt.Load()
+	return at != 0 && now.Sub(time.Unix(0, at)) < d
 }
--- a/internal/releases/releases.go
+++ b/internal/releases/releases.go
@@ -45,6 +45,9 @@
 	recordSpread = 2 * time.Second
 	// recordDelay is how long they leave it to the coordinator.
 	recordDelay = 300 * time.Millisecond
+	// ReturnTime is the time after a restore of the key-value service in which the records of releases that the copy lacks are
+	// written again.
+	ReturnTime = 3 * time.Second
 	// recordRetryPause is the pause before a write is repeated.
 	recordRetryPause = time.Second
 	// maxRecords bounds the records of releases. Releases beyond it begin no streams that may be continued.
