A choice by speed finds an upstream whatever the costs are

Cause: beside costs of 10^16 fillLevel lost the requests to be spread in rounding, so no candidate took one, and chooseBySpeed used -1 as an index.

A prompt counts at an engine until its deadline at most (24,230 s before).

--- a/internal/dispatch/budgeted.go
+++ b/internal/dispatch/budgeted.go
@@ -47,8 +47,10 @@
 	if running := t.estimatedLoad(ch.now); running >= 1 && ch.view.Known(speed.Gap) {
 		pause = ch.view.Pause(pace, running/float64(max(t.Slots, 1)))
 	}
+	// An upstream stops reading at the deadline of the request.
+	timeLeft := max(ch.request.Deadline.Sub(ch.now).Seconds(), 0)
 	return promptCost{
-		seconds: float64(ch.request.PromptTokens) * ch.view.Prefill(pace),
+		seconds: min(float64(ch.request.PromptTokens)*ch.view.Prefill(pace), timeLeft),
 		room:    prefill.Room(ch.demands, pause),
 		sharing: 1,
 	}
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -33,6 +33,9 @@
 	maxAssessed = 64
 	// minSlope bounds below by how much a request raises the cost of an upstream.
 	minSlope = 1e-3
+	// maxCost bounds the cost of an upstream, and by how much a request raises it. Costs below it can be added up without
+	// losing a single request in rounding.
+	maxCost = 1e9
 	// unseenShare is the number of requests that all hosts are assumed to send before they hear of each other, as a share of
 	// the running ones, and unseenRequests that number if none runs. Streams last about 1.5 s, and reports take up to half
 	// of that. With a smaller share, the loads of equal upstreams oscillate between none and twice the mean.
@@ -126,7 +129,7 @@
 	}
 	c.cost += timeCost(t, r, view, pace, running, pending)
 	next += timeCost(t, r, view, pace, running+1, pending)
-	c.slope = max(next-c.cost, minSlope)
+	c.slope = next - c.cost
 	if ch.forLong != nil && ch.forLong[t] != (r.PromptTokens >= longPromptTokens) {
 		c.cost += slotCost * otherKindPenalty
 	}
@@ -143,6 +146,19 @@
 	if t.drainingElsewhere != 0 && t.drainingElsewhere == t.BornMillis {
 		c.cost += avoidPenalty
 	}
+	return c.bounded()
+}
+
+// bounded returns the candidate with its cost and slope within their bounds, the upper one if they are not a number.
+func (c candidate) bounded() candidate {
+	if math.IsNaN(c.cost) {
+		c.cost = maxCost
+	}
+	if math.IsNaN(c.slope) {
+		c.slope = maxCost
+	}
+	c.cost = min(max(c.cost, -maxCost), maxCost)
+	c.slope = min(max(c.slope, minSlope), maxCost)
 	return c
 }
 
@@ -182,17 +198,20 @@
 	return defaultTargetLatency
 }
 
-// pick returns the index of a candidate, -1 if there is none. The probability of a candidate is proportional to the
+// pick returns the index of a candidate, -1 only if there is none. The probability of a candidate is proportional to the
 // requests that it takes until its cost is the one at which all candidates together have taken the given number. random
 // is in [0, 1).
 func pick(candidates []candidate, requests, random float64) int {
+	if len(candidates) == 0 {
+		return -1
+	}
 	level := fillLevel(candidates, requests)
 	total := 0.0
 	for _, c := range candidates {
 		total += c.takes(level)
 	}
 	random *= total
-	chosen := -1
+	chosen := cheapest(candidates)
 	for i, c := range candidates {
 		n := c.takes(level)
 		if n == 0 {
@@ -206,6 +225,17 @@
 	return chosen
 }
 
+// cheapest returns the index of the candidate with the lowest cost.
+func cheapest(candidates []candidate) int {
+	lowest := 0
+	for i, c := range candidates {
+		if c.cost < candidates[lowest].cost {
+			lowest = i
+		}
+	}
+	return lowest
+}
+
 // takes returns the number of requests that the candidate takes until its cost is at a level.
 func (c candidate) takes(level float64) float64 {
 	return min(max(level-c.cost, 0)/c.slope, max(c.free, 1))
@@ -213,23 +243,25 @@
 
 // fillLevel returns the cost at which all candidates together have taken a number of requests, apart from the limits of
 // their slots. It begins with all candidates and leaves out those that are above the level, which lowers it, until none is.
+// The sums are of costs above the lowest one: beside large costs, a few requests would be lost in rounding.
 func fillLevel(candidates []candidate, requests float64) float64 {
+	lowest := candidates[cheapest(candidates)].cost
 	level := math.Inf(1)
 	for {
 		sum, rates := requests, 0.0
 		for _, c := range candidates {
-			if c.cost < level {
-				sum += c.cost / c.slope
+			if above := c.cost - lowest; above < level {
+				sum += above / c.slope
 				rates += 1 / c.slope
 			}
 		}
 		if rates == 0 {
-			return level
+			return lowest + level
 		}
 		next := sum / rates
 		if next >= level {
 			// No candidate was left out, so the sums are the same as before.
-			return next
+			return lowest + next
 		}
 		level = next
 	}
