Many suspected parts are probed jointly, and refusals of joint suspects are not final

Cause: a probe claims a record for each suspected part, eight at most. With more parts no probe could be claimed, and the refusal was final: not to be probed was taken for shown to be deadly.

Change: a probe of more parts is claimed in one record of the service, which counts the probes of each part. A refusal is final only for what was probed alone; otherwise Retry-After names the next probe.

--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -93,6 +93,8 @@
 	uncoordinatedTo time.Time
 	part, request   deadlyTrait
 	sound, passed   int
+	// common are parts that all requests have.
+	common []entity.PromptPartID
 }
 
 // deadlyTrait counts the crashes under a trait, and the requests with it that hosts in touch sent later than allowed.
@@ -297,10 +299,10 @@
 	}
 	return Traits{
 		Service: simService,
-		Parts: []entity.PromptPartID{
+		Parts: slices.Concat([]entity.PromptPartID{
 			entity.PromptPartID(fmt.Sprintf("first%d", f.rng.IntN(3))),
 			entity.PromptPartID(fmt.Sprintf("subject%d", f.rng.IntN(60))),
-		},
+		}, f.common),
 		Digest: digest,
 	}
 }
@@ -343,6 +345,24 @@
 	}
 }
 
+// Guards against a deadly part among many parts that all requests have, whose probes are claimed jointly: it must not reach
+// more engines than one alone (review, case 13).
+func TestDeadlyPartAmongManyReachesFewEngines(t *testing.T) {
+	for _, common := range []int{8, 24} {
+		for _, hosts := range []int{7, 63} {
+			t.Run(fmt.Sprintf("%d parts/%d hosts", common, hosts), func(t *testing.T) {
+				t.Parallel()
+				for seed := range uint64(max(140/hosts, 1)) {
+					f := newSimFleet(hosts, seed)
+					f.common = partIDs(common)
+					f.play(40*time.Second, true, false)
+					f.judge(t, seed)
+				}
+			})
+		}
+	}
+}
+
 // play plays four requests a second at each host, and a twentieth as many of each deadly kind.
 func (f *simFleet) play(length time.Duration, part, request bool) {
 	perStep := float64(len(f.hosts)) * 4 * simStep.Seconds()
--- a/internal/quarantine/probes.go
+++ b/internal/quarantine/probes.go
@@ -25,13 +25,13 @@
 	switch {
 	case len(v.Traits) == 0:
 		return v
-	case len(v.Traits) > maxJointTraits:
-		v.Action, v.Final = Refuse, true
-		return v
 	}
 	v.Action = Probe
 	for _, x := range v.Traits {
 		wait, possible := t.probeWait(x, v.isJoint(x), now)
+		if v.isJoint(x) {
+			wait = max(wait, t.jointWait(x, now))
+		}
 		switch {
 		case !possible:
 			v.Action, v.Final = Refuse, true
@@ -47,8 +47,9 @@
 // all its traits.
 func (v Verdict) isJoint(x Trait) bool { return v.Joint && !x.IsRequest() }
 
-// probeWait returns the time until a trait may be probed by a request; joint is set if the request has several suspects. While a probe may still show a result, it is the time in which that is expected. It returns false
-// if a probe has failed and the next one is not due, or if there will be none.
+// probeWait returns the time until a trait may be probed by a request; joint is set if the request has several suspects. While
+// a probe may still show a result, it is the time in which that is expected. It returns false if the trait was probed alone,
+// the last probe has failed and the next one is not due, or if there will be none.
 func (t *Tracker) probeWait(x Trait, joint bool, now time.Time) (wait time.Duration, possible bool) {
 	b, q := t.blocked[x], t.probed[x]
 	if t.claiming[x] {
@@ -64,25 +65,34 @@
 	if running := q.seenAt.Add(probeTime).Sub(now); running > 0 && !failed {
 		return running, true
 	}
+	pauses := x.probePauses()
+	probedAlone := x.IsRequest() || !q.onlyJoint()
 	switch {
-	case q.Probes > len(x.probePauses()):
+	case q.Probes > len(pauses) && probedAlone:
 		return 0, false
 	case !joint && q.onlyJoint():
 		return 0, true
 	}
 	pause := jointProbeDelay
 	if q.Probes > 0 {
-		pause = x.probePauses()[q.Probes-1]
+		pause = pauses[min(q.Probes, len(pauses))-1]
 	}
 	wait = max(q.seenAt.Add(pause).Sub(now), 0)
-	return wait, wait == 0 || !failed
+	return wait, wait == 0 || !failed || !probedAlone
 }
 
 // Claim returns the transaction that reserves a probe for this host. Of all hosts that claim a trait at the
 // same time, one succeeds. The result must be passed to Claimed.
 func (t *Tracker) Claim(v Verdict) kvstore.Txn {
 	var txn kvstore.Txn
+	jointly := v.isProbedJointly()
+	if jointly {
+		t.claimJoint(v.parts(), &txn)
+	}
 	for _, x := range v.Traits {
+		if jointly && !x.IsRequest() {
+			continue
+		}
 		t.claiming[x] = true
 		r := newTraitRecord(x, t.opts.Host)
 		r.Probes = 1
@@ -107,6 +117,9 @@
 func (t *Tracker) Claimed(traits []Trait, txn kvstore.Txn, succeeded bool, revision int64, now time.Time) {
 	for _, x := range traits {
 		delete(t.claiming, x)
+		if j := t.joint[x.Service]; j != nil {
+			j.claiming = false
+		}
 	}
 	if !succeeded {
 		return
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -42,6 +42,8 @@
 	// ownRestoreSpread is the time over which a host spreads the writes of its own records that the key-value service has
 	// lost.
 	ownRestoreSpread = 300 * time.Millisecond
+	// jointRetention is how long after its last probe a joint record is kept at least, so that all hosts learn of its end.
+	jointRetention = time.Minute
 	// recordRetention is how long the record of the end of a replica is kept.
 	recordRetention = time.Hour
 )
@@ -58,14 +60,15 @@
 	maxIDsPerRecord = 256
 	// maxCleared bounds the traits that are remembered as cleared.
 	maxCleared = 4096
-	// maxJointTraits bounds the traits that one request probes.
+	// maxJointTraits bounds the parts that one request probes with a record for each of them.
 	maxJointTraits = 8
 	// maxRecordsPerWrite bounds the keys in one transaction.
 	maxRecordsPerWrite = 16
 )
 
 // The pauses between a probe of a trait and the next one. After the last probe only an answer that clears the trait all
-// the same, or an operator, ends the quarantine. A request that is wrongly suspected is probed again soon, because only
+// the same, or an operator, ends the quarantine; while the trait was only probed jointly with others, nothing is shown of
+// it alone, and the last pause repeats. A request that is wrongly suspected is probed again soon, because only
 // its own answer clears it.
 var (
 	partProbePauses    = []time.Duration{30 * time.Second, 10 * time.Minute}
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/foxtailpass/foxtailpass/internal/catalog"
 	"github.com/foxtailpass/foxtailpass/internal/entity"
 	"github.com/foxtailpass/foxtailpass/internal/kvstore"
 )
@@ -32,6 +33,8 @@
 	// record.
 	crashes map[string]*crash
 	probed  map[Trait]*traitState
+	// joint holds the joint records.
+	joint map[catalog.ServiceID]*jointState
 	// cleared holds the traits that an answer has cleared since the last known end of a replica that made them suspects.
 	cleared map[Trait]bool
 	// blocked holds the quarantined traits, and watched all traits that may have ended a replica. Both are derived from
@@ -87,6 +90,7 @@
 type write struct {
 	crashes []string
 	trait   Trait
+	joint   catalog.ServiceID
 }
 
 // New returns a Tracker without any knowledge.
@@ -96,6 +100,7 @@
 		pending:  make(map[Instance]*crashRecord),
 		crashes:  make(map[string]*crash),
 		probed:   make(map[Trait]*traitState),
+		joint:    make(map[catalog.ServiceID]*jointState),
 		cleared:  make(map[Trait]bool),
 		blocked:  make(map[Trait]*blockedTrait),
 		inFlight: make(map[uint64]write),
@@ -198,6 +203,7 @@
 			continue
 		}
 		t.clear(x)
+		changed = t.clearJoint(x, probe, now) || changed
 		changed = t.removeSuspect(x) || changed
 		if q := t.probed[x]; q != nil && !q.lifted {
 			t.lift(q, probe, now)
@@ -234,11 +240,16 @@
 func (t *Tracker) lift(q *traitState, atOnce bool, now time.Time) {
 	q.lifted = true
 	t.mayWrite = true
-	q.clearAt = now
-	if !atOnce {
-		spread := min(time.Duration(t.hosts)*clearDelayPerHost, maxClearDelay)
-		q.clearAt = now.Add(time.Duration(t.opts.Rand.Float64() * float64(spread)))
+	q.clearAt = t.clearTime(atOnce, now)
+}
+
+// clearTime returns when this host writes that an answer has cleared a trait.
+func (t *Tracker) clearTime(atOnce bool, now time.Time) time.Time {
+	if atOnce {
+		return now
 	}
+	spread := min(time.Duration(t.hosts)*clearDelayPerHost, maxClearDelay)
+	return now.Add(time.Duration(t.opts.Rand.Float64() * float64(spread)))
 }
 
 // Apply applies changes of the key-value service. It ignores keys of others, and returns an error for each record that
@@ -253,6 +264,8 @@
 			err = t.applyCrash(key, e, now)
 		case ours && (strings.HasPrefix(key, partsPrefix) || strings.HasPrefix(key, requestsPrefix)):
 			err = t.applyTrait(key, e, now)
+		case ours && strings.HasPrefix(key, jointPrefix):
+			err = t.applyJoint(e, now)
 		}
 		if err != nil {
 			errs = append(errs, err)
@@ -411,6 +424,9 @@
 		if q := t.probed[x]; q != nil {
 			e.Probes = q.Probes
 		}
+		if j := t.joint[x.Service]; j != nil {
+			e.Probes += j.parts[x.Part].Probes
+		}
 		out = append(out, e)
 	}
 	slices.SortFunc(out, func(a, b Entry) int {
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -16,6 +16,8 @@
 	store *simStore
 	now   time.Time
 	ends  int
+	// applied is the number of changes in the log of the store that syncNew has applied.
+	applied int
 }
 
 func newTestTracker(store *simStore, host string) *testTracker {
--- a/internal/quarantine/writes.go
+++ b/internal/quarantine/writes.go
@@ -26,6 +26,11 @@
 			return true
 		}
 	}
+	for _, j := range t.joint {
+		if j.unwritten {
+			return true
+		}
+	}
 	return false
 }
 
@@ -52,6 +57,7 @@
 			Success:  []kvstore.Op{{Kind: kvstore.OpDelete, Key: key}},
 		}))
 	}
+	out = append(out, t.jointWrites(now)...)
 	t.mayWrite = t.hasUnwritten()
 	return out
 }
@@ -104,6 +110,7 @@
 			q := t.probed[x]
 			q.lost, q.rewriteAt = true, now.Add(t.restoreDelay(q.Host))
 		}
+		t.restoreJoint(key, now)
 	}
 }
 
@@ -127,6 +134,9 @@
 func (t *Tracker) Written(id uint64, succeeded bool, now time.Time) {
 	w := t.inFlight[id]
 	delete(t.inFlight, id)
+	if w.joint != "" {
+		t.jointWritten(w.joint, succeeded, now)
+	}
 	for _, key := range w.crashes {
 		c := t.crashes[key]
 		if c == nil {
@@ -158,5 +168,6 @@
 		}
 		txn.Success = append(txn.Success, kvstore.Op{Kind: kvstore.OpDelete, Key: t.opts.KeyPrefix + key})
 	}
+	txn.Success = append(txn.Success, t.pruneJoint(now)...)
 	return txn, len(txn.Success) > 0
 }
