A waiting request whose key moves to another workspace waits on for that one

Cause: a key that belongs to another workspace was taken for one that was withdrawn.

Change: only a key that is gone refuses with 401. A moved one makes the request one of its new workspace, with its rank and its place by arrival; its tokens go back to the former workspace and are taken from the new one. The same for requests that wait for tokens, at which nobody had looked: a withdrawn key ended them only when they were to be sent.

--- a/internal/dispatch/refusals.go
+++ b/internal/dispatch/refusals.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/foxtailpass/foxtailpass/internal/entity"
@@ -116,3 +118,20 @@
 	}
 	return s.takeDecisions()
 }
+
+// Withdraw removes all waiting requests for which match returns true, and returns them in the order of their arrival.
+func (s *Scheduler) Withdraw(match func(*Request) bool) []*Request {
+	var out []*Request
+	for _, r := range s.requests {
+		if r.running || !match(r) {
+			continue
+		}
+		s.removeWaiting(r)
+		delete(s.requests, r.ID)
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b *Request) int {
+		return cmp.Or(a.Arrived.Compare(b.Arrived), cmp.Compare(a.ID, b.ID))
+	})
+	return out
+}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -37,6 +37,8 @@
 	Deadline time.Time
 	// Tokens is the number of tokens that the request takes from the rate of its workspace.
 	Tokens float64
+	// HasDefaultTokens is set if that is the default of the workspace, because the request states no numbers.
+	HasDefaultTokens bool
 	// PromptTokens is the length of the prompt in tokens, zero if it is not known.
 	PromptTokens int
 	// SharedParts are the parts of the prompt that other requests may share. Probe is set if the request is sent although
@@ -49,6 +51,8 @@
 	Affinity string
 
 	running bool
+	// counted is set once the request has been counted for the retry budget of its service.
+	counted bool
 	// sentAt is when the last attempt was sent.
 	sentAt time.Time
 	// interruptedAt is when a stream that has begun was last interrupted, zero before.
@@ -75,6 +79,9 @@
 	yielded bool
 }
 
+// MayHaveRun reports whether an attempt has ended without proof that it did not run.
+func (r *Request) MayHaveRun() bool { return r.mayHaveRun }
+
 // repeatable reports whether another attempt may follow one that may have run.
 func (r *Request) repeatable() bool { return r.Route.Repeatable() }
 
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -213,11 +213,15 @@
 	}
 }
 
-// Enqueue adds a request, and dispatches or refuses it if that can be decided now.
+// Enqueue adds a request, and dispatches or refuses it if that can be decided now. The request may be one that Withdraw has
+// returned.
 func (s *Scheduler) Enqueue(r *Request, now time.Time) []Decision {
 	r.index = -1
 	s.requests[r.ID] = r
-	s.budget(r.Pool.Service).Deposit(now)
+	if !r.counted {
+		r.counted = true
+		s.budget(r.Pool.Service).Deposit(now)
+	}
 	s.addWaiting(r, now)
 	s.dispatchPool(s.queues[r.Pool], now)
 	if _, active := s.requests[r.ID]; active && !r.running {
--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -371,7 +371,7 @@
 		c.refuseQuarantined(r, v)
 		return
 	}
-	c.admit(r, now)
+	c.admit(r, r.Arrived, now)
 }
 
 // sendFinalAnswer sends the final answer of a request to the goroutine that serves it.
@@ -493,12 +493,7 @@
 	if c.coordinator != nil {
 		c.coordinator.reserve.SetLimits(quota.WorkspaceLimits(cat), now)
 	}
-	withdrawn := func(r *dispatch.Request) bool {
-		w := cat.Key(r.Key)
-		return r.Key != "" && (w == nil || w.ID != r.Workspace)
-	}
-	refusal := entity.Refusal{Status: 401, Code: string(dispatch.ReasonKeyWithdrawn), Ran: entity.NotRun}
-	c.applyDecisions(c.scheduler.RefuseWhere(withdrawn, refusal, dispatch.ReasonKeyWithdrawn), now)
+	c.keysChanged(now)
 	if c.coordinator != nil {
 		c.coordinator.swapper.SetCatalog(cat)
 	}
--- a/internal/edge/frontend.go
+++ b/internal/edge/frontend.go
@@ -316,11 +316,11 @@
 	if w != nil {
 		r.Workspace = w.ID
 		r.Key = s.description.Key
-		r.Rank = w.Priority*3 + s.route.Priority
-		r.Tokens = float64(w.DefaultTokens)
+		r.Rank = rankOf(w, s.route)
+		r.Tokens, r.HasDefaultTokens = float64(w.DefaultTokens), true
 	}
 	if s.description.HasTokenCounts {
-		r.Tokens = float64(s.description.PromptTokens) + float64(s.description.OutputTokens)
+		r.Tokens, r.HasDefaultTokens = float64(s.description.PromptTokens)+float64(s.description.OutputTokens), false
 		r.PromptTokens = s.description.PromptTokens
 	}
 	s.request = r
--- a/internal/edge/rate_urgency.go
+++ b/internal/edge/rate_urgency.go
@@ -148,8 +148,8 @@
 }
 
 // admitByUrgency does the work of admit if tokens are granted by urgency.
-func (c *core) admitByUrgency(r *dispatch.Request, now time.Time) {
-	p := &parkedRequest{request: r, waitUntil: tokenWaitDeadline(r)}
+func (c *core) admitByUrgency(r *dispatch.Request, since, now time.Time) {
+	p := &parkedRequest{request: r, waitUntil: tokenWaitDeadline(r, since)}
 	if c.usesQueue(r) {
 		c.offer(p, now)
 		return
--- a/internal/edge/tokens.go
+++ b/internal/edge/tokens.go
@@ -53,9 +53,10 @@
 	recheckAt time.Time
 }
 
-// tokenWaitDeadline returns the time until which a request can wait for tokens and still be in time.
-func tokenWaitDeadline(r *dispatch.Request) time.Time {
-	return r.Arrived.Add(time.Duration(tokenWaitShare * float64(r.Route.TargetLatency)))
+// tokenWaitDeadline returns the time until which a request can wait for the tokens of a workspace and still be in time. It has
+// been a request of the workspace since the given time.
+func tokenWaitDeadline(r *dispatch.Request, since time.Time) time.Time {
+	return earliest(since.Add(time.Duration(tokenWaitShare*float64(r.Route.TargetLatency))), r.Deadline)
 }
 
 // currentDeadline returns the time until which the request waits for tokens from the coordinator, or from
@@ -77,10 +78,11 @@
 	return b
 }
 
-// admit charges a request and queues it, or parks it until tokens are available.
-func (c *core) admit(r *dispatch.Request, now time.Time) {
+// admit charges a request and queues it, or parks it until tokens are available. It has been a request of its workspace since
+// the given time.
+func (c *core) admit(r *dispatch.Request, since, now time.Time) {
 	if c.rateUrgency != nil {
-		c.admitByUrgency(r, now)
+		c.admitByUrgency(r, since, now)
 		return
 	}
 	deficit, wait, ok := c.limiter.Admit(entity.RateKey(r.Workspace), r.Tokens, now)
@@ -90,7 +92,7 @@
 	}
 	c.log.Info("Lacks tokens.", "request", r.ID, "workspace", r.Workspace, "tokens", r.Tokens, "lack", deficit, "wait", wait,
 		"hosts", c.limiter.Hosts(), "coordinated", c.hasCoordinator())
-	c.waitForTokens(&parkedRequest{request: r, waitUntil: tokenWaitDeadline(r)}, deficit, wait, now)
+	c.waitForTokens(&parkedRequest{request: r, waitUntil: tokenWaitDeadline(r, since)}, deficit, wait, now)
 }
 
 // waitForTokens parks a request until the coordinator answers or, without a coordinator, until this host's
