The relay of records sleeps while no record waits for it

It woke 20 times a second at each host, also at sites with one release, which relay nothing. It now waits for the first record that is queued.

--- a/internal/edge/stream_relay.go
+++ b/internal/edge/stream_relay.go
@@ -43,8 +43,6 @@
 	addrs atomic.Pointer[map[entity.HostID]string]
 	// preferred is the host that has last written relayed records.
 	preferred entity.HostID
-	// nextAt is when records are next relayed.
-	nextAt time.Time
 }
 
 // setHosts implements effects.
@@ -52,29 +50,37 @@
 
 // run relays records until ctx ends.
 func (r *streamRelay) run(ctx context.Context) {
-	ticker := time.NewTicker(relayInterval)
-	defer ticker.Stop()
+	streams := r.host.frontend.streams
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-streams.RelayQueued():
 		}
-		if now := boottime.Now(); !now.Before(r.nextAt) {
-			r.relay(ctx, r.host.frontend.streams.TakeRelay(now))
+		for pause := relayInterval; streams.HasUnrelayed(); {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(pause):
+			}
+			pause = relayInterval
+			if !r.relay(ctx, streams.TakeRelay(boottime.Now())) {
+				pause = relayRetryPause
+			}
 		}
 	}
 }
 
-// relay passes a batch to other hosts, until one of them can write it or several keep it.
-func (r *streamRelay) relay(ctx context.Context, batch releases.Relay) {
+// relay passes a batch to other hosts, until one of them can write it or several keep it. It returns false if none keeps it; the
+// batch is taken again then.
+func (r *streamRelay) relay(ctx context.Context, batch releases.Relay) bool {
 	if len(batch.Records) == 0 {
-		return
+		return true
 	}
 	frame, err := peer.Encode(&wire.StreamRecords{Records: batch.Records})
 	if err != nil {
 		r.host.log.Error("Records of streams cannot be relayed.", "err", err)
-		return
+		return true
 	}
 	copies := 0
 	for _, id := range r.candidates() {
@@ -87,7 +93,7 @@
 		if kept.Writable {
 			r.preferred = id
 			r.host.log.Info("Records of streams relayed.", "streams", len(batch.Records), "to", id)
-			return
+			return true
 		}
 		if copies == maxRelayCopies {
 			break
@@ -97,8 +103,8 @@
 	r.host.log.Info("Records of streams kept by hosts that cannot write them.", "streams", len(batch.Records), "hosts", copies)
 	if copies == 0 {
 		r.host.frontend.streams.RelayFailed(batch)
-		r.nextAt = boottime.Now().Add(relayRetryPause)
 	}
+	return copies > 0
 }
 
 // candidates returns the hosts to be asked, in order.
--- a/internal/releases/streams.go
+++ b/internal/releases/streams.go
@@ -35,6 +35,8 @@
 	removed   []string
 	// unrelayed are the streams whose record is relayed to another host unless it is written soon, in the order of time.
 	unrelayed []unrelayedStream
+	// relayQueued receives a value when a stream is added to unrelayed.
+	relayQueued chan struct{}
 	// era is the era of the key-value service in which records have been written.
 	era kvstore.Era
 	// urgent receives a value when a record is waited for.
@@ -47,7 +49,7 @@
 	Origin
 	beganAt, forgetAt time.Time
 	record            recordState
-	// relay is set while the stream is in Streams.unrelayed, and after its record has been relayed until it is written.
+	// relay is set from when the stream is added to Streams.unrelayed until its record is written or changes.
 	relay bool
 	// written is closed once the record has been acknowledged, nil if nobody waits for that.
 	written chan struct{}
@@ -69,7 +71,13 @@
 
 // NewStreams returns an empty table.
 func NewStreams(keyPrefix string) *Streams {
-	return &Streams{keyPrefix: keyPrefix, streams: make(map[entity.RequestID]*stream), unproven: make(map[entity.RequestID]*stream), urgent: make(chan struct{}, 1)}
+	return &Streams{
+		keyPrefix:   keyPrefix,
+		streams:     make(map[entity.RequestID]*stream),
+		unproven:    make(map[entity.RequestID]*stream),
+		relayQueued: make(chan struct{}, 1),
+		urgent:      make(chan struct{}, 1),
+	}
 }
 
 // Begin records that the first event of a stream has been received.
--- a/internal/releases/unrelayed.go
+++ b/internal/releases/unrelayed.go
@@ -29,10 +29,25 @@
 
 // queueRelay makes the record of a stream wait for its relay, unless it waits or has been relayed.
 func (t *Streams) queueRelay(id entity.RequestID, s *stream) {
-	if !s.relay {
-		s.relay = true
-		t.unrelayed = append(t.unrelayed, unrelayedStream{id: id})
+	if s.relay {
+		return
 	}
+	s.relay = true
+	t.unrelayed = append(t.unrelayed, unrelayedStream{id: id})
+	select {
+	case t.relayQueued <- struct{}{}:
+	default:
+	}
+}
+
+// RelayQueued returns a channel that receives a value when a record begins to wait for its relay.
+func (t *Streams) RelayQueued() <-chan struct{} { return t.relayQueued }
+
+// HasUnrelayed reports whether records wait for their relay.
+func (t *Streams) HasUnrelayed() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.unrelayed) > 0
 }
 
 // TakeRelay returns the next records that have been unwritten for so long that this host may be unable to write them. If the
