Records of the quarantine with impossible numbers are ignored

Cause: decodeJoint took the number as it came, and jointWait used it as an index. A huge number overflowed at the next claim, also in the record of a single part.

Change: numbers in both records are bounded where they are read.

Evidence: TestInvalidJointRecords failed before ("index out of range [-2]"); TestUnreadableRecordsAreIgnored has two more records.

--- a/internal/quarantine/joint.go
+++ b/internal/quarantine/joint.go
@@ -50,6 +50,11 @@
 	if r.Service == "" || len(r.Parts) > maxJointParts {
 		return nil, errors.New("quarantine: joint record is invalid")
 	}
+	for _, p := range r.Parts {
+		if !isCount(p.Probes) || !isCount(p.Ends) {
+			return nil, errors.New("quarantine: joint record has an invalid number")
+		}
+	}
 	return &r, nil
 }
 
--- a/internal/quarantine/joint_test.go
+++ b/internal/quarantine/joint_test.go
@@ -205,14 +205,19 @@
 	return ok, true
 }
 
-// Guards against joint records that cannot be read, or are too large.
+// Guards against joint records that cannot be read, or that state numbers which end the process of the host that reads them.
 func TestInvalidJointRecords(t *testing.T) {
 	x := newTestTracker(newTestStore(), "a")
-	for _, value := range []string{"", "[]", `{"parts":{"a":{"probes":1}}}`, `{"service":"s","parts":{"a":1}}`} {
+	for _, value := range []string{"", "[]", `{"parts":{"a":{"probes":1}}}`, `{"service":"s","parts":{"a":1}}`,
+		`{"service":"engines","parts":{"p0":{"probes":-1}}}`, `{"service":"engines","parts":{"p0":{"ends":-1}}}`,
+		`{"service":"engines","parts":{"p0":{"probes":9223372036854775807}}}`} {
 		if len(x.Apply([]kvstore.Event{{Pair: kvstore.Pair{Key: "p/" + jointPrefix + "x", Value: []byte(value), ModRevision: 1}}}, x.now)) != 1 {
 			t.Errorf("%q is applied", value)
 		}
 	}
+	x.engineEnds(partIDs(3)...)
+	x.engineEnds(partIDs(3)...)
+	x.action(partIDs(3)...)
 	if len(x.joint) > 0 {
 		t.Error("a joint record is kept")
 	}
--- a/internal/quarantine/records.go
+++ b/internal/quarantine/records.go
@@ -161,12 +161,18 @@
 	return &r, nil
 }
 
+// maxCount bounds the numbers of probes and of ends of replicas that a record may state.
+const maxCount = 1 << 20
+
+// isCount reports whether a number in a record can be one of probes or of ends of replicas.
+func isCount(n int) bool { return n >= 0 && n <= maxCount }
+
 func decodeTrait(value []byte) (*traitRecord, error) {
 	var r traitRecord
 	if err := json.Unmarshal(value, &r); err != nil {
 		return nil, fmt.Errorf("quarantine: record of a trait: %w", err)
 	}
-	if (r.Part == "") == (r.Request == "") || r.Request != "" && r.Service != "" || r.JointProbes < 0 || r.Probes < r.JointProbes {
+	if (r.Part == "") == (r.Request == "") || r.Request != "" && r.Service != "" || !isCount(r.Probes) || !isCount(r.JointProbes) || !isCount(r.Ends) || r.Probes < r.JointProbes {
 		return nil, fmt.Errorf("quarantine: record of a trait is invalid")
 	}
 	return &r, nil
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -360,7 +360,7 @@
 func TestUnreadableRecordsAreIgnored(t *testing.T) {
 	x := newTestTracker(newTestStore(), "a")
 	var events []kvstore.Event
-	for i, value := range []string{"", "null", "[]", `{"service":1}`, `{"part":"d","probes":-1}`, `{"upstream":""}`, "\xff"} {
+	for i, value := range []string{"", "null", "[]", `{"service":1}`, `{"part":"d","probes":-1}`, `{"part":"d","probes":9223372036854775807}`, `{"part":"d","ends":-1}`, `{"upstream":""}`, "\xff"} {
 		for _, prefix := range []string{crashesPrefix, partsPrefix, requestsPrefix} {
 			events = append(events, kvstore.Event{Pair: kvstore.Pair{Key: fmt.Sprintf("p/%s%d", prefix, i), Value: []byte(value), ModRevision: 1}})
 		}
