--- a/internal/dispatch/budgeted.go
+++ b/internal/dispatch/budgeted.go
@@ -109,10 +109,7 @@
 // pickForLong returns the index of the candidate for a long prompt: the first in the order of this host that its long
 // prompts do not occupy. It returns -1 if there is none.
 func (s *Scheduler) pickForLong(ch choice) int {
-	lowest := math.Inf(1)
-	for _, c := range s.candidates {
-		lowest = min(lowest, c.cost)
-	}
+	lowest := s.candidates[cheapest(s.candidates)].cost
 	for _, o := range s.order {
 		i := slices.IndexFunc(s.candidates, func(c candidate) bool { return c.target == s.serving[o] })
 		if i < 0 {
--- a/internal/dispatch/refusals.go
+++ b/internal/dispatch/refusals.go
@@ -104,12 +104,7 @@
 // RefuseWhere refuses all waiting requests for which match returns true. Requests that may have run get a 502
 // instead of the given refusal.
 func (s *Scheduler) RefuseWhere(match func(*Request) bool, refusal entity.Refusal, reason Reason) []Decision {
-	for _, r := range s.requests {
-		if r.running || !match(r) {
-			continue
-		}
-		s.removeWaiting(r)
-		delete(s.requests, r.ID)
+	for _, r := range s.Withdraw(match) {
 		answer := refusal
 		if r.mayHaveRun {
 			answer = entity.Refusal{Status: 502, Code: string(reason), Ran: entity.RanUnknown}
--- a/internal/edge/stream_relay.go
+++ b/internal/edge/stream_relay.go
@@ -124,28 +124,18 @@
 }
 
 // ask sends records to a host and waits for its answer.
-func (r *streamRelay) ask(ctx context.Context, addr string, frame peer.Frame) (wire.StreamRecordsKept, error) {
+func (r *streamRelay) ask(ctx context.Context, addr string, frame peer.Frame) (*wire.StreamRecordsKept, error) {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
-	s, err := peer.Dial(ctx, addr)
+	answer, err := peer.Ask(ctx, addr, frame)
 	if err != nil {
-		return wire.StreamRecordsKept{}, err
+		return nil, err
 	}
-	defer context.AfterFunc(ctx, s.Close)()
-	if err := s.SendFrame(frame); err != nil {
-		return wire.StreamRecordsKept{}, err
+	kept, ok := answer.(*wire.StreamRecordsKept)
+	if !ok {
+		return nil, errNotKept
 	}
-	var answer *wire.StreamRecordsKept
-	err = s.Run(func(m wire.Message) {
-		if kept, ok := m.(*wire.StreamRecordsKept); ok {
-			answer = kept
-			s.Close()
-		}
-	})
-	if answer == nil {
-		return wire.StreamRecordsKept{}, errors.Join(errNotKept, err)
-	}
-	return *answer, nil
+	return kept, nil
 }
 
 // recordsRelayed keeps the records of streams that another host cannot write, and answers it.
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -91,6 +91,30 @@
 	return err
 }
 
+// Ask connects to another host, sends one encoded message, and returns the first message that the host sends back before ctx
+// ends.
+func Ask(ctx context.Context, addr string, frame Frame) (wire.Message, error) {
+	s, err := Dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	defer context.AfterFunc(ctx, s.Close)()
+	if err := s.SendFrame(frame); err != nil {
+		return nil, err
+	}
+	var answer wire.Message
+	err = s.Run(func(m wire.Message) {
+		if answer == nil {
+			answer = m
+		}
+		s.Close()
+	})
+	if answer == nil {
+		return nil, err
+	}
+	return answer, nil
+}
+
 func newSession(conn net.Conn) *Session {
 	setUserTimeout(conn, SessionSilenceTimeout)
 	s := &Session{conn: conn, sendQueue: make(chan Frame, sessionQueueFrames), done: make(chan struct{})}
--- a/internal/peer/session_test.go
+++ b/internal/peer/session_test.go
@@ -1,9 +1,11 @@
 package peer
 
 import (
+	"context"
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/foxtailpass/foxtailpass/internal/wire"
 )
@@ -37,3 +39,34 @@
 		}
 	}
 }
+
+// Guards against a host that waits without end for the answer of one that stands still, and against an answer that is lost
+// because the connection is closed behind it.
+func TestAsk(t *testing.T) {
+	frame, err := Encode(&wire.StreamRecords{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, answers := range []bool{true, false} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = ln.Close() }()
+		go func() {
+			_ = Accept(ln, func(s *Session) {
+				_ = s.Run(func(wire.Message) {
+					if answers {
+						_ = s.Send(&wire.StreamRecordsKept{Writable: true})
+					}
+				})
+			})
+		}()
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		defer cancel()
+		answer, err := Ask(ctx, ln.Addr().String(), frame)
+		if kept, ok := answer.(*wire.StreamRecordsKept); ok != answers || ok && !kept.Writable || (err == nil) != answers {
+			t.Errorf("answers %v: answer %v, error %v", answers, answer, err)
+		}
+	}
+}
--- a/internal/quarantine/joint.go
+++ b/internal/quarantine/joint.go
@@ -82,12 +82,13 @@
 	return j
 }
 
-// isProbedJointly reports whether the quarantined parts of a request are too many for records of their own.
-func (v Verdict) isProbedJointly() bool { return len(v.parts()) > maxJointTraits }
-
-// parts returns the quarantined parts.
-func (v Verdict) parts() []Trait {
-	return slices.DeleteFunc(slices.Clone(v.Traits), Trait.IsRequest)
+// jointParts returns the parts among the quarantined traits of a request if they are too many for records of their own.
+func jointParts(traits []Trait) []Trait {
+	parts := slices.DeleteFunc(slices.Clone(traits), Trait.IsRequest)
+	if len(parts) <= maxJointTraits {
+		return nil
+	}
+	return parts
 }
 
 // jointWait returns the time until a quarantined part may be probed with many others, because of earlier probes of this kind.
@@ -103,8 +104,7 @@
 	if p.Cleared || p.Probes == 0 {
 		return 0
 	}
-	pause := partProbePauses[min(p.Probes, len(partProbePauses))-1]
-	return max(j.probedAt[x.Part].Add(pause).Sub(now), 0)
+	return max(j.probedAt[x.Part].Add(x.pauseAfter(p.Probes)).Sub(now), 0)
 }
 
 // claimJoint adds the claim of a probe of many parts to a transaction.
@@ -127,6 +127,13 @@
 	txn.Success = append(txn.Success, kvstore.Put(key, encode(jointRecord{Service: service, Host: t.opts.Host, Parts: next})))
 }
 
+// jointClaimed records that the claim of a probe has a result.
+func (t *Tracker) jointClaimed(traits []Trait) {
+	if parts := jointParts(traits); parts != nil {
+		t.jointOf(parts[0].Service).claiming = false
+	}
+}
+
 // boundJoint removes parts from a joint record that has too many: those that are not quarantined, then any that are not
 // probed now.
 func (t *Tracker) boundJoint(parts map[entity.PromptPartID]jointPart, probed []Trait) {
@@ -162,7 +169,7 @@
 		return nil
 	}
 	restored := kvstore.EraOf(e.Pair.ModRevision) != kvstore.EraOf(j.revision)
-	differs := false
+	unwritten := false
 	for id, p := range r.Parts {
 		known := j.parts[id]
 		if restored {
@@ -172,22 +179,28 @@
 		if p.Probes != known.Probes {
 			j.probedAt[id] = now
 		}
-		if x := (Trait{Service: r.Service, Part: id}); p.Cleared && t.endsUnder(x) <= p.Ends {
-			t.clear(x)
-			t.removeSuspect(x)
+		if p.Cleared {
+			t.clearedJointly(Trait{Service: r.Service, Part: id}, p.Ends)
 		}
 		if known.Cleared && known.Probes == p.Probes {
-			// This host may not have written yet that the part is cleared.
-			differs = differs || !p.Cleared
+			unwritten = unwritten || !p.Cleared
 			p = known
 		}
 		r.Parts[id] = p
 	}
-	j.revision, j.parts, j.unwritten = e.Pair.ModRevision, r.Parts, j.unwritten && differs
+	j.revision, j.parts, j.unwritten = e.Pair.ModRevision, r.Parts, j.unwritten && unwritten
 	maps.DeleteFunc(j.probedAt, func(id entity.PromptPartID, _ time.Time) bool { _, ok := r.Parts[id]; return !ok })
 	return nil
 }
 
+// clearedJointly releases a part that another host has cleared, unless more replicas have ended under it than that host knew.
+func (t *Tracker) clearedJointly(x Trait, ends int) {
+	if t.endsUnder(x) <= ends {
+		t.clear(x)
+		t.removeSuspect(x)
+	}
+}
+
 // endsUnder returns the number of replicas that are known to have ended under a trait.
 func (t *Tracker) endsUnder(x Trait) int {
 	ends := make(map[Instance]struct{})
--- a/internal/quarantine/probes.go
+++ b/internal/quarantine/probes.go
@@ -22,8 +22,7 @@
 		}
 	}
 	v.Joint = suspects > 1
-	switch {
-	case len(v.Traits) == 0:
+	if len(v.Traits) == 0 {
 		return v
 	}
 	v.Action = Probe
@@ -65,17 +64,16 @@
 	if running := q.seenAt.Add(probeTime).Sub(now); running > 0 && !failed {
 		return running, true
 	}
-	pauses := x.probePauses()
 	probedAlone := x.IsRequest() || !q.onlyJoint()
 	switch {
-	case q.Probes > len(pauses) && probedAlone:
+	case q.Probes > len(x.probePauses()) && probedAlone:
 		return 0, false
 	case !joint && q.onlyJoint():
 		return 0, true
 	}
 	pause := jointProbeDelay
 	if q.Probes > 0 {
-		pause = pauses[min(q.Probes, len(pauses))-1]
+		pause = x.pauseAfter(q.Probes)
 	}
 	wait = max(q.seenAt.Add(pause).Sub(now), 0)
 	return wait, wait == 0 || !failed || !probedAlone
@@ -85,12 +83,12 @@
 // same time, one succeeds. The result must be passed to Claimed.
 func (t *Tracker) Claim(v Verdict) kvstore.Txn {
 	var txn kvstore.Txn
-	jointly := v.isProbedJointly()
-	if jointly {
-		t.claimJoint(v.parts(), &txn)
+	parts := jointParts(v.Traits)
+	if parts != nil {
+		t.claimJoint(parts, &txn)
 	}
 	for _, x := range v.Traits {
-		if jointly && !x.IsRequest() {
+		if parts != nil && !x.IsRequest() {
 			continue
 		}
 		t.claiming[x] = true
@@ -117,10 +115,8 @@
 func (t *Tracker) Claimed(traits []Trait, txn kvstore.Txn, succeeded bool, revision int64, now time.Time) {
 	for _, x := range traits {
 		delete(t.claiming, x)
-		if j := t.joint[x.Service]; j != nil {
-			j.claiming = false
-		}
 	}
+	t.jointClaimed(traits)
 	if !succeeded {
 		return
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -83,6 +83,12 @@
 	return partProbePauses
 }
 
+// pauseAfter returns the pause after a number of probes of the trait, of which there was at least one. The last pause repeats.
+func (x Trait) pauseAfter(probes int) time.Duration {
+	pauses := x.probePauses()
+	return pauses[min(probes, len(pauses))-1]
+}
+
 // Instance is one incarnation of a replica.
 type Instance struct {
 	Upstream   entity.UpstreamID
