An attempt is sent for the workspace that owns the key when it is sent

Cause: just before each attempt the key was proven for the workspace that it had when the request arrived. Whether the request is allowed and who pays for it were one question there, too.

Change: the owner of the key is asked for the head of each attempt and again just before its first byte. Tokens stay with the workspace that gave them. A withdrawn key sends nothing, as before.

Evidence: TestRunningStreamWhoseKeyMoves/moved ended after 3 of 8 events before; with a withdrawn key nothing goes on, before and after.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -66,9 +66,10 @@
 	if lastEvent == "" {
 		lastEvent = s.description.LastEvent
 	}
+	owner, _ := s.keyOwner()
 	head := s.frontend.protocol.AppendHead(make([]byte, 0, 1024), &s.ctx.Request, Instruction{
 		Upstream:  st.target.ID,
-		Workspace: s.request.Workspace,
+		Workspace: owner,
 		TimeLeft:  left,
 		Rank:      s.request.Rank,
 		LastEvent: lastEvent,
@@ -83,7 +84,10 @@
 		SingleUse:     s.description.ID == "",
 		DialTimeout:   min(dialTimeout, left),
 		Deadline:      time.Now().Add(left + deadlineGrace),
-		Allowed:       func() bool { return s.keyValid() && s.mayContinue(lastEvent) },
+		Allowed: func() bool {
+			now, ok := s.keyOwner()
+			return ok && now == owner && s.mayContinue(lastEvent)
+		},
 		IsStray: func(h *fasthttp.ResponseHeader) bool {
 			id := s.frontend.protocol.ParseAnswer(h).Request
 			return id != "" && id != s.description.ID
@@ -101,7 +105,7 @@
 		s.frontend.metrics.RecordDispatchWait(now.Sub(s.arrived))
 	}
 	s.frontend.log.Info("Request sent.", "request", s.description.ID, "attempt", st.attempt, "upstream", st.target.ID, "release", st.target.Release, "after", now.Sub(s.arrived),
-		"left", left, "route", s.route.Name, "workspace", s.request.Workspace, "tokens", s.request.Tokens, "model", s.request.Pool.Model, "adapter", s.request.Pool.Adapter,
+		"left", left, "route", s.route.Name, "workspace", owner, "tokens", s.request.Tokens, "model", s.request.Pool.Model, "adapter", s.request.Pool.Adapter,
 		"limited", st.limitStamp != 0, "load", math.Round(st.basis.load*10)/10, "others_age", st.basis.othersAge, "source", st.target.Source, "config", st.basis.configVersion,
 		"view_age", s.frontend.viewAge(now), "last_event", lastEvent, "resumes", s.description.Resumes)
 	ex, err := s.frontend.upstreams.Exchange(ctx, o)
@@ -127,15 +131,20 @@
 	})
 }
 
-// keyValid reports whether the request needs no key, or a view that is fresh enough still lists the key of
-// the request for its workspace. It is checked just before the first byte is sent to an upstream.
-func (s *requestSession) keyValid() bool {
+// keyOwner returns the workspace for which the request may be sent: the one that its key belongs to, empty if it needs no key.
+// It returns false if no view that is fresh enough lists the key. It is asked for the head of an attempt, and again just before
+// the first byte is sent to an upstream. The workspace may differ from that of the request, whose tokens it took, if the key
+// has moved since.
+func (s *requestSession) keyOwner() (owner entity.WorkspaceID, ok bool) {
 	if !s.needsKey {
-		return true
+		return "", true
 	}
 	fresh, _ := s.frontend.fresh()
 	w := s.frontend.catalog.Load().Key(s.request.Key)
-	return fresh && w != nil && w.ID == s.request.Workspace
+	if !fresh || w == nil {
+		return "", false
+	}
+	return w.ID, true
 }
 
 // classifyAnswer returns the result of the attempt and true if an answer must not be passed on to the caller
@@ -197,7 +206,8 @@
 	}
 	s.frontend.log.Info("Attempt failed.", fields...)
 	s.frontend.metrics.CountAttempt(res.Outcome.String())
-	if res.Outcome == entity.AttemptNotRun && !(s.keyValid() && s.mayContinue(s.description.LastEvent)) {
+	_, keyValid := s.keyOwner()
+	if res.Outcome == entity.AttemptNotRun && !(keyValid && s.mayContinue(s.description.LastEvent)) {
 		s.frontend.send(callerLeft{id: s.request.ID})
 		s.refuse(s.staleViewRefusal())
 		s.release()
